scheduler: fair order, admission and placement behind the agreed interface

Packages estimator, sequencer and admitter hold one policy each with a plain baseline beside it. The scheduler combines them: it charges observed run time, keeps capacity for short work, expires and rescues by deadline, and orders checkpoints at a demand peak.

--- /dev/null
+++ b/scheduler/sharer.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/masticlead/masticlead/descriptor"
+)
+
+// Sharer divides the capacity between short and long work. All amounts are
+// fractions of the capacity. It is not safe for concurrent use.
+type Sharer interface {
+	// SetWeights takes over the operators' weights.
+	SetWeights(w descriptor.Weights)
+	// IsLong says whether work of the given run time is long.
+	IsLong(run time.Duration) bool
+	// Arrived counts admitted work: the share of the capacity it takes and how
+	// long it runs.
+	Arrived(now time.Time, share float64, run time.Duration, long bool)
+	// LongAllowance returns the fraction of the capacity that long work may take
+	// that can't be moved away soon.
+	LongAllowance(now time.Time) float64
+}
+
+// Unshared is the plain baseline: all work may take all capacity.
+type Unshared struct{}
+
+// SetWeights does nothing.
+func (Unshared) SetWeights(descriptor.Weights) {}
+
+// IsLong returns false.
+func (Unshared) IsLong(time.Duration) bool { return false }
+
+// Arrived does nothing.
+func (Unshared) Arrived(time.Time, float64, time.Duration, bool) {}
+
+// LongAllowance returns 1.
+func (Unshared) LongAllowance(time.Time) float64 { return 1 }
+
+const (
+	// longFactor is how many times longer than the median long work runs.
+	longFactor = 10
+	// minShort and maxShort bound the longest run time of short work. Work that
+	// ends within half a second delays nobody noticeably, and more than a minute
+	// is long in any mix.
+	minShort = 500 * time.Millisecond
+	maxShort = time.Minute
+	// firstShort applies until enough work has been seen.
+	firstShort = 10 * time.Second
+	// medianSamples is the number of arrivals after which the median is used.
+	medianSamples = 50
+	// medianMemory is the number of arrivals that the median covers.
+	medianMemory = 1000
+
+	// fastWindow and slowWindow are the times over which short demand is
+	// measured; the larger one counts, so that the reserve grows within seconds
+	// and shrinks within a minute.
+	fastWindow = 5 * time.Second
+	slowWindow = time.Minute
+	// longWindow is the time over which long demand is measured. Long work
+	// arrives rarely, so that a shorter window sees mostly noise.
+	longWindow = 10 * time.Minute
+	// reserveDeviations is the number of standard deviations of the short
+	// demand that are reserved beyond its mean.
+	reserveDeviations = 2
+	// longFloor is the least fraction of the capacity that long work may take.
+	longFloor = 0.1
+)
+
+// Reserve keeps capacity for short work by its measured demand.
+type Reserve struct {
+	short      float64 // weight
+	runs       [64]float64
+	runCount   float64
+	threshold  time.Duration
+	fast, slow demand
+	long       demand
+	unit       float64 // fading mean share of a short request
+}
+
+// NewReserve returns a sharer that has seen nothing.
+func NewReserve() *Reserve {
+	return &Reserve{
+		short: 1, threshold: firstShort,
+		fast: demand{window: fastWindow}, slow: demand{window: slowWindow}, long: demand{window: longWindow},
+	}
+}
+
+// demand is an offered load: the fading sum of share times run time over the
+// window.
+type demand struct {
+	window time.Duration
+	since  time.Time
+	at     time.Time
+	work   float64
+}
+
+func (d *demand) add(now time.Time, work float64) {
+	d.fade(now)
+	d.work += work
+}
+
+func (d *demand) fade(now time.Time) {
+	if d.since.IsZero() {
+		d.since, d.at = now, now
+	}
+	if dt := now.Sub(d.at); dt > 0 {
+		d.work *= math.Exp(-dt.Seconds() / d.window.Seconds())
+		d.at = now
+	}
+}
+
+// rate returns the mean load, corrected for the time before the first arrival.
+func (d *demand) rate(now time.Time) float64 {
+	d.fade(now)
+	seen := 1 - math.Exp(-now.Sub(d.since).Seconds()/d.window.Seconds())
+	return d.work / (d.window.Seconds() * max(seen, 0.05))
+}
+
+// SetWeights takes over the operators' weights.
+func (s *Reserve) SetWeights(w descriptor.Weights) {
+	s.short = w.ShortFirst
+	if s.short <= 0 {
+		s.short = 1
+	}
+}
+
+// IsLong compares with ten times the median run time of all arrivals.
+func (s *Reserve) IsLong(run time.Duration) bool { return run > s.threshold }
+
+// Arrived counts work towards the demand and the median.
+func (s *Reserve) Arrived(now time.Time, share float64, run time.Duration, long bool) {
+	work := share * run.Seconds()
+	if long {
+		s.long.add(now, work)
+	} else {
+		s.fast.add(now, work)
+		s.slow.add(now, work)
+		s.unit += (share - s.unit) * 0.01
+		if s.unit == 0 {
+			s.unit = share
+		}
+	}
+	s.count(run)
+}
+
+// count keeps a fading histogram of run times in powers of the square root of 2.
+func (s *Reserve) count(run time.Duration) {
+	i := int(2 * math.Log2(float64(max(run, time.Millisecond))/float64(time.Millisecond)))
+	s.runs[min(i, len(s.runs)-1)]++
+	s.runCount++
+	if s.runCount >= 2*medianMemory {
+		s.runCount = 0
+		for j := range s.runs {
+			s.runs[j] /= 2
+			s.runCount += s.runs[j]
+		}
+	}
+	if s.runCount >= medianSamples {
+		s.threshold = min(max(longFactor*s.median(), minShort), maxShort)
+	}
+}
+
+func (s *Reserve) median() time.Duration {
+	half := s.runCount / 2
+	for i, n := range s.runs {
+		if half -= n; half <= 0 {
+			return time.Duration(math.Exp2(float64(i+1)/2) * float64(time.Millisecond))
+		}
+	}
+	return maxShort
+}
+
+// LongAllowance returns what the short demand and its deviation leave. Long work
+// keeps what it needs itself, because a reserve that starves long work would
+// only exchange one harm for another.
+func (s *Reserve) LongAllowance(now time.Time) float64 {
+	short := max(s.fast.rate(now), s.slow.rate(now))
+	reserve := short + s.short*reserveDeviations*math.Sqrt(short*s.unit)
+	return min(max(1-reserve, longFloor), 1)
+}
--- /dev/null
+++ b/sequencer/fair_accounts.go
@@ -0,0 +1,115 @@
+package sequencer
+
+import "github.com/masticlead/masticlead/descriptor"
+
+// team returns the account of a team, which is opened on first use.
+func (q *Fair[T]) team(id descriptor.TeamID) *team[T] {
+	t, ok := q.teams[id]
+	if !ok {
+		q.order++
+		t = &team[T]{id: id, used: q.teamClock, order: q.order, callers: map[descriptor.CallerID]*caller[T]{}}
+		q.entitle(t)
+		q.teams[id] = t
+	}
+	return t
+}
+
+// caller returns the account of a caller of the team, which is opened on first
+// use.
+func (t *team[T]) caller(id descriptor.CallerID, q *Fair[T]) *caller[T] {
+	c, ok := t.callers[id]
+	if !ok {
+		q.order++
+		c = &caller[T]{used: t.clock, order: q.order}
+		t.callers[id] = c
+		q.accounts++
+	}
+	return c
+}
+
+// sweep closes idle accounts once they outnumber the busy ones. An idle caller
+// whose virtual time is not ahead of its team's clock would start anew there
+// anyway, so that nothing is lost with its account.
+func (q *Fair[T]) sweep() {
+	if q.accounts < 4*q.busy+sweepSlack {
+		return
+	}
+	for _, t := range q.teams {
+		for id, c := range t.callers {
+			if c.queued == 0 && c.used <= t.clock {
+				delete(t.callers, id)
+				q.accounts--
+			}
+		}
+	}
+	// Callers with debt are kept, but must not cause a sweep at each removal.
+	if q.accounts >= 2*q.busy+sweepSlack {
+		q.closeIndebted()
+	}
+}
+
+// closeIndebted closes idle accounts with debt, which forgives the debt. It
+// bounds the accounts when callers come once and never again.
+func (q *Fair[T]) closeIndebted() {
+	for _, t := range q.teams {
+		for id, c := range t.callers {
+			if c.queued == 0 {
+				delete(t.callers, id)
+				q.accounts--
+			}
+		}
+	}
+}
+
+// flow returns the caller's flow of a class, which is opened if needed.
+func (q *Fair[T]) flow(t *team[T], c *caller[T], cl Class) *flow[T] {
+	for _, f := range c.flows {
+		if f.entry.class.Class == cl {
+			return f
+		}
+	}
+	f := &flow[T]{caller: c, entry: q.entry(t, cl), pos: -1}
+	c.flows = append(c.flows, f)
+	return f
+}
+
+func (q *Fair[T]) entry(t *team[T], cl Class) *entry[T] {
+	k, ok := q.classes[cl]
+	if !ok {
+		k = &class[T]{Class: cl, entries: map[*team[T]]*entry[T]{}}
+		q.classes[cl] = k
+		l := &q.lanes[cl.Lane()]
+		l.classes = append(l.classes, k)
+	}
+	e, ok := k.entries[t]
+	if !ok {
+		e = &entry[T]{team: t, class: k, tier: t.tier(), pos: -1}
+		k.entries[t] = e
+		t.entries = append(t.entries, e)
+	}
+	return e
+}
+
+// enter puts a flow into its entry's heap, and the entry into its class's.
+func (q *Fair[T]) enter(f *flow[T]) {
+	if f.pos >= 0 {
+		return
+	}
+	e := f.entry
+	e.flows.push(f)
+	if e.pos < 0 {
+		e.class.tiers[e.tier].push(e)
+	}
+}
+
+// leave takes a flow out of its entry's heap.
+func (q *Fair[T]) leave(f *flow[T]) {
+	if f.pos < 0 {
+		return
+	}
+	e := f.entry
+	e.flows.remove(f)
+	if e.flows.len() == 0 {
+		e.class.tiers[e.tier].remove(e)
+	}
+}
--- /dev/null
+++ b/sequencer/heap.go
@@ -0,0 +1,80 @@
+package sequencer
+
+// node is an element of an indexed heap.
+type node[E any] interface {
+	less(E) bool
+	position() *int
+}
+
+// indexed is a heap whose elements know their position, so that any of them can
+// be moved or removed in logarithmic time. A position of -1 means that the
+// element is in no heap.
+type indexed[E node[E]] struct{ elements []E }
+
+func (h *indexed[E]) len() int { return len(h.elements) }
+
+// top returns the least element of a heap that is not empty.
+func (h *indexed[E]) top() E { return h.elements[0] }
+
+func (h *indexed[E]) push(e E) {
+	h.elements = append(h.elements, e)
+	*e.position() = len(h.elements) - 1
+	h.up(len(h.elements) - 1)
+}
+
+func (h *indexed[E]) remove(e E) {
+	i, last := *e.position(), len(h.elements)-1
+	h.swap(i, last)
+	var none E
+	h.elements[last] = none
+	h.elements = h.elements[:last]
+	if i < last {
+		h.fix(h.elements[i])
+	}
+	*e.position() = -1
+}
+
+// fix restores the order after the element's key has changed.
+func (h *indexed[E]) fix(e E) {
+	i := *e.position()
+	if !h.down(i) {
+		h.up(i)
+	}
+}
+
+func (h *indexed[E]) swap(i, j int) {
+	h.elements[i], h.elements[j] = h.elements[j], h.elements[i]
+	*h.elements[i].position() = i
+	*h.elements[j].position() = j
+}
+
+func (h *indexed[E]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.elements[i].less(h.elements[parent]) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+// down reports whether the element has moved.
+func (h *indexed[E]) down(i int) bool {
+	start := i
+	for {
+		child := 2*i + 1
+		if child >= len(h.elements) {
+			break
+		}
+		if right := child + 1; right < len(h.elements) && h.elements[right].less(h.elements[child]) {
+			child = right
+		}
+		if !h.elements[child].less(h.elements[i]) {
+			break
+		}
+		h.swap(i, child)
+		i = child
+	}
+	return i > start
+}
