placer: index targets in shards and reserve named targets for gangs

Cause: a linear scan of 27,000 targets per decision is too slow, and a gang starves while small work takes every target that becomes free.

--- /dev/null
+++ b/placer/gang.go
@@ -0,0 +1,242 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/masticlead/masticlead/descriptor"
+)
+
+// maxPlanned is the number of targets that the search for a reservation looks
+// at before it settles for what it has found.
+const maxPlanned = 512
+
+// placeGang places all tasks of a request at once, or reserves targets for them.
+func (p *Packer) placeGang(now time.Time, d Demand) ([]Assignment, Verdict) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	task := runningTask{need: d.Request.Resources, end: now.Add(d.Run)}
+	tasks := taskCount(d.Request)
+	var placed []Assignment
+	put := func(s *slot, n int) {
+		for range n {
+			p.take(s, task)
+			placed = append(placed, Assignment{Index: len(placed), Target: s.target.ID})
+		}
+	}
+	if r := p.reservations[d.Request.Key]; r != nil {
+		for _, h := range r.holds {
+			put(h.slot, copies(task.need, h.slot.free(), tasks-len(placed)))
+		}
+	}
+	for len(placed) < tasks {
+		s := p.bestOpen(task.need, d.Avoid)
+		if s == nil {
+			p.undo(placed, task)
+			return p.reserve(now, d)
+		}
+		put(s, copies(task.need, s.free(), tasks-len(placed)))
+	}
+	p.finish(d.Request.Key)
+	return placed, Placed
+}
+
+// bestOpen returns the best target of the first shard that has room, or nil.
+func (p *Packer) bestOpen(need descriptor.Resources, avoid []descriptor.TargetID) *slot {
+	for i := p.tree.next(0, need); i >= 0; i = p.tree.next(i+1, need) {
+		if s := p.shards[i].best(need, avoid, &p.weights); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// undo gives back the tasks of a request that could not be placed as a whole.
+// They were the last ones added to their slots.
+func (p *Packer) undo(placed []Assignment, task runningTask) {
+	for _, a := range placed {
+		s := p.byID[a.Target]
+		s.tasks = s.tasks[:len(s.tasks)-1]
+		s.used = s.used.Sub(task.need)
+		p.services.ended(task.group, s.target.Rack)
+		p.cell.use(s, task.need.Scale(-1))
+		p.refresh(s)
+	}
+}
+
+// reserve returns the verdict for a request that finds no room now. It reserves
+// targets for the request, unless it has a reservation or may not have one.
+func (p *Packer) reserve(now time.Time, d Demand) ([]Assignment, Verdict) {
+	key := d.Request.Key
+	if p.reservations[key] != nil {
+		return nil, Reserved
+	}
+	if p.blocked.key != key && now.Before(p.blocked.seen.Add(blockedFor)) {
+		return nil, NoRoom
+	}
+	r := p.plan(now, d)
+	if r == nil || !p.mayHold(len(r.holds)) {
+		p.block(now, key)
+		return nil, NoRoom
+	}
+	if p.blocked.key == key {
+		p.blocked = blocked{}
+	}
+	p.reservations[key] = r
+	for _, h := range r.holds {
+		h.slot.held = h
+		p.holds = append(p.holds, h.slot)
+		p.refresh(h.slot)
+	}
+	p.limitAt(r.limit)
+	return nil, Reserved
+}
+
+// mayHold reports whether n more targets may be reserved. A single reservation
+// may name any number of targets.
+func (p *Packer) mayHold(n int) bool {
+	return len(p.holds) == 0 || float64(len(p.holds)+n) <= p.cfg.ReservedShare*float64(len(p.byID))
+}
+
+// block makes the request the next one to reserve. Without reservations of
+// others there is nothing to wait for.
+func (p *Packer) block(now time.Time, key descriptor.Key) {
+	if len(p.holds) == 0 {
+		p.blocked = blocked{}
+		return
+	}
+	p.blocked = blocked{key: key, seen: now}
+}
+
+// opening says that from a time on, a number of tasks fit on a slot.
+type opening struct {
+	at     time.Time
+	slot   *slot
+	copies int
+	// free is what is expected to be free on the slot at that time.
+	free descriptor.Resources
+}
+
+// plan returns the reservation that is expected to start first, or nil if the
+// targets that are not reserved can't hold the request. The forecast uses the
+// estimated ends of the running tasks.
+func (p *Packer) plan(now time.Time, d Demand) *reservation {
+	tasks := taskCount(d.Request)
+	openings := p.openings(now, d, tasks)
+	slices.SortStableFunc(openings, func(a, b opening) int { return a.at.Compare(b.at) })
+	last := make(map[*slot]opening)
+	total := 0
+	for _, o := range openings {
+		total += o.copies - last[o.slot].copies
+		last[o.slot] = o
+		if total >= tasks {
+			return p.choose(now, d, last)
+		}
+	}
+	return nil
+}
+
+// choose builds a reservation from openings that together hold all tasks. It
+// names the targets that hold most of them, so that few targets are reserved.
+func (p *Packer) choose(now time.Time, d Demand, last map[*slot]opening) *reservation {
+	chosen := make([]opening, 0, len(last))
+	for _, o := range last {
+		chosen = append(chosen, o)
+	}
+	slices.SortFunc(chosen, func(a, b opening) int {
+		if a.copies != b.copies {
+			return b.copies - a.copies
+		}
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return a.slot.order() - b.slot.order()
+	})
+	r := &reservation{key: d.Request.Key, start: now}
+	left := taskCount(d.Request)
+	for _, o := range chosen {
+		n := min(o.copies, left)
+		left -= n
+		if o.at.After(r.start) {
+			r.start = o.at
+		}
+		spare := o.free.Sub(d.Request.Resources.Scale(n))
+		r.holds = append(r.holds, &hold{reservation: r, slot: o.slot, copies: n, spare: spare})
+		if left == 0 {
+			break
+		}
+	}
+	r.limit = r.start.Add(max(p.cfg.Grace, r.start.Sub(now)/2))
+	return r
+}
+
+// openings returns when and how often a task of the request will fit on the
+// targets that may be reserved. It looks at maxPlanned targets, or at more if
+// those can't hold all tasks. Each search begins at another shard.
+func (p *Packer) openings(now time.Time, d Demand, tasks int) []opening {
+	need := d.Request.Resources
+	var all []opening
+	seen, total := 0, 0
+	p.planFrom++
+	for i := range p.shards {
+		sh := p.shards[(p.planFrom+i)%len(p.shards)]
+		for _, s := range sh.slots {
+			if s == nil || !s.open() || !need.Fits(s.capacity) || avoided(s, d.Avoid) {
+				continue
+			}
+			seen++
+			n := len(all)
+			all = p.forecast(all, now, s, need, tasks)
+			if len(all) > n {
+				total += all[len(all)-1].copies
+			}
+		}
+		if seen >= maxPlanned && total >= tasks {
+			break
+		}
+	}
+	return all
+}
+
+// forecast appends the openings of one slot.
+func (p *Packer) forecast(all []opening, now time.Time, s *slot, need descriptor.Resources, tasks int) []opening {
+	free := s.free()
+	fit := copies(need, free, tasks)
+	if fit > 0 {
+		all = append(all, opening{now, s, fit, free})
+	}
+	type ending struct {
+		at   time.Time
+		need descriptor.Resources
+	}
+	ends := make([]ending, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		if !t.endless {
+			ends = append(ends, ending{p.expectedEnd(now, t), t.need})
+		}
+	}
+	slices.SortFunc(ends, func(a, b ending) int { return a.at.Compare(b.at) })
+	for _, e := range ends {
+		free = free.Add(e.need)
+		if n := copies(need, free, tasks); n > fit {
+			fit = n
+			all = append(all, opening{e.at, s, n, free})
+		}
+	}
+	return all
+}
+
+// expectedEnd returns when a task is expected to end. One that has overrun its
+// estimate is expected to take as long again as it has overrun.
+func (p *Packer) expectedEnd(now time.Time, t runningTask) time.Time {
+	switch {
+	case t.end.IsZero():
+		return now.Add(p.cfg.UnknownRun)
+	case t.end.After(now):
+		return t.end
+	}
+	return now.Add(max(now.Sub(t.end), minOverrun))
+}
+
+// minOverrun is the remaining run time assumed for a task that is just due.
+const minOverrun = 100 * time.Millisecond
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/masticlead/masticlead/descriptor"
@@ -10,60 +11,250 @@
 var _ Policy = (*Packer)(nil)
 
 // PackerConfig configures a Packer. The zero value is usable.
-type PackerConfig struct{}
+type PackerConfig struct {
+	// ReservedShare bounds the fraction of the targets that reservations may
+	// name at once, unless there is only one reservation. The default is 0.3.
+	ReservedShare float64
+	// Grace is how long a reservation outlasts its expected start before its
+	// targets are given up. The default is 2 s; it grows to half of the
+	// expected wait.
+	Grace time.Duration
+	// UnknownRun is the remaining run time assumed for tasks that were found
+	// running. The default is 30 s.
+	UnknownRun time.Duration
+}
 
-// Packer is a best-fit policy: each task goes to the target that has the least
-// room left after it.
+func (c PackerConfig) withDefaults() PackerConfig {
+	if c.ReservedShare <= 0 {
+		c.ReservedShare = 0.3
+	}
+	if c.Grace <= 0 {
+		c.Grace = 2 * time.Second
+	}
+	if c.UnknownRun <= 0 {
+		c.UnknownRun = 30 * time.Second
+	}
+	return c
+}
+
+// Packer is a best-fit policy over an index of shards. A task goes to the first
+// shard that has room for it, and there to the target with the least room left
+// after it. Filling shards in order keeps whole targets free for large work.
+// Requests of several tasks that find no room get a reservation on named
+// targets.
+//
+// Single tasks and releases take the lock of the packer shared and that of one
+// shard; everything else takes the packer's lock exclusively. The order of
+// locks is packer, shard, tree.
 type Packer struct {
-	FirstFit
 	cfg PackerConfig
+
+	mu      sync.RWMutex
+	byID    map[descriptor.TargetID]*slot
+	shards  []*shard
+	vacant  []*slot // unused positions of shards
+	weights weights
+	tree    maxTree
+
+	cell     cell
+	services services
+
+	reservations map[descriptor.Key]*reservation
+	holds        []*slot // targets that a reservation names
+	nextLimit    time.Time
+	blocked      blocked
+	planFrom     int
 }
 
 // NewPacker returns a Packer without targets.
 func NewPacker(cfg PackerConfig) *Packer {
-	return &Packer{FirstFit: *NewFirstFit(), cfg: cfg}
+	return &Packer{
+		cfg:          cfg.withDefaults(),
+		byID:         make(map[descriptor.TargetID]*slot),
+		cell:         newCell(),
+		services:     newServices(),
+		reservations: make(map[descriptor.Key]*reservation),
+	}
 }
 
-// Place implements Policy.
-func (p *Packer) Place(_ time.Time, d Demand) ([]Assignment, Verdict) {
-	task := d.Request.Resources
-	if task.IsNegative() {
-		return nil, NoRoom
-	}
+// AddTarget implements Policy.
+func (p *Packer) AddTarget(t descriptor.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var placed []Assignment
-	for len(placed) < taskCount(d.Request) {
-		n := p.best(task, d.Avoid)
-		if n == nil {
-			p.undo(task, placed)
-			return nil, NoRoom
+	s := p.byID[t.ID]
+	if s == nil {
+		s = p.newSlot()
+		p.byID[t.ID] = s
+	} else {
+		p.cell.remove(s)
+		if s.held != nil && s.capacity != t.Capacity {
+			p.cancel(s.held.reservation)
 		}
-		n.used = n.used.Add(task)
-		placed = append(placed, Assignment{Index: len(placed), Target: n.target.ID})
 	}
-	return placed, Placed
+	s.target, s.capacity = t, t.Capacity
+	if t.Leaving && s.state == Placeable {
+		s.state = Leaving
+	}
+	p.cell.add(s)
+	p.weights = newWeights(p.cell.sum(), len(p.byID))
+	p.refresh(s)
 }
 
-// best returns the target with the least room left after the task, or nil.
-func (p *Packer) best(task descriptor.Resources, avoid []descriptor.TargetID) *node {
-	var found *node
-	least := 0.0
-	for _, n := range p.nodes {
-		if n.state != Placeable || !task.Fits(n.free()) || slices.Contains(avoid, n.target.ID) {
-			continue
-		}
-		left := n.free().Sub(task).DominantShare(n.capacity)
-		if found == nil || left < least {
-			found, least = n, left
+// newSlot returns a slot in a vacant position of a shard.
+func (p *Packer) newSlot() *slot {
+	if len(p.vacant) == 0 {
+		p.addShard()
+	}
+	last := len(p.vacant) - 1
+	at := p.vacant[last]
+	p.vacant = p.vacant[:last]
+	s := &slot{shard: at.shard, pos: at.pos}
+	s.shard.slots[s.pos] = s
+	return s
+}
+
+func (p *Packer) addShard() {
+	sh := newShard(len(p.shards))
+	p.shards = append(p.shards, sh)
+	p.tree.grow(len(p.shards))
+	p.cell.grow(len(p.shards))
+	for pos := shardSize - 1; pos >= 0; pos-- {
+		p.vacant = append(p.vacant, &slot{shard: sh, pos: pos})
+	}
+}
+
+// refresh brings the index up to date after a change of the slot. The caller
+// holds the lock of the packer exclusively or that of the slot's shard.
+func (p *Packer) refresh(s *slot) {
+	if s.shard.refresh(s.pos) {
+		p.tree.set(s.shard.index, s.shard.largest)
+	}
+}
+
+// RemoveTarget implements Policy.
+func (p *Packer) RemoveTarget(id descriptor.TargetID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.byID[id]
+	if s == nil {
+		return
+	}
+	if s.held != nil {
+		p.cancel(s.held.reservation)
+	}
+	delete(p.byID, id)
+	p.cell.remove(s)
+	for i := range s.tasks {
+		p.services.ended(s.tasks[i].group, s.target.Rack)
+	}
+	s.shard.slots[s.pos] = nil
+	p.refresh(s)
+	p.vacant = append(p.vacant, s)
+	p.weights = newWeights(p.cell.sum(), len(p.byID))
+}
+
+// SetState implements Policy.
+func (p *Packer) SetState(id descriptor.TargetID, state TargetState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.byID[id]
+	if s == nil || s.state == state {
+		return
+	}
+	if s.held != nil {
+		p.cancel(s.held.reservation)
+	}
+	p.cell.remove(s)
+	s.state = state
+	p.cell.add(s)
+	p.refresh(s)
+}
+
+// Place implements Policy.
+func (p *Packer) Place(now time.Time, d Demand) ([]Assignment, Verdict) {
+	if d.Request.Resources.IsNegative() {
+		return nil, NoRoom
+	}
+	p.expire(now)
+	switch {
+	case d.Request.Policy == descriptor.Service:
+		return p.placeService(now, d)
+	case taskCount(d.Request) > 1 || d.Request.Policy == descriptor.Gang:
+		return p.placeGang(now, d)
+	}
+	return p.placeSingle(now, d)
+}
+
+// placeSingle places a request of one task.
+func (p *Packer) placeSingle(now time.Time, d Demand) ([]Assignment, Verdict) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	task := runningTask{need: d.Request.Resources, end: now.Add(d.Run)}
+	for i := p.tree.next(0, task.need); i >= 0; i = p.tree.next(i+1, task.need) {
+		if id, ok := p.placeIn(p.shards[i], task, d.Avoid); ok {
+			return []Assignment{{Target: id}}, Placed
 		}
 	}
-	return found
+	if id, ok := p.backfill(now, task, d.Avoid); ok {
+		return []Assignment{{Target: id}}, Placed
+	}
+	return nil, NoRoom
+}
+
+// placeIn places a task on the best target of the shard.
+func (p *Packer) placeIn(sh *shard, task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	s := sh.best(task.need, avoid, &p.weights)
+	if s == nil {
+		return "", false
+	}
+	p.take(s, task)
+	return s.target.ID, true
+}
+
+// take accounts for a task on the slot. The caller holds the lock of the packer
+// exclusively or that of the slot's shard.
+func (p *Packer) take(s *slot, task runningTask) {
+	s.add(task)
+	p.cell.use(s, task.need)
+	p.refresh(s)
 }
 
-func (p *Packer) undo(task descriptor.Resources, placed []Assignment) {
-	for _, a := range placed {
-		n := p.byID[a.Target]
-		n.used = n.used.Sub(task)
+// Take implements Policy.
+func (p *Packer) Take(id descriptor.TargetID, r descriptor.Resources) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	s := p.byID[id]
+	if s == nil {
+		return
 	}
+	s.shard.mu.Lock()
+	defer s.shard.mu.Unlock()
+	p.take(s, runningTask{need: r})
+}
+
+// Release implements Policy. What exceeds the amount in use is ignored.
+func (p *Packer) Release(_ time.Time, id descriptor.TargetID, r descriptor.Resources) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	s := p.byID[id]
+	if s == nil {
+		return
+	}
+	s.shard.mu.Lock()
+	defer s.shard.mu.Unlock()
+	before := s.used
+	task := s.drop(r)
+	p.services.ended(task.group, s.target.Rack)
+	p.cell.use(s, s.used.Sub(before))
+	p.refresh(s)
+}
+
+// Totals implements Policy.
+func (p *Packer) Totals() (capacity, used descriptor.Resources) { return p.cell.totals() }
+
+// avoided reports whether the request has failed on the slot's target before.
+func avoided(s *slot, avoid []descriptor.TargetID) bool {
+	return slices.Contains(avoid, s.target.ID)
 }
--- a/placer/policy.go
+++ b/placer/policy.go
@@ -7,6 +7,8 @@
 	"github.com/masticlead/masticlead/descriptor"
 )
 
+//go:generate go tool stringer -type=TargetState,Verdict -linecomment -output=enums_string.go
+
 // TargetState says whether a target takes new tasks.
 type TargetState uint8
 
@@ -23,9 +25,10 @@
 
 // The verdicts.
 const (
-	Placed   Verdict = iota // placed
-	NoRoom                  // noRoom
-	Reserved                // reserved: a gang waits for its reservation
+	Placed Verdict = iota // placed
+	NoRoom                // noRoom
+	// Reserved means that a request of several tasks waits for its reservation.
+	Reserved // reserved
 )
 
 // Assignment is the target of one task.
--- a/placer/policy_test.go
+++ b/placer/policy_test.go
@@ -137,7 +137,7 @@
 	}
 }
 
-type runningTask struct {
+type modelTask struct {
 	target descriptor.TargetID
 	need   descriptor.Resources
 }
@@ -148,7 +148,7 @@
 	targets map[descriptor.TargetID]descriptor.Resources
 	state   map[descriptor.TargetID]TargetState
 	used    map[descriptor.TargetID]descriptor.Resources
-	running []runningTask
+	running []modelTask
 }
 
 func (m *model) task() descriptor.Resources {
@@ -198,7 +198,7 @@
 		need := m.task()
 		p.Take(name, need)
 		m.used[name] = m.used[name].Add(need)
-		m.running = append(m.running, runningTask{name, need})
+		m.running = append(m.running, modelTask{name, need})
 	case op < 50 && len(m.running) > 0:
 		m.release(p, now)
 	default:
@@ -238,7 +238,7 @@
 		require.Equal(t, Placeable, m.state[a.Target])
 		m.used[a.Target] = m.used[a.Target].Add(d.Request.Resources)
 		require.True(t, m.used[a.Target].Fits(m.targets[a.Target]), "capacity below zero on %s", a.Target)
-		m.running = append(m.running, runningTask{a.Target, d.Request.Resources})
+		m.running = append(m.running, modelTask{a.Target, d.Request.Resources})
 	}
 }
 
@@ -256,7 +256,7 @@
 	require.Equal(t, wantUsed, used, "seed %d step %d", seed, step)
 }
 
-func deleteTarget(running []runningTask, name descriptor.TargetID) []runningTask {
+func deleteTarget(running []modelTask, name descriptor.TargetID) []modelTask {
 	kept := running[:0]
 	for _, task := range running {
 		if task.target != name {
