connector: renew task leases until an absolute time on the target's clock

Cause: a renewal with a relative lease that is delivered late extends the lease from the time of delivery, so an owner can't tell when a task has surely ended. Only the owner of a key refuses; others answer 'unknown' with a reason and a time to retry. Conclusion: the end of a task at an unreachable target can be bounded.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -125,7 +125,9 @@
 	Epoch   descriptor.Epoch   `json:"epoch"`
 	Attempt descriptor.Attempt `json:"attempt"`
 	// Index is the position of the task in its request, from 0.
-	Index      int                  `json:"index"`
+	Index int `json:"index"`
+	// Of is the number of tasks of the request.
+	Of         int                  `json:"of"`
 	Idempotent bool                 `json:"idempotent"`
 	Kind       descriptor.KindName  `json:"kind"`
 	Resources  descriptor.Resources `json:"resources"`
@@ -149,6 +151,7 @@
 	Epoch      descriptor.Epoch     `json:"epoch"`
 	Attempt    descriptor.Attempt   `json:"attempt"`
 	Index      int                  `json:"index"`
+	Of         int                  `json:"of"`
 	Idempotent bool                 `json:"idempotent"`
 	Kind       descriptor.KindName  `json:"kind"`
 	Resources  descriptor.Resources `json:"resources"`
@@ -204,8 +207,9 @@
 	// waiting up to wait for the first. It is idempotent.
 	Events(ctx context.Context, after uint64, wait time.Duration) (TaskList, error)
 	// Renew extends the leases of all given tasks, or of all running tasks if
-	// there are none given, to lease from now on.
-	Renew(ctx context.Context, tasks []descriptor.TaskID, lease time.Duration) (TargetStatus, error)
+	// there are none given, until a time on the target's clock. It never shortens
+	// a lease, so a renewal that arrives late does no harm.
+	Renew(ctx context.Context, tasks []descriptor.TaskID, until TargetClock) (TargetStatus, error)
 	// Direct changes a running task. A task that has ended is no error.
 	Direct(ctx context.Context, task descriptor.TaskID, d Directive) (TargetStatus, error)
 	// Close releases the connection.
--- a/connector/http.go
+++ b/connector/http.go
@@ -39,7 +39,7 @@
 // RenewRequest is the body of a lease renewal at a target.
 type RenewRequest struct {
 	Tasks   []descriptor.TaskID `json:"tasks,omitempty"`
-	LeaseMs int64               `json:"leaseMs"`
+	UntilMs TargetClock         `json:"untilMs"`
 }
 
 // DirectRequest is the body of a directive to a running task.
@@ -227,8 +227,8 @@
 }
 
 // Renew implements TargetConn.
-func (c *targetConn) Renew(ctx context.Context, tasks []descriptor.TaskID, lease time.Duration) (TargetStatus, error) {
-	return call[RenewRequest, TargetStatus](ctx, c.client, c.base+"/lease", RenewRequest{tasks, lease.Milliseconds()})
+func (c *targetConn) Renew(ctx context.Context, tasks []descriptor.TaskID, until TargetClock) (TargetStatus, error) {
+	return call[RenewRequest, TargetStatus](ctx, c.client, c.base+"/lease", RenewRequest{tasks, until})
 }
 
 // Direct implements TargetConn.
--- a/descriptor/outcome.go
+++ b/descriptor/outcome.go
@@ -17,7 +17,7 @@
 	Unknown                          // unknown
 )
 
-// Reason says why a request was refused.
+// Reason says why a request was refused, or why its outcome is not known.
 type Reason uint8
 
 // The reasons for a refusal.
@@ -58,7 +58,8 @@
 // Kind returns how the request ended.
 func (o Outcome) Kind() OutcomeKind { return o.kind }
 
-// Reason returns why the request was refused; ReasonNone otherwise.
+// Reason returns why the request was refused or is undetermined; ReasonNone
+// otherwise.
 func (o Outcome) Reason() Reason { return o.reason }
 
 // RetryAfter returns when a refused request may be sent again; 0 means never.
@@ -89,6 +90,13 @@
 	Detail     string
 }
 
+// Undetermined returns the answer of an instance that can't reach the owner of
+// the request, and so can't prove that the request was not run. The caller gets
+// the true outcome by sending the same request again.
+func Undetermined(r Refusal) Outcome {
+	return Outcome{kind: Unknown, reason: r.Reason, retryAfter: r.RetryAfter, detail: r.Detail}
+}
+
 // Unstarted is a request of which no task can have started. Only such a request
 // can be refused. The zero value is not usable; see NewUnstarted.
 type Unstarted struct{ spent bool }
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -88,6 +88,7 @@
 	throttled bool
 	end       *time.Timer
 	lease     *time.Timer
+	leaseEnd  connector.TargetClock
 	record    int // index in History.Runs
 }
 
@@ -210,7 +211,7 @@
 	}
 	now := time.Now()
 	k := &task{ListedTask: connector.ListedTask{
-		Task: o.Task, Key: o.Key, Epoch: o.Epoch, Attempt: o.Attempt, Index: o.Index,
+		Task: o.Task, Key: o.Key, Epoch: o.Epoch, Attempt: o.Attempt, Index: o.Index, Of: o.Of,
 		Idempotent: o.Idempotent, Kind: o.Kind, Resources: o.Resources,
 		State: descriptor.TaskRunning, StartedMs: t.nowMs(),
 	}, resumed: now, remaining: defaultRun, record: len(t.history.Runs)}
@@ -233,6 +234,7 @@
 	}
 	t.history.Runs = append(t.history.Runs, RunRecord{ListedTask: k.ListedTask, Target: t.target.ID, StartedNs: now.UnixNano()})
 	k.end = time.AfterFunc(k.remaining, func() { t.finish(k) })
+	k.leaseEnd = k.StartedMs + connector.TargetClock(o.LeaseMs)
 	k.lease = time.AfterFunc(time.Duration(o.LeaseMs)*time.Millisecond, func() { t.stop(k, descriptor.TaskExpired) })
 	t.event(k)
 	return ""
@@ -336,7 +338,7 @@
 	t.mu.Lock()
 	for id, k := range t.tasks {
 		if !k.State.Ended() && (len(req.Tasks) == 0 || slices.Contains(req.Tasks, id)) {
-			k.lease.Reset(time.Duration(req.LeaseMs) * time.Millisecond)
+			t.extend(k, req.UntilMs)
 		}
 	}
 	status := t.status()
@@ -345,6 +347,15 @@
 	writeJSON(w, http.StatusOK, status)
 }
 
+// extend moves the end of the task's lease, but never to an earlier time.
+func (t *Target) extend(k *task, until connector.TargetClock) {
+	if until <= k.leaseEnd {
+		return
+	}
+	k.leaseEnd = until
+	k.lease.Reset(time.Duration(until-t.nowMs()) * time.Millisecond)
+}
+
 func (t *Target) serveDirect(w http.ResponseWriter, r *http.Request) {
 	var req connector.DirectRequest
 	if !t.guard(w) || !readJSON(w, r, &req) {
