--- /dev/null
+++ b/parser/findings.go
@@ -0,0 +1,69 @@
+package parser
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Finding is one fault in a file, with its position.
+type Finding struct {
+	File string `json:"file"`
+	// Line and Column count from 1. Column counts characters, not bytes.
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Message string `json:"message"`
+}
+
+// String returns the finding as file:line:column: message.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Message)
+}
+
+// Findings is the error that holds all faults of a file, ordered by position.
+type Findings []Finding
+
+// Error returns one line for each finding.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// MaxFindings bounds the findings of one file. A file that is not a rules file
+// at all would otherwise produce an answer many times its own size.
+const MaxFindings = 200
+
+// Report collects findings while a file is read. The zero value is ready to use
+// once File is set.
+type Report struct {
+	File     string
+	findings Findings
+}
+
+// Add records a finding at a position.
+func (r *Report) Add(line, column int, format string, args ...any) {
+	message := fmt.Sprintf(format, args...)
+	r.findings = append(r.findings, Finding{File: r.File, Line: line, Column: column, Message: message})
+}
+
+// Err returns the findings ordered by position, or nil if there are none. If
+// there are more than MaxFindings, the last one says how many were left out.
+func (r *Report) Err() error {
+	if len(r.findings) == 0 {
+		return nil
+	}
+	all := slices.Clone(r.findings)
+	slices.SortFunc(all, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), cmp.Compare(a.Message, b.Message))
+	})
+	if left := len(all) - MaxFindings; left > 0 {
+		next := all[MaxFindings]
+		next.Message = fmt.Sprintf("%d further findings are left out", left)
+		all = append(all[:MaxFindings:MaxFindings], next)
+	}
+	return all
+}
