heartbeater: keep membership by heartbeats and digests

Between data centres two links per pair carry digests, which are relayed within the data centre at once when members change and every 5 s otherwise.

--- /dev/null
+++ b/heartbeater/harness_test.go
@@ -0,0 +1,230 @@
+package heartbeater
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/messenger"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testInterval = 400 * time.Millisecond
+
+// cluster is a set of members in one process that speak over loopback TCP. Their
+// clock is fake; a step ticks every running member and waits for all calls.
+type cluster struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	listing []connector.ListedInstance
+	seed    uint64
+	dcs     []descriptor.DataCentreID
+
+	mu      sync.Mutex
+	members map[descriptor.InstanceID]*node
+	byAddr  map[string]descriptor.InstanceID
+	blocked func(from, to descriptor.InstanceID) bool
+	conns   map[*trackedConn]struct{}
+}
+
+// node is one member of a cluster.
+type node struct {
+	h      *Heartbeater
+	server *messenger.Server
+	pool   *messenger.Pool
+	rules  atomic.Uint64
+	queued atomic.Int64
+	paused bool
+	done   chan error
+}
+
+// trackedConn is a connection that a cut between members breaks.
+type trackedConn struct {
+	net.Conn
+	from, to descriptor.InstanceID
+}
+
+func newCluster(t *testing.T, seed uint64, dcs ...descriptor.DataCentreID) *cluster {
+	t.Helper()
+	return &cluster{
+		t: t, clock: clockwork.NewFakeClock(), seed: seed, dcs: dcs,
+		members: map[descriptor.InstanceID]*node{}, byAddr: map[string]descriptor.InstanceID{}, conns: map[*trackedConn]struct{}{},
+		blocked: func(descriptor.InstanceID, descriptor.InstanceID) bool { return false },
+	}
+}
+
+// List implements connector.Directory.
+func (c *cluster) List(context.Context, descriptor.DataCentreID) (connector.Listing, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return connector.Listing{Instances: c.listing}, nil
+}
+
+// dial connects members unless the network between them is cut.
+func (c *cluster) dial(from descriptor.InstanceID) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c.mu.Lock()
+		to := c.byAddr[address]
+		cut := c.blocked(from, to)
+		c.mu.Unlock()
+		if cut {
+			return nil, errors.New("no route")
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		tracked := &trackedConn{conn, from, to}
+		c.mu.Lock()
+		c.conns[tracked] = struct{}{}
+		c.mu.Unlock()
+		return tracked, nil
+	}
+}
+
+// cut blocks the network in the given directions and breaks its connections.
+func (c *cluster) cut(blocked func(from, to descriptor.InstanceID) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocked = blocked
+	for conn := range c.conns {
+		if blocked(conn.from, conn.to) {
+			conn.Close()
+			delete(c.conns, conn)
+		}
+	}
+}
+
+// start adds a member and lists it in the directory if listed is set.
+func (c *cluster) start(id descriptor.InstanceID, dc descriptor.DataCentreID, incarnation descriptor.Incarnation, listed bool) *node {
+	c.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(c.t, err)
+	address := l.Addr().String()
+	n := &node{server: &messenger.Server{Listener: l}, done: make(chan error, 1)}
+	n.pool = &messenger.Pool{
+		Self: id, Dial: c.dial(id), Clock: c.clock, BackoffMin: time.Millisecond, BackoffMax: time.Millisecond,
+		Traffic: &messenger.Traffic{},
+	}
+	c.seed++
+	n.h = New(Config{
+		Clock: c.clock, Rand: rand.New(rand.NewPCG(c.seed, c.seed)),
+		Self:        Member{ID: id, Incarnation: incarnation, DataCentre: dc, PeerAddress: address, HTTPAddress: "http-" + string(id)},
+		DataCentres: c.dcs, Directory: c, Pool: n.pool,
+		Report: func() (descriptor.RulesVersion, LoadReport) {
+			return descriptor.RulesVersion(n.rules.Load()), LoadReport{Queued: int(n.queued.Load()), FreeFraction: 0.25}
+		},
+	})
+	n.h.Register(n.server)
+	go func() { n.done <- n.server.Run(context.Background()) }()
+	c.mu.Lock()
+	c.members[id] = n
+	c.byAddr[address] = id
+	if listed {
+		c.listing = append(c.listing, connector.ListedInstance{ID: id, DataCentre: dc, PeerAddress: address})
+	}
+	c.mu.Unlock()
+	c.t.Cleanup(func() { c.kill(id) })
+	return n
+}
+
+// kill ends a member without a word.
+func (c *cluster) kill(id descriptor.InstanceID) {
+	c.mu.Lock()
+	n := c.members[id]
+	delete(c.members, id)
+	c.mu.Unlock()
+	if n == nil {
+		return
+	}
+	n.server.Close()
+	<-n.done
+	n.pool.Close()
+	n.h.stop()
+	n.h.wg.Wait()
+}
+
+// step advances the clock by an interval, ticks every member that is not paused
+// and waits until no call is in progress.
+func (c *cluster) step(times int) {
+	for range times {
+		c.clock.Advance(testInterval)
+		c.mu.Lock()
+		nodes := make([]*node, 0, len(c.members))
+		for _, n := range c.members {
+			nodes = append(nodes, n)
+		}
+		c.mu.Unlock()
+		for _, n := range nodes {
+			if !n.paused {
+				n.h.tick()
+			}
+		}
+		c.quiet(nodes)
+	}
+}
+
+// quiet waits until no call is in progress. A call may start further calls at
+// its receiver, so all must be seen idle several times in a row.
+func (c *cluster) quiet(nodes []*node) {
+	for idle := 0; idle < 4; {
+		idle++
+		for _, n := range nodes {
+			if n.h.busy.Load() > 0 {
+				idle = 0
+			}
+		}
+		if idle == 0 {
+			time.Sleep(200 * time.Microsecond)
+		}
+	}
+}
+
+// sees returns the ids and states that a member reports for a data centre.
+func (c *cluster) sees(id descriptor.InstanceID, dc descriptor.DataCentreID) map[descriptor.InstanceID]State {
+	got := map[descriptor.InstanceID]State{}
+	for _, m := range c.members[id].h.Members(dc) {
+		got[m.ID] = m.State
+	}
+	return got
+}
+
+func alive(ids ...descriptor.InstanceID) map[descriptor.InstanceID]State {
+	want := map[descriptor.InstanceID]State{}
+	for _, id := range ids {
+		want[id] = Alive
+	}
+	return want
+}
+
+// startAll starts n members in each data centre and lets them find each other.
+func (c *cluster) startAll(n int) (ids map[descriptor.DataCentreID][]descriptor.InstanceID) {
+	ids = map[descriptor.DataCentreID][]descriptor.InstanceID{}
+	for _, dc := range c.dcs {
+		for i := range n {
+			id := descriptor.InstanceID(fmt.Sprintf("%s-%d", dc, i))
+			c.start(id, dc, 1, true)
+			ids[dc] = append(ids[dc], id)
+		}
+	}
+	c.step(10)
+	for id := range c.members {
+		for _, dc := range c.dcs {
+			require.Equal(c.t, alive(ids[dc]...), c.sees(id, dc), "%s about %s", id, dc)
+		}
+	}
+	return ids
+}
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -40,7 +40,8 @@
 	// MaxQueued bounds the calls to one peer that are waiting or unanswered;
 	// 256 by default.
 	MaxQueued int
-	// MaxControl is the same bound for control calls; 16 by default.
+	// MaxControl is the same bound for control calls; 32 by default, as digests of
+	// up to 15 other data centres may be relayed at once.
 	MaxControl int
 	// MaxQueuedBytes bounds their parameters for one peer; 4 MiB by default.
 	MaxQueuedBytes int64
@@ -85,7 +86,7 @@
 			p.Dial = (&net.Dialer{}).DialContext
 		}
 		p.MaxQueued = orDefault(p.MaxQueued, 256)
-		p.MaxControl = orDefault(p.MaxControl, 16)
+		p.MaxControl = orDefault(p.MaxControl, 32)
 		p.MaxQueuedBytes = orDefault(p.MaxQueuedBytes, 4<<20)
 		p.MaxBytes = orDefault(p.MaxBytes, 32<<20)
 		p.SuspectAfter = orDefault(p.SuspectAfter, 3)
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -35,7 +35,7 @@
 	// MaxCalls bounds the calls in progress of all connections; 2048 by default.
 	MaxCalls int
 	// MaxControl bounds the control calls in progress of one connection, which
-	// count towards no other bound; 16 by default.
+	// count towards no other bound; 32 by default.
 	MaxControl int
 	// MaxBytes bounds the parameters of all calls in progress; 32 MiB by
 	// default, an eighth of the memory that an instance may use.
@@ -85,7 +85,7 @@
 		s.MaxConns = orDefault(s.MaxConns, 1024)
 		s.MaxPerConn = orDefault(s.MaxPerConn, 128)
 		s.MaxCalls = orDefault(s.MaxCalls, 2048)
-		s.MaxControl = orDefault(s.MaxControl, 16)
+		s.MaxControl = orDefault(s.MaxControl, 32)
 		s.MaxBytes = orDefault(s.MaxBytes, 32<<20)
 		s.MaxTimeout = orDefault(s.MaxTimeout, time.Minute)
 		s.WriteTimeout = orDefault(s.WriteTimeout, DefaultWriteTimeout)
