--- a/admitter/policy.go
+++ b/admitter/policy.go
@@ -44,6 +44,8 @@
 
 // Policy decides on admission. It is not safe for concurrent use.
 type Policy interface {
+	// SetWeights takes over the operators' weights.
+	SetWeights(w descriptor.Weights)
 	// Admit returns nil if the request may wait.
 	Admit(now time.Time, q Question) *descriptor.Refusal
 	// Served tells the policy that work of a class has started, and what of the
@@ -56,6 +58,9 @@
 // Everything is the plain baseline: it admits all.
 type Everything struct{}
 
+// SetWeights does nothing.
+func (Everything) SetWeights(descriptor.Weights) {}
+
 // Admit returns nil.
 func (Everything) Admit(time.Time, Question) *descriptor.Refusal { return nil }
 
--- a/admitter/predictive.go
+++ b/admitter/predictive.go
@@ -68,12 +68,23 @@
 type Predictive struct {
 	bounds  Bounds
 	rand    *rand.Rand
+	crest   float64
 	classes map[sequencer.Class]*meter
 }
 
 // NewPredictive returns a policy that has seen nothing.
 func NewPredictive(b Bounds, r *rand.Rand) *Predictive {
-	return &Predictive{bounds: b.withDefaults(), rand: r, classes: map[sequencer.Class]*meter{}}
+	return &Predictive{bounds: b.withDefaults(), rand: r, crest: 1, classes: map[sequencer.Class]*meter{}}
+}
+
+// SetWeights takes over the weight of the crest. It shortens the queues: with a
+// weight of 2, work waits at most half of the time that its deadline allows, and
+// more of it is refused at once.
+func (p *Predictive) SetWeights(w descriptor.Weights) {
+	p.crest = w.Crest
+	if p.crest <= 0 {
+		p.crest = 1
+	}
 }
 
 // meter measures the service of one class while it is backlogged, and the work
@@ -158,7 +169,7 @@
 		}
 	}
 	rate := m.rate()
-	room := (left-q.Run.High).Seconds()*rate - q.InClass.Work
+	room := (left-q.Run.High).Seconds()/p.crest*rate - q.InClass.Work
 	if q.InClass.Requests == 0 || q.Caller.Work+q.Own.Work <= callerAlpha*room {
 		m.backlogged = m.backlogged || q.InClass.Requests > 0
 		return nil
--- a/scheduler/direct.go
+++ b/scheduler/direct.go
@@ -80,16 +80,17 @@
 
 // checkpoint selects as much long work as the waiting short work needs.
 func (s *Scheduler) checkpoint(now time.Time) []Directive {
-	need := s.waiting.shortShare
+	var leaving descriptor.Resources // on its way out already
 	var candidates []*task
 	for t := range s.movable {
 		switch {
 		case t.rec != nil && t.rec.directed:
-			need -= t.share // is on its way out already
+			leaving = leaving.Add(t.resources)
 		case t.long && t.rec != nil && now.Sub(t.started) >= checkpointPause:
 			candidates = append(candidates, t)
 		}
 	}
+	need := s.waiting.shortShare - s.share(leaving)
 	slices.SortFunc(candidates, func(a, b *task) int {
 		return cmp.Or(
 			-cmp.Compare(a.class.Priority, b.class.Priority),
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -187,8 +187,9 @@
 		if rec.req.Tasks <= 1 && len(rec.avoid) == 0 {
 			p.shapes = append(p.shapes, rec.req.Resources)
 		}
+		// Every task takes a slot, so that without a free one the pass is over.
 		capacity, used := s.cfg.Placer.Totals()
-		p.full = capacity.Slots <= used.Slots || capacity.CPU <= used.CPU
+		p.full = rec.req.Resources.Slots > 0 && capacity.Slots <= used.Slots
 	}
 	return verdict
 }
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -125,3 +125,11 @@
 	}
 	s.entries, s.peak = rest, len(rest)
 }
+
+func (t *table[K, V]) each(f func(K, V)) {
+	for i := range t.shards {
+		for k, v := range t.shards[i].entries {
+			f(k, v)
+		}
+	}
+}
--- a/scheduler/running.go
+++ b/scheduler/running.go
@@ -16,6 +16,8 @@
 type usage struct {
 	teams map[descriptor.TeamID]descriptor.Resources
 	kinds map[descriptor.KindName]descriptor.Resources
+	// tasks counts the running tasks of each target.
+	tasks map[descriptor.TargetID]int
 	// long is used by long work that can't be moved away, lent by long work that
 	// can be checkpointed.
 	long, lent descriptor.Resources
@@ -25,6 +27,7 @@
 	return usage{
 		teams: map[descriptor.TeamID]descriptor.Resources{},
 		kinds: map[descriptor.KindName]descriptor.Resources{},
+		tasks: map[descriptor.TargetID]int{},
 	}
 }
 
@@ -127,6 +130,7 @@
 func (s *Scheduler) track(t *task) {
 	s.tasks.put(t.ref, t)
 	s.usage.add(t, t.resources)
+	s.usage.tasks[t.ref.target]++
 	if t.movable {
 		s.movable[t] = struct{}{}
 	}
@@ -136,6 +140,9 @@
 func (s *Scheduler) untrack(t *task) {
 	s.tasks.remove(t.ref)
 	s.usage.add(t, descriptor.Resources{}.Sub(t.resources))
+	if s.usage.tasks[t.ref.target]--; s.usage.tasks[t.ref.target] == 0 {
+		delete(s.usage.tasks, t.ref.target)
+	}
 	delete(s.movable, t)
 	delete(s.peak.throttled, t)
 	heap.Remove(&s.overruns, t.pos)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	rules    *descriptor.Rules
 	capacity descriptor.Resources
+	targets  map[descriptor.TargetID]struct{}
 
 	records *table[descriptor.Key, *Record]
 	tasks   *table[taskRef, *task]
@@ -51,6 +52,7 @@
 		expiry:   newDueIndex(),
 		waiting:  newBacklogs(),
 		usage:    newUsage(),
+		targets:  map[descriptor.TargetID]struct{}{},
 		movable:  map[*task]struct{}{},
 		tokens:   maxTokens,
 		counters: newCounters(cfg.Scope),
@@ -69,6 +71,7 @@
 	s.rules = r
 	s.cfg.Sequencer.SetRules(r)
 	s.cfg.Sharer.SetWeights(r.Weights)
+	s.cfg.Admitter.SetWeights(r.Weights)
 	s.signal()
 }
 
@@ -90,6 +93,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cfg.Placer.AddTarget(t)
+	if _, ok := s.targets[t.ID]; !ok {
+		s.targets[t.ID] = struct{}{}
+		s.retake(t.ID)
+	}
 	s.resize()
 }
 
@@ -99,9 +106,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cfg.Placer.RemoveTarget(id)
+	delete(s.targets, id)
 	s.resize()
 }
 
+// retake accounts for the tasks that are known to run on a target that was added
+// again. The placer has forgotten them with the target.
+func (s *Scheduler) retake(id descriptor.TargetID) {
+	if s.usage.tasks[id] == 0 {
+		return
+	}
+	s.tasks.each(func(ref taskRef, t *task) {
+		if ref.target == id {
+			s.cfg.Placer.Take(id, t.resources)
+		}
+	})
+}
+
 // SetTargetState says whether a target takes new tasks.
 func (s *Scheduler) SetTargetState(id descriptor.TargetID, state placer.TargetState) {
 	s.mu.Lock()
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -19,12 +19,12 @@
 	*Scheduler
 	t     *testing.T
 	clock *clockwork.FakeClock
-	fit   *firstFit
+	fit   *placer.FirstFit
 	next  int
 }
 
 func newFixture(t *testing.T, targets int, edit ...func(*Config)) *fixture {
-	f := &fixture{t: t, clock: clockwork.NewFakeClock(), fit: newFirstFit()}
+	f := &fixture{t: t, clock: clockwork.NewFakeClock(), fit: placer.NewFirstFit()}
 	cfg := Config{Clock: f.clock, Rand: rand.New(rand.NewPCG(1, 2)), Placer: f.fit}
 	for _, e := range edit {
 		e(&cfg)
@@ -384,3 +384,18 @@
 		require.Zero(t, *b)
 	}
 }
+
+// TestReturningTargetKeepsItsTasks guards against over-commitment of a target
+// that the platform's list drops for a while although its tasks run on.
+func TestReturningTargetKeepsItsTasks(t *testing.T) {
+	f := newFixture(t, 1)
+	for range 4 {
+		f.submit(f.request("a"))
+	}
+	p := f.Next(10)
+	require.Len(t, p, 4)
+	f.RemoveTarget("t0")
+	f.end(p[0], time.Second)
+	f.AddTarget(descriptor.Target{ID: "t0", Capacity: descriptor.Resources{CPU: 4000, Memory: 4096, Slots: 4}})
+	require.Equal(t, 3, f.Load().Used.Slots)
+}
