--- /dev/null
+++ b/distributor/distributor_test.go
@@ -0,0 +1,254 @@
+package distributor
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+)
+
+// TestApplyReachesAll guards against a push that misses instances, and against
+// reads of the store by each of them.
+func TestApplyReachesAll(t *testing.T) {
+	c := newCell(t, 1, 3, "a", "b", "c")
+	v, err := c.apply("a-1", 0, "anna", "one")
+	require.NoError(t, err)
+	require.Equal(t, descriptor.RulesVersion(1), v)
+	c.quiet()
+	c.requireEverywhere(1, "one")
+	require.Equal(t, 1, c.store.reads, "one read of the head, by Apply")
+
+	_, err = c.apply("b-0", 0, "bela", "other")
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, ConflictError{Current: 1, Author: "anna"}, *conflict)
+
+	_, err = c.apply("b-0", 1, "bela", "bad rules")
+	require.ErrorContains(t, err, "unknown verb")
+	c.quiet()
+	c.requireEverywhere(1, "one")
+}
+
+// TestRacingOperators guards against two operators who both succeed with the
+// same version, a lost version, and a version that reverts anywhere, while
+// answers of the store get lost.
+func TestRacingOperators(t *testing.T) {
+	c := newCell(t, 2, 3, "a", "b", "c")
+	random := rand.New(rand.NewPCG(2, 2))
+	c.store.before = func() (bool, error) { // under the store's lock
+		if random.IntN(5) == 0 {
+			return random.IntN(2) == 0, connector.ErrAmbiguous
+		}
+		return true, nil
+	}
+	const changes = 50
+	accepted := map[descriptor.RulesVersion]string{}
+	conflicts := 0
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for operator, id := range map[string]descriptor.InstanceID{"anna": "a-0", "bela": "c-2"} {
+		wg.Go(func() {
+			expected := descriptor.RulesVersion(0)
+			for n := 0; n < changes; {
+				body := fmt.Sprintf("%s %d", operator, n)
+				v, err := c.apply(id, expected, operator, body)
+				var conflict *ConflictError
+				mu.Lock()
+				switch {
+				case err == nil:
+					require.Empty(t, accepted[v])
+					accepted[v] = body
+					expected = v
+					n++
+				default:
+					require.ErrorAs(t, err, &conflict)
+					expected = conflict.Current
+					conflicts++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	c.quiet()
+	require.Len(t, accepted, 2*changes)
+	require.Positive(t, conflicts)
+	c.run(2 * time.Second) // pushes overtake each other; pulls repair
+	c.requireEverywhere(2*changes, accepted[2*changes])
+	history, err := c.nodes["b-0"].d.History(context.Background(), 1000)
+	require.NoError(t, err)
+	require.Len(t, history, 2*changes)
+	for i, info := range history {
+		require.Equal(t, descriptor.RulesVersion(2*changes-i), info.Version)
+		require.Equal(t, hashOf([]byte(accepted[info.Version])), info.Hash)
+	}
+	last, err := c.nodes["b-0"].d.History(context.Background(), 3)
+	require.NoError(t, err)
+	require.Equal(t, history[:3], last)
+}
+
+// TestLostAnswer guards against an accepted version that is reported as failed,
+// a version that is applied twice, and a false conflict when the operator tries
+// again.
+func TestLostAnswer(t *testing.T) {
+	for _, committed := range []bool{true, false} {
+		c := newCell(t, 3, 1, "a")
+		lost := false
+		c.store.before = func() (bool, error) {
+			if lost {
+				return true, nil
+			}
+			lost = true
+			return committed, connector.ErrAmbiguous
+		}
+		v, err := c.apply("a-0", 0, "anna", "one")
+		require.NoError(t, err)
+		require.Equal(t, descriptor.RulesVersion(1), v)
+		v, err = c.apply("a-0", 0, "anna", "one") // the answer to the operator was lost too
+		require.NoError(t, err)
+		require.Equal(t, descriptor.RulesVersion(1), v)
+		_, err = c.apply("a-0", 1, "bela", "two")
+		require.NoError(t, err)
+		v, err = c.apply("a-0", 0, "anna", "one") // and a later version came in between
+		require.NoError(t, err)
+		require.Equal(t, descriptor.RulesVersion(1), v)
+		c.quiet()
+		c.requireEverywhere(2, "two")
+	}
+}
+
+// TestApplyDuringOutage guards against a change that is reported as not applied
+// although it may be, and the reverse.
+func TestApplyDuringOutage(t *testing.T) {
+	c := newCell(t, 4, 1, "a")
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	c.store.before = func() (bool, error) { return true, connector.ErrAmbiguous }
+	_, err := c.nodes["a-0"].d.commit(ctx, head{}, mustRuleset(t, 1, "one"))
+	// The first attempt took effect, so that the second fails its condition and
+	// reads the head; only an outage of both leaves the outcome open.
+	c.store.before = func() (bool, error) { return false, connector.ErrAmbiguous }
+	require.ErrorIs(t, err, connector.ErrAmbiguous)
+	_, err = c.nodes["a-0"].d.Apply(ctx, 1, "anna", []byte("two"))
+	require.ErrorIs(t, err, connector.ErrAmbiguous)
+
+	c.split(func(_, to descriptor.InstanceID) bool { return to == storeName })
+	_, err = c.apply("a-0", 1, "anna", "two")
+	require.ErrorIs(t, err, connector.ErrUnavailable)
+	ok, _ := c.nodes["a-0"].d.StoreReachable()
+	require.False(t, ok)
+}
+
+func mustRuleset(t *testing.T, v descriptor.RulesVersion, body string) *ruleset {
+	t.Helper()
+	s, err := newRuleset(VersionInfo{Version: v, Hash: hashOf([]byte(body)), Author: "anna"}, []byte(body))
+	require.NoError(t, err)
+	return s
+}
+
+// TestIsolatedDataCentre guards against a data centre that loses its rules, or a
+// restarted instance that stays without, while platform and other data centres
+// are out of reach; and against one that keeps old rules after the partition.
+func TestIsolatedDataCentre(t *testing.T) {
+	c := newCell(t, 5, 2, "a", "b")
+	_, err := c.apply("a-0", 0, "anna", "one")
+	require.NoError(t, err)
+	c.quiet()
+	inB := func(id descriptor.InstanceID) bool { return id[0] == 'b' }
+	c.split(func(from, to descriptor.InstanceID) bool { return inB(from) != inB(to) })
+	c.kill("b-1")
+	c.start("b-1", "b")
+	c.run(time.Second)
+	c.requireEverywhere(1, "one")
+
+	_, err = c.apply("a-1", 1, "anna", "two")
+	require.NoError(t, err)
+	c.run(20 * time.Second)
+	require.Equal(t, descriptor.RulesVersion(1), c.nodes["b-0"].d.version())
+	ok, since := c.nodes["b-0"].d.StoreReachable()
+	require.False(t, ok)
+	require.True(t, c.clock.Since(since) >= 20*time.Second)
+
+	c.heal()
+	c.run(3 * time.Second)
+	c.requireEverywhere(2, "two")
+}
+
+// TestRepairByStore guards against rules that never arrive where pushes and
+// pulls fail but the store is in reach, and against an instance that starts
+// before there are rules.
+func TestRepairByStore(t *testing.T) {
+	c := newCell(t, 6, 2, "a", "b")
+	c.run(time.Second) // there are no rules
+	c.split(func(from, to descriptor.InstanceID) bool { return to != storeName && from != to })
+	_, err := c.apply("a-0", 0, "anna", "one")
+	require.NoError(t, err)
+	c.run(7 * time.Second) // a read of the head every 5 to 6 s
+	c.requireEverywhere(1, "one")
+	_, err = c.apply("b-1", 1, "anna", "two")
+	require.NoError(t, err)
+	c.run(7 * time.Second)
+	c.requireEverywhere(2, "two")
+}
+
+// TestLateVersion guards against an old version that arrives late and replaces
+// a newer one, by push, by pull or through a head row that went back.
+func TestLateVersion(t *testing.T) {
+	c := newCell(t, 7, 1, "a")
+	d := c.nodes["a-0"].d
+	push := func(v descriptor.RulesVersion, body string) {
+		s := mustRuleset(t, v, body)
+		_, err := d.onPush(context.Background(), "x", rulesMessage{VersionInfo: s.VersionInfo, Packed: s.packed})
+		require.NoError(t, err)
+	}
+	push(5, "five")
+	push(4, "four")
+	push(5, "another five")
+	c.requireEverywhere(5, "five")
+	_, _ = c.store.commit(connector.Transaction{Puts: []connector.Put{{Key: headKey, Value: []byte(`{"version":3,"hash":"x"}`)}}})
+	require.NoError(t, d.refresh(context.Background()))
+	d.SeeVersion("x", 4)
+	require.Zero(t, d.wanted.version)
+	c.requireEverywhere(5, "five")
+}
+
+// TestBadMessage guards against a push whose body is not the one of its hash,
+// does not parse, or is a small message that unpacks to a huge file.
+func TestBadMessage(t *testing.T) {
+	c := newCell(t, 8, 1, "a")
+	d := c.nodes["a-0"].d
+	good := mustRuleset(t, 1, "one")
+	bad := mustRuleset(t, 1, "bad")
+	bomb, err := pack([]byte(strings.Repeat("x", MaxBody+1)))
+	require.NoError(t, err)
+	for name, msg := range map[string]rulesMessage{
+		"hash":  {VersionInfo: good.VersionInfo, Packed: bad.packed},
+		"parse": {VersionInfo: bad.VersionInfo, Packed: bad.packed},
+		"bomb":  {VersionInfo: good.VersionInfo, Packed: bomb},
+		"gzip":  {VersionInfo: good.VersionInfo, Packed: []byte("x")},
+	} {
+		_, err := d.onPush(context.Background(), "x", msg)
+		require.Error(t, err, name)
+		require.Zero(t, d.version())
+	}
+}
+
+// TestHeadReads guards against reads of the head row that exceed their budget at
+// the planned number of instances and beyond.
+func TestHeadReads(t *testing.T) {
+	cfg := Config{}
+	cfg.setDefaults()
+	d := &Distributor{cfg: cfg}
+	require.Equal(t, 5*time.Second, d.headInterval(9))
+	for _, n := range []int{9, 270, 300, 1000} {
+		require.LessOrEqual(t, float64(n)/d.headInterval(n).Seconds(), 60.0)
+	}
+}
--- /dev/null
+++ b/distributor/ruleset.go
@@ -0,0 +1,111 @@
+package distributor
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/masticlead/masticlead/descriptor"
+)
+
+// VersionInfo describes a version of the rules. It is the value of the head row
+// and of the history rows.
+type VersionInfo struct {
+	Version descriptor.RulesVersion `json:"version"`
+	Hash    string                  `json:"hash"` // SHA-256 of the body, in hex
+	Author  string                  `json:"author"`
+	// AppliedMs is when the version was applied, in Unix milliseconds on the
+	// clock of the instance that applied it.
+	AppliedMs int64 `json:"appliedMs"`
+}
+
+// Applied returns when the version was applied.
+func (i VersionInfo) Applied() time.Time { return time.UnixMilli(i.AppliedMs) }
+
+// ruleset is a version with its body. It is not changed once built.
+type ruleset struct {
+	VersionInfo
+	body   []byte
+	packed []byte // body compressed
+}
+
+func hashOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// newRuleset checks the body against the hash and compresses it.
+func newRuleset(info VersionInfo, body []byte) (*ruleset, error) {
+	if len(body) > MaxBody {
+		return nil, fmt.Errorf("rules have %d bytes, limit %d", len(body), MaxBody)
+	}
+	if got := hashOf(body); got != info.Hash {
+		return nil, fmt.Errorf("rules version %d: body has hash %s, want %s", info.Version, got, info.Hash)
+	}
+	packed, err := pack(body)
+	if err != nil {
+		return nil, err
+	}
+	return &ruleset{VersionInfo: info, body: body, packed: packed}, nil
+}
+
+// pack compresses a body. Rules files consist of many similar lines, and they
+// are the largest messages between instances.
+func pack(body []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(body); err != nil {
+		return nil, fmt.Errorf("compress rules: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress rules: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// unpack reverses pack, up to MaxBody.
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, fmt.Errorf("decompress rules: %w", err)
+	}
+	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
+	if err != nil {
+		return nil, fmt.Errorf("decompress rules: %w", err)
+	}
+	if len(body) > MaxBody {
+		return nil, fmt.Errorf("rules are longer than %d bytes", MaxBody)
+	}
+	return body, nil
+}
+
+// install puts a version in force if it is higher than the current one. It
+// reports whether it did.
+func (d *Distributor) install(s *ruleset) (bool, error) {
+	d.installMu.Lock()
+	defer d.installMu.Unlock()
+	if s.Version <= d.version() {
+		d.cfg.Scope.Counter("lowerVersionIgnored").Inc(1)
+		return false, nil
+	}
+	rules, err := d.cfg.Parse(s.Version, s.body)
+	if err != nil {
+		d.cfg.Scope.Counter("parseErrors").Inc(1)
+		return false, fmt.Errorf("rules version %d: %w", s.Version, err)
+	}
+	now := d.cfg.Clock.Now()
+	d.mu.Lock()
+	d.current, d.since = s, now
+	if d.wanted.version <= s.Version {
+		d.wanted = wanted{}
+	}
+	d.mu.Unlock()
+	d.cfg.Scope.Counter("installed").Inc(1)
+	d.cfg.Log.Info("distributor: installed rules", "version", s.Version, "author", s.Author)
+	d.cfg.OnInstall(rules)
+	return true, nil
+}
