server: serve the HTTP API for callers and operators

Cause: callers and operators need one API that hostile or slow clients can't take away from the others. All faults of an input are answered together, every answer carries the request's id, and refusals have the status and retry time of their reason. An instance that has no slot answers with an error and not with a refusal, since an earlier call with the same id may have started the request.

--- /dev/null
+++ b/server/operators_test.go
@@ -0,0 +1,78 @@
+package server
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/connector"
+)
+
+// TestRulesAreApplied guards against a change that is applied with another
+// version, author or body than the operator sent.
+func TestRulesAreApplied(t *testing.T) {
+	f := &fake{}
+	s := newServer(f)
+	w := do(s, "PUT", "/v1/rules?expectedVersion=3&author=Anna+Kov%C3%A1cs", "team a weight=1\n")
+	require.Equal(t, 200, w.Code, w.Body)
+	require.EqualValues(t, 4, decode[RulesBody](t, w.Body).Version)
+	require.Equal(t, change{3, "Anna Kovács", []byte("team a weight=1\n")}, f.applied)
+}
+
+// TestRulesThatAreNotApplied guards against an operator who loses a race or
+// sends a faulty file and is not told what is in force.
+func TestRulesThatAreNotApplied(t *testing.T) {
+	const path = "/v1/rules?expectedVersion=2&author=anna"
+	s := newServer(&fake{applies: &ConflictError{Expected: 2, Current: RulesInfo{Version: 3, Author: "bela"}}})
+	w := do(s, "PUT", path, "x")
+	require.Equal(t, 409, w.Code)
+	fault := decode[FaultBody](t, w.Body)
+	require.EqualValues(t, 3, fault.Current.Version)
+	require.Equal(t, "rules version 3 is in force, not 2", fault.Findings[0].Message)
+
+	w = do(s, "POST", "/v1/rules/check", "team a weight=0\n")
+	require.Equal(t, 422, w.Code)
+	fault = decode[FaultBody](t, w.Body)
+	require.Len(t, fault.Findings, 2)
+	require.Equal(t, Finding{
+		Field: "rules", Line: 1, Column: 15, Message: "weight: 0 is out of range; it must be from 1 to 1e+06",
+	}, fault.Findings[0])
+
+	s = newServer(&fake{applies: connector.ErrUnavailable})
+	w = do(s, "PUT", path, "x")
+	require.Equal(t, 503, w.Code)
+	require.Equal(t, "1", w.Header().Get("Retry-After"))
+
+	s = newServer(&fake{applies: connector.ErrAmbiguous})
+	w = do(s, "PUT", path, "x")
+	require.Equal(t, 500, w.Code)
+	require.Contains(t, w.Body.String(), "not known")
+}
+
+// TestOperatorPages guards against a page that is not served or that encodes an
+// empty list as null.
+func TestOperatorPages(t *testing.T) {
+	s := newServer(&fake{ready: errors.New("no rules")})
+	s.Metrics = http.NotFoundHandler()
+	cases := map[string]struct {
+		status int
+		body   string
+	}{
+		"/v1/rules":                 {200, `"version":3,"author":"anna","body":"team a weight=1"`},
+		"/v1/rules/history?limit=7": {200, `"versions":[{"version":7}]`},
+		"/v1/rules/status":          {200, `"instances":[]`},
+		"/v1/instances":             {200, `"instances":[{"id":"gyor-1",`},
+		"/v1/targets":               {200, `"targets":[]`},
+		"/healthz":                  {200, `"ok":true`},
+		"/readyz":                   {503, `"reason":"no rules"`},
+		"/metrics":                  {404, "404 page not found"},
+	}
+	for path, c := range cases {
+		w := do(s, "GET", path, "")
+		require.Equal(t, c.status, w.Code, path)
+		require.Contains(t, w.Body.String(), c.body, path)
+	}
+	require.Equal(t, 200, do(s, "POST", "/v1/rules/check", "team a weight=1 # asked by Anna").Code)
+}
--- /dev/null
+++ b/server/requests_test.go
@@ -0,0 +1,243 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/descriptor"
+)
+
+// TestAnswersOfRequests guards against an outcome that reaches the caller with
+// the wrong status, without its id, or with a retry time that is too early.
+func TestAnswersOfRequests(t *testing.T) {
+	started := descriptor.NewUnstarted().Start
+	run := descriptor.Run{Target: "t1", Wait: time.Millisecond, Run: 2 * time.Second, Result: json.RawMessage(`{"a":1}`)}
+	cases := map[string]struct {
+		answer     Answer
+		status     int
+		retryAfter string
+		body       string
+	}{
+		"completed": {Answer{Outcome: started().Complete(run)}, 200, "", `"outcome":"completed","target":"t1","waitMs":1,"runMs":2000,"result":{"a":1}`},
+		"failed":    {Answer{Outcome: descriptor.NewUnstarted().Start().Fail(run)}, 200, "", `"outcome":"failed","target":"t1","waitMs":1,"runMs":2000,"result":{"a":1}`},
+		"unknown":   {Answer{Outcome: descriptor.NewUnstarted().Start().Lose(descriptor.Run{})}, 200, "", `"outcome":"unknown","waitMs":0,"runMs":0`},
+		"cancelled": {Answer{Outcome: descriptor.NewUnstarted().Cancel()}, 200, "", `"outcome":"cancelled","reason":"cancelledUnstarted","waitMs":0,"runMs":0`},
+		"pending":   {Answer{Pending: true}, 202, "", `"outcome":"pending","waitMs":0,"runMs":0`},
+		"queue full": {
+			refuse(descriptor.ReasonQueueFull, 1001*time.Millisecond), 429, "2",
+			`"outcome":"refused","reason":"queueFull","retryAfterMs":1001,"detail":"d","waitMs":0,"runMs":0`,
+		},
+		"store": {
+			refuse(descriptor.ReasonStoreUnavailable, time.Microsecond), 503, "1",
+			`"outcome":"refused","reason":"storeUnavailable","retryAfterMs":1,"detail":"d","waitMs":0,"runMs":0`,
+		},
+		"not allowed": {
+			refuse(descriptor.ReasonNotAllowed, 0), 403, "",
+			`"outcome":"refused","reason":"notAllowed","detail":"d","waitMs":0,"runMs":0`,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(&fake{answer: c.answer, known: true})
+			want := fmt.Sprintf(`{"id":"r1","caller":"stylist-1",%s}`, c.body)
+			for _, w := range []*httptest.ResponseRecorder{
+				do(s, "POST", "/v1/requests", valid),
+				do(s, "GET", "/v1/requests/stylist-1/r1?waitMs=5", ""),
+				do(s, "DELETE", "/v1/requests/stylist-1/r1", ""),
+			} {
+				require.Equal(t, c.status, w.Code)
+				require.Equal(t, c.retryAfter, w.Header().Get("Retry-After"))
+				require.Equal(t, "r1", w.Header().Get("X-Request-Id"))
+				require.JSONEq(t, want, w.Body.String())
+			}
+		})
+	}
+}
+
+// TestEveryReasonHasItsStatus guards against a new reason that nobody mapped.
+func TestEveryReasonHasItsStatus(t *testing.T) {
+	tooMuch := []descriptor.Reason{
+		descriptor.ReasonDeadlineUnmet, descriptor.ReasonDeadlinePassed, descriptor.ReasonQueueFull,
+		descriptor.ReasonCallerQueueFull, descriptor.ReasonQuota,
+	}
+	for r := descriptor.ReasonNotAllowed; r <= descriptor.ReasonCancelledUnstarted; r++ {
+		want := 503
+		switch r {
+		case descriptor.ReasonNotAllowed:
+			want = 403
+		case descriptor.ReasonNeverFits, descriptor.ReasonUnknownKind:
+			want = 422
+		}
+		for _, m := range tooMuch {
+			if r == m {
+				want = 429
+			}
+		}
+		require.Equal(t, want, refusalStatus(r), r)
+	}
+}
+
+// TestSubmissionIsPassedOn guards against a field of the body that is lost, and
+// against a wait beyond the limit.
+func TestSubmissionIsPassedOn(t *testing.T) {
+	var got Submission
+	s := newServer(&fake{submit: func(_ context.Context, sub Submission) (Answer, error) {
+		got = sub
+		return Answer{Pending: true}, nil
+	}})
+	s.Limits.MaxWait = 7 * time.Second
+	w := do(s, "POST", "/v1/requests?waitMs=99999", `{"id":"r:1@x","caller":"c","kind":"wiringPlan","tasks":6,
+		"declaredRunMs":800,"deadlineMs":3700,"payload":{"runMs":5},
+		"resources":{"cpuMilli":500,"memoryMiB":64,"accelerators":1,"slots":2}}`)
+	require.Equal(t, 202, w.Code, w.Body)
+	require.Equal(t, Submission{
+		Key: descriptor.Key{Caller: "c", ID: "r:1@x"}, Kind: "wiringPlan", Tasks: 6,
+		Resources:   &descriptor.Resources{CPU: 500, Memory: 64, Accelerators: 1, Slots: 2},
+		DeclaredRun: 800 * time.Millisecond, Deadline: 3700 * time.Millisecond,
+		Payload: json.RawMessage(`{"runMs":5}`), Wait: 7 * time.Second,
+	}, got)
+
+	do(s, "POST", "/v1/requests", valid)
+	require.Equal(t, Submission{Key: descriptor.Key{Caller: "stylist-1", ID: "r1"}, Kind: "routeBuild", Wait: 7 * time.Second}, got)
+}
+
+// TestBadInput guards against hostile or mistaken input that reaches the
+// scheduler, and against findings that come one at a time.
+func TestBadInput(t *testing.T) {
+	cases := map[string]struct {
+		method, path, body string
+		status             int
+		findings           []string
+	}{
+		"empty":            {"POST", "/v1/requests", "", 400, []string{"body must be a JSON object"}},
+		"list":             {"POST", "/v1/requests", "[]", 400, []string{"body must be a JSON object"}},
+		"cut off":          {"POST", "/v1/requests", `{"id":"a","caller":`, 400, []string{"body is JSON that ends too early"}},
+		"trailing":         {"POST", "/v1/requests", valid + "{}", 400, []string{"body holds more than one JSON value"}},
+		"invalid UTF-8":    {"POST", "/v1/requests", "{\"id\":\"\xff\"}", 400, []string{"body is not valid UTF-8"}},
+		"nothing given":    {"POST", "/v1/requests", "{}", 400, []string{"id is missing", "caller is missing", "kind is missing"}},
+		"given twice":      {"POST", "/v1/requests", strings.Replace(valid, "{", `{"id":"r0",`, 1), 400, []string{"id is given twice"}},
+		"other case":       {"POST", "/v1/requests", strings.Replace(valid, "id", "ID", 1), 400, []string{"ID is not a known field", "id is missing"}},
+		"slash in the id":  {"POST", "/v1/requests", strings.Replace(valid, "r1", "a/b", 1), 400, []string{"id holds '/'; it consists of letters, digits, '.', '_', '-', ':' and '@'"}},
+		"id of dots":       {"POST", "/v1/requests", strings.Replace(valid, "r1", "..", 1), 400, []string{"id needs a letter or a digit"}},
+		"null":             {"POST", "/v1/requests", strings.Replace(valid, `"r1"`, "null", 1), 400, []string{"id must be a string"}},
+		"long id":          {"POST", "/v1/requests", strings.Replace(valid, "r1", strings.Repeat("x", 129), 1), 400, []string{"id has 129 bytes; at most 128 are allowed"}},
+		"unknown query":    {"POST", "/v1/requests?wait=5", valid, 400, []string{"wait is not a known parameter"}},
+		"bad wait":         {"POST", "/v1/requests?waitMs=-1", valid, 400, []string{"waitMs must be a whole number from 0 to 9223372036854775807"}},
+		"wait twice":       {"POST", "/v1/requests?waitMs=1&waitMs=2", valid, 400, []string{"waitMs is given twice"}},
+		"malformed query":  {"GET", "/v1/rules?a=%zz&c=1&b=2", "", 400, []string{"query is malformed", "b is not a known parameter", "c is not a known parameter"}},
+		"key in a path":    {"GET", "/v1/requests/a%20b/..", "", 400, []string{"caller holds ' '; it consists of letters, digits, '.', '_', '-', ':' and '@'", "id needs a letter or a digit"}},
+		"no such path":     {"GET", "/v2/requests", "", 404, []string{"path no such path"}},
+		"no such method":   {"PATCH", "/v1/requests", valid, 405, []string{"method the path does not take this method"}},
+		"no version":       {"PUT", "/v1/rules", "x", 400, []string{"expectedVersion is missing; give the version that the change replaces, or 0 if there is none", "author is missing"}},
+		"author":           {"PUT", "/v1/rules?expectedVersion=1&author=a%0Ab", "x", 400, []string{"author holds a character that can't be printed"}},
+		"history limit":    {"GET", "/v1/rules/history?limit=0", "", 400, []string{"limit must be a whole number from 1 to 1000"}},
+		"too large":        {"POST", "/v1/requests", strings.Repeat(" ", 256<<10+1), 413, []string{"body body exceeds 262144 bytes"}},
+		"too large, rules": {"POST", "/v1/rules/check", strings.Repeat(" ", 256<<10+1), 413, []string{"body body exceeds 262144 bytes"}},
+		"several": {
+			"POST", "/v1/requests?waitMs=x",
+			`{"id":7,"caller":"","tasks":0,"declaredRunMs":1.5,"deadlineMs":99999999999999999999,"resources":{"cpuMilli":-1,"gpu":1},"more":1}`, 400,
+			[]string{
+				"waitMs must be a whole number from 0 to 9223372036854775807", "id must be a string", "caller must not be empty",
+				"tasks must be from 1 to 1000", "declaredRunMs must be a whole number", "deadlineMs must be from 1 to 2592000000",
+				"resources.cpuMilli must be from 1 to 1000000", "resources.gpu is not a known field", "resources.memoryMiB is missing",
+				"more is not a known field", "kind is missing",
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(&fake{submit: func(context.Context, Submission) (Answer, error) {
+				t.Error("the input was passed on")
+				return Answer{}, nil
+			}})
+			w := do(s, c.method, c.path, c.body)
+			require.Equal(t, c.status, w.Code)
+			fault := decode[FaultBody](t, w.Body)
+			require.NotEmpty(t, fault.ID)
+			require.Equal(t, fault.ID, w.Header().Get("X-Request-Id"))
+			var got []string
+			for _, f := range fault.Findings {
+				got = append(got, f.Field+" "+f.Message)
+			}
+			require.Equal(t, c.findings, got)
+		})
+	}
+}
+
+// TestErrorsAreNotOutcomes guards against a caller that is told of a refusal
+// when nobody knows whether its request runs.
+func TestErrorsAreNotOutcomes(t *testing.T) {
+	s := newServer(&fake{err: errors.New("peer closed the connection")})
+	w := do(s, "POST", "/v1/requests", valid)
+	require.Equal(t, 500, w.Code)
+	require.Equal(t, FaultBody{
+		ID: "r1", Error: "peer closed the connection; whether the request took effect is not known",
+	}, decode[FaultBody](t, w.Body))
+
+	s = newServer(&fake{})
+	require.Equal(t, 404, do(s, "GET", "/v1/requests/c/r", "").Code)
+	require.Equal(t, 404, do(s, "DELETE", "/v1/requests/c/r", "").Code)
+
+	s = newServer(&fake{submit: func(context.Context, Submission) (Answer, error) { panic("fault") }})
+	w = do(s, "POST", "/v1/requests", valid)
+	require.Equal(t, 500, w.Code)
+	require.Contains(t, w.Body.String(), "not known")
+}
+
+// TestOverloadIsNotARefusal guards against a caller that asks again for a
+// running request, meets an instance under load, and is told that its request
+// was not run.
+func TestOverloadIsNotARefusal(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := newServer(&fake{submit: func(context.Context, Submission) (Answer, error) {
+		close(entered)
+		<-release
+		return Answer{Pending: true}, nil
+	}})
+	s.Limits.RequestsInProgress = 1
+	first := make(chan int)
+	go func() { first <- do(s, "POST", "/v1/requests", valid).Code }()
+	<-entered
+	w := do(s, "POST", "/v1/requests", valid)
+	require.Equal(t, 503, w.Code)
+	require.Equal(t, "1", w.Header().Get("Retry-After"))
+	fault := decode[FaultBody](t, w.Body)
+	require.Equal(t, "r1", fault.ID)
+	require.EqualValues(t, 1000, fault.RetryAfterMs)
+	require.Equal(t, 200, do(s, "GET", "/readyz", "").Code, "health checks need no slot")
+	close(release)
+	require.Equal(t, 202, <-first)
+	require.Equal(t, 503, func() int {
+		s := newServer(&fake{})
+		s.Limits.BufferedBytes = 10
+		return do(s, "POST", "/v1/requests", valid).Code
+	}(), "a body that finds no room")
+}
+
+// FuzzSubmission guards against a body that crashes the server, and against one
+// that is accepted with a key that another key could be mistaken for.
+func FuzzSubmission(f *testing.F) {
+	f.Add(valid)
+	f.Add(`{"id":"a","caller":"b","kind":"c","resources":{"cpuMilli":1,"memoryMiB":1},"payload":[[[]]]}`)
+	f.Add(`{"id":"\u002f","caller":"..","kind":"c","tasks":1e3,"id":"b"}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		s := newServer(&fake{submit: func(_ context.Context, sub Submission) (Answer, error) {
+			require.NotContains(t, string(sub.Key.Caller)+string(sub.Key.ID), "/")
+			require.NotContains(t, string(sub.Key.Caller)+string(sub.Key.ID), "#")
+			require.True(t, sub.Payload == nil || json.Valid(sub.Payload))
+			return Answer{Pending: true}, nil
+		}})
+		w := do(s, http.MethodPost, "/v1/requests", body)
+		require.Contains(t, []int{202, 400, 413}, w.Code)
+		require.True(t, json.Valid(w.Body.Bytes()))
+	})
+}
