admitter: predict the wait from demand and lane weights until a rate is measured

A class that was idle assumed the whole capacity, so that a swing admitted far more than could be served.

--- a/admitter/predictive.go
+++ b/admitter/predictive.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -47,15 +46,25 @@
 
 const (
 	// window is the time over which the service rate is measured. A few seconds
-	// follow a demand swing, which is over in ten.
-	window = 3 * time.Second
-	// priorWindow is the time that the assumed rate of a class counts for when
-	// the class has not been backlogged yet.
-	priorWindow = 500 * time.Millisecond
+	// follow a demand swing, which is over in ten. For classes with longer runs
+	// the window is runsPerWindow mean runs, since their starts are rare.
+	window        = 3 * time.Second
+	runsPerWindow = 5
+	maxWindow     = 30 * time.Minute
+	// demandWindow is the time over which demand is measured.
+	demandWindow = time.Second
+	// priorPart is the part of the window that the available rate counts for.
+	priorPart = 1.0 / 3
+	// shareInterval is how often the available rates are computed.
+	shareInterval = 20 * time.Millisecond
 	// callerAlpha bounds a caller's backlog in proportion to the room that is
 	// left (dynamic thresholds, Choudhury and Hahne, 1998): one busy caller
 	// leaves half of the queue to the others.
 	callerAlpha = 1.0
+	// slackPart is the part of the time until the latest start that the predicted
+	// wait may take. Fair order spreads the waits of a queue around their mean, by
+	// about the time in which each caller is served once.
+	slackPart = 0.5
 	// minRetry and maxRetry bound the time until a refused request returns.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 5 * time.Minute
@@ -63,80 +72,96 @@
 	minRate = 1e-3
 )
 
-// Predictive refuses what would miss its deadline, by the service rate that the
-// class has had over the last seconds while it was backlogged.
+// Predictive refuses what would miss its deadline. The wait is predicted from
+// the service rate of the class over the last seconds; where there was no backlog
+// to measure it with, from what the demand of the other classes leaves.
 type Predictive struct {
 	bounds  Bounds
 	rand    *rand.Rand
 	crest   float64
+	weights [sequencer.LaneCount]float64
 	classes map[sequencer.Class]*meter
+	order   []*meter
+	// shares is when the available rates were computed last.
+	shares time.Time
 }
 
 // NewPredictive returns a policy that has seen nothing.
 func NewPredictive(b Bounds, r *rand.Rand) *Predictive {
-	return &Predictive{bounds: b.withDefaults(), rand: r, crest: 1, classes: map[sequencer.Class]*meter{}}
+	p := &Predictive{bounds: b.withDefaults(), rand: r, classes: map[sequencer.Class]*meter{}}
+	p.SetWeights(descriptor.Weights{})
+	return p
 }
 
-// SetWeights takes over the weight of the crest. It shortens the queues: with a
-// weight of 2, work waits at most half of the time that its deadline allows, and
-// more of it is refused at once.
+// SetWeights takes over the weights. That of the crest shortens the queues: with
+// a weight of 2, work waits at most half of the time that its deadline allows,
+// and more of it is refused at once.
 func (p *Predictive) SetWeights(w descriptor.Weights) {
+	p.weights = sequencer.LaneWeights(w)
 	p.crest = w.Crest
 	if p.crest <= 0 {
 		p.crest = 1
 	}
 }
 
-// meter measures the service of one class while it is backlogged, and the work
-// that was refused lately.
-type meter struct {
-	at         time.Time
-	work       float64 // fading
-	busy       float64 // fading seconds
-	refused    float64 // fading work
-	backlogged bool
-}
-
-// advance fades the meter and counts the time since its last event.
-func (m *meter) advance(now time.Time) {
-	dt := now.Sub(m.at).Seconds()
-	if dt <= 0 {
-		return
-	}
-	keep := math.Exp(-dt / window.Seconds())
-	m.work *= keep
-	m.busy *= keep
-	m.refused *= keep
-	if m.backlogged {
-		m.busy += min(dt, window.Seconds())
-	}
-	m.at = now
-}
-
-// rate returns work per second. Without a recent backlog it is near the whole
-// capacity, which is what an idle class may expect.
-func (m *meter) rate() float64 {
-	prior := priorWindow.Seconds()
-	return max((m.work+prior)/(m.busy+prior), minRate)
-}
-
 func (p *Predictive) meter(now time.Time, c sequencer.Class) *meter {
 	m, ok := p.classes[c]
 	if !ok {
-		m = &meter{at: now}
+		m = &meter{class: c, at: now, available: 1}
 		p.classes[c] = m
+		p.order = append(p.order, m)
 	}
 	m.advance(now)
+	if now.Sub(p.shares) >= shareInterval {
+		p.share(now)
+	}
 	return m
 }
 
+// share divides the capacity between the classes by their demand and the
+// weights of their lanes (weighted max-min fairness), and notes for each class
+// what the others leave to it.
+func (p *Predictive) share(now time.Time) {
+	p.shares = now
+	for _, m := range p.order {
+		m.advance(now)
+		m.got = 0
+	}
+	left := 1.0
+	for left > 1e-6 {
+		weight := 0.0
+		for _, m := range p.order {
+			if m.got < m.demand() {
+				weight += p.weights[m.class.Lane()]
+			}
+		}
+		if weight == 0 {
+			break
+		}
+		given := 0.0
+		for _, m := range p.order {
+			if want := m.demand() - m.got; want > 0 {
+				part := min(left*p.weights[m.class.Lane()]/weight, want)
+				m.got += part
+				given += part
+			}
+		}
+		if left -= given; given < 1e-6 {
+			break
+		}
+	}
+	for _, m := range p.order {
+		m.available = max(m.got+left, minRate)
+	}
+}
+
 // Served counts work towards the class's rate.
 func (p *Predictive) Served(now time.Time, c sequencer.Class, work float64, left Backlog) {
 	m := p.meter(now, c)
-	if m.backlogged {
+	if m.backlog.Requests > 0 {
 		m.work += work
 	}
-	m.backlogged = left.Requests > 0
+	m.backlog = left
 }
 
 // Wait predicts how long a backlog of the class takes to start.
@@ -154,6 +179,8 @@
 // Admit checks the bounds first and the deadline then.
 func (p *Predictive) Admit(now time.Time, q Question) *descriptor.Refusal {
 	m := p.meter(now, q.Class)
+	m.arrived(q.Own.Work, q.Run.Mean)
+	m.backlog = q.InClass
 	if r := p.full(m, q); r != nil {
 		m.refused += q.Own.Work
 		return r
@@ -168,18 +195,34 @@
 			Detail: fmt.Sprintf("a run takes at least %s and the deadline is in %s", q.Run.Low, left),
 		}
 	}
-	rate := m.rate()
-	room := (left-q.Run.High).Seconds()/p.crest*rate - q.InClass.Work
-	if q.InClass.Requests == 0 || q.Caller.Work+q.Own.Work <= callerAlpha*room {
-		m.backlogged = m.backlogged || q.InClass.Requests > 0
+	slack := slackPart * (left - q.Run.High).Seconds() / p.crest
+	if q.InClass.Requests == 0 || q.Caller.Work+q.Own.Work <= callerAlpha*p.room(m, slack) {
 		return nil
 	}
 	m.refused += q.Own.Work
 	return &descriptor.Refusal{
 		Reason:     descriptor.ReasonDeadlineUnmet,
 		RetryAfter: p.retry(m, q.InClass.Work),
-		Detail:     fmt.Sprintf("the predicted wait is %s and the deadline is in %s", seconds(q.InClass.Work/rate), left),
+		Detail:     fmt.Sprintf("the predicted wait is %s and the deadline is in %s", seconds(q.InClass.Work/m.rate()), left),
+	}
+}
+
+// room returns the work that can be added to the class and still starts within
+// the slack, both at the rate of the class and when the other classes of the
+// same length take their part of the capacity.
+func (p *Predictive) room(m *meter, slack float64) float64 {
+	own := m.rate()*slack - m.backlog.Work
+	all, waiting := 0.0, 0.0
+	for _, o := range p.order {
+		if o.class.Long == m.class.Long {
+			rate := o.rate()
+			all += rate
+			if o != m {
+				waiting += min(o.backlog.Work, rate*slack)
+			}
+		}
 	}
+	return min(own, max(all, 1)*slack-waiting-m.backlog.Work)
 }
 
 // full refuses what exceeds a bound of the queues.
--- a/sequencer/fair.go
+++ b/sequencer/fair.go
@@ -21,6 +21,27 @@
 	sweepSlack = 1024
 )
 
+// LaneWeights returns the share of each lane relative to the others when all of
+// them have work waiting.
+func LaneWeights(weights descriptor.Weights) [LaneCount]float64 {
+	var out [LaneCount]float64
+	crest, short := weightOr1(weights.Crest), weightOr1(weights.ShortFirst)
+	for i := range out {
+		w := 1.0
+		for range int(descriptor.Bulk) - i/2 {
+			w *= priorityStep
+		}
+		if i/2 == int(descriptor.Urgent) {
+			w *= crest
+		}
+		if i%2 == 0 {
+			w *= shortStep * short
+		}
+		out[i] = w
+	}
+	return out
+}
+
 // Fair is a hierarchical fair queue by virtual time, as start-time fair queueing
 // (Goyal, Vin, Cheng, SIGCOMM 1996): whoever has used least for its weight is
 // next, and whoever returns from idle starts at the virtual time of the last
@@ -136,18 +157,7 @@
 // SetRules takes over weights and quotas. Virtual times stay as they are.
 func (q *Fair[T]) SetRules(r *descriptor.Rules) {
 	q.rules = r
-	crest, short := weightOr1(r.Weights.Crest), weightOr1(r.Weights.ShortFirst)
-	for i := range q.lanes {
-		w := 1.0
-		for range int(descriptor.Bulk) - i/2 {
-			w *= priorityStep
-		}
-		if i/2 == int(descriptor.Urgent) {
-			w *= crest
-		}
-		if i%2 == 0 {
-			w *= shortStep * short
-		}
+	for i, w := range LaneWeights(r.Weights) {
 		q.lanes[i].weight = w
 	}
 	quotas := 0.0
