--- a/heartbeater/config.go
+++ b/heartbeater/config.go
@@ -36,6 +36,9 @@
 	// Interval is the time between two heartbeats of a pair; 400 ms, so that a
 	// member is suspected after three that are missing.
 	Interval time.Duration
+	// StatusInterval is the time between two heartbeats to the same member with
+	// the load; 2 s. A new rules version is sent at once.
+	StatusInterval time.Duration
 	// SuspectAfter and RemoveAfter count from the last heartbeat; 1.2 s and 2 s.
 	SuspectAfter, RemoveAfter time.Duration
 	// CallTimeout bounds a heartbeat; 1 s.
@@ -71,6 +74,7 @@
 	setDefault[tally.Scope](&c.Scope, tally.NoopScope)
 	setDefault(&c.Log, slog.Default())
 	setDefault(&c.Interval, 400*time.Millisecond)
+	setDefault(&c.StatusInterval, 2*time.Second)
 	setDefault(&c.SuspectAfter, 1200*time.Millisecond)
 	setDefault(&c.RemoveAfter, 2*time.Second)
 	setDefault(&c.CallTimeout, time.Second)
--- a/heartbeater/exchange.go
+++ b/heartbeater/exchange.go
@@ -13,6 +13,8 @@
 // that it has announced its leave.
 const codeOutdated = "outdatedIncarnation"
 
+var errNoHeartbeat = &messenger.RemoteError{Code: messenger.CodeInvalidParams, Message: "no heartbeat"}
+
 // startCalls sends the heartbeats that are due. The lock must be held.
 func (h *Heartbeater) startCalls(due []duty) {
 	for _, d := range due {
@@ -44,7 +46,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.CallTimeout)
 	defer cancel()
 	h.mu.Lock()
-	req := h.compose(d.id)
+	req, number := h.compose(d.id), h.statusNumber
 	req.Ask, req.Want = d.ask, !d.member
 	if introduce {
 		req.Record = h.record()
@@ -54,31 +56,34 @@
 	if err != nil {
 		return nil, err
 	}
-	h.confirm(d.id, req)
+	if reply == nil {
+		return nil, errNoHeartbeat
+	}
 	h.hear(d.id, reply)
+	h.mu.Lock()
+	if !reply.Want {
+		h.confirm(d.id, number)
+	}
+	h.mu.Unlock()
 	return reply, nil
 }
 
 // compose returns a heartbeat for a member. The lock must be held.
 func (h *Heartbeater) compose(to descriptor.InstanceID) *heartbeat {
-	now := h.cfg.Clock.Now()
 	h.sequence++
-	b := beat{
-		Incarnation: h.self.Incarnation, Sequence: h.sequence, Rules: h.self.Rules, Load: h.self.Load,
-		Reached: h.reached(now), View: h.view.hash(h.self.Incarnation),
+	hb := &heartbeat{Leaving: h.closing}
+	hb.Beat = beat{Incarnation: h.self.Incarnation, Sequence: h.sequence, View: h.view.hash(h.self.Incarnation)}
+	if e := h.view.members[to]; e == nil || e.sentStatus != h.statusNumber {
+		s := h.status
+		hb.Beat.Status = &s
 	}
-	if e := h.view.members[to]; e == nil || e.sentRules != h.self.Rules {
-		b.RulesSinceMs = unixMs(h.self.RulesSince)
-	}
-	return &heartbeat{Beat: b, Leaving: h.closing}
+	return hb
 }
 
-// confirm notes that a member has received a heartbeat.
-func (h *Heartbeater) confirm(id descriptor.InstanceID, sent *heartbeat) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if e := h.view.members[id]; e != nil && sent.Beat.RulesSinceMs != 0 {
-		e.sentRules = sent.Beat.Rules
+// confirm notes that a member has a status. The lock must be held.
+func (h *Heartbeater) confirm(id descriptor.InstanceID, number uint64) {
+	if e := h.view.members[id]; e != nil {
+		e.sentStatus = number
 	}
 }
 
@@ -108,8 +113,8 @@
 	if changed {
 		h.signal()
 	}
-	if what == accepted && hb.Beat.Rules > before {
-		h.cfg.OnVersion(id, hb.Beat.Rules)
+	if s := hb.Beat.Status; what == accepted && s != nil && s.Rules > before {
+		h.cfg.OnVersion(id, s.Rules)
 	}
 	return what
 }
@@ -117,7 +122,7 @@
 // onHeartbeat handles membership.heartbeat.
 func (h *Heartbeater) onHeartbeat(_ context.Context, from descriptor.InstanceID, req *heartbeat) (*heartbeat, error) {
 	if req == nil {
-		return nil, &messenger.RemoteError{Code: messenger.CodeInvalidParams, Message: "no heartbeat"}
+		return nil, errNoHeartbeat
 	}
 	what := h.hear(from, req)
 	if what == outdated {
@@ -127,7 +132,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	reply := h.compose(from)
-	reply.Want = what == unknown
+	if reply.Want = what == unknown; !reply.Want {
+		// Not confirmed, but a lost reply is made good by the next status.
+		h.confirm(from, h.statusNumber)
+	}
 	if req.Want {
 		reply.Record = h.record()
 	}
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -17,17 +17,22 @@
 	dataCentres []descriptor.DataCentreID // sorted; the bits of beat.Reached
 	changes     chan struct{}
 
-	mu        sync.Mutex
-	self      Member
-	sequence  uint64
-	digests   uint64 // number of our last digest
-	view      *view
-	remotes   map[descriptor.DataCentreID]*remote
-	linkCalls map[descriptor.DataCentreID]bool // digests in progress
-	listing   bool                             // a read of the directory is in progress
-	nextLinks time.Time
-	nextList  time.Time
-	closing   bool
+	mu       sync.Mutex
+	self     Member
+	sequence uint64
+	// status is what heartbeats say. A new one gets a new number and is sent
+	// once to each member; nextStatus is when it is due at the latest.
+	status       status
+	statusNumber uint64
+	nextStatus   time.Time
+	digests      uint64 // number of our last digest
+	view         *view
+	remotes      map[descriptor.DataCentreID]*remote
+	linkCalls    map[descriptor.DataCentreID]bool // digests in progress
+	listing      bool                             // a read of the directory is in progress
+	nextLinks    time.Time
+	nextList     time.Time
+	closing      bool
 
 	stop context.CancelFunc
 	base context.Context
@@ -112,12 +117,20 @@
 // refreshSelf takes in what heartbeats say about this instance.
 func (h *Heartbeater) refreshSelf() {
 	rules, load := h.cfg.Report()
+	now := h.cfg.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if rules != h.self.Rules {
-		h.self.Rules, h.self.RulesSince = rules, h.cfg.Clock.Now()
+		h.self.Rules, h.self.RulesSince = rules, now
+	}
+	h.self.Load, h.self.LastHeard = load, now
+	reached := h.reached(now)
+	if rules == h.status.Rules && reached == h.status.Reached && now.Before(h.nextStatus) {
+		return
 	}
-	h.self.Load, h.self.LastHeard = load, h.cfg.Clock.Now()
+	h.status = status{Rules: rules, Load: load, Reached: reached, RulesSinceMs: unixMs(h.self.RulesSince)}
+	h.statusNumber++
+	h.nextStatus = now.Add(h.cfg.StatusInterval)
 }
 
 // SetIncarnation begins a new incarnation of this instance. Lower ones are
@@ -267,7 +280,7 @@
 	}
 	bit := h.bit(dc)
 	for _, e := range h.view.members {
-		if e.reached&bit != 0 && now.Sub(e.reachedAt) < h.cfg.RemoveAfter {
+		if e.reached&bit != 0 && now.Sub(e.LastHeard) < h.cfg.RemoveAfter {
 			return true
 		}
 	}
--- a/heartbeater/view.go
+++ b/heartbeater/view.go
@@ -30,11 +30,9 @@
 	Member
 	sequence uint64
 	reached  uint64
-	// reachedAt is when reached came in.
-	reachedAt time.Time
-	// sentRules is the last rules version whose time the member has confirmed.
-	sentRules descriptor.RulesVersion
-	calling   bool
+	// sentStatus is the number of our status that the member has.
+	sentStatus uint64
+	calling    bool
 }
 
 // candidate is an instance that may be a member.
@@ -105,16 +103,13 @@
 func (e *entry) take(id descriptor.InstanceID, hb *heartbeat, now time.Time) {
 	b := hb.Beat
 	e.ID, e.Incarnation, e.State, e.LastHeard = id, b.Incarnation, Alive, now
-	e.sequence, e.Load = b.Sequence, b.Load
-	e.reached, e.reachedAt = b.Reached, now
-	if b.Rules != e.Rules {
-		e.Rules, e.RulesSince = b.Rules, now
+	e.sequence = b.Sequence
+	if s := b.Status; s != nil {
+		e.Load, e.reached = s.Load, s.Reached
+		e.Rules, e.RulesSince = s.Rules, fromUnixMs(s.RulesSinceMs)
 	}
-	if b.RulesSinceMs != 0 {
-		e.RulesSince = fromUnixMs(b.RulesSinceMs)
-	}
-	if hb.Record != nil {
-		e.DataCentre, e.PeerAddress, e.HTTPAddress = hb.Record.DataCentre, hb.Record.PeerAddress, hb.Record.HTTPAddress
+	if r := hb.Record; r != nil {
+		e.DataCentre, e.PeerAddress, e.HTTPAddress = r.DataCentre, r.PeerAddress, r.HTTPAddress
 	}
 }
 
--- a/heartbeater/wire.go
+++ b/heartbeater/wire.go
@@ -21,26 +21,35 @@
 	Incarnation descriptor.Incarnation
 	// Sequence rises with every beat of an incarnation.
 	Sequence uint64
-	Rules    descriptor.RulesVersion
-	Load     LoadReport
-	// Reached has bit i set if the sender has a fresh digest of the i-th data
-	// centre from a link of its own.
-	Reached uint64
 	// View is a hash of the members that the sender knows.
 	View uint32
-	// RulesSinceMs is sent only until the receiver has confirmed it; 0 if absent.
+	// Status is sent when it is new to the receiver; nil otherwise.
+	Status *status
+}
+
+// status is the part of a beat that changes less often.
+type status struct {
+	Rules descriptor.RulesVersion
+	Load  LoadReport
+	// Reached has bit i set if the sender has a fresh digest of the i-th data
+	// centre from a link of its own.
+	Reached      uint64
 	RulesSinceMs int64
 }
 
+// The numbers in the array of a beat, without and with its status.
+const (
+	beatNumbers   = 3
+	statusNumbers = 7
+)
+
 // MarshalJSON implements json.Marshaler.
 func (b beat) MarshalJSON() ([]byte, error) {
-	a := []int64{
-		int64(b.Incarnation), int64(b.Sequence), int64(b.Rules),
-		int64(b.Load.Queued), int64(b.Load.Running), thousandths(b.Load.FreeFraction), b.Load.WaitMs,
-		int64(b.Reached), int64(b.View),
-	}
-	if b.RulesSinceMs != 0 {
-		a = append(a, b.RulesSinceMs)
+	a := []int64{int64(b.Incarnation), int64(b.Sequence), int64(b.View)}
+	if s := b.Status; s != nil {
+		a = append(a, int64(s.Rules),
+			int64(s.Load.Queued), int64(s.Load.Running), thousandths(s.Load.FreeFraction), s.Load.WaitMs,
+			int64(s.Reached), s.RulesSinceMs)
 	}
 	return json.Marshal(a)
 }
@@ -51,15 +60,15 @@
 	if err := json.Unmarshal(data, &a); err != nil {
 		return err
 	}
-	if len(a) < 9 {
-		return fmt.Errorf("beat has %d numbers, want 9 or more", len(a))
-	}
-	*b = beat{
-		Incarnation: descriptor.Incarnation(a[0]), Sequence: uint64(a[1]), Rules: descriptor.RulesVersion(a[2]),
-		Load: loadOf(a[3:7]), Reached: uint64(a[7]), View: uint32(a[8]),
+	if len(a) < beatNumbers {
+		return fmt.Errorf("beat has %d numbers, want %d or more", len(a), beatNumbers)
 	}
-	if len(a) > 9 {
-		b.RulesSinceMs = a[9]
+	*b = beat{Incarnation: descriptor.Incarnation(a[0]), Sequence: uint64(a[1]), View: uint32(a[2])}
+	if a = a[beatNumbers:]; len(a) >= statusNumbers {
+		b.Status = &status{
+			Rules: descriptor.RulesVersion(a[0]), Load: loadOf(a[1:5]),
+			Reached: uint64(a[5]), RulesSinceMs: a[6],
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/messenger/bench_test.go
@@ -0,0 +1,43 @@
+package messenger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+)
+
+// BenchmarkPack measures what a packed heartbeat frame costs on both sides.
+func BenchmarkPack(b *testing.B) {
+	heartbeat := json.RawMessage(`{"id":654321,"jsonrpc":"2.0","meta":{"f":"gyor-11","ms":1000},"method":"membership.heartbeat","params":{"b":[7,1234567,4014321234]}}`)
+	var frame []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		frame, _ = appendFrame(frame[:0], heartbeat, MaxFrame, true)
+		if _, err := readFrame(bytes.NewReader(frame), MaxFrame); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(frame)), "bytes/frame")
+}
+
+// BenchmarkCall measures a call over loopback, both sides together.
+func BenchmarkCall(b *testing.B) {
+	for name, call := range map[string]func(context.Context, *Pool, string, Method, note) (note, error){
+		"normal": Call[note, note], "control": CallControl[note, note],
+	} {
+		b.Run(name, func(b *testing.B) {
+			address, _ := startServer(b, &Server{})
+			p := newPool(b, &Pool{})
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if _, err := call(context.Background(), p, address, echo, note{"hello"}); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		})
+	}
+}
--- a/messenger/call.go
+++ b/messenger/call.go
@@ -18,8 +18,9 @@
 }
 
 // CallControl makes a call as Call does, to a method that was registered with
-// HandleControl. It is also sent to a suspected peer, and has a bound of its
-// own, so that heartbeats don't compete with requests.
+// HandleControl. It is also sent to a suspected peer, and has a bound and a
+// connection of its own, so that heartbeats don't compete with requests. Its
+// frames are compressed.
 func CallControl[Req, Rep any](ctx context.Context, p *Pool, address string, m Method, req Req) (Rep, error) {
 	return typed[Req, Rep](ctx, p, address, m, req, true)
 }
@@ -56,14 +57,13 @@
 		return nil, fmt.Errorf("%w: %s: %w", ErrPeerUnreachable, address, ctx.Err())
 	}
 	c.ctx, c.sent = ctx, make(chan sending, 1)
-	pe, err := p.enter(address, c)
-	if err != nil {
+	if err := p.enter(address, c); err != nil {
 		return nil, err
 	}
-	pe.queue <- c
+	c.lane.queue <- c
 	select {
 	case s := <-c.sent:
-		return pe.await(ctx, c, s)
+		return c.await(ctx, s)
 	case <-ctx.Done():
 	}
 	if c.state.CompareAndSwap(callQueued, callAbandoned) {
@@ -74,7 +74,7 @@
 	// place is given back once that is known.
 	go func() {
 		s := <-c.sent
-		pe.giveUp(c, s, ctx.Err())
+		c.giveUp(s, ctx.Err())
 	}()
 	p.Scope.Counter("timeouts").Inc(1)
 	return nil, fmt.Errorf("%w: %s: %w", ErrPeerTimeout, address, ctx.Err())
@@ -82,31 +82,33 @@
 
 // giveUp ends a call whose caller no longer waits. A call that its caller has
 // cancelled says nothing about the peer.
-func (pe *peer) giveUp(c *call, s sending, cause error) {
+func (c *call) giveUp(s sending, cause error) {
+	pe := c.lane.peer
 	if s.link != nil {
 		s.link.end(true)
 		if errors.Is(cause, context.DeadlineExceeded) {
 			pe.health.timedOut(s.at, pe.pool.Clock.Now())
 		}
 	}
-	pe.leave(c)
+	c.leave()
 }
 
 // await waits for the answer to a call that was sent.
-func (pe *peer) await(ctx context.Context, c *call, s sending) (json.RawMessage, error) {
+func (c *call) await(ctx context.Context, s sending) (json.RawMessage, error) {
+	pe := c.lane.peer
 	if s.err != nil {
-		pe.leave(c)
+		c.leave()
 		return nil, s.err
 	}
 	var result json.RawMessage
 	err := s.waiter.Wait(ctx, &result)
 	if err != nil && ctx.Err() != nil && !isWireError(err) {
 		pe.pool.Scope.Counter("timeouts").Inc(1)
-		pe.giveUp(c, s, ctx.Err())
+		c.giveUp(s, ctx.Err())
 		return nil, fmt.Errorf("%w: %s: %w", ErrPeerTimeout, pe.address, ctx.Err())
 	}
 	s.link.end(false)
-	pe.leave(c)
+	c.leave()
 	if err != nil {
 		return nil, pe.answerError(err)
 	}
--- a/messenger/fault_test.go
+++ b/messenger/fault_test.go
@@ -119,13 +119,19 @@
 func TestMalformedFrame(t *testing.T) {
 	s := &Server{}
 	address, _ := startServer(t, s)
-	p := newPool(t, &Pool{})
+	dials := 0
+	p := newPool(t, &Pool{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
 	ctx := longContext(t)
 	_, err := Call[note, note](ctx, p, address, echo, note{})
 	require.NoError(t, err)
 	bad := map[string][]byte{
 		"oversized":  binary.BigEndian.AppendUint32(nil, MaxFrame+1),
 		"empty":      {0, 0, 0, 0},
+		"encoding":   {7, 0, 0, 1, '1'},
+		"packed":     {packedFrame, 0, 0, 2, 0xab, 0xcd},
 		"no JSON":    frame("{"),
 		"no message": frame("{}"),
 		"batch":      frame(`[{"jsonrpc":"2.0","id":1,"method":"test.echo"}]`),
@@ -140,11 +146,9 @@
 		_, _ = io.ReadAll(conn) // ends when the server closes or resets the connection
 		conn.Close()
 	}
-	pe := p.existing(address)
-	link := pe.link
 	_, err = Call[note, note](ctx, p, address, echo, note{})
 	require.NoError(t, err)
-	require.Same(t, link, pe.link, "the good connection is kept")
+	require.Equal(t, 1, dials, "the good connection is kept")
 }
 
 // TestCloseWaits guards against a stop that cuts off a call in progress, and
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -30,7 +30,7 @@
 
 // startServer runs a server with echo, beat and a handler that blocks until its
 // context ends or the returned function is called.
-func startServer(t *testing.T, s *Server) (address string, release func()) {
+func startServer(t testing.TB, s *Server) (address string, release func()) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -64,7 +64,7 @@
 	return l.Addr().String(), release
 }
 
-func newPool(t *testing.T, p *Pool) *Pool {
+func newPool(t testing.TB, p *Pool) *Pool {
 	t.Helper()
 	p.Self = "i1"
 	t.Cleanup(func() { require.NoError(t, p.Close()) })
@@ -236,6 +236,6 @@
 		}
 		pe.mu.Lock()
 		defer pe.mu.Unlock()
-		return pe.normal == n
+		return pe.lanes[0].held == n
 	}, time.Minute, time.Millisecond)
 }
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -12,25 +12,33 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// peer is the client side of one address. Its goroutine takes calls from the
-// queue, connects and writes them, so that neither a dial nor a full socket
-// buffer can hold up a caller beyond its deadline.
+// peer is the client side of one address. Control calls have a lane of their
+// own, with its own connection, so that a heartbeat never waits behind a large
+// request.
 type peer struct {
 	pool    *Pool
 	address string
 	class   PeerClass
-	queue   chan *call // never full, see take
 	health  health
+	lanes   [2]lane // normal, control
 
-	mu      sync.Mutex
-	normal  int // calls that hold a place, normal and control
-	control int
-	bytes   int64
+	mu    sync.Mutex
+	bytes int64 // parameters of all calls that hold a place
+}
 
-	link *link // used by the goroutine only
+// lane is a queue of calls to a peer. Its goroutine takes calls from the queue,
+// connects and writes them, so that neither a dial nor a full socket buffer can
+// hold up a caller beyond its deadline.
+type lane struct {
+	peer    *peer
+	control bool
+	queue   chan *call // never full, see take
+	limit   int
+	held    int  // calls that hold a place; guarded by peer.mu
+	running bool // guarded by pool.mu
 }
 
-// link is a connection of a peer.
+// link is a connection of a lane.
 type link struct {
 	rpc      *jsonrpc2.Conn
 	pending  atomic.Int64 // calls that were sent and not given up or answered
@@ -57,6 +65,7 @@
 	control bool
 	params  json.RawMessage
 	ctx     context.Context
+	lane    *lane
 	state   atomic.Int32
 	sent    chan sending // capacity 1
 }
@@ -71,85 +80,89 @@
 
 // take reserves a place in the queue. As every call in the queue holds a place,
 // the queue itself always has room.
-func (pe *peer) take(c *call) error {
-	p, size := pe.pool, int64(len(c.params))
+func (ln *lane) take(c *call) error {
+	pe, size := ln.peer, int64(len(c.params))
+	p := pe.pool
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
 	switch {
-	case c.control && pe.control >= p.MaxControl:
-		return fmt.Errorf("%d control calls in progress", pe.control)
-	case !c.control && pe.normal >= p.MaxQueued:
-		return fmt.Errorf("%d calls in progress", pe.normal)
+	case ln.held >= ln.limit:
+		return fmt.Errorf("%d calls in progress", ln.held)
 	case pe.bytes+size > max(p.MaxQueuedBytes, size):
 		return fmt.Errorf("%d bytes in progress", pe.bytes)
 	case p.bytes.Load()+size > p.MaxBytes:
 		return errors.New("too many bytes in progress to all peers")
 	}
-	if c.control {
-		pe.control++
-	} else {
-		pe.normal++
-	}
+	ln.held++
 	pe.bytes += size
 	p.bytes.Add(size)
+	c.lane = ln
 	return nil
 }
 
 // leave gives the place back.
-func (pe *peer) leave(c *call) {
+func (c *call) leave() {
+	pe, size := c.lane.peer, int64(len(c.params))
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
-	if c.control {
-		pe.control--
-	} else {
-		pe.normal--
-	}
-	pe.bytes -= int64(len(c.params))
-	pe.pool.bytes.Add(-int64(len(c.params)))
+	c.lane.held--
+	pe.bytes -= size
+	pe.pool.bytes.Add(-size)
 }
 
-// run sends calls until the pool is closed or the peer has been idle.
-func (pe *peer) run() {
-	defer pe.pool.wg.Done()
-	defer pe.closeLink()
-	idle := time.NewTimer(pe.pool.IdleTimeout)
+// run sends calls until the pool is closed or the lane has been idle.
+func (ln *lane) run() {
+	p := ln.peer.pool
+	defer p.wg.Done()
+	var l *link
+	defer func() {
+		if l != nil {
+			l.rpc.Close()
+		}
+	}()
+	idle := time.NewTimer(p.IdleTimeout)
 	defer idle.Stop()
 	for {
 		select {
-		case <-pe.pool.done:
-			pe.failQueued()
+		case <-p.done:
+			ln.failQueued()
 			return
-		case c := <-pe.queue:
-			pe.send(c)
-			idle.Reset(pe.pool.IdleTimeout)
+		case c := <-ln.queue:
+			l = ln.send(l, c)
+			idle.Reset(p.IdleTimeout)
 		case <-idle.C:
-			if pe.removeIdle() {
+			if ln.stopIdle() {
 				return
 			}
-			idle.Reset(pe.pool.IdleTimeout)
+			idle.Reset(p.IdleTimeout)
 		}
 	}
 }
 
-// removeIdle takes the peer out of the pool if no call holds a place.
-func (pe *peer) removeIdle() bool {
+// stopIdle stops the lane if no call holds a place, and takes the peer out of
+// the pool if its other lane has stopped too.
+func (ln *lane) stopIdle() bool {
+	pe := ln.peer
 	pe.pool.mu.Lock()
 	defer pe.pool.mu.Unlock()
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
-	if pe.normal+pe.control > 0 {
+	if ln.held > 0 {
 		return false
 	}
-	delete(pe.pool.peers, pe.address)
+	ln.running = false
+	if !pe.lanes[0].running && !pe.lanes[1].running {
+		delete(pe.pool.peers, pe.address)
+	}
 	return true
 }
 
 // failQueued ends the calls that are still in the queue when the pool closes.
-func (pe *peer) failQueued() {
+func (ln *lane) failQueued() {
 	for {
 		select {
-		case c := <-pe.queue:
-			pe.fail(c, errors.New("pool is closed"))
+		case c := <-ln.queue:
+			c.fail(errors.New("pool is closed"))
 		default:
 			return
 		}
@@ -157,29 +170,31 @@
 }
 
 // fail ends a call that was not sent.
-func (pe *peer) fail(c *call, err error) {
+func (c *call) fail(err error) {
 	if !c.state.CompareAndSwap(callQueued, callSending) {
-		pe.leave(c)
+		c.leave()
 		return
 	}
-	c.sent <- sending{err: fmt.Errorf("%w: %s: %w", ErrPeerUnreachable, pe.address, err)}
+	c.sent <- sending{err: fmt.Errorf("%w: %s: %w", ErrPeerUnreachable, c.lane.peer.address, err)}
 }
 
-// send connects if necessary and writes the call.
-func (pe *peer) send(c *call) {
+// send connects if necessary and writes the call. It returns the link to use
+// from now on.
+func (ln *lane) send(l *link, c *call) *link {
 	if c.state.Load() == callAbandoned {
-		pe.leave(c)
-		return
+		c.leave()
+		return l
 	}
-	l, err := pe.connect()
+	l, err := ln.connect(l)
 	if err != nil {
-		pe.fail(c, err)
-		return
+		c.fail(err)
+		return nil
 	}
 	if !c.state.CompareAndSwap(callQueued, callSending) {
-		pe.leave(c)
-		return
+		c.leave()
+		return l
 	}
+	pe := ln.peer
 	remaining := DefaultTimeout
 	if deadline, ok := c.ctx.Deadline(); ok {
 		remaining = time.Until(deadline)
@@ -192,7 +207,7 @@
 	waiter, err := l.rpc.DispatchCall(c.ctx, string(c.method), c.params, jsonrpc2.Meta(meta))
 	if err == nil {
 		c.sent <- sending{link: l, waiter: waiter, at: at}
-		return
+		return l
 	}
 	l.end(false)
 	if !errors.Is(err, ErrFrameTooLarge) {
@@ -200,38 +215,29 @@
 		err = fmt.Errorf("%w: %s: %w", ErrPeerUnreachable, pe.address, err)
 	}
 	c.sent <- sending{err: err}
+	return l
 }
 
-// connect returns the link, after dialling if there is none that works.
-func (pe *peer) connect() (*link, error) {
-	if pe.link != nil {
+// connect returns the link l, or a new one if l doesn't work.
+func (ln *lane) connect(l *link) (*link, error) {
+	if l != nil {
 		select {
-		case <-pe.link.rpc.DisconnectNotify():
-			pe.link = nil
+		case <-l.rpc.DisconnectNotify():
 		default:
-			if pe.link.lost.Load() < maxLost {
-				return pe.link, nil
+			if l.lost.Load() < maxLost {
+				return l, nil
 			}
-			pe.link.retire()
-			pe.link = nil
+			l.retire()
 		}
 	}
+	pe := ln.peer
 	p := pe.pool
 	if !pe.health.mayDial(p.Clock.Now()) {
 		p.Scope.Counter("dialBackoff").Inc(1)
 		return nil, errors.New("waiting before the next dial")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
+	ctx, cancel := context.WithTimeout(p.base, p.DialTimeout)
 	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		select {
-		case <-p.done:
-			cancel()
-		case <-stop:
-		}
-	}()
 	conn, err := p.Dial(ctx, "tcp", pe.address)
 	p.dialed(&pe.health, err == nil)
 	if err != nil {
@@ -241,15 +247,10 @@
 	counted := newCountedConn(conn, p.Traffic, p.Scope)
 	counted.setClass(pe.class)
 	stream := newFrameStream(counted, p.WriteTimeout, DefaultFrameTimeout)
+	stream.packed.Store(ln.control)
 	heard := jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) { pe.health.heard(p.Clock.Now()) })
-	pe.link = &link{rpc: jsonrpc2.NewConn(context.Background(), stream, rejectCalls{}, heard, jsonrpc2.SetLogger(rpcLogger{p.Log, p.Scope}))}
-	return pe.link, nil
-}
-
-func (pe *peer) closeLink() {
-	if pe.link != nil {
-		pe.link.rpc.Close()
-	}
+	logger := jsonrpc2.SetLogger(rpcLogger{p.Log, p.Scope})
+	return &link{rpc: jsonrpc2.NewConn(context.Background(), stream, rejectCalls{}, heard, logger)}, nil
 }
 
 // end notes that a call is no longer waited for.
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -16,7 +16,8 @@
 	"github.com/masticlead/masticlead/descriptor"
 )
 
-// Pool makes calls to other instances over one connection per peer address.
+// Pool makes calls to other instances over one connection per peer address, and
+// one more for control calls.
 // Exported fields are set before the first call; those left at zero get the
 // defaults named there.
 type Pool struct {
@@ -70,7 +71,9 @@
 	peers  map[string]*peer
 	closed bool
 	bytes  atomic.Int64
-	done   chan struct{}
+	base   context.Context // ends when the pool closes
+	cancel context.CancelFunc
+	done   <-chan struct{}
 	wg     sync.WaitGroup
 	randMu sync.Mutex
 }
@@ -97,7 +100,8 @@
 		p.WriteTimeout = orDefault(p.WriteTimeout, DefaultWriteTimeout)
 		p.IdleTimeout = orDefault(p.IdleTimeout, time.Minute)
 		p.peers = map[string]*peer{}
-		p.done = make(chan struct{})
+		p.base, p.cancel = context.WithCancel(context.Background())
+		p.done = p.base.Done()
 	})
 }
 
@@ -121,10 +125,8 @@
 func (p *Pool) Close() error {
 	p.init()
 	p.mu.Lock()
-	if !p.closed {
-		p.closed = true
-		close(p.done)
-	}
+	p.closed = true
+	p.cancel()
 	p.mu.Unlock()
 	p.wg.Wait()
 	return nil
@@ -137,44 +139,52 @@
 	return p.peers[address]
 }
 
-// enter returns the peer of an address and takes the call's share of its bounds.
-func (p *Pool) enter(address string, c *call) (*peer, error) {
+// enter takes the call's share of all bounds and starts its lane.
+func (p *Pool) enter(address string, c *call) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, fmt.Errorf("%w: pool is closed", ErrPeerUnreachable)
+		return fmt.Errorf("%w: pool is closed", ErrPeerUnreachable)
 	}
 	pe := p.peers[address]
 	if pe == nil {
 		pe = p.newPeer(address)
-		p.peers[address] = pe
-		p.wg.Add(1)
-		go pe.run()
 	}
 	if !c.control && !pe.health.admit(p.Clock.Now()) {
 		p.Scope.Counter("suspectedPeer").Inc(1)
-		return nil, fmt.Errorf("%w: %s does not answer", ErrPeerUnreachable, address)
+		return fmt.Errorf("%w: %s does not answer", ErrPeerUnreachable, address)
+	}
+	ln := &pe.lanes[0]
+	if c.control {
+		ln = &pe.lanes[1]
 	}
-	if err := pe.take(c); err != nil {
+	if err := ln.take(c); err != nil {
 		p.Scope.Counter("queueFull").Inc(1)
-		return nil, fmt.Errorf("%w: %s: %s", ErrPeerBusy, address, err)
+		return fmt.Errorf("%w: %s: %w", ErrPeerBusy, address, err)
+	}
+	p.peers[address] = pe
+	if !ln.running {
+		ln.running = true
+		p.wg.Add(1)
+		go ln.run()
 	}
-	return pe, nil
+	return nil
 }
 
 func (p *Pool) newPeer(address string) *peer {
-	class := SameDataCentre
-	if p.ClassOf != nil {
-		class = p.ClassOf(address)
-	}
-	return &peer{
-		pool: p, address: address, class: class,
-		queue: make(chan *call, p.MaxQueued+p.MaxControl),
+	pe := &peer{
+		pool: p, address: address, class: SameDataCentre,
 		health: health{
 			suspectAfter: p.SuspectAfter, probeEvery: p.ProbeEvery,
 			backoffMin: p.BackoffMin, backoffMax: p.BackoffMax,
 		},
 	}
+	if p.ClassOf != nil {
+		pe.class = p.ClassOf(address)
+	}
+	pe.lanes[0] = lane{peer: pe, queue: make(chan *call, p.MaxQueued), limit: p.MaxQueued}
+	pe.lanes[1] = lane{peer: pe, control: true, queue: make(chan *call, p.MaxControl), limit: p.MaxControl}
+	return pe
 }
 
 // dialed notes the result of a dial.
