distributor: push the difference between two versions

A push and a pull carry the common start and end of the file as lengths; a receiver without the base asks for the whole file, and the hash is checked either way.

--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -252,3 +254,72 @@
 		require.LessOrEqual(t, float64(n)/d.headInterval(n).Seconds(), 60.0)
 	}
 }
+
+// TestDelta guards against a delta that gives another body than the one it was
+// made from, and against a receiver without its base that stays behind.
+func TestDelta(t *testing.T) {
+	random := rand.New(rand.NewPCG(9, 9))
+	word := func() string { return strings.Repeat(string(rune('a'+random.IntN(3))), random.IntN(4)) }
+	for range 1000 {
+		base, body := word()+word()+word(), word()+word()+word()
+		s := mustRuleset(t, 1, base)
+		change, between := newDelta(s, []byte(body))
+		got, err := change.apply(s, between)
+		require.NoError(t, err)
+		require.Equal(t, body, string(got), "from %q", base)
+	}
+	_, err := delta{Base: 1, Prefix: 3, Suffix: 3}.apply(mustRuleset(t, 1, "short"), nil)
+	require.Error(t, err)
+
+	c := newCell(t, 9, 2, "a")
+	_, err = c.apply("a-0", 0, "anna", "one")
+	require.NoError(t, err)
+	c.quiet()
+	c.split(func(_, to descriptor.InstanceID) bool { return to == "a-1" })
+	_, err = c.apply("a-0", 1, "anna", "two")
+	require.NoError(t, err)
+	c.heal()
+	_, err = c.apply("a-0", 2, "anna", "three")
+	require.NoError(t, err)
+	c.quiet() // a-1 lacks version 2, and gets the whole body
+	c.requireEverywhere(3, "three")
+}
+
+// BenchmarkPush measures the bytes of a change to one line of a large file, in
+// the form that is pushed.
+func BenchmarkPush(b *testing.B) {
+	var lines []string
+	for i := range 220 {
+		lines = append(lines, fmt.Sprintf("team  team-%03d   weight=%d quota=%d%%   # asked by Anna Kovacs: contract %d", i, 1+i%5, 1+i%9, 7919*i))
+	}
+	for i := range 300 {
+		lines = append(lines, fmt.Sprintf("caller caller-%03d-*  team=team-%03d home=gyor maxQueued=%d   # asked by Bela Nagy: ticket %d", i, i%220, 100+i, 104729*i))
+	}
+	body := func(weight int) []byte {
+		changed := append([]string{}, lines...)
+		changed[100] = fmt.Sprintf("team  team-100  weight=%d quota=7%%  # asked by Eva Szabo: more vans", weight)
+		return []byte(strings.Join(changed, "\n"))
+	}
+	d := New(Config{Parse: func(v descriptor.RulesVersion, _ []byte) (*descriptor.Rules, error) {
+		return &descriptor.Rules{Version: v}, nil
+	}, Log: slog.New(slog.DiscardHandler)})
+	var s *ruleset
+	v := descriptor.RulesVersion(0)
+	for b.Loop() {
+		v++
+		next := body(int(v))
+		s, _ = newRuleset(VersionInfo{Version: v, Hash: hashOf(next), Author: "eva"}, next)
+		if _, err := d.install(s); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if s.delta == nil {
+		b.Skip("needs two versions")
+	}
+	for name, msg := range map[string]any{"whole": s.message(false), "delta": s.message(true)} {
+		encoded, err := json.Marshal(msg)
+		require.NoError(b, err)
+		b.ReportMetric(float64(len(encoded)), name+"Bytes")
+	}
+	b.ReportMetric(float64(len(s.body)), "fileBytes")
+}
--- a/distributor/ruleset.go
+++ b/distributor/ruleset.go
@@ -26,11 +26,24 @@
 // Applied returns when the version was applied.
 func (i VersionInfo) Applied() time.Time { return time.UnixMilli(i.AppliedMs) }
 
-// ruleset is a version with its body. It is not changed once built.
+// ruleset is a version with its body. It is not changed once installed.
 type ruleset struct {
 	VersionInfo
 	body   []byte
 	packed []byte // body compressed
+	// delta and between describe the body by the version that was in force
+	// here before; delta is nil if there was none.
+	delta   *delta
+	between []byte // compressed
+}
+
+// message returns the form between instances, as a delta if the receiver is
+// thought to have its base.
+func (s *ruleset) message(asDelta bool) rulesMessage {
+	if asDelta && s.delta != nil {
+		return rulesMessage{VersionInfo: s.VersionInfo, Packed: s.between, Delta: s.delta}
+	}
+	return rulesMessage{VersionInfo: s.VersionInfo, Packed: s.packed}
 }
 
 func hashOf(body []byte) string {
@@ -97,6 +110,9 @@
 		d.cfg.Scope.Counter("parseErrors").Inc(1)
 		return false, fmt.Errorf("rules version %d: %w", s.Version, err)
 	}
+	if err := d.describe(s); err != nil {
+		return false, err
+	}
 	now := d.cfg.Clock.Now()
 	d.mu.Lock()
 	d.current, d.since = s, now
@@ -109,3 +125,20 @@
 	d.cfg.OnInstall(rules)
 	return true, nil
 }
+
+// describe adds the delta from the version in force.
+func (d *Distributor) describe(s *ruleset) error {
+	d.mu.Lock()
+	base := d.current
+	d.mu.Unlock()
+	if base == nil {
+		return nil
+	}
+	change, between := newDelta(base, s.body)
+	packed, err := pack(between)
+	if err != nil {
+		return err
+	}
+	s.delta, s.between = &change, packed
+	return nil
+}
--- a/distributor/spread.go
+++ b/distributor/spread.go
@@ -24,9 +24,10 @@
 // rulesMessage carries a version between instances.
 type rulesMessage struct {
 	VersionInfo
-	// Packed is the compressed body. It is absent from a pull's reply if the
-	// caller has the version already.
+	// Packed is the compressed body, or with Delta the part of it that differs.
+	// It is absent from a pull's reply if the caller has the version already.
 	Packed []byte `json:"packed,omitempty"`
+	Delta  *delta `json:"delta,omitempty"`
 	// PassOn asks the receiver to push the version within its data centre.
 	PassOn bool `json:"passOn,omitempty"`
 }
@@ -39,49 +40,58 @@
 // versionReply answers a push with the version in force at the receiver.
 type versionReply struct {
 	Version descriptor.RulesVersion `json:"version"`
+	// NeedBody says that the receiver lacks the base of the delta.
+	NeedBody bool `json:"needBody,omitempty"`
 }
 
 // push sends a version to all members of the own data centre, and if everywhere
 // is set to one member of each other data centre, which passes it on. What a
 // push misses is repaired by pull.
 func (d *Distributor) push(ctx context.Context, s *ruleset, everywhere bool) {
-	msg := rulesMessage{VersionInfo: s.VersionInfo, Packed: s.packed}
 	var wg sync.WaitGroup
 	for _, m := range d.cfg.Members(d.cfg.DataCentre) {
 		if m.ID != d.cfg.Self {
-			wg.Go(func() { _ = d.pushTo(ctx, m, msg) })
+			wg.Go(func() { _ = d.pushTo(ctx, m, s, false) })
 		}
 	}
-	link := msg
-	link.PassOn = true
 	for _, dc := range d.cfg.DataCentres {
 		if everywhere && dc != d.cfg.DataCentre {
-			wg.Go(func() { d.pushToDataCentre(ctx, dc, link) })
+			wg.Go(func() { d.pushToDataCentre(ctx, dc, s) })
 		}
 	}
 	wg.Wait()
 }
 
 // pushToDataCentre sends a version to the first member that takes it.
-func (d *Distributor) pushToDataCentre(ctx context.Context, dc descriptor.DataCentreID, msg rulesMessage) {
+func (d *Distributor) pushToDataCentre(ctx context.Context, dc descriptor.DataCentreID, s *ruleset) {
 	members := d.shuffled(d.cfg.Members(dc))
 	for _, m := range members[:min(linkAttempts, len(members))] {
-		if d.pushTo(ctx, m, msg) == nil {
+		if d.pushTo(ctx, m, s, true) == nil {
 			return
 		}
 	}
 	d.cfg.Scope.Counter("pushesToDataCentreFailed").Inc(1)
 }
 
-func (d *Distributor) pushTo(ctx context.Context, m heartbeater.Member, msg rulesMessage) error {
+// pushTo sends a version to one member: as a delta, then whole if needed.
+func (d *Distributor) pushTo(ctx context.Context, m heartbeater.Member, s *ruleset, passOn bool) error {
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.CallTimeout)
 	defer cancel()
-	_, err := messenger.CallControl[rulesMessage, versionReply](ctx, d.cfg.Pool, m.PeerAddress, methodPush, msg)
-	if err != nil {
-		d.cfg.Scope.Counter("pushesFailed").Inc(1)
-		d.cfg.Log.Debug("distributor: push failed", "member", m.ID, "version", msg.Version, "error", err)
+	for _, asDelta := range []bool{true, false} {
+		msg := s.message(asDelta)
+		msg.PassOn = passOn
+		reply, err := messenger.CallControl[rulesMessage, versionReply](ctx, d.cfg.Pool, m.PeerAddress, methodPush, msg)
+		if err != nil {
+			d.cfg.Scope.Counter("pushesFailed").Inc(1)
+			d.cfg.Log.Debug("distributor: push failed", "member", m.ID, "version", msg.Version, "error", err)
+			return err
+		}
+		if !reply.NeedBody {
+			return nil
+		}
+		d.cfg.Scope.Counter("pushesRepeated").Inc(1)
 	}
-	return err
+	return nil
 }
 
 func (d *Distributor) shuffled(members []heartbeater.Member) []heartbeater.Member {
@@ -91,15 +101,29 @@
 	return members
 }
 
+// errNeedBody means that a delta's base is not the version in force here.
+var errNeedBody = errors.New("base of the delta is not in force here")
+
 // receive unpacks a version and installs it if it is higher.
 func (d *Distributor) receive(msg rulesMessage) (s *ruleset, installed bool, err error) {
-	if msg.Version <= d.version() || len(msg.Packed) == 0 {
+	d.mu.Lock()
+	base := d.current
+	d.mu.Unlock()
+	if base != nil && msg.Version <= base.Version || len(msg.Packed) == 0 {
 		return nil, false, nil
 	}
 	body, err := unpack(msg.Packed)
 	if err != nil {
 		return nil, false, err
 	}
+	if msg.Delta != nil {
+		if base == nil || base.Version != msg.Delta.Base {
+			return nil, false, errNeedBody
+		}
+		if body, err = msg.Delta.apply(base, body); err != nil {
+			return nil, false, err
+		}
+	}
 	if s, err = newRuleset(msg.VersionInfo, body); err != nil {
 		return nil, false, err
 	}
@@ -110,6 +134,9 @@
 // onPush handles rules.push.
 func (d *Distributor) onPush(_ context.Context, from descriptor.InstanceID, msg rulesMessage) (versionReply, error) {
 	s, installed, err := d.receive(msg)
+	if errors.Is(err, errNeedBody) {
+		return versionReply{Version: d.version(), NeedBody: true}, nil
+	}
 	if err != nil {
 		d.cfg.Log.Warn("distributor: rejected pushed rules", "from", from, "version", msg.Version, "error", err)
 		return versionReply{}, &messenger.RemoteError{Code: "rulesRejected", Message: err.Error()}
@@ -117,7 +144,7 @@
 	if installed && msg.PassOn {
 		d.spawn(func(ctx context.Context) { d.push(ctx, s, false) })
 	}
-	return versionReply{d.version()}, nil
+	return versionReply{Version: d.version()}, nil
 }
 
 // onPull handles rules.pull.
@@ -125,13 +152,13 @@
 	d.mu.Lock()
 	s := d.current
 	d.mu.Unlock()
-	if s == nil {
+	switch {
+	case s == nil:
 		return rulesMessage{}, nil
-	}
-	if s.Version <= req.Have {
+	case s.Version <= req.Have:
 		return rulesMessage{VersionInfo: VersionInfo{Version: s.Version}}, nil
 	}
-	return rulesMessage{VersionInfo: s.VersionInfo, Packed: s.packed}, nil
+	return s.message(s.delta != nil && s.delta.Base == req.Have), nil
 }
 
 // errNothingNew means that a peer has no higher version.
--- a/heartbeater/harness_test.go
+++ b/heartbeater/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,7 +28,7 @@
 // cluster is a set of members in one process that speak over loopback TCP. Their
 // clock is fake; a step ticks every running member and waits for all calls.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	clock   *clockwork.FakeClock
 	listing []connector.ListedInstance
 	seed    uint64
@@ -57,7 +58,7 @@
 	from, to descriptor.InstanceID
 }
 
-func newCluster(t *testing.T, seed uint64, dcs ...descriptor.DataCentreID) *cluster {
+func newCluster(t testing.TB, seed uint64, dcs ...descriptor.DataCentreID) *cluster {
 	t.Helper()
 	return &cluster{
 		t: t, clock: clockwork.NewFakeClock(), seed: seed, dcs: dcs,
@@ -114,18 +115,24 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(c.t, err)
 	address := l.Addr().String()
-	n := &node{server: &messenger.Server{Listener: l}, done: make(chan error, 1)}
+	n := &node{server: &messenger.Server{Listener: l, Traffic: &messenger.Traffic{}}, done: make(chan error, 1)}
 	n.pool = &messenger.Pool{
 		Self: id, Dial: c.dial(id), Clock: c.clock, BackoffMin: time.Millisecond, BackoffMax: time.Millisecond,
 		Traffic: &messenger.Traffic{},
+		ClassOf: func(address string) messenger.PeerClass {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.class(id, c.byAddr[address])
+		},
 	}
+	n.server.ClassOf = func(from descriptor.InstanceID) messenger.PeerClass { return c.class(id, from) }
 	c.seed++
 	n.h = New(Config{
 		Clock: c.clock, Rand: rand.New(rand.NewPCG(c.seed, c.seed)),
 		Self:        Member{ID: id, Incarnation: incarnation, DataCentre: dc, PeerAddress: address, HTTPAddress: "http-" + string(id)},
 		DataCentres: c.dcs, Directory: c, Pool: n.pool,
 		Report: func() (descriptor.RulesVersion, LoadReport) {
-			return descriptor.RulesVersion(n.rules.Load()), LoadReport{Queued: int(n.queued.Load()), FreeFraction: 0.25}
+			return descriptor.RulesVersion(n.rules.Load()), LoadReport{Queued: int(n.queued.Load()), FreeFraction: 0.25, Running: 7 * int(n.queued.Load()), WaitMs: 11 * n.queued.Load()}
 		},
 	})
 	n.h.Register(n.server)
@@ -141,6 +148,16 @@
 	return n
 }
 
+// class tells members by their ids, which begin with the data centre.
+func (c *cluster) class(a, b descriptor.InstanceID) messenger.PeerClass {
+	dcA, _, _ := strings.Cut(string(a), "-")
+	dcB, _, _ := strings.Cut(string(b), "-")
+	if dcA == dcB {
+		return messenger.SameDataCentre
+	}
+	return messenger.OtherDataCentre
+}
+
 // kill ends a member without a word.
 func (c *cluster) kill(id descriptor.InstanceID) {
 	c.mu.Lock()
@@ -211,8 +228,8 @@
 }
 
 // startAll starts n members in each data centre and lets them find each other.
-func (c *cluster) startAll(n int) (ids map[descriptor.DataCentreID][]descriptor.InstanceID) {
-	ids = map[descriptor.DataCentreID][]descriptor.InstanceID{}
+func (c *cluster) startAll(n int) map[descriptor.DataCentreID][]descriptor.InstanceID {
+	ids := map[descriptor.DataCentreID][]descriptor.InstanceID{}
 	for _, dc := range c.dcs {
 		for i := range n {
 			id := descriptor.InstanceID(fmt.Sprintf("%s-%d", dc, i))
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -27,7 +27,7 @@
 		m, ok := c.members[id].h.Member("a-9")
 		require.True(t, ok)
 		require.Equal(t, descriptor.RulesVersion(7), m.Rules)
-		require.Equal(t, LoadReport{Queued: 42, FreeFraction: 0.25}, m.Load)
+		require.Equal(t, LoadReport{Queued: 42, Running: 294, FreeFraction: 0.25, WaitMs: 462}, m.Load)
 		require.Equal(t, late.h.self.RulesSince.UnixMilli(), m.RulesSince.UnixMilli())
 	}
 	c.step(13) // one relay interval
