--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io/fs"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -104,3 +105,16 @@
 	require.Equal(t, 1, denied, "requests of visitors")
 	require.Equal(t, 1, larger, "requests that can never run")
 }
+
+// TestReadmeRulesHaveNoFindings guards against a first rules file that newcomers
+// can't apply.
+func TestReadmeRulesHaveNoFindings(t *testing.T) {
+	readme, err := os.ReadFile("../README.md")
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(readme), "```rules\n")
+	require.True(t, found)
+	block, _, found := strings.Cut(rest, "```")
+	require.True(t, found)
+	_, err = parser.Parse("README.md", []byte(block))
+	require.NoError(t, err)
+}
