--- a/placer/gang.go
+++ b/placer/gang.go
@@ -15,7 +15,7 @@
 func (p *Packer) placeGang(now time.Time, d Demand) ([]Assignment, Verdict) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	task := runningTask{need: d.Request.Resources, end: now.Add(d.Run)}
+	task := runningTask{need: d.Request.Resources, end: momentOf(now.Add(d.Run))}
 	tasks := taskCount(d.Request)
 	var placed []Assignment
 	put := func(s *slot, n int) {
@@ -172,32 +172,46 @@
 
 // openings returns when and how often a task of the request will fit on the
 // targets that may be reserved. It looks at maxPlanned targets, or at more if
-// those can't hold all tasks. Each search begins at another shard.
+// those can't hold all tasks. Each search begins where the last one has ended.
 func (p *Packer) openings(now time.Time, d Demand, tasks int) []opening {
-	need := d.Request.Resources
 	var all []opening
 	seen, total := 0, 0
-	p.planFrom++
-	for i := range p.shards {
-		sh := p.shards[(p.planFrom+i)%len(p.shards)]
-		for _, s := range sh.slots {
-			if s == nil || !s.open() || !need.Fits(s.capacity) || avoided(s, d.Avoid) {
-				continue
-			}
-			seen++
-			n := len(all)
-			all = p.forecast(all, now, s, need, tasks)
-			if len(all) > n {
-				total += all[len(all)-1].copies
-			}
+	for range p.positions() {
+		s := p.nextPosition()
+		if s == nil || !s.open() || !d.Request.Resources.Fits(s.capacity) || avoided(s, d.Avoid) {
+			continue
+		}
+		n := len(all)
+		all = p.forecast(all, now, s, d.Request.Resources, tasks)
+		if len(all) > n {
+			total += all[len(all)-1].copies
 		}
-		if seen >= maxPlanned && total >= tasks {
+		if seen++; seen >= maxPlanned && total >= tasks {
 			break
 		}
 	}
 	return all
 }
 
+// positions returns the number of positions of all shards.
+func (p *Packer) positions() int {
+	if len(p.shards) == 0 {
+		return 0
+	}
+	last := len(p.shards) - 1
+	return last*shardSize + len(p.shards[last].slots)
+}
+
+// nextPosition returns the slots in turn, nil for a vacant position.
+func (p *Packer) nextPosition() *slot {
+	if p.planFrom >= p.positions() {
+		p.planFrom = 0
+	}
+	s := p.shards[p.planFrom/shardSize].slots[p.planFrom%shardSize]
+	p.planFrom++
+	return s
+}
+
 // forecast appends the openings of one slot.
 func (p *Packer) forecast(all []opening, now time.Time, s *slot, need descriptor.Resources, tasks int) []opening {
 	free := s.free()
@@ -211,7 +225,7 @@
 	}
 	ends := make([]ending, 0, len(s.tasks))
 	for _, t := range s.tasks {
-		if !t.endless {
+		if t.end != endless {
 			ends = append(ends, ending{p.expectedEnd(now, t), t.need})
 		}
 	}
@@ -229,13 +243,14 @@
 // expectedEnd returns when a task is expected to end. One that has overrun its
 // estimate is expected to take as long again as it has overrun.
 func (p *Packer) expectedEnd(now time.Time, t runningTask) time.Time {
+	end := time.Unix(0, int64(t.end))
 	switch {
-	case t.end.IsZero():
+	case t.end == unknownEnd:
 		return now.Add(p.cfg.UnknownRun)
-	case t.end.After(now):
-		return t.end
+	case end.After(now):
+		return end
 	}
-	return now.Add(max(now.Sub(t.end), minOverrun))
+	return now.Add(max(now.Sub(end), minOverrun))
 }
 
 // minOverrun is the remaining run time assumed for a task that is just due.
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -102,31 +102,33 @@
 
 // newSlot returns a slot in a vacant position of a shard.
 func (p *Packer) newSlot() *slot {
-	if len(p.vacant) == 0 {
-		p.addShard()
+	var s *slot
+	if last := len(p.vacant) - 1; last >= 0 {
+		s = &slot{shard: p.vacant[last].shard, pos: p.vacant[last].pos}
+		p.vacant = p.vacant[:last]
+	} else {
+		s = p.lastShard().addSlot()
 	}
-	last := len(p.vacant) - 1
-	at := p.vacant[last]
-	p.vacant = p.vacant[:last]
-	s := &slot{shard: at.shard, pos: at.pos}
 	s.shard.slots[s.pos] = s
 	return s
 }
 
-func (p *Packer) addShard() {
+// lastShard returns a shard with room for one more target.
+func (p *Packer) lastShard() *shard {
+	if n := len(p.shards); n > 0 && len(p.shards[n-1].slots) < shardSize {
+		return p.shards[n-1]
+	}
 	sh := newShard(len(p.shards))
 	p.shards = append(p.shards, sh)
 	p.tree.grow(len(p.shards))
 	p.cell.grow(len(p.shards))
-	for pos := shardSize - 1; pos >= 0; pos-- {
-		p.vacant = append(p.vacant, &slot{shard: sh, pos: pos})
-	}
+	return sh
 }
 
 // refresh brings the index up to date after a change of the slot. The caller
 // holds the lock of the packer exclusively or that of the slot's shard.
 func (p *Packer) refresh(s *slot) {
-	if s.shard.refresh(s.pos) {
+	if s.shard.refresh(s.pos, s) {
 		p.tree.set(s.shard.index, s.shard.largest)
 	}
 }
@@ -189,13 +191,13 @@
 func (p *Packer) placeSingle(now time.Time, d Demand) ([]Assignment, Verdict) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	task := runningTask{need: d.Request.Resources, end: now.Add(d.Run)}
+	task := runningTask{need: d.Request.Resources, end: momentOf(now.Add(d.Run))}
 	for i := p.tree.next(0, task.need); i >= 0; i = p.tree.next(i+1, task.need) {
 		if id, ok := p.placeIn(p.shards[i], task, d.Avoid); ok {
 			return []Assignment{{Target: id}}, Placed
 		}
 	}
-	if id, ok := p.backfill(now, task, d.Avoid); ok {
+	if id, ok := p.backfill(task, d.Avoid); ok {
 		return []Assignment{{Target: id}}, Placed
 	}
 	return nil, NoRoom
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -123,25 +123,25 @@
 
 // backfill places a single task on a reserved target, if it ends before the
 // reservation starts or leaves enough room for it.
-func (p *Packer) backfill(now time.Time, task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
+func (p *Packer) backfill(task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
 	for _, s := range p.holds {
 		if s.state != Placeable || avoided(s, avoid) {
 			continue
 		}
-		if p.backfillOn(now, s, task) {
+		if p.backfillOn(s, task) {
 			return s.target.ID, true
 		}
 	}
 	return "", false
 }
 
-func (p *Packer) backfillOn(_ time.Time, s *slot, task runningTask) bool {
+func (p *Packer) backfillOn(s *slot, task runningTask) bool {
 	s.shard.mu.Lock()
 	defer s.shard.mu.Unlock()
 	if !task.need.Fits(s.free()) {
 		return false
 	}
-	if task.endless || task.end.After(s.held.reservation.start) {
+	if task.end > momentOf(s.held.reservation.start) {
 		if !task.need.Fits(s.held.spare) {
 			return false
 		}
--- a/placer/service.go
+++ b/placer/service.go
@@ -7,15 +7,17 @@
 	"github.com/masticlead/masticlead/descriptor"
 )
 
-// groupID is a service, the work of one caller and kind; zero is none.
-type groupID struct {
-	caller descriptor.CallerID
-	kind   descriptor.KindName
+// groupID is the hash of the caller and kind of a service; zero is none. If two
+// services share a hash, they are spread as one.
+type groupID uint64
+
+func groupOf(r *descriptor.Request) groupID {
+	return groupID(descriptor.Key{Caller: r.Caller, ID: descriptor.RequestID(r.Kind)}.Hash())
 }
 
-// maxSpreadShards bounds the shards that a service task looks at for a rack
-// without a task of the same service.
-const maxSpreadShards = 16
+// rackPenalty outweighs any amount left on a target: the weighted amount of a
+// whole target is about 4.
+const rackPenalty = 1e6
 
 // services counts the tasks of each service on each rack.
 type services struct {
@@ -46,7 +48,7 @@
 }
 
 func (s *services) ended(g groupID, rack descriptor.RackID) {
-	if g == (groupID{}) {
+	if g == 0 {
 		return
 	}
 	s.mu.Lock()
@@ -65,8 +67,8 @@
 func (p *Packer) placeService(now time.Time, d Demand) ([]Assignment, Verdict) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	group := groupID{d.Request.Caller, d.Request.Kind}
-	task := runningTask{need: d.Request.Resources, endless: true, group: group}
+	group := groupOf(d.Request)
+	task := runningTask{need: d.Request.Resources, end: endless, group: group}
 	var placed []Assignment
 	for i := range taskCount(d.Request) {
 		s := p.bestRack(group, task.need, d.Avoid)
@@ -87,24 +89,20 @@
 // offers a rack without any.
 func (p *Packer) bestRack(g groupID, need descriptor.Resources, avoid []descriptor.TargetID) *slot {
 	var found *slot
-	var fewest int
-	var least float64
-	seen := 0
-	for i := p.tree.next(0, need); i >= 0 && seen < maxSpreadShards; i = p.tree.next(i+1, need) {
-		sh := p.shards[i]
-		for pos, s := range sh.slots {
-			if !need.Fits(sh.avail[pos]) || avoided(s, avoid) {
-				continue
-			}
-			count, score := p.services.count(g, s.target.Rack), p.weights.score(need, &sh.avail[pos])
-			if found == nil || count < fewest || count == fewest && score < least {
-				found, fewest, least = s, count, score
-			}
+	fewest := 0
+	q := search{need: need, avoid: avoid, weights: &p.weights, perClass: maxSpreadChecks, budget: maxSpreadChecks}
+	q.penalty = func(s *slot) float64 { return rackPenalty * float64(p.services.count(g, s.target.Rack)) }
+	for i := p.tree.next(0, need); i >= 0; i = p.tree.next(i+1, need) {
+		s := p.shards[i].find(q)
+		if s == nil {
+			continue
+		}
+		count := p.services.count(g, s.target.Rack)
+		if found == nil || count < fewest {
+			found, fewest = s, count
 		}
-		if found != nil {
-			if seen++; fewest == 0 {
-				break
-			}
+		if fewest == 0 {
+			break
 		}
 	}
 	return found
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -1,25 +1,34 @@
 package placer
 
 import (
-	"slices"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/masticlead/masticlead/descriptor"
 )
 
-// shardSize is the number of targets of a shard. A decision scores every target
-// of one shard, so its cost doesn't depend on the number of targets; a larger
-// shard packs more tightly and costs more.
-const shardSize = 64
+// shardSize is the number of targets of a shard. A search has to look into each
+// shard that may have room, so a larger shard costs less when the cell is nearly
+// full; a smaller one makes parallel decisions wait less for its lock.
+const shardSize = 8192
+
+// moment is a time in nanoseconds since 1970. It holds no pointer, unlike
+// time.Time, so that the garbage collector need not scan the tasks of a cell.
+type moment int64
+
+const (
+	unknownEnd moment = 0
+	endless    moment = math.MaxInt64 // the end of a task of a service
+)
+
+func momentOf(t time.Time) moment { return moment(t.UnixNano()) }
 
 // runningTask is a task that counts as in use.
 type runningTask struct {
 	need descriptor.Resources
-	// end is the estimated end; zero if it is unknown.
-	end time.Time
-	// endless marks a task of a service.
-	endless bool
+	// end is the estimated end.
+	end moment
 	// group is the service that the task belongs to.
 	group groupID
 }
@@ -29,6 +38,7 @@
 	node
 	shard *shard
 	pos   int
+	place int32 // in the list of its class
 	tasks []runningTask
 	// held is the reservation that names this target, or nil. It changes only
 	// under the exclusive lock of the packer.
@@ -54,7 +64,7 @@
 	s.used = clampZero(s.used.Sub(need))
 	found := -1
 	for i := range s.tasks {
-		if s.tasks[i].need == need && (found < 0 || endsBefore(&s.tasks[i], &s.tasks[found])) {
+		if s.tasks[i].need == need && (found < 0 || s.tasks[i].end < s.tasks[found].end) {
 			found = i
 		}
 	}
@@ -68,101 +78,121 @@
 	return task
 }
 
-// endsBefore orders tasks by their estimated end, services last.
-func endsBefore(a, b *runningTask) bool {
-	if a.endless != b.endless {
-		return b.endless
-	}
-	return a.end.Before(b.end)
-}
-
 // shard is a group of targets with one lock.
 type shard struct {
 	mu    sync.Mutex
 	index int
 	// avail is the free capacity of each open target, and closed for the
-	// others. It is kept apart from the slots so that a scan reads little memory.
-	avail [shardSize]descriptor.Resources
-	slots [shardSize]*slot
-	// largest is the largest amount of each resource in avail.
+	// others. It is kept apart from the slots so that a search reads little
+	// memory.
+	avail []descriptor.Resources
+	slots []*slot
+	// classes indexes the targets whose avail isn't below zero.
+	classes classes
+	// largest is an upper bound of the amounts in avail.
 	largest descriptor.Resources
+	// full holds sizes that fit no target since the last change that could
+	// have made room for them, the latest first.
+	full [maxFull]descriptor.Resources
 }
 
+// maxFull is the number of sizes that a shard remembers to have no room for.
+const maxFull = 8
+
 func newShard(index int) *shard {
 	sh := &shard{index: index, largest: closed}
-	for i := range sh.avail {
-		sh.avail[i] = closed
+	for i := range sh.full {
+		sh.full[i] = unfit
 	}
 	return sh
 }
 
-// refresh takes over a change of the slot at pos. It reports whether the
-// largest amounts have changed.
-func (sh *shard) refresh(pos int) bool {
-	now := closed
-	if s := sh.slots[pos]; s != nil && s.open() {
+// unfit is a size that is never asked for; it marks an empty entry.
+var unfit = descriptor.Resources{CPU: math.MaxInt64}
+
+// addSlot adds a position for a target.
+func (sh *shard) addSlot() *slot {
+	s := &slot{shard: sh, pos: len(sh.slots)}
+	sh.slots = append(sh.slots, nil)
+	sh.avail = append(sh.avail, closed)
+	return s
+}
+
+// refresh takes over a change of the slot at pos. It reports whether the upper
+// bound has changed.
+func (sh *shard) refresh(pos int, s *slot) bool {
+	before, now := sh.avail[pos], closed
+	if s.open() && sh.slots[pos] != nil {
 		now = s.free()
 	}
-	before := sh.avail[pos]
 	sh.avail[pos] = now
-	largest := maxOf(sh.largest, now)
-	if touches(before, sh.largest) {
-		largest = closed
-		for i := range sh.avail {
-			largest = maxOf(largest, sh.avail[i])
-		}
+	sh.move(s, before, now)
+	if !now.Fits(before) {
+		sh.madeRoom(now)
 	}
+	largest := sh.classes.largest()
 	changed := largest != sh.largest
 	sh.largest = largest
 	return changed
 }
 
-// touches reports whether r is the largest amount of any resource.
-func touches(r, largest descriptor.Resources) bool {
-	return r.CPU == largest.CPU || r.Memory == largest.Memory ||
-		r.Accelerators == largest.Accelerators || r.Slots == largest.Slots
-}
-
-// best returns the slot that fits the task best, or nil.
-func (sh *shard) best(need descriptor.Resources, avoid []descriptor.TargetID, w *weights) *slot {
-	found, least := -1, 0.0
-	for i := range sh.avail {
-		free := &sh.avail[i]
-		if need.CPU > free.CPU || need.Memory > free.Memory ||
-			need.Slots > free.Slots || need.Accelerators > free.Accelerators {
-			continue
-		}
-		score := w.score(need, free)
-		if (found < 0 || score < least) && !slices.Contains(avoid, sh.slots[i].target.ID) {
-			found, least = i, score
+// move changes the class of a slot.
+func (sh *shard) move(s *slot, before, now descriptor.Resources) {
+	was, is := !before.IsNegative(), !now.IsNegative()
+	var old, next class
+	if was {
+		old = classOf(before)
+	}
+	if is {
+		next = classOf(now)
+	}
+	if was && is && old == next {
+		return
+	}
+	if was {
+		if moved := sh.classes.remove(old, s.place); moved >= 0 {
+			sh.slots[moved].place = s.place
 		}
 	}
-	if found < 0 {
-		return nil
+	if is {
+		s.place = sh.classes.insert(next, int32(s.pos))
 	}
-	return sh.slots[found]
 }
 
-// weights makes amounts of different resources comparable: each is the inverse
-// of the mean amount per target.
-type weights struct{ cpu, memory, accelerators, slots float64 }
-
-// newWeights returns the weights for n targets with the given sum.
-func newWeights(sum descriptor.Resources, n int) weights {
-	inverse := func(amount float64) float64 {
-		if amount <= 0 {
-			return 0
+// madeRoom forgets the sizes that fit free.
+func (sh *shard) madeRoom(free descriptor.Resources) {
+	for i := range sh.full {
+		if sh.full[i].Fits(free) {
+			sh.full[i] = unfit
 		}
-		return float64(n) / amount
 	}
-	return weights{
-		cpu: inverse(float64(sum.CPU)), memory: inverse(float64(sum.Memory)),
-		accelerators: inverse(float64(sum.Accelerators)), slots: inverse(float64(sum.Slots)),
+}
+
+// isFull reports whether a search for the size is known to find nothing.
+func (sh *shard) isFull(need descriptor.Resources) bool {
+	for i := range sh.full {
+		if sh.full[i].Fits(need) {
+			return true
+		}
 	}
+	return false
+}
+
+// best returns the slot that fits the task best, or nil.
+func (sh *shard) best(need descriptor.Resources, avoid []descriptor.TargetID, w *weights) *slot {
+	return sh.find(search{need: need, avoid: avoid, weights: w, perClass: checksPerClass, budget: maxChecks})
 }
 
-// score rates what would be left of free after the task; the least is best.
-func (w *weights) score(need descriptor.Resources, free *descriptor.Resources) float64 {
-	return w.cpu*float64(free.CPU-need.CPU) + w.memory*float64(free.Memory-need.Memory) +
-		w.accelerators*float64(free.Accelerators-need.Accelerators) + w.slots*float64(free.Slots-need.Slots)
+// find runs a search in the shard and remembers a failure.
+func (sh *shard) find(q search) *slot {
+	if sh.isFull(q.need) {
+		return nil
+	}
+	q.shard = sh
+	s := q.run()
+	if s == nil && len(q.avoid) == 0 {
+		copy(sh.full[1:], sh.full[:])
+		sh.full[0] = q.need
+	}
+	return s
 }
