--- a/placer/enums_string.go
+++ b/placer/enums_string.go
@@ -12,11 +12,12 @@
 	_ = x[Leaving-1]
 	_ = x[Quarantined-2]
 	_ = x[Unreachable-3]
+	_ = x[Probing-4]
 }
 
-const _TargetState_name = "placeableleavingquarantinedunreachable"
+const _TargetState_name = "placeableleavingquarantinedunreachableprobing"
 
-var _TargetState_index = [...]uint8{0, 9, 16, 27, 38}
+var _TargetState_index = [...]uint8{0, 9, 16, 27, 38, 45}
 
 func (i TargetState) String() string {
 	idx := int(i) - 0
--- a/placer/firstfit.go
+++ b/placer/firstfit.go
@@ -12,7 +12,7 @@
 
 // FirstFit is the plain baseline: each task goes to the first target, in the
 // order in which targets were added, that has room for it. Gangs get no
-// reservation. Every operation on all targets takes time linear in their number.
+// reservation, and a target that is being probed counts as placeable. Every operation on all targets takes time linear in their number.
 type FirstFit struct {
 	mu    sync.Mutex
 	nodes []*node
@@ -72,7 +72,7 @@
 	defer f.mu.Unlock()
 	placed := make([]Assignment, 0, tasks)
 	for _, n := range f.nodes {
-		if n.state != Placeable || slices.Contains(d.Avoid, n.target.ID) {
+		if n.state != Placeable && n.state != Probing || slices.Contains(d.Avoid, n.target.ID) {
 			continue
 		}
 		for range copies(task, n.free(), tasks-len(placed)) {
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -64,6 +64,8 @@
 	nextLimit    time.Time
 	blocked      blocked
 	planFrom     int
+
+	probing []*slot
 }
 
 // NewPacker returns a Packer without targets.
@@ -145,6 +147,7 @@
 		p.cancel(s.held.reservation)
 	}
 	delete(p.byID, id)
+	p.setProbing(s, false)
 	p.cell.remove(s)
 	for i := range s.tasks {
 		p.services.ended(s.tasks[i].group, s.target.Rack)
@@ -160,9 +163,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.byID[id]
-	if s == nil || s.state == state {
+	if s == nil || s.state == state && state != Probing {
 		return
 	}
+	p.setProbing(s, state == Probing)
 	if s.held != nil {
 		p.cancel(s.held.reservation)
 	}
@@ -192,6 +196,10 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	task := runningTask{need: d.Request.Resources, end: momentOf(now.Add(d.Run))}
+	eager := d.Request.Idempotent && d.Request.Priority != descriptor.Urgent
+	if id, ok := p.probe(eager, task, d.Avoid); ok {
+		return []Assignment{{Target: id}}, Placed
+	}
 	for i := p.tree.next(0, task.need); i >= 0; i = p.tree.next(i+1, task.need) {
 		if id, ok := p.placeIn(p.shards[i], task, d.Avoid); ok {
 			return []Assignment{{Target: id}}, Placed
@@ -200,6 +208,9 @@
 	if id, ok := p.backfill(task, d.Avoid); ok {
 		return []Assignment{{Target: id}}, Placed
 	}
+	if id, ok := p.probe(!eager, task, d.Avoid); ok {
+		return []Assignment{{Target: id}}, Placed
+	}
 	return nil, NoRoom
 }
 
--- a/placer/policy.go
+++ b/placer/policy.go
@@ -18,8 +18,15 @@
 	Leaving                        // leaving
 	Quarantined                    // quarantined
 	Unreachable                    // unreachable
+	// Probing means that the target takes ProbeTasks tasks, which show whether it
+	// can return to service.
+	Probing // probing
 )
 
+// ProbeTasks is the number of tasks that a target takes after each SetState to
+// Probing.
+const ProbeTasks = 3
+
 // Verdict is the answer to one attempt to place a request.
 type Verdict uint8
 
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -43,6 +43,8 @@
 	// held is the reservation that names this target, or nil. It changes only
 	// under the exclusive lock of the packer.
 	held *hold
+	// probes is the number of tasks that the slot takes while it is probed.
+	probes int
 }
 
 // order numbers the slots.
