parser: check homes against the data centres of the cell

Cause: a caller rule with a misspelt home passes the check, and then all requests of its callers are refused with homeUnreachable. Change: ParseFor takes the cell's data centres and reports a home that is not among them. Parse accepts every home, as before, for checks without a cell. A benchmark parses a file of the planned size.

--- a/parser/parse.go
+++ b/parser/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,12 +17,20 @@
 // of type Findings, which holds all faults of the file. The version of the
 // rules is left at 0.
 func Parse(name string, src []byte) (*descriptor.Rules, error) {
+	return ParseFor(nil, name, src)
+}
+
+// ParseFor is Parse for a cell with the given data centres: a home that is not
+// among them is a finding, since its callers would always be refused. Without
+// data centres every home is accepted.
+func ParseFor(dataCentres []descriptor.DataCentreID, name string, src []byte) (*descriptor.Rules, error) {
 	rep := &Report{File: name}
 	if len(src) > MaxFileBytes {
 		rep.Add(1, 1, "file has %d bytes; at most %d are allowed", len(src), MaxFileBytes)
 		return nil, rep.Err()
 	}
 	b := newBuilder(rep)
+	b.dataCentres = dataCentres
 	statements := split(src, rep)
 	for _, st := range statements {
 		b.add(st)
@@ -48,6 +57,8 @@
 type builder struct {
 	rep   *Report
 	rules *descriptor.Rules
+	// dataCentres are the permitted homes; empty means any.
+	dataCentres []descriptor.DataCentreID
 	// seen maps each rule's identity to the line of its first occurrence.
 	seen map[string]int
 
@@ -162,6 +173,9 @@
 		at := position{st.line, columns["team"]}
 		b.teamUses = append(b.teamUses, use{at, string(rule.Team)})
 	}
+	if rule.Home != "" && len(b.dataCentres) > 0 && !slices.Contains(b.dataCentres, rule.Home) {
+		b.rep.Add(st.line, columns["home"], "the cell has no data centre %q", rule.Home)
+	}
 	if named && b.first(st, "caller "+st.name.text, neverApplies) {
 		b.rules.Callers = append(b.rules.Callers, rule)
 	}
--- a/parser/parse_test.go
+++ b/parser/parse_test.go
@@ -143,6 +143,16 @@
 	require.Equal(t, 15, findings[1].Column, "a column counts characters, not bytes")
 }
 
+// TestHomesAreDataCentresOfTheCell guards against a misspelt home, whose callers
+// would always be refused.
+func TestHomesAreDataCentresOfTheCell(t *testing.T) {
+	src := []byte("team a weight=1" + by + "caller x team=a home=gyor" + by + "caller y team=a home=gyr" + by + "caller z team=a" + by)
+	_, err := ParseFor([]descriptor.DataCentreID{"gyor", "sopron"}, "r", src)
+	require.EqualError(t, err, `r:3:22: the cell has no data centre "gyr"`)
+	_, err = Parse("r", src)
+	require.NoError(t, err)
+}
+
 // TestFindingsAreBounded guards against an answer much larger than the file.
 func TestFindingsAreBounded(t *testing.T) {
 	_, err := Parse("r", []byte(strings.Repeat("x\n", 10_000)))
@@ -198,3 +208,23 @@
 	// salon.rules:2:23: no rule defines team "salon"
 	// salon.rules:3:36: runMs: "2s" is not a whole number
 }
+
+// BenchmarkParse measures a file of the planned size: 220 teams, 1,000 caller
+// patterns and as many access rules.
+func BenchmarkParse(b *testing.B) {
+	var src strings.Builder
+	src.WriteString("kind k policy=batch" + by)
+	for i := range 220 {
+		fmt.Fprintf(&src, "team t%d weight=1 quota=0.4%%%s", i, by)
+	}
+	for i := range 1000 {
+		fmt.Fprintf(&src, "caller c%d-* team=t%d%sallow c%d-* kind=k%s", i, i%220, by, i, by)
+	}
+	b.SetBytes(int64(src.Len()))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Parse("r", []byte(src.String())); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
