server: bound findings and the time to take any answer

Cause: a body with thousands of repeated members got an answer with as many findings, and a client that did not read /metrics held its connection for ever. Change: an input has at most 100 findings, and the guard sets the write limit for handlers that set none. The explicit reset of the read limit is gone, since net/http does it itself; TestLongWaitOutlivesTheReadLimit still checks it. Added tests for slow readers, pipelined requests and later requests on one connection, a fuzz target over methods, paths and headers, an example and a benchmark. Without the guard's limit the slow-reader test of /metrics fails. Conclusion: a client can neither hold a handler nor a connection by being slow.

--- a/server/decode.go
+++ b/server/decode.go
@@ -125,12 +125,7 @@
 		}
 		return true
 	}
-	// A hostile object with thousands of unknown members must not produce an
-	// answer of thousands of findings.
-	const most = 50
-	if len(c.findings) < most {
-		c.find(prefix+shorten(name), "is not a known field")
-	}
+	c.find(prefix+shorten(name), "is not a known field")
 	return true
 }
 
--- a/server/endpoint.go
+++ b/server/endpoint.go
@@ -34,8 +34,15 @@
 	overloaded bool
 }
 
+// maxFindings bounds the findings of one input. A body with thousands of faults
+// must not produce an answer of thousands of findings.
+const maxFindings = 100
+
 // find records a fault of the input.
 func (c *call) find(field, message string) {
+	if len(c.findings) >= maxFindings {
+		return
+	}
 	c.findings = append(c.findings, Finding{Field: field, Message: message})
 }
 
@@ -62,9 +69,6 @@
 			s.writeFindings(c)
 			return
 		}
-		// The client has sent everything. A long wait for the outcome must not
-		// run into the limit on the time to send.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		if !s.enter() {
 			s.writeOverload(c)
 			return
@@ -190,7 +194,7 @@
 		h.Set("Retry-After", strconv.FormatInt(int64(math.Ceil(retryAfter.Seconds())), 10))
 	}
 	s.count(c, status)
-	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(s.Limits.Read))
+	s.limitWrite(c.w)
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write(append(encoded, '\n'))
 }
--- a/server/fake_test.go
+++ b/server/fake_test.go
@@ -24,6 +24,7 @@
 	applied change
 	applies error
 	ready   error
+	targets []TargetInfo
 }
 
 func (f *fake) Submit(ctx context.Context, s Submission) (Answer, error) {
@@ -68,7 +69,7 @@
 	return []InstanceInfo{{ID: "gyor-1"}}, f.err
 }
 
-func (f *fake) Targets(context.Context) ([]TargetInfo, error) { return nil, f.err }
+func (f *fake) Targets(context.Context) ([]TargetInfo, error) { return f.targets, f.err }
 
 func (f *fake) Ready() error { return f.ready }
 
@@ -94,6 +95,14 @@
 	return v
 }
 
+// mustDecode is decode for examples.
+func mustDecode[T any](body io.Reader) (v T) {
+	if err := json.NewDecoder(body).Decode(&v); err != nil {
+		panic(err)
+	}
+	return v
+}
+
 func refuse(reason descriptor.Reason, retryAfter time.Duration) Answer {
 	return Answer{Outcome: descriptor.NewUnstarted().Refuse(descriptor.Refusal{Reason: reason, RetryAfter: retryAfter, Detail: "d"})}
 }
--- a/server/guard.go
+++ b/server/guard.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // guard is around all handlers. It asks clients to close their connections
@@ -15,6 +16,9 @@
 // an answer.
 func (s *Server) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Covers handlers that set no limit before they write, such as metrics.
+		// The endpoints begin anew after their wait.
+		s.limitWrite(w)
 		// Idle connections are left open until the listener ends. Closing them
 		// earlier would race with a request that a client is about to send.
 		if s.draining.Load() || s.open.Load() > int64(s.Limits.Connections)*3/4 {
@@ -34,6 +38,11 @@
 	})
 }
 
+// limitWrite gives the client the time of the read limit to take an answer.
+func (s *Server) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Limits.Read))
+}
+
 // inProgress knows the requests that are being served.
 type inProgress struct {
 	mu   sync.Mutex
--- a/server/requests_test.go
+++ b/server/requests_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -241,3 +243,76 @@
 		require.True(t, json.Valid(w.Body.Bytes()))
 	})
 }
+
+// FuzzCalls guards against a path, query or header that crashes the server or
+// that gets an answer without an id.
+func FuzzCalls(f *testing.F) {
+	f.Add("GET", "/v1/requests/c/r?waitMs=5", "id-1", "")
+	f.Add("PUT", "/v1/rules?expectedVersion=1&author=%00", "\x00", "team")
+	f.Add("DELETE", "/v1/requests/%2e%2e/%2F?;=&a", "a/b", "x")
+	f.Fuzz(func(t *testing.T, method, target, id, body string) {
+		u, err := url.ParseRequestURI(target)
+		if err != nil || !strings.HasPrefix(target, "/") {
+			t.Skip()
+		}
+		r := &http.Request{
+			Method: method, URL: u, Header: http.Header{"X-Request-Id": {id}},
+			Body: io.NopCloser(strings.NewReader(body)), ContentLength: int64(len(body)),
+		}
+		w := httptest.NewRecorder()
+		newServer(&fake{answer: Answer{Pending: true}, known: true}).Handler().ServeHTTP(w, r)
+		require.Less(t, w.Code, 500)
+		if method == http.MethodHead {
+			return
+		}
+		var answer struct{ ID string }
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+		require.Empty(t, checkID(answer.ID))
+		require.Equal(t, answer.ID, w.Header().Get("X-Request-Id"))
+	})
+}
+
+// TestFindingsAreBounded guards against an answer much larger than the input.
+func TestFindingsAreBounded(t *testing.T) {
+	for _, body := range []string{
+		"{" + strings.Repeat(`"x":1,`, 20_000) + `"x":1}`,
+		`{"resources":{` + strings.Repeat(`"x":1,`, 20_000) + `"x":1}}`,
+	} {
+		w := do(newServer(&fake{}), "POST", "/v1/requests", body)
+		require.Equal(t, 400, w.Code)
+		require.Len(t, decode[FaultBody](t, w.Body).Findings, maxFindings)
+	}
+	deep := `{"payload":` + strings.Repeat("[", 100_000) + "}"
+	require.Equal(t, 400, do(newServer(&fake{}), "POST", "/v1/requests", deep).Code)
+}
+
+// BenchmarkSubmit measures the cost of one request without the scheduler.
+func BenchmarkSubmit(b *testing.B) {
+	s := newServer(&fake{answer: Answer{Pending: true}})
+	body := strings.Replace(valid, "{", `{"payload":{"runMs":100},"deadlineMs":3700,`, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		if w := do(s, "POST", "/v1/requests", body); w.Code != 202 {
+			b.Fatal(w.Code)
+		}
+	}
+}
+
+func ExampleServer() {
+	s := newServer(&fake{answer: refuse(descriptor.ReasonDeadlineUnmet, 1250*time.Millisecond)})
+	w := do(s, "POST", "/v1/requests?waitMs=5000", `{"id":"route-7","caller":"stylist-1","kind":"routeBuild"}`)
+	fmt.Println(w.Code, "Retry-After:", w.Header().Get("Retry-After"))
+	fmt.Print(w.Body)
+	w = do(s, "POST", "/v1/requests", `{"id":"route 7","kind":"routeBuild","waitMs":5000}`)
+	fmt.Println(w.Code)
+	for _, f := range mustDecode[FaultBody](w.Body).Findings {
+		fmt.Println(f.Field, f.Message)
+	}
+	// Output:
+	// 429 Retry-After: 2
+	// {"id":"route-7","caller":"stylist-1","outcome":"refused","reason":"deadlineUnmet","retryAfterMs":1250,"detail":"d","waitMs":0,"runMs":0}
+	// 400
+	// id holds ' '; it consists of letters, digits, '.', '_', '-', ':' and '@'
+	// waitMs is not a known field
+	// caller is missing
+}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -215,3 +215,55 @@
 	require.ErrorContains(t, err, "POST /v1/requests r1")
 	close(release)
 }
+
+// TestSlowReadersLoseTheirConnection guards against a client that asks for a
+// large answer and does not read it.
+func TestSlowReadersLoseTheirConnection(t *testing.T) {
+	for _, path := range []string{"/v1/targets", "/metrics"} {
+		t.Run(path, func(t *testing.T) {
+			s := newServer(&fake{targets: make([]TargetInfo, 100_000)})
+			s.Limits.Read = 200 * time.Millisecond
+			s.Metrics = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 16<<20)) })
+			address := serve(t, s)
+			conn := open(t, address, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
+			_, err := conn.Read(make([]byte, 1))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.open.Load() == 0 }, time.Minute, time.Millisecond)
+		})
+	}
+}
+
+// TestLaterRequestsHaveTheirOwnWriteLimit guards against an answer that is lost
+// because an earlier one on the same connection set a limit that has passed.
+func TestLaterRequestsHaveTheirOwnWriteLimit(t *testing.T) {
+	s := newServer(&fake{})
+	s.Limits.Read = 50 * time.Millisecond
+	s.Metrics = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "metrics") })
+	conn := open(t, serve(t, s), "GET /v1/rules HTTP/1.1\r\nHost: x\r\n\r\n")
+	r, _ := answerOf(t, conn)
+	require.Equal(t, 200, r.StatusCode)
+	time.Sleep(2 * s.Limits.Read)
+	_, err := io.WriteString(conn, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+	_, body := answerOf(t, conn)
+	require.Equal(t, "metrics", body)
+}
+
+// TestPipelinedRequestsAreAnsweredInOrder guards against an answer that reaches
+// the wrong request of a client that sends several at once.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	s := newServer(&fake{answer: Answer{Pending: true}})
+	var all strings.Builder
+	for i := range 50 {
+		all.WriteString(post(strings.Replace(valid, "r1", fmt.Sprint("r", i), 1)))
+	}
+	reader := bufio.NewReader(open(t, serve(t, s), all.String()))
+	for i := range 50 {
+		r, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprint("r", i), decode[OutcomeBody](t, r.Body).ID)
+		_, err = io.Copy(io.Discard, r.Body)
+		require.NoError(t, err)
+		_ = r.Body.Close()
+	}
+}
