--- a/cmd/masticlead/batch_test.go
+++ b/cmd/masticlead/batch_test.go
@@ -158,3 +158,22 @@
 	require.ErrorContains(t, err, "j:6:1: request c/a repeats line 5")
 	require.ErrorContains(t, err, "j:7:1: line is not a JSON object")
 }
+
+// FuzzReadJobs guards against a jobs file that crashes the command, and against
+// two jobs with the same key.
+func FuzzReadJobs(f *testing.F) {
+	f.Add(line("a", 1) + "\n" + line("b", 2))
+	f.Add(`{"id":"a","caller":"b","ID":"c","deadlineMs":null}`)
+	f.Fuzz(func(t *testing.T, src string) {
+		jobs, err := readJobs("j", strings.NewReader(src))
+		if err != nil {
+			return
+		}
+		seen := make(map[descriptor.Key]bool)
+		for _, j := range jobs {
+			require.False(t, seen[j.key])
+			seen[j.key] = true
+			require.True(t, json.Valid(j.body(time.Second)))
+		}
+	})
+}
