loader: add timing.drainMs

Cause: a load balancer needs time to notice a failed readiness check before the listener ends; otherwise a planned stop turns connections away. Change: the setting for server.Limits.Drain, 1 s by default. Conclusion: the value must exceed the period of the load balancer's probes.

--- a/loader/keys.go
+++ b/loader/keys.go
@@ -49,6 +49,7 @@
 	milliseconds("timing.suspectMs", 50, minuteMs, func(s *Settings) *time.Duration { return &s.Timing.Suspect }),
 	milliseconds("timing.removeMs", 100, minuteMs, func(s *Settings) *time.Duration { return &s.Timing.Remove }),
 	milliseconds("timing.taskLeaseMs", 1000, hourMs, func(s *Settings) *time.Duration { return &s.Timing.TaskLease }),
+	milliseconds("timing.drainMs", 0, minuteMs, func(s *Settings) *time.Duration { return &s.Timing.Drain }),
 	milliseconds("timing.shutdownMs", 100, hourMs, func(s *Settings) *time.Duration { return &s.Timing.Shutdown }),
 	milliseconds("timing.readMs", 100, minuteMs, func(s *Settings) *time.Duration { return &s.Timing.Read }),
 	milliseconds("timing.idleMs", 100, hourMs, func(s *Settings) *time.Duration { return &s.Timing.Idle }),
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -54,6 +54,7 @@
 	Suspect      time.Duration
 	Remove       time.Duration
 	TaskLease    time.Duration
+	Drain        time.Duration
 	Shutdown     time.Duration
 	Read         time.Duration
 	Idle         time.Duration
@@ -96,6 +97,7 @@
 			Suspect:      1200 * time.Millisecond,
 			Remove:       2 * time.Second,
 			TaskLease:    30 * time.Second,
+			Drain:        time.Second,
 			Shutdown:     20 * time.Second,
 			Read:         5 * time.Second,
 			Idle:         time.Minute,
