server: answer pending if there is no outcome

An answer that is neither pending nor an outcome got status 200 with a made-up outcome name. Such a request is not known to have ended, which is what pending means.

--- a/server/api.go
+++ b/server/api.go
@@ -49,6 +49,9 @@
 	Outcome descriptor.Outcome
 }
 
+// open reports whether the request is not known to have ended.
+func (a Answer) open() bool { return a.Pending || a.Outcome.IsZero() }
+
 // Rules gives operators access to the rules of the cell.
 type Rules interface {
 	// Current returns the rules in force on this instance, with their body.
--- a/server/requests.go
+++ b/server/requests.go
@@ -168,7 +168,7 @@
 func (s *Server) answer(key descriptor.Key, a Answer) reply[OutcomeBody] {
 	body := newOutcomeBody(key, a)
 	s.Scope.Tagged(map[string]string{"outcome": body.Outcome}).Counter("outcomes").Inc(1)
-	if a.Pending {
+	if a.open() {
 		return reply[OutcomeBody]{status: http.StatusAccepted, body: body}
 	}
 	if a.Outcome.Kind() != descriptor.Refused {
--- a/server/requests_test.go
+++ b/server/requests_test.go
@@ -34,6 +34,7 @@
 		"unknown":   {Answer{Outcome: descriptor.NewUnstarted().Start().Lose(descriptor.Run{})}, 200, "", `"outcome":"unknown","waitMs":0,"runMs":0`},
 		"cancelled": {Answer{Outcome: descriptor.NewUnstarted().Cancel()}, 200, "", `"outcome":"cancelled","reason":"cancelledUnstarted","waitMs":0,"runMs":0`},
 		"pending":   {Answer{Pending: true}, 202, "", `"outcome":"pending","waitMs":0,"runMs":0`},
+		"nothing":   {Answer{}, 202, "", `"outcome":"pending","waitMs":0,"runMs":0`},
 		"queue full": {
 			refuse(descriptor.ReasonQueueFull, 1001*time.Millisecond), 429, "2",
 			`"outcome":"refused","reason":"queueFull","retryAfterMs":1001,"detail":"d","waitMs":0,"runMs":0`,
--- a/server/wire.go
+++ b/server/wire.go
@@ -48,7 +48,7 @@
 
 // newOutcomeBody describes an answer about the request with the given key.
 func newOutcomeBody(key descriptor.Key, a Answer) OutcomeBody {
-	if a.Pending {
+	if a.open() {
 		return OutcomeBody{ID: string(key.ID), Caller: key.Caller, Outcome: Pending}
 	}
 	o := a.Outcome
