--- a/admitter/meter.go
+++ b/admitter/meter.go
@@ -69,3 +69,11 @@
 	prior := priorPart * m.window()
 	return max((m.work+m.available*prior)/(m.busy+prior), minRate)
 }
+
+// callerRate returns the rate at which the caller's own backlog is served: its
+// fair share of the class, or what the other callers leave if that is more.
+func (m *meter) callerRate(q Question) float64 {
+	rate := m.rate()
+	others := max(m.offered/m.demandWindow()-q.CallerOffered, 0)
+	return max(rate/float64(max(q.Callers, 1)), rate-others)
+}
--- a/admitter/policy.go
+++ b/admitter/policy.go
@@ -36,6 +36,10 @@
 	// Caller, InClass and Total are what waits already: of the caller in this
 	// class, in the class, and altogether.
 	Caller, InClass, Total Backlog
+	// Callers is the number of callers that have work of the class waiting.
+	Callers int
+	// CallerOffered is the work per second that the caller has sent lately.
+	CallerOffered float64
 	// CallerTotal is what waits of the caller in all classes.
 	CallerTotal Backlog
 	// CallerMax bounds the caller's waiting requests; 0 means the default.
--- a/admitter/predictive.go
+++ b/admitter/predictive.go
@@ -196,7 +196,12 @@
 		}
 	}
 	slack := slackPart * (left - q.Run.High).Seconds() / p.crest
-	if q.InClass.Requests == 0 || q.Caller.Work+q.Own.Work <= callerAlpha*p.room(m, slack) {
+	if q.InClass.Requests == 0 {
+		return nil
+	}
+	waiting := q.Caller.Work + q.Own.Work
+	if waiting <= callerAlpha*p.room(m, slack) &&
+		(q.Caller.Requests == 0 || waiting <= slack*m.callerRate(q)) {
 		return nil
 	}
 	m.refused += q.Own.Work
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -40,6 +40,8 @@
 	Sharer Sharer
 	// Detector finds bad targets; nil means that none are looked for.
 	Detector Detector
+	// NoRescue leaves requests in their turn although their deadline is near.
+	NoRescue bool
 	// RetryBudget is the number of retries per first submission; 0 means
 	// DefaultRetryBudget.
 	RetryBudget float64
@@ -65,12 +67,14 @@
 }
 
 // Plain returns cfg with the plain baseline policies: first come first served,
-// no admission control, declared run times, no capacity kept for short work.
+// no admission control, declared run times, no capacity kept for short work, no
+// regard for deadlines.
 func Plain(cfg Config) Config {
 	cfg.Estimator = estimator.Declared{}
 	cfg.Sequencer = sequencer.NewArrival[*Record]()
 	cfg.Admitter = admitter.Everything{}
 	cfg.Sharer = Unshared{}
+	cfg.NoRescue = true
 	return cfg
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -58,7 +58,9 @@
 	}
 	p := &pass{now: now, limit: n, allowance: s.cfg.Sharer.LongAllowance(now)}
 	s.cfg.Sequencer.Begin()
-	s.rescueLate(p)
+	if !s.cfg.NoRescue {
+		s.rescueLate(p)
+	}
 	for !p.full && len(p.out) < n {
 		it := s.cfg.Sequencer.Peek()
 		if it == nil {
@@ -105,7 +107,7 @@
 		if s.rescues < 1 || tries > maxRescueTries || p.full || len(p.out) >= p.limit {
 			return false
 		}
-		if s.cfg.Sequencer.OverQuota(rec.req.Team) || s.barred(p, rec) {
+		if s.crowding(rec) || s.cfg.Sequencer.OverQuota(rec.req.Team) || s.barred(p, rec) {
 			return true
 		}
 		if s.place(p, rec) == placer.Placed {
@@ -116,6 +118,17 @@
 	})
 }
 
+// crowding reports whether the caller has more work waiting than most. Its late
+// requests are late by its own doing, and rescuing them would take the turns of
+// the others.
+func (s *Scheduler) crowding(rec *Record) bool {
+	// A caller may have some requests more than the mean by chance.
+	const few, excess = 8, 4
+	k := s.waiting.class(rec.item.Class)
+	own := s.waiting.caller(rec.req.Caller, s.rules).classes[rec.item.Class]
+	return own.Requests > few && own.Work*float64(k.callers) > excess*k.Work
+}
+
 // try places the record or skips it for this pass.
 func (s *Scheduler) try(p *pass, rec *Record) {
 	if s.barred(p, rec) {
@@ -201,7 +214,7 @@
 	s.unwatch(rec)
 	s.waiting.remove(rec, s.rules)
 	s.cfg.Sequencer.Serve(&rec.item)
-	s.cfg.Admitter.Served(now, class, rec.queuedWork, *s.waiting.class(class))
+	s.cfg.Admitter.Served(now, class, rec.queuedWork, s.waiting.class(class).Backlog)
 	rec.attempt++
 	rec.reserved = false
 	rec.tasks = rec.tasks[:0]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -155,7 +155,7 @@
 	l := Load{Queued: s.cfg.Sequencer.Len(), Running: s.tasks.n}
 	l.Capacity, l.Used = s.cfg.Placer.Totals()
 	for c, b := range s.waiting.classes {
-		l.Wait = max(l.Wait, s.cfg.Admitter.Wait(now, c, *b))
+		l.Wait = max(l.Wait, s.cfg.Admitter.Wait(now, c, b.Backlog))
 	}
 	return l
 }
@@ -163,31 +163,42 @@
 // backlogs counts what waits.
 type backlogs struct {
 	total      admitter.Backlog
-	classes    map[sequencer.Class]*admitter.Backlog
+	classes    map[sequencer.Class]*classBacklog
 	callers    *table[descriptor.CallerID, *callerBacklog]
 	shortShare float64 // capacity that waiting short work would take at once
 }
 
+// classBacklog is what waits of one class, and of how many callers.
+type classBacklog struct {
+	admitter.Backlog
+	callers int
+}
+
 // callerBacklog is what waits of one caller. Limit is valid for one version of
 // the rules.
 type callerBacklog struct {
 	total   admitter.Backlog
+	offered demand
 	classes map[sequencer.Class]admitter.Backlog
 	rules   *descriptor.Rules
 	limit   int
 }
 
+// offeredWindow is the time over which a caller's demand is measured while it has
+// work waiting.
+const offeredWindow = time.Second
+
 func newBacklogs() backlogs {
 	return backlogs{
-		classes: map[sequencer.Class]*admitter.Backlog{},
+		classes: map[sequencer.Class]*classBacklog{},
 		callers: newTable[descriptor.CallerID, *callerBacklog](),
 	}
 }
 
-func (b *backlogs) class(c sequencer.Class) *admitter.Backlog {
+func (b *backlogs) class(c sequencer.Class) *classBacklog {
 	got, ok := b.classes[c]
 	if !ok {
-		got = &admitter.Backlog{}
+		got = &classBacklog{}
 		b.classes[c] = got
 	}
 	return got
@@ -197,7 +208,7 @@
 func (b *backlogs) caller(id descriptor.CallerID, r *descriptor.Rules) *callerBacklog {
 	c, ok := b.callers.get(id)
 	if !ok {
-		c = &callerBacklog{classes: map[sequencer.Class]admitter.Backlog{}}
+		c = &callerBacklog{classes: map[sequencer.Class]admitter.Backlog{}, offered: demand{window: offeredWindow}}
 	}
 	if c.rules != r {
 		rule, _ := r.CallerRule(id)
@@ -214,9 +225,12 @@
 	own := r.backlog()
 	b.total = b.total.Add(own)
 	k := b.class(r.item.Class)
-	*k = k.Add(own)
+	k.Backlog = k.Add(own)
 	c := b.caller(r.req.Caller, rules)
 	c.total = c.total.Add(own)
+	if c.classes[r.item.Class].Requests == 0 {
+		k.callers++
+	}
 	c.classes[r.item.Class] = c.classes[r.item.Class].Add(own)
 	b.callers.put(r.req.Caller, c)
 	if !r.item.Class.Long {
@@ -228,7 +242,7 @@
 	own := r.backlog()
 	b.total = b.total.Sub(own)
 	k := b.class(r.item.Class)
-	*k = k.Sub(own)
+	k.Backlog = k.Sub(own)
 	if k.Requests == 0 {
 		k.Work = 0 // drops the rounding error
 	}
@@ -238,6 +252,7 @@
 		c.classes[r.item.Class] = rest
 	} else {
 		delete(c.classes, r.item.Class)
+		k.callers--
 	}
 	if c.total.Requests == 0 {
 		b.callers.remove(r.req.Caller)
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -36,7 +36,7 @@
 		return s.count(refusal)
 	}
 	s.assess(rec)
-	if refusal := s.cfg.Admitter.Admit(now, s.question(rec)); refusal != nil {
+	if refusal := s.cfg.Admitter.Admit(now, s.question(now, rec)); refusal != nil {
 		return s.count(refusal)
 	}
 	s.tokens = min(s.tokens+s.cfg.RetryBudget, maxTokens)
@@ -86,18 +86,22 @@
 	}
 }
 
-func (s *Scheduler) question(rec *Record) admitter.Question {
+func (s *Scheduler) question(now time.Time, rec *Record) admitter.Question {
 	c := s.waiting.caller(rec.req.Caller, s.rules)
+	c.offered.add(now, rec.queuedWork)
+	k := s.waiting.class(rec.item.Class)
 	return admitter.Question{
-		Request:     rec.req,
-		Class:       rec.item.Class,
-		Run:         rec.run,
-		Own:         rec.backlog(),
-		Caller:      c.classes[rec.item.Class],
-		CallerTotal: c.total,
-		CallerMax:   c.limit,
-		InClass:     *s.waiting.class(rec.item.Class),
-		Total:       s.waiting.total,
+		Request:       rec.req,
+		Class:         rec.item.Class,
+		Run:           rec.run,
+		Own:           rec.backlog(),
+		Caller:        c.classes[rec.item.Class],
+		CallerTotal:   c.total,
+		CallerMax:     c.limit,
+		InClass:       k.Backlog,
+		Callers:       k.callers,
+		CallerOffered: c.offered.work / offeredWindow.Seconds(),
+		Total:         s.waiting.total,
 	}
 }
 
@@ -266,7 +270,7 @@
 // returnTime spreads the return of a request that had been admitted.
 func (s *Scheduler) returnTime(now time.Time, rec *Record) time.Duration {
 	const shortest = 100 * time.Millisecond
-	wait := s.cfg.Admitter.Wait(now, rec.item.Class, *s.waiting.class(rec.item.Class))
+	wait := s.cfg.Admitter.Wait(now, rec.item.Class, s.waiting.class(rec.item.Class).Backlog)
 	wait = max(wait, shortest)
 	return wait/2 + time.Duration(s.cfg.Rand.Int64N(int64(wait)+1))
 }
--- a/sequencer/fair.go
+++ b/sequencer/fair.go
@@ -272,8 +272,7 @@
 		f.drop()
 	}
 	if c.queued == 0 {
-		q.busy--
-		q.sweep()
+		q.idle(t, it.Caller, c)
 	}
 }
 
@@ -288,11 +287,14 @@
 	t := q.team(tid)
 	t.used += work / t.weight
 	q.reorderTeam(t)
+	l := &q.lanes[cl.Lane()]
+	l.used += work / l.weight
+	if _, ok := t.callers[cid]; !ok && work <= 0 {
+		return // an idle caller gets no credit
+	}
 	c := t.caller(cid, q)
 	c.used += work
 	reorderCaller(c)
-	l := &q.lanes[cl.Lane()]
-	l.used += work / l.weight
 }
 
 // SetUsage moves the team to the tier of its usage.
--- a/sequencer/fair_accounts.go
+++ b/sequencer/fair_accounts.go
@@ -27,36 +27,37 @@
 	return c
 }
 
-// sweep closes idle accounts once they outnumber the busy ones. An idle caller
-// whose virtual time is not ahead of its team's clock would start anew there
+// idle closes the account of a caller that has nothing waiting, unless it has
+// debt. A caller that is not ahead of its team's clock would start anew there
 // anyway, so that nothing is lost with its account.
-func (q *Fair[T]) sweep() {
-	if q.accounts < 4*q.busy+sweepSlack {
-		return
-	}
-	for _, t := range q.teams {
-		for id, c := range t.callers {
-			if c.queued == 0 && c.used <= t.clock {
-				delete(t.callers, id)
-				q.accounts--
-			}
-		}
-	}
-	// Callers with debt are kept, but must not cause a sweep at each removal.
-	if q.accounts >= 2*q.busy+sweepSlack {
-		q.closeIndebted()
+func (q *Fair[T]) idle(t *team[T], id descriptor.CallerID, c *caller[T]) {
+	q.busy--
+	if c.used <= t.clock {
+		delete(t.callers, id)
+		q.accounts--
+	} else if q.accounts > 2*q.busy+sweepSlack {
+		q.sweep()
 	}
 }
 
-// closeIndebted closes idle accounts with debt, which forgives the debt. It
-// bounds the accounts when callers come once and never again.
-func (q *Fair[T]) closeIndebted() {
-	for _, t := range q.teams {
-		for id, c := range t.callers {
-			if c.queued == 0 {
-				delete(t.callers, id)
-				q.accounts--
+// sweep closes idle accounts once they outnumber the busy ones: those whose debt
+// the clock has reached, and if that is not enough all, which forgives the rest.
+// It bounds the accounts when callers come once and never again. The maps are
+// rebuilt, because Go maps never shrink.
+func (q *Fair[T]) sweep() {
+	for _, forgive := range []bool{false, true} {
+		for _, t := range q.teams {
+			kept := make(map[descriptor.CallerID]*caller[T])
+			for id, c := range t.callers {
+				if c.queued > 0 || c.used > t.clock && !forgive {
+					kept[id] = c
+				}
 			}
+			q.accounts -= len(t.callers) - len(kept)
+			t.callers = kept
+		}
+		if q.accounts <= q.busy+sweepSlack/2 {
+			return
 		}
 	}
 }
