placer: don't hide targets with one free slot

The upper bound of level 1 was 0 for amounts counted in ones, so that a shard whose targets had one free slot each looked full.

--- a/placer/classes.go
+++ b/placer/classes.go
@@ -43,7 +43,10 @@
 		return 0
 	}
 	base := unit << ((l - 1) / 2)
-	if l%2 == 0 {
+	switch {
+	case l == 2:
+		base *= 2 // level 1 is not divided, because level counts whole units
+	case l%2 == 0:
 		base += base / 2
 	}
 	return base
