--- a/admitter/predictive.go
+++ b/admitter/predictive.go
@@ -53,7 +53,8 @@
 	maxWindow     = 30 * time.Minute
 	// demandWindow is the time over which demand is measured.
 	demandWindow = time.Second
-	// priorPart is the part of the window that the available rate counts for.
+	// priorPart is the part of the unmeasured window that the available rate
+	// counts for.
 	priorPart = 1.0 / 3
 	// shareInterval is how often the available rates are computed.
 	shareInterval = 20 * time.Millisecond
@@ -196,7 +197,12 @@
 		}
 	}
 	slack := slackPart * (left - q.Run.High).Seconds() / p.crest
-	if q.InClass.Requests == 0 || q.Caller.Work+q.Own.Work <= callerAlpha*p.room(m, slack) {
+	if q.InClass.Requests == 0 {
+		return nil
+	}
+	waiting := q.Caller.Work + q.Own.Work
+	if waiting <= callerAlpha*p.room(m, slack) &&
+		(q.Caller.Requests == 0 || waiting <= slack*m.callerRate(q)) {
 		return nil
 	}
 	m.refused += q.Own.Work
