dispatcher, router, runner: serve requests end to end as separate processes

Cause: the parts existed, but no request went from a caller to a target. Change: the dispatcher keeps the records of the owned slices, sends start orders under two grants, follows tasks, recovers slices from the targets' lists, and offers work to other instances of its data centre; the router forwards once to the owner and sends outcomes back in batches; the runner wires all parts with fx and stops them in an order that hands work over. Integration tests run nine processes behind a fault-injecting proxy.

--- a/connector/http.go
+++ b/connector/http.go
@@ -48,11 +48,23 @@
 	Directive Directive         `json:"directive"`
 }
 
+// NewDialer returns a dialer whose connections come from the given IP, or from
+// any if source is empty or unspecified. On a host with several addresses the
+// network then sees the one that the settings name.
+func NewDialer(source string) *net.Dialer {
+	d := &net.Dialer{Timeout: 2 * time.Second}
+	if ip := net.ParseIP(source); ip != nil && !ip.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d
+}
+
 // NewHTTPClient returns a client for connections to the platform and to
-// targets. perHost bounds the connections to each host.
-func NewHTTPClient(perHost int) *http.Client {
+// targets. perHost bounds the connections to each host; source is as in
+// NewDialer.
+func NewHTTPClient(perHost int, source string) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		DialContext:         NewDialer(source).DialContext,
 		MaxIdleConnsPerHost: perHost,
 		MaxConnsPerHost:     perHost,
 		IdleConnTimeout:     90 * time.Second,
--- /dev/null
+++ b/dispatcher/target.go
@@ -0,0 +1,498 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/placer"
+	"github.com/masticlead/masticlead/scheduler"
+)
+
+const (
+	// driftMargin covers clock rates that differ by up to 1% (assumption A7).
+	driftMargin = 0.99
+	// callTimeout bounds a call to a target beyond the time that it may hold it.
+	callTimeout = 2 * time.Second
+	// unreachableAfter is how long a target may not answer before it gets no
+	// more work.
+	unreachableAfter = 3 * time.Second
+)
+
+// pendingStart is a start order of which it is not known whether it started.
+type pendingStart struct {
+	order connector.StartOrder
+	// placed is the number that the scheduler gave to the attempt.
+	placed descriptor.Attempt
+	// startBefore is the last moment at which the target may start it; 0 until
+	// the order is about to be sent.
+	startBefore connector.TargetClock
+}
+
+// targetWorker follows one target that this instance owns.
+type targetWorker struct {
+	d        *Dispatcher
+	target   descriptor.Target
+	epoch    descriptor.Epoch
+	safeFrom time.Time
+	conn     connector.TargetConn
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{} // closed at the end of run
+
+	mu sync.Mutex
+	// The clock of the target showed anchorMs not after the local time anchor.
+	anchor   time.Time
+	anchorMs connector.TargetClock
+	synced   bool
+	reached  bool
+	lastSeen time.Time
+	sequence uint64
+	leaving  bool // by the target's own word
+	listedLv bool // by the platform's list
+	state    placer.TargetState
+	pending  map[descriptor.TaskID]*pendingStart
+	tasks    map[descriptor.TaskID]connector.ListedTask // as listed, running and ended
+	// placed holds the scheduler's attempt numbers of the tasks that it placed.
+	placed  map[descriptor.TaskID]descriptor.Attempt
+	running int
+	// leaseEnd is after the end of every lease given to a task of this target.
+	leaseEnd  connector.TargetClock
+	nextRenew time.Time
+}
+
+func newTargetWorker(d *Dispatcher, t descriptor.Target, e descriptor.Epoch, safeFrom time.Time) *targetWorker {
+	w := &targetWorker{
+		d: d, target: t, epoch: e, safeFrom: safeFrom, conn: d.cfg.Dialer.Dial(t),
+		pending: map[descriptor.TaskID]*pendingStart{}, tasks: map[descriptor.TaskID]connector.ListedTask{},
+		placed: map[descriptor.TaskID]descriptor.Attempt{},
+		state:  placer.Unreachable, done: make(chan struct{}),
+	}
+	w.ctx, w.cancel = context.WithCancel(d.ctx)
+	return w
+}
+
+// stop ends the worker and waits for it.
+func (w *targetWorker) stop() {
+	w.cancel()
+	<-w.done
+	_ = w.conn.Close()
+}
+
+// abandon takes all tasks out of the scheduler's account. They go on running
+// under the next owner.
+func (w *targetWorker) abandon() {
+	w.mu.Lock()
+	tasks := make([]connector.ListedTask, 0, len(w.tasks)+len(w.pending))
+	for _, t := range w.tasks {
+		if !t.State.Ended() {
+			tasks = append(tasks, t)
+		}
+	}
+	for _, p := range w.pending {
+		tasks = append(tasks, connector.ListedTask{Key: p.order.Key, Attempt: p.placed, Index: p.order.Index})
+	}
+	w.mu.Unlock()
+	for _, t := range tasks {
+		w.d.cfg.Scheduler.Ended(t.Key, w.placedAttempt(t), t.Index, w.target.ID, scheduler.Result{})
+	}
+}
+
+// run reads the target's list once no order of an earlier owner can start any
+// more, and then follows its events.
+func (w *targetWorker) run() {
+	if !w.sleep(w.safeFrom.Sub(w.d.cfg.Clock.Now())) || !w.sync() {
+		return
+	}
+	for w.ctx.Err() == nil {
+		w.renew()
+		if !w.poll() && !w.sleep(200*time.Millisecond) {
+			return
+		}
+	}
+}
+
+func (w *targetWorker) sleep(wait time.Duration) bool {
+	if wait <= 0 {
+		return w.ctx.Err() == nil
+	}
+	select {
+	case <-w.d.cfg.Clock.After(wait):
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
+// sync reads the whole list of the target and accounts for all that runs on it.
+// A target that can't be reached for a task lease after safeFrom has nothing
+// left that runs, since only its owner extends leases.
+func (w *targetWorker) sync() bool {
+	certain := w.safeFrom.Add(time.Duration(float64(w.d.cfg.TaskLease)/driftMargin) + time.Second)
+	for {
+		ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
+		list, err := w.conn.Tasks(ctx)
+		cancel()
+		now := w.d.cfg.Clock.Now()
+		if err == nil {
+			w.d.cfg.Scheduler.AddTarget(w.describe(list.Capacity))
+			w.handle(list, now)
+			break
+		}
+		w.d.cfg.Scope.Counter("target_errors").Inc(1)
+		if w.epoch == 1 || now.After(certain) {
+			w.markSynced()
+			w.d.cfg.Log.Warn("dispatcher: target not reached; its tasks have expired", "target", w.target.ID, "error", err)
+		}
+		if !w.sleep(300 * time.Millisecond) {
+			return false
+		}
+	}
+	w.markSynced()
+	w.d.wakeRecovery()
+	return true
+}
+
+func (w *targetWorker) markSynced() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.synced = true
+}
+
+// describe returns the target with the capacity that it reports itself.
+func (w *targetWorker) describe(capacity descriptor.Resources) descriptor.Target {
+	t := w.target
+	if capacity != (descriptor.Resources{}) {
+		t.Capacity = capacity
+	}
+	return t
+}
+
+// poll waits for events. It reports false if the target did not answer.
+func (w *targetWorker) poll() bool {
+	w.mu.Lock()
+	after := w.sequence
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(w.ctx, w.d.cfg.PollWait+callTimeout)
+	list, err := w.conn.Events(ctx, after, w.d.cfg.PollWait)
+	cancel()
+	now := w.d.cfg.Clock.Now()
+	if err == nil {
+		w.handle(list, now)
+		return true
+	}
+	if w.ctx.Err() != nil {
+		return false
+	}
+	w.d.cfg.Scope.Counter("target_errors").Inc(1)
+	w.unreached(now)
+	return false
+}
+
+// handle applies an answer with tasks.
+func (w *targetWorker) handle(list connector.TaskList, now time.Time) {
+	var ended, running []connector.ListedTask
+	w.mu.Lock()
+	w.noteStatusLocked(list.TargetStatus, now)
+	w.sequence = max(w.sequence, list.Sequence)
+	for _, t := range list.Tasks {
+		old, known := w.tasks[t.Task]
+		w.tasks[t.Task] = t
+		if p, ok := w.pending[t.Task]; ok {
+			w.placed[t.Task] = p.placed
+			delete(w.pending, t.Task)
+		}
+		switch {
+		case !t.State.Ended():
+			running = append(running, t)
+			if !known {
+				w.running++
+			}
+		case !known || !old.State.Ended():
+			ended = append(ended, t)
+			if known {
+				w.running--
+			}
+		}
+	}
+	resolved := w.expiredPending(list.NowMs)
+	w.forgetOld(list.NowMs)
+	w.mu.Unlock()
+
+	for _, t := range running {
+		w.adopt(t, list.NowMs)
+		w.d.observe(t)
+	}
+	for _, t := range ended {
+		w.release(t)
+		w.d.observe(t)
+	}
+	for _, p := range resolved {
+		w.d.cfg.Scope.Tagged(map[string]string{"result": "notStarted"}).Counter("starts_resolved").Inc(1)
+		w.d.cfg.Scheduler.Ended(p.order.Key, p.placed, p.order.Index, w.target.ID, scheduler.Result{})
+		w.d.settle(p.order.Key, p.order.Task, runNotStarted)
+	}
+	w.updateState(now)
+}
+
+// adopt accounts for a running task. For a task that the scheduler placed itself
+// this changes nothing.
+func (w *targetWorker) adopt(t connector.ListedTask, now connector.TargetClock) {
+	var team descriptor.TeamID
+	if rules := w.d.cfg.Rules(); rules != nil {
+		rule, _ := rules.CallerRule(t.Key.Caller)
+		team = rule.Team
+	}
+	running := time.Duration(max(0, now-t.StartedMs)) * time.Millisecond
+	w.d.cfg.Scheduler.Adopt(w.target.ID, t.Key, team, t.Kind, w.placedAttempt(t), t.Index, t.Resources, running)
+}
+
+// placedAttempt returns the number under which the scheduler knows the attempt:
+// its own if it placed the task, else the one in the target's list.
+func (w *targetWorker) placedAttempt(t connector.ListedTask) descriptor.Attempt {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if placed, ok := w.placed[t.Task]; ok {
+		return placed
+	}
+	return t.Attempt
+}
+
+// release gives back what an ended task used.
+func (w *targetWorker) release(t connector.ListedTask) {
+	w.d.cfg.Scheduler.Ended(t.Key, w.placedAttempt(t), t.Index, w.target.ID, scheduler.Result{
+		Succeeded: t.State == descriptor.TaskCompleted,
+		Started:   true,
+		Ran:       time.Duration(max(0, t.EndedMs-t.StartedMs)) * time.Millisecond,
+	})
+	w.mu.Lock()
+	delete(w.placed, t.Task)
+	w.mu.Unlock()
+}
+
+// expiredPending removes the orders that the target can't start any more and did
+// not list. The list and the clock of one answer belong together, and each start
+// is an event, so an order that is missing after its start deadline never
+// started. It needs w.mu.
+func (w *targetWorker) expiredPending(now connector.TargetClock) []*pendingStart {
+	var expired []*pendingStart
+	for id, p := range w.pending {
+		if p.startBefore != 0 && now > p.startBefore {
+			delete(w.pending, id)
+			expired = append(expired, p)
+		}
+	}
+	return expired
+}
+
+// forgetOld drops tasks that ended longer ago than outcomes are kept. It needs
+// w.mu.
+func (w *targetWorker) forgetOld(now connector.TargetClock) {
+	oldest := now - connector.TargetClock(outcomeRetention.Milliseconds())
+	for id, t := range w.tasks {
+		if t.State.Ended() && t.EndedMs < oldest {
+			delete(w.tasks, id)
+		}
+	}
+}
+
+func (w *targetWorker) noteStatus(s connector.TargetStatus, now time.Time) {
+	w.mu.Lock()
+	w.noteStatusLocked(s, now)
+	w.mu.Unlock()
+	w.updateState(now)
+}
+
+func (w *targetWorker) noteStatusLocked(s connector.TargetStatus, now time.Time) {
+	if s.NowMs >= w.anchorMs {
+		w.anchor, w.anchorMs = now, s.NowMs
+	}
+	w.reached, w.lastSeen = true, now
+	w.leaving = s.Leaving
+}
+
+func (w *targetWorker) setListedLeaving(leaving bool) {
+	w.mu.Lock()
+	w.listedLv = leaving
+	w.mu.Unlock()
+	w.updateState(w.d.cfg.Clock.Now())
+}
+
+// updateState tells the scheduler whether the target takes new work.
+func (w *targetWorker) updateState(now time.Time) {
+	w.mu.Lock()
+	s := placer.Placeable
+	switch {
+	case !w.reached || now.Sub(w.lastSeen) > unreachableAfter+w.d.cfg.PollWait:
+		s = placer.Unreachable
+	case w.leaving || w.listedLv:
+		s = placer.Leaving
+	}
+	changed := s != w.state
+	w.state = s
+	w.mu.Unlock()
+	if changed {
+		w.d.cfg.Scheduler.SetTargetState(w.target.ID, s)
+		w.d.cfg.Log.Info("dispatcher: target state changed", "target", w.target.ID, "state", s)
+	}
+}
+
+// startDeadline returns the last moment, on the target's clock, at which a
+// pending order may start, and notes it: inside both grants and at most the start window ahead. The
+// target read its clock before the anchor, so the result is never after the end
+// of the grants.
+func (w *targetWorker) startDeadline(id descriptor.TaskID, keyUntil time.Time) (connector.TargetClock, bool) {
+	grant, ok := w.d.cfg.Owners.Grant(w.target.ID.Slice())
+	if !ok || grant.Epoch != w.epoch {
+		return 0, false
+	}
+	now := w.d.cfg.Clock.Now()
+	until := now.Add(w.d.cfg.StartWindow)
+	for _, end := range []time.Time{grant.Until, keyUntil} {
+		if end.Before(until) {
+			until = end
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !until.After(now) || w.anchor.IsZero() {
+		return 0, false
+	}
+	ahead := time.Duration(float64(until.Sub(w.anchor)) * driftMargin)
+	end := w.anchorMs + connector.TargetClock(ahead.Milliseconds())
+	w.leaseEnd = max(w.leaseEnd, end+connector.TargetClock(w.d.cfg.TaskLease.Milliseconds()))
+	if p, ok := w.pending[id]; ok {
+		p.startBefore = end
+	}
+	return end, true
+}
+
+// addPending notes an order before it is sent. It reports false if the target
+// takes no new work.
+func (w *targetWorker) addPending(o connector.StartOrder, placed descriptor.Attempt) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.synced || w.leaving || w.ctx.Err() != nil {
+		return false
+	}
+	w.pending[o.Task] = &pendingStart{order: o, placed: placed}
+	return true
+}
+
+// dropPending removes an order that surely did not start. It reports false if
+// the order was resolved already.
+func (w *targetWorker) dropPending(id descriptor.TaskID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, ok := w.pending[id]
+	delete(w.pending, id)
+	return ok
+}
+
+// renew extends the leases of all tasks on the target, three times in each task
+// lease. It needs a valid grant, so a deposed owner extends nothing.
+func (w *targetWorker) renew() {
+	grant, ok := w.d.cfg.Owners.Grant(w.target.ID.Slice())
+	now := w.d.cfg.Clock.Now()
+	w.mu.Lock()
+	due := ok && grant.Epoch == w.epoch && w.running > 0 && !now.Before(w.nextRenew)
+	if !due {
+		w.mu.Unlock()
+		return
+	}
+	until := w.anchorMs + connector.TargetClock((now.Sub(w.anchor) + w.d.cfg.TaskLease).Milliseconds())
+	w.leaseEnd = max(w.leaseEnd, until)
+	w.nextRenew = now.Add(w.d.cfg.TaskLease / 3)
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
+	defer cancel()
+	status, err := w.conn.Renew(ctx, nil, until)
+	if err != nil {
+		w.d.cfg.Scope.Counter("renew_errors").Inc(1)
+		w.mu.Lock()
+		w.nextRenew = now.Add(time.Second)
+		w.mu.Unlock()
+		return
+	}
+	w.noteStatus(status, w.d.cfg.Clock.Now())
+}
+
+// unreached notes a failed poll. When all leases have surely ended, the tasks
+// have ended too.
+func (w *targetWorker) unreached(now time.Time) {
+	w.updateState(now)
+	w.mu.Lock()
+	if w.anchor.IsZero() {
+		w.mu.Unlock()
+		return
+	}
+	elapsed := time.Duration(float64(now.Sub(w.anchor)) * driftMargin)
+	latest := w.anchorMs + connector.TargetClock(elapsed.Milliseconds())
+	if latest <= w.leaseEnd || (w.running == 0 && len(w.pending) == 0) {
+		w.mu.Unlock()
+		return
+	}
+	var lost []connector.ListedTask
+	for id, t := range w.tasks {
+		if !t.State.Ended() {
+			t.State, t.EndedMs = descriptor.TaskExpired, w.leaseEnd
+			w.tasks[id] = t
+			lost = append(lost, t)
+		}
+	}
+	pending := w.pending
+	w.pending = map[descriptor.TaskID]*pendingStart{}
+	w.running = 0
+	w.mu.Unlock()
+	w.d.cfg.Log.Warn("dispatcher: target unreachable until its leases expired", "target", w.target.ID, "tasks", len(lost))
+	for _, t := range lost {
+		w.release(t)
+		w.d.settle(t.Key, t.Task, runEnded)
+	}
+	for _, p := range pending {
+		w.d.cfg.Scheduler.Ended(p.order.Key, p.placed, p.order.Index, w.target.ID, scheduler.Result{})
+		w.d.settle(p.order.Key, p.order.Task, runEnded)
+	}
+}
+
+// report returns the tasks whose keys lie in the wanted slices. It reports false
+// until the target's list was read.
+func (w *targetWorker) report(wanted *[descriptor.SliceCount]bool) ([]foundTask, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.synced {
+		return nil, false
+	}
+	var found []foundTask
+	for _, t := range w.tasks {
+		if wanted[t.Key.Slice()] {
+			found = append(found, foundTask{ListedTask: t, Target: w.target.ID})
+		}
+	}
+	for _, p := range w.pending {
+		if o := &p.order; wanted[o.Key.Slice()] {
+			found = append(found, foundTask{Target: w.target.ID, Pending: true, ListedTask: connector.ListedTask{
+				Task: o.Task, Key: o.Key, Epoch: o.Epoch, Attempt: o.Attempt, Index: o.Index, Of: o.Of,
+				Idempotent: o.Idempotent, Kind: o.Kind, Resources: o.Resources,
+			}})
+		}
+	}
+	return found, true
+}
+
+func (w *targetWorker) info() TargetInfo {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	info := TargetInfo{
+		Target: w.target, Running: w.running, Synced: w.synced, Leaving: w.leaving || w.listedLv,
+		Reached: w.state != placer.Unreachable,
+	}
+	for _, t := range w.tasks {
+		if !t.State.Ended() {
+			info.Used = info.Used.Add(t.Resources)
+		}
+	}
+	return info
+}
--- /dev/null
+++ b/integration/cell_test.go
@@ -0,0 +1,405 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/emulator"
+)
+
+// binaries is the folder with the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "masticlead-integration-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	args := append([]string{"build"}, raceFlags...)
+	args = append(args, "-o", dir+"/", "../cmd/masticlead", "../cmd/masticlead-standin")
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build programs: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is a program that a test started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	err  error // valid after done
+}
+
+// start runs a program of the project. Its log is printed if the test fails.
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
+	require.NoError(t, err)
+	p := &process{name: name, cmd: exec.Command(filepath.Join(binaries, program), args...), log: log, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	require.NoError(t, p.cmd.Start())
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		p.report(t)
+	})
+	return p
+}
+
+// report prints the end of the log of a failed test, and any data race.
+func (p *process) report(t *testing.T) {
+	b, _ := os.ReadFile(p.log.Name())
+	_ = p.log.Close()
+	if i := bytes.Index(b, []byte("WARNING: DATA RACE")); i >= 0 {
+		t.Errorf("%s: %s", p.name, b[i:min(len(b), i+4000)])
+	}
+	if i := bytes.Index(b, []byte("panic:")); i >= 0 {
+		t.Errorf("%s: %s", p.name, b[i:min(len(b), i+4000)])
+	}
+	if t.Failed() {
+		t.Logf("%s:\n%s", p.name, b[max(0, len(b)-logTail):])
+	}
+}
+
+// logTail is how much of a log a failed test prints, in bytes.
+const logTail = 3000
+
+func (p *process) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// pause freezes the process as a stopped virtual machine would.
+func (p *process) pause() { p.signal(syscall.SIGSTOP) }
+
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+
+// kill ends the process without a shutdown and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// terminate asks for a graceful shutdown and waits for it.
+func (p *process) terminate(t *testing.T) {
+	t.Helper()
+	p.signal(syscall.SIGTERM)
+	<-p.done
+	require.NoError(t, p.err, "graceful shutdown of %s", p.name)
+}
+
+// layout is the size of a cell under test.
+type layout struct {
+	dataCentres []zone
+	instances   int // of each data centre
+	targets     int // of each data centre
+	capacity    descriptor.Resources
+	// timing overrides settings of the timing section.
+	timing map[string]int
+}
+
+// defaultLayout is a small version of the deployments of today.
+func defaultLayout() layout {
+	return layout{
+		dataCentres: []zone{"gyor", "sopron", "szombathely"}, instances: 3, targets: 6,
+		capacity: descriptor.Resources{CPU: 8000, Memory: 8192, Slots: 8},
+	}
+}
+
+// instance is an entry instance under test.
+type instance struct {
+	*process
+	id       descriptor.InstanceID
+	dc       zone
+	settings string
+	url      string
+}
+
+// cell is a platform, targets and instances, all behind the network.
+type cell struct {
+	t         *testing.T
+	net       *network
+	layout    layout
+	platform  string // direct address, for the test itself
+	instances []*instance
+	targets   []descriptor.Target // with direct addresses
+	client    *http.Client
+}
+
+// freeAddress returns an address on the IP that nothing listens on now.
+func freeAddress(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newCell starts everything and waits until all instances are ready with the
+// given rules.
+func newCell(t *testing.T, l layout, rules string) *cell {
+	t.Helper()
+	c := &cell{
+		t: t, net: newNetwork(t), layout: l,
+		client: &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	c.startPlatform()
+	for i, dc := range l.dataCentres {
+		for k := range l.instances {
+			c.addInstance(dc, fmt.Sprintf("127.0.%d.1", i+1), k)
+		}
+	}
+	c.publishInstances()
+	for _, in := range c.instances {
+		c.startInstance(in)
+	}
+	for _, in := range c.instances {
+		c.waitLive(in)
+	}
+	c.applyRules(c.instances[0], 0, rules)
+	for _, in := range c.instances {
+		c.waitReady(in)
+	}
+	return c
+}
+
+// startPlatform starts the stand-ins. The directory lists the proxies' addresses.
+func (c *cell) startPlatform() {
+	t := c.t
+	direct := connector.Listing{}
+	for i, dc := range c.layout.dataCentres {
+		c.net.zones[fmt.Sprintf("127.0.%d.1", i+1)] = dc
+		for k := range c.layout.targets {
+			direct.Targets = append(direct.Targets, descriptor.Target{
+				ID: descriptor.TargetID(fmt.Sprintf("%s-t%02d", dc, k)), DataCentre: descriptor.DataCentreID(dc),
+				Rack:    descriptor.RackID(fmt.Sprintf("%s-r%d", dc, k/8)),
+				Address: freeAddress(t, "127.0.0.1"), Capacity: c.layout.capacity,
+			})
+		}
+	}
+	c.targets = direct.Targets
+	c.platform = freeAddress(t, "127.0.0.1")
+	file := filepath.Join(t.TempDir(), "cell.json")
+	b, err := json.Marshal(direct)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(file, b, 0o600))
+	start(t, "platform", "masticlead-standin", "--cell", file, "--platform", c.platform)
+	c.eventually("platform answers", func() error { return c.get("http://"+c.platform+"/table/stats", nil) })
+}
+
+// publishInstances gives the directory the addresses of instances and targets as
+// the proxies expose them.
+func (c *cell) publishInstances() {
+	l := connector.Listing{}
+	for _, t := range c.targets {
+		t.Address = c.net.expose(c.t, zone(t.DataCentre), t.Address)
+		l.Targets = append(l.Targets, t)
+	}
+	for _, in := range c.instances {
+		l.Instances = append(l.Instances, connector.ListedInstance{
+			ID: in.id, DataCentre: descriptor.DataCentreID(in.dc), PeerAddress: in.peerAddress(),
+		})
+	}
+	require.NoError(c.t, c.send(http.MethodPut, "http://"+c.platform+"/directory", l, nil))
+}
+
+func (in *instance) peerAddress() string {
+	_, rest, _ := strings.Cut(in.settings, "advertise]")
+	_, rest, _ = strings.Cut(rest, `peer = "`)
+	address, _, _ := strings.Cut(rest, `"`)
+	return address
+}
+
+// addInstance writes the settings of an instance.
+func (c *cell) addInstance(dc zone, ip string, k int) {
+	listen, peer := freeAddress(c.t, ip), freeAddress(c.t, ip)
+	exposed := c.net.expose(c.t, dc, peer)
+	platform := c.net.expose(c.t, platformZone, c.platform)
+	var dcs []string
+	for _, z := range c.layout.dataCentres {
+		dcs = append(dcs, fmt.Sprintf("%q", z))
+	}
+	id := fmt.Sprintf("%s-%d", dc, k)
+	var timing strings.Builder
+	for key, v := range c.layout.timing {
+		fmt.Fprintf(&timing, "%s = %d\n", key, v)
+	}
+	settings := fmt.Sprintf(`[dataCentres]
+names = [%s]
+
+[instance]
+name = %q
+dataCentre = %q
+region = "nyugat-hu"
+
+[listen]
+http = %q
+peer = %q
+
+[advertise]
+http = %q
+peer = %q
+
+[platform]
+table = "http://%s/table"
+objects = "http://%s/objects"
+directory = "http://%s/directory"
+
+[timing]
+%s
+`, strings.Join(dcs, ", "), id, dc, listen, peer, listen, exposed, platform, platform, platform, timing.String())
+	c.instances = append(c.instances, &instance{
+		id: descriptor.InstanceID(id), dc: dc, settings: settings, url: "http://" + listen,
+	})
+}
+
+func (c *cell) startInstance(in *instance) {
+	file := filepath.Join(c.t.TempDir(), string(in.id)+".toml")
+	require.NoError(c.t, os.WriteFile(file, []byte(in.settings), 0o600))
+	in.process = start(c.t, string(in.id), "masticlead", "serve", "--config", file)
+}
+
+// of returns the instances of a data centre.
+func (c *cell) of(dc zone) []*instance {
+	var all []*instance
+	for _, in := range c.instances {
+		if in.dc == dc {
+			all = append(all, in)
+		}
+	}
+	return all
+}
+
+func (c *cell) waitLive(in *instance) {
+	c.eventually(string(in.id)+" is live", func() error { return c.ask(in, "/healthz") })
+}
+
+func (c *cell) waitReady(in *instance) {
+	c.eventually(string(in.id)+" is ready", func() error { return c.ask(in, "/readyz") })
+}
+
+// ask reads a path of an instance. A process that has ended fails the test.
+func (c *cell) ask(in *instance, path string) error {
+	select {
+	case <-in.done:
+		require.FailNow(c.t, "instance has ended", "%s: %v", in.id, in.err)
+	default:
+	}
+	return c.get(in.url+path, nil)
+}
+
+// conditionLimit ends a test that waits for something that never comes.
+const conditionLimit = 2 * time.Minute
+
+// eventually waits until the condition holds.
+func (c *cell) eventually(what string, condition func() error) {
+	c.t.Helper()
+	deadline := time.Now().Add(conditionLimit)
+	for {
+		err := condition()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			require.NoError(c.t, err, "waiting until %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// get reads a JSON document.
+func (c *cell) get(url string, v any) error { return c.send(http.MethodGet, url, nil, v) }
+
+// send sends a JSON document and decodes the answer of a 2xx status into v.
+func (c *cell) send(method, url string, body, v any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: status %d: %.300s", method, url, resp.StatusCode, b)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(b, v)
+}
+
+// setFaults switches the faults of a stand-in, by its direct address and path.
+func (c *cell) setFaults(url string, f emulator.Faults) {
+	require.NoError(c.t, c.send(http.MethodPost, url+"/faults", f, nil))
+}
+
+// applyRules puts rules in force through the command line, as an operator does.
+func (c *cell) applyRules(in *instance, expected int, rules string) {
+	c.t.Helper()
+	file := filepath.Join(c.t.TempDir(), "cell.rules")
+	require.NoError(c.t, os.WriteFile(file, []byte(rules), 0o600))
+	c.eventually("rules are applied", func() error {
+		out, err := exec.Command(filepath.Join(binaries, "masticlead"), "rules", "apply", "--server", in.url, "--author", "test",
+			"--expected", fmt.Sprint(expected), file).CombinedOutput()
+		if err != nil {
+			return fmt.Errorf("rules apply: %w: %s", err, out)
+		}
+		return nil
+	})
+}
+
+// histories reads what all targets really ran.
+func (c *cell) histories() map[descriptor.TargetID]emulator.History {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	all := map[descriptor.TargetID]emulator.History{}
+	for _, target := range c.targets {
+		wg.Go(func() {
+			var h emulator.History
+			if err := c.get("http://"+target.Address+"/history", &h); err != nil {
+				c.t.Errorf("history of %s: %v", target.ID, err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all[target.ID] = h
+		})
+	}
+	wg.Wait()
+	return all
+}
--- /dev/null
+++ b/runner/build.go
@@ -0,0 +1,310 @@
+package runner
+
+import (
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/masticlead/masticlead/claimer"
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/dispatcher"
+	"github.com/masticlead/masticlead/distributor"
+	"github.com/masticlead/masticlead/heartbeater"
+	"github.com/masticlead/masticlead/leaser"
+	"github.com/masticlead/masticlead/loader"
+	"github.com/masticlead/masticlead/messenger"
+	"github.com/masticlead/masticlead/parser"
+	"github.com/masticlead/masticlead/placer"
+	"github.com/masticlead/masticlead/router"
+	"github.com/masticlead/masticlead/scheduler"
+	"github.com/masticlead/masticlead/server"
+)
+
+// Connections to each host of the platform, and to each target. A target holds
+// one poll at a time, and start orders need room beside it.
+const (
+	platformConnections = 32
+	targetConnections   = 16
+)
+
+func newLog(s *loader.Settings) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: s.Log.Level}
+	var h slog.Handler = slog.NewTextHandler(os.Stderr, opts)
+	if s.Log.Format == "json" {
+		h = slog.NewJSONHandler(os.Stderr, opts)
+	}
+	return slog.New(h).With("instance", s.Instance.Name)
+}
+
+func newClock() clockwork.Clock { return clockwork.NewRealClock() }
+
+// newRand returns a random source for one part. Sources differ by instance and
+// start, so that the timers of instances that start together spread.
+func newRand(s *loader.Settings, part string) *rand.Rand {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(string(s.Instance.Name) + "/" + part))
+	return rand.New(rand.NewPCG(h.Sum64(), uint64(time.Now().UnixNano())))
+}
+
+// metrics is the root scope and the handler that serves it.
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+}
+
+func newScope(log *slog.Logger) *metrics {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{
+		Registerer: registry, Gatherer: registry,
+		OnRegisterError: func(err error) { log.Warn("runner: metric not registered", "error", err) },
+	})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "masticlead", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, time.Second)
+	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+}
+
+// sourceIP returns the address that outgoing connections come from: the one that
+// peers connect to.
+func sourceIP(s *loader.Settings) string {
+	host, _, err := net.SplitHostPort(s.Listen.Peer)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
+func newPlatform(s *loader.Settings) *connector.Platform {
+	return &connector.Platform{
+		Client:   connector.NewHTTPClient(platformConnections, sourceIP(s)),
+		TableURL: s.Platform.Table, ObjectsURL: s.Platform.Objects, DirectoryURL: s.Platform.Directory,
+	}
+}
+
+// listeners are opened before any part starts, so that a taken address is found
+// at once.
+type listeners struct{ http, peer net.Listener }
+
+func newListeners(s *loader.Settings) (*listeners, error) {
+	h, err := net.Listen("tcp", s.Listen.HTTP)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	p, err := net.Listen("tcp", s.Listen.Peer)
+	if err != nil {
+		_ = h.Close()
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	return &listeners{h, p}, nil
+}
+
+func newMessengerServer(l *listeners, m *metrics, log *slog.Logger) *messenger.Server {
+	return &messenger.Server{Listener: l.peer, Log: log, Scope: m.scope.SubScope("messenger")}
+}
+
+func newPool(s *loader.Settings, m *metrics, log *slog.Logger, c clockwork.Clock) *messenger.Pool {
+	return &messenger.Pool{
+		Self: s.Instance.Name, Log: log, Scope: m.scope.SubScope("messenger"), Clock: c,
+		Rand: newRand(s, "messenger"), Dial: connector.NewDialer(sourceIP(s)).DialContext, MaxQueued: 4096,
+	}
+}
+
+func newScheduler(s *loader.Settings, c clockwork.Clock, m *metrics) *scheduler.Scheduler {
+	return scheduler.New(scheduler.Config{
+		Clock: c, Rand: newRand(s, "scheduler"),
+		Placer: placer.NewPacker(placer.PackerConfig{}),
+		Scope:  m.scope.SubScope("scheduler"),
+	})
+}
+
+func newHeartbeater(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, ms *messenger.Server, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*heartbeater.Heartbeater, *rulesReport) {
+	report := &rulesReport{}
+	h := heartbeater.New(heartbeater.Config{
+		Clock: c, Rand: newRand(s, "heartbeater"),
+		Self: heartbeater.Member{
+			ID: s.Instance.Name, Incarnation: descriptor.Incarnation(time.Now().UnixNano()),
+			DataCentre: s.Instance.DataCentre, PeerAddress: s.Advertise.Peer, HTTPAddress: s.Advertise.HTTP,
+		},
+		DataCentres: s.DataCentres, Directory: p, Pool: pool,
+		Report:    func() (descriptor.RulesVersion, heartbeater.LoadReport) { return report.version(), loadReport(sch) },
+		OnVersion: report.see,
+		Scope:     m.scope.SubScope("heartbeater"), Log: log,
+	})
+	h.Register(ms)
+	return h, report
+}
+
+// loadReport is what this instance tells the others about its load.
+func loadReport(sch *scheduler.Scheduler) heartbeater.LoadReport {
+	l := sch.Load()
+	report := heartbeater.LoadReport{Queued: l.Queued, Running: l.Running, WaitMs: l.Wait.Milliseconds()}
+	if l.Capacity != (descriptor.Resources{}) {
+		report.FreeFraction = max(0, 1-l.Used.DominantShare(l.Capacity))
+	}
+	return report
+}
+
+// rulesReport breaks the cycle between membership, which reports the version of
+// the rules, and their distribution, which needs the members.
+type rulesReport struct{ distributor *distributor.Distributor }
+
+func (r *rulesReport) version() descriptor.RulesVersion {
+	if r.distributor == nil {
+		return 0
+	}
+	v, _, _ := r.distributor.Current()
+	return v
+}
+
+// see passes the rules version of a member on to the distribution.
+func (r *rulesReport) see(from descriptor.InstanceID, v descriptor.RulesVersion) {
+	if r.distributor != nil {
+		r.distributor.SeeVersion(from, v)
+	}
+}
+
+func newDistributor(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, ms *messenger.Server, h *heartbeater.Heartbeater, report *rulesReport, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*distributor.Distributor, *ruleSet) {
+	rules := &ruleSet{}
+	d := distributor.New(distributor.Config{
+		Clock: c, Rand: newRand(s, "distributor"), Table: p, Objects: p, Pool: pool, Members: h.Members,
+		Self: s.Instance.Name, DataCentre: s.Instance.DataCentre, DataCentres: s.DataCentres,
+		Parse: parseRules(s.DataCentres),
+		OnInstall: func(r *descriptor.Rules) {
+			rules.current.Store(r)
+			sch.SetRules(r)
+		},
+		Scope: m.scope.SubScope("distributor"), Log: log,
+	})
+	d.Register(ms)
+	report.distributor = d
+	return d, rules
+}
+
+// parseRules returns the parser of rules files of a cell with the given data
+// centres.
+func parseRules(dcs []descriptor.DataCentreID) func(descriptor.RulesVersion, []byte) (*descriptor.Rules, error) {
+	return func(v descriptor.RulesVersion, body []byte) (*descriptor.Rules, error) {
+		rules, err := parser.ParseFor(dcs, fmt.Sprintf("rules version %d", v), body)
+		if err != nil {
+			return nil, err
+		}
+		rules.Version = v
+		return rules, nil
+	}
+}
+
+func newLeaser(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *leaser.Leaser {
+	return leaser.New(leaser.Config{
+		Clock: c, Rand: newRand(s, "leaser"), Table: p, Peers: &peers{pool, h},
+		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, PeerAddress: s.Advertise.Peer,
+		Lease: s.Timing.Lease, Renewal: s.Timing.Renewal, Promise: s.Timing.Promise, MaxExtension: s.Timing.MaxExtension,
+		Alive: func() []descriptor.InstanceID { return aliveIDs(h, s.Instance.DataCentre) },
+		Scope: m.scope.SubScope("leaser"), Log: log,
+	})
+}
+
+func aliveIDs(h *heartbeater.Heartbeater, dc descriptor.DataCentreID) []descriptor.InstanceID {
+	var ids []descriptor.InstanceID
+	for _, m := range h.Members(dc) {
+		if m.State == heartbeater.Alive {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// liveInstances counts the instances of all data centres that are known to live;
+// at least this one.
+func liveInstances(s *loader.Settings, h *heartbeater.Heartbeater) int {
+	n := 0
+	for _, dc := range s.DataCentres {
+		n += len(aliveIDs(h, dc))
+	}
+	return max(1, n)
+}
+
+func newClaimer(s *loader.Settings, c clockwork.Clock, p *connector.Platform, l *leaser.Leaser, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *claimer.Claimer {
+	return claimer.New(claimer.Config{
+		Clock: c, Table: p, Session: l.Session, DataCentre: s.Instance.DataCentre,
+		Instances: func() int { return liveInstances(s, h) }, WritesPerSecond: float64(s.Limits.StoreWritesPerSecond),
+		Scope: m.scope.SubScope("claimer"), Log: log,
+	})
+}
+
+func newDispatcher(s *loader.Settings, c clockwork.Clock, sch *scheduler.Scheduler, l *leaser.Leaser, cl *claimer.Claimer, pool *messenger.Pool, ms *messenger.Server, h *heartbeater.Heartbeater, p *connector.Platform, rules *ruleSet, m *metrics, log *slog.Logger) *dispatcher.Dispatcher {
+	d := dispatcher.New(dispatcher.Config{
+		Clock: c, Self: s.Instance.Name, DataCentre: s.Instance.DataCentre, Scheduler: sch, Owners: l, Claims: cl,
+		Peers: &peers{pool, h}, Directory: p, Dialer: &connector.HTTPDialer{Client: connector.NewHTTPClient(targetConnections, sourceIP(s))},
+		Rules: rules.current.Load, Loads: func() []dispatcher.PeerLoad { return peerLoads(s, h) },
+		Scope: m.scope.SubScope("dispatcher"), Log: log, TaskLease: s.Timing.TaskLease,
+	})
+	registerPeers(ms, l, d)
+	return d
+}
+
+// peerLoads returns the load of the other live instances of the data centre.
+func peerLoads(s *loader.Settings, h *heartbeater.Heartbeater) []dispatcher.PeerLoad {
+	var loads []dispatcher.PeerLoad
+	for _, m := range h.Members(s.Instance.DataCentre) {
+		if m.ID != s.Instance.Name && m.State == heartbeater.Alive {
+			loads = append(loads, dispatcher.PeerLoad{ID: m.ID, FreeFraction: m.Load.FreeFraction, Queued: m.Load.Queued})
+		}
+	}
+	return loads
+}
+
+func newRouter(s *loader.Settings, c clockwork.Clock, d *dispatcher.Dispatcher, h *heartbeater.Heartbeater, l *leaser.Leaser, pool *messenger.Pool, ms *messenger.Server, rules *ruleSet, m *metrics, log *slog.Logger) *router.Router {
+	r := router.New(router.Config{
+		Clock: c, Rand: newRand(s, "router"), Self: s.Instance.Name, DataCentre: s.Instance.DataCentre,
+		DataCentres: s.DataCentres, Local: d, Members: h, Owner: l.Owner, Pool: pool, Rules: rules.current.Load,
+		Scope: m.scope.SubScope("router"), Log: log, Takeover: s.Timing.Lease + s.Timing.Renewal,
+	})
+	r.Register(ms)
+	return r
+}
+
+func newServer(l *listeners, r *router.Router, o *operator, hc *health, m *metrics, s *loader.Settings, log *slog.Logger) *server.Server {
+	return &server.Server{
+		Listener: l.http, Requests: r, Rules: o, Cell: o, Health: hc, Metrics: m.handler,
+		Scope: m.scope.SubScope("server"), Log: log, Limits: serverLimits(s),
+	}
+}
+
+// serverLimits returns the limits of the HTTP API; those that the settings don't
+// have take the defaults of the server.
+func serverLimits(s *loader.Settings) server.Limits {
+	return server.Limits{
+		BodyBytes: int64(s.Limits.BodyBytes), HeaderBytes: int(s.Limits.HeaderBytes),
+		RequestsInProgress: s.Limits.RequestsInProgress, Connections: s.Limits.Connections,
+		Read: s.Timing.Read, Idle: s.Timing.Idle, MaxWait: s.Timing.MaxWait,
+		Drain: s.Timing.Drain, Shutdown: s.Timing.Shutdown,
+	}
+}
+
+func newLifetime(s *loader.Settings, ms *messenger.Server, pool *messenger.Pool, h *heartbeater.Heartbeater, dist *distributor.Distributor, l *leaser.Leaser, cl *claimer.Claimer, d *dispatcher.Dispatcher, r *router.Router, srv *server.Server, hc *health, log *slog.Logger) *lifetime {
+	return &lifetime{
+		parts: []part{
+			{"messenger", ms.Run, func() error { return joinClose(pool.Close, ms.Close) }},
+			{"heartbeater", h.Run, h.Close},
+			{"distributor", dist.Run, dist.Close},
+			{"dispatcher", d.Run, d.Close},
+			{"router", r.Run, r.Close},
+			{"server", srv.Run, srv.Close},
+		},
+		// Outcomes are written before the session ends, since it is their fence.
+		release: []part{{"claimer", cl.Run, cl.Close}, {"leaser", l.Run, l.Close}},
+		drain:   d.Drain, health: hc, log: log, shutdown: s.Timing.Shutdown,
+	}
+}
--- /dev/null
+++ b/runner/operate.go
@@ -0,0 +1,211 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/dispatcher"
+	"github.com/masticlead/masticlead/distributor"
+	"github.com/masticlead/masticlead/heartbeater"
+	"github.com/masticlead/masticlead/leaser"
+	"github.com/masticlead/masticlead/loader"
+	"github.com/masticlead/masticlead/messenger"
+	"github.com/masticlead/masticlead/server"
+)
+
+// ruleSet holds the rules in force; nil until there are any.
+type ruleSet struct {
+	current atomic.Pointer[descriptor.Rules]
+}
+
+// health says whether the instance can serve callers.
+type health struct {
+	stopping   atomic.Bool
+	rules      *ruleSet
+	dispatcher *dispatcher.Dispatcher
+}
+
+func newHealth(rules *ruleSet, d *dispatcher.Dispatcher) *health {
+	return &health{rules: rules, dispatcher: d}
+}
+
+// Ready implements server.Health.
+func (h *health) Ready() error {
+	switch {
+	case h.stopping.Load():
+		return errors.New("instance is shutting down")
+	case h.rules.current.Load() == nil:
+		return errors.New("no rules are in force yet")
+	}
+	if recovered, owned := h.dispatcher.Recovered(); recovered < owned {
+		return fmt.Errorf("%d of %d slices are recovering", owned-recovered, owned)
+	}
+	return nil
+}
+
+// Live implements server.Health.
+func (h *health) Live() error { return nil }
+
+// leftOver names the requests that have no outcome.
+func (h *health) leftOver() string {
+	waiting, running := h.dispatcher.Open()
+	return fmt.Sprintf("%d requests waiting, %d running", waiting, running)
+}
+
+// operator answers the operators' calls.
+type operator struct {
+	settings    *loader.Settings
+	distributor *distributor.Distributor
+	members     *heartbeater.Heartbeater
+	dispatcher  *dispatcher.Dispatcher
+	leaser      *leaser.Leaser
+	pool        *messenger.Pool
+}
+
+// Current implements server.Rules.
+func (o *operator) Current() server.RulesInfo {
+	version, body, since := o.distributor.Current()
+	return server.RulesInfo{Version: version, Body: string(body), Applied: since}
+}
+
+// Check implements server.Rules.
+func (o *operator) Check(body []byte) error {
+	_, err := parseRules(o.settings.DataCentres)(0, body)
+	return err
+}
+
+// Apply implements server.Rules.
+func (o *operator) Apply(ctx context.Context, expected descriptor.RulesVersion, author string, body []byte) (descriptor.RulesVersion, error) {
+	if err := o.Check(body); err != nil {
+		return 0, err
+	}
+	v, err := o.distributor.Apply(ctx, expected, author, body)
+	var conflict *distributor.ConflictError
+	if errors.As(err, &conflict) {
+		return 0, &server.ConflictError{
+			Expected: expected,
+			Current:  server.RulesInfo{Version: conflict.Current, Author: conflict.Author},
+		}
+	}
+	return v, err
+}
+
+// History implements server.Rules.
+func (o *operator) History(ctx context.Context, limit int) ([]server.RulesInfo, error) {
+	versions, err := o.distributor.History(ctx, limit)
+	if err != nil {
+		return nil, err
+	}
+	infos := make([]server.RulesInfo, 0, len(versions))
+	for _, v := range versions {
+		infos = append(infos, server.RulesInfo{Version: v.Version, Hash: v.Hash, Author: v.Author, Applied: v.Applied()})
+	}
+	return infos, nil
+}
+
+// Status implements server.Rules.
+func (o *operator) Status(context.Context) ([]server.RulesStatus, error) {
+	var all []server.RulesStatus
+	for _, dc := range o.settings.DataCentres {
+		reachable := dc == o.settings.Instance.DataCentre || o.members.Reachable(dc)
+		for _, m := range o.members.Members(dc) {
+			all = append(all, server.RulesStatus{
+				Instance: m.ID, DataCentre: dc, Version: m.Rules, Since: m.RulesSince,
+				Reachable: reachable && m.State != heartbeater.Suspect,
+			})
+		}
+	}
+	return all, nil
+}
+
+// Instances implements server.Cell.
+func (o *operator) Instances(context.Context) ([]server.InstanceInfo, error) {
+	slices := map[descriptor.InstanceID]int{}
+	for s := range descriptor.SliceID(descriptor.SliceCount) {
+		if id, _, ok := o.leaser.Owner(s); ok {
+			slices[id]++
+		}
+	}
+	var all []server.InstanceInfo
+	for _, dc := range o.settings.DataCentres {
+		for _, m := range o.members.Members(dc) {
+			all = append(all, server.InstanceInfo{
+				ID: m.ID, DataCentre: dc, Incarnation: m.Incarnation, State: m.State.String(), PeerAddress: m.PeerAddress,
+				Version: m.Rules, Slices: slices[m.ID], Queued: m.Load.Queued, Running: m.Load.Running,
+			})
+		}
+	}
+	return all, nil
+}
+
+const methodTargets messenger.Method = "targets.list"
+
+// targetsRequest asks an instance for the targets that it owns.
+type targetsRequest struct{}
+
+// targetsReply lists them.
+type targetsReply struct {
+	Targets []dispatcher.TargetInfo `json:"targets"`
+}
+
+// Targets implements server.Cell. It asks the live instances of this data
+// centre, since each knows only its own targets.
+func (o *operator) Targets(ctx context.Context) ([]server.TargetInfo, error) {
+	all := describeTargets(o.settings.Instance.Name, o.dispatcher.Targets())
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	var failed error
+	for _, m := range o.members.Members(o.settings.Instance.DataCentre) {
+		if m.ID == o.settings.Instance.Name {
+			continue
+		}
+		reply, err := messenger.Call[targetsRequest, targetsReply](ctx, o.pool, m.PeerAddress, methodTargets, targetsRequest{})
+		if err != nil {
+			failed = errors.Join(failed, fmt.Errorf("instance %s: %w", m.ID, err))
+			continue
+		}
+		all = append(all, describeTargets(m.ID, reply.Targets)...)
+	}
+	if len(all) == 0 && failed != nil {
+		return nil, failed
+	}
+	return all, nil
+}
+
+func describeTargets(owner descriptor.InstanceID, targets []dispatcher.TargetInfo) []server.TargetInfo {
+	infos := make([]server.TargetInfo, 0, len(targets))
+	for _, t := range targets {
+		state := "placeable"
+		switch {
+		case !t.Reached:
+			state = "unreachable"
+		case t.Leaving:
+			state = "leaving"
+		}
+		infos = append(infos, server.TargetInfo{
+			ID: t.ID, DataCentre: t.DataCentre, Rack: t.Rack, Owner: owner, State: state, Capacity: t.Capacity, Used: t.Used,
+		})
+	}
+	return infos
+}
+
+func newOperator(s *loader.Settings, dist *distributor.Distributor, h *heartbeater.Heartbeater, d *dispatcher.Dispatcher, l *leaser.Leaser, pool *messenger.Pool, ms *messenger.Server) *operator {
+	o := &operator{s, dist, h, d, l, pool}
+	messenger.Handle(ms, methodTargets, func(context.Context, descriptor.InstanceID, targetsRequest) (targetsReply, error) {
+		return targetsReply{d.Targets()}, nil
+	})
+	return o
+}
+
+// joinClose closes in order and returns all errors.
+func joinClose(closers ...func() error) error {
+	var errs []error
+	for _, c := range closers {
+		errs = append(errs, c())
+	}
+	return errors.Join(errs...)
+}
