dispatcher: withdraw the claims of waiting requests before a handover

Cause: a non-idempotent request that was claimed and still waited when its slice was handed over left a claim without an outcome. The next owner could not tell that nothing had been started, so the caller got 'unknown' for ever. Change: a drain withdraws these claims while the session that fences them still exists, and waits until outcomes are durable; a slice that is lost otherwise has its claims withdrawn in the background. A claim that stays without an outcome becomes a final 'unknown' after the task lease and 10 s. The detector of bad targets is wired to the placement policy.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -142,6 +142,7 @@
 	recoverNow chan struct{}
 	guests     guests
 	offered    atomic.Int64
+	recording  atomic.Int64 // outcomes that are being made durable
 }
 
 // New returns a dispatcher that does nothing until Run.
@@ -224,9 +225,12 @@
 	d.stopWorkers(func(t descriptor.TargetID) bool { return t.Slice() == s })
 	for _, r := range d.shards[s].lose() {
 		d.cfg.Scheduler.Cancel(r.request.Key)
-		r.move()
+		unstarted := r.move()
+		if unstarted && r.claim != nil {
+			d.wg.Go(func() { d.withdraw(r) })
+		}
 	}
-	d.cfg.Log.Info("dispatcher: slice lost", "slice", s)
+	d.cfg.Log.Debug("dispatcher: slice lost", "slice", s)
 }
 
 func (d *Dispatcher) wakeRecovery() {
@@ -419,15 +423,17 @@
 	return d.draining
 }
 
-// Drain takes no new work and waits until no request is left, or ctx ends. It
-// returns an error that counts what is left.
+// Drain takes no new work, withdraws the claims of requests that still wait, and
+// waits until nothing is running, or ctx ends. It returns an error that counts
+// what is left.
 func (d *Dispatcher) Drain(ctx context.Context) error {
 	d.mu.Lock()
 	d.draining = true
 	d.mu.Unlock()
+	d.releaseClaimed()
 	for {
 		waiting, running := d.Open()
-		if running == 0 {
+		if running == 0 && d.recording.Load() == 0 {
 			return nil
 		}
 		select {
@@ -438,6 +444,28 @@
 	}
 }
 
+// releaseClaimed lets go of the non-idempotent requests that still wait, while
+// this instance has the session that its claims are fenced by. Otherwise the next
+// owner would find a claim without an outcome, and could not tell that nothing
+// was started under it.
+func (d *Dispatcher) releaseClaimed() {
+	var wg sync.WaitGroup
+	for i := range d.shards {
+		sh := &d.shards[i]
+		for _, r := range sh.claimedWaiting() {
+			if !d.cfg.Scheduler.Cancel(r.request.Key) && !r.idleAtHosts() {
+				continue
+			}
+			wg.Go(func() {
+				d.withdraw(r)
+				d.forget(r)
+				r.move()
+			})
+		}
+	}
+	wg.Wait()
+}
+
 // Open returns the number of requests without an outcome.
 func (d *Dispatcher) Open() (waiting, running int) {
 	for i := range d.shards {
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -99,14 +99,24 @@
 }
 
 // move tells the waiting submitters that another instance owns the request now.
-func (r *record) move() {
+// It reports whether no task of the request can have run.
+func (r *record) move() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isDone() {
-		return
+		return false
 	}
 	r.moved = true
 	close(r.done)
+	return r.unstarted != nil
+}
+
+// idleAtHosts reports whether the request waits only at hosts that it was
+// offered to.
+func (r *record) idleAtHosts() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.spilled && r.settled()
 }
 
 func (r *record) isDone() bool {
@@ -244,6 +254,22 @@
 	return waiting, running
 }
 
+// claimedWaiting returns the records of non-idempotent requests of which no task
+// can have run.
+func (s *shard) claimedWaiting() []*record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var waiting []*record
+	for _, r := range s.records {
+		r.mu.Lock()
+		if r.claim != nil && r.unstarted != nil && !r.isDone() {
+			waiting = append(waiting, r)
+		}
+		r.mu.Unlock()
+	}
+	return waiting
+}
+
 // keepOutcome lets the record age. A refused request is forgotten at once, so
 // that it can be sent again.
 func (s *shard) keepOutcome(r *record) {
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/masticlead/masticlead/claimer"
 	"github.com/masticlead/masticlead/connector"
 	"github.com/masticlead/masticlead/descriptor"
 )
@@ -107,7 +108,7 @@
 		d.cfg.Scope.Counter("requests_joined").Inc(1)
 		return old, nil
 	}
-	if _, ok := d.cfg.Owners.Grant(sh.slice); !ok || !sh.owned {
+	if _, ok := d.cfg.Owners.Grant(sh.slice); !ok || !sh.owned || d.isDraining() {
 		sh.mu.Unlock()
 		return nil, ErrNotOwner
 	}
@@ -322,10 +323,7 @@
 	if c.err == nil && c.won {
 		return
 	}
-	r.mu.Lock()
-	idle := r.spilled && r.settled()
-	r.mu.Unlock()
-	if d.cfg.Scheduler.Cancel(r.request.Key) || idle {
+	if d.cfg.Scheduler.Cancel(r.request.Key) || r.idleAtHosts() {
 		d.endUnclaimed(r)
 	}
 }
@@ -342,23 +340,43 @@
 		})
 		return
 	}
-	o := descriptor.Undetermined(descriptor.Refusal{
-		Reason: descriptor.ReasonRecovering, RetryAfter: 5 * time.Second,
-		Detail: fmt.Sprintf("claimed by instance %s, which left no outcome", c.existing.Holder.Instance),
-	})
 	if c.existing.Outcome != nil {
-		o = *c.existing.Outcome
+		d.finishUnclaimed(r, *c.existing.Outcome)
+		d.shards[r.request.Slice()].keepOutcome(r)
+		return
 	}
+	f := descriptor.Refusal{
+		Reason: descriptor.ReasonRecovering, RetryAfter: 2 * time.Second,
+		Detail: fmt.Sprintf("claimed by instance %s, which left no outcome", c.existing.Holder.Instance),
+	}
+	// The slice has been recovered, so no task of the request is known to any
+	// target. The holder may still withdraw the claim for a while.
+	age := d.cfg.Clock.Now().Sub(time.UnixMilli(c.existing.ClaimedMs))
+	final := age > d.cfg.TaskLease+claimSettleTime
+	if final {
+		f.RetryAfter = 0
+	}
+	o := descriptor.Undetermined(f)
+	d.finishUnclaimed(r, o)
+	if !final {
+		d.forget(r)
+		return
+	}
+	d.shards[r.request.Slice()].keepOutcome(r)
+	d.wg.Go(func() { d.recordOutcome(r, o) })
+}
+
+// claimSettleTime is how long a claim whose holder lost its slice may still get an
+// outcome or be withdrawn.
+const claimSettleTime = 10 * time.Second
+
+// finishUnclaimed ends a request with the outcome of another claim.
+func (d *Dispatcher) finishUnclaimed(r *record, o descriptor.Outcome) {
 	r.mu.Lock()
 	r.finish(o, d.cfg.Clock.Now())
 	r.mu.Unlock()
 	d.cfg.Scheduler.Done(r.request.Key)
 	d.cfg.Scope.Tagged(map[string]string{"outcome": o.Kind().String()}).Counter("outcomes").Inc(1)
-	if c.existing.Outcome != nil {
-		d.shards[r.request.Slice()].keepOutcome(r)
-		return
-	}
-	d.forget(r)
 }
 
 // forgetRan drops the record of a request that has run without a result, so that
@@ -386,6 +404,11 @@
 // of the next submission.
 func (d *Dispatcher) withdrawClaim(r *record) {
 	defer d.forget(r)
+	d.withdraw(r)
+}
+
+// withdraw removes the claim of a request of which no task can have run.
+func (d *Dispatcher) withdraw(r *record) {
 	select {
 	case <-r.claim.done:
 	case <-d.ctx.Done():
@@ -405,11 +428,13 @@
 // recordOutcome makes the outcome of non-idempotent work durable. It tries for
 // as long as the outcome is kept in memory.
 func (d *Dispatcher) recordOutcome(r *record, o descriptor.Outcome) {
+	d.recording.Add(1)
+	defer d.recording.Add(-1)
 	for wait := time.Second; wait < outcomeRetention; wait *= 2 {
 		ctx, cancel := context.WithTimeout(d.ctx, 10*time.Second)
 		err := d.cfg.Claims.Record(ctx, r.request.Key, o)
 		cancel()
-		if err == nil {
+		if err == nil || errors.Is(err, claimer.ErrRecorded) || errors.Is(err, connector.ErrNotFound) {
 			return
 		}
 		d.cfg.Scope.Counter("outcome_record_retries").Inc(1)
--- a/runner/build.go
+++ b/runner/build.go
@@ -15,9 +15,11 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/masticlead/masticlead/admitter"
 	"github.com/masticlead/masticlead/claimer"
 	"github.com/masticlead/masticlead/connector"
 	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/detector"
 	"github.com/masticlead/masticlead/dispatcher"
 	"github.com/masticlead/masticlead/distributor"
 	"github.com/masticlead/masticlead/heartbeater"
@@ -122,10 +124,13 @@
 }
 
 func newScheduler(s *loader.Settings, c clockwork.Clock, m *metrics) *scheduler.Scheduler {
+	q := newQuarantine(placer.NewPacker(placer.PackerConfig{}), detector.New(detector.Config{Scope: m.scope.SubScope("detector")}))
 	return scheduler.New(scheduler.Config{
-		Clock: c, Rand: newRand(s, "scheduler"),
-		Placer: placer.NewPacker(placer.PackerConfig{}),
-		Scope:  m.scope.SubScope("scheduler"),
+		Clock: c, Rand: newRand(s, "scheduler"), Placer: q, Detector: q, Scope: m.scope,
+		Bounds: admitter.Bounds{
+			Requests: s.Limits.QueuedRequests, Bytes: s.Limits.QueuedBytes,
+			CallerRequests: s.Limits.CallerQueuedRequests, CallerBytes: s.Limits.CallerQueuedBytes,
+		},
 	})
 }
 
