--- a/leaser/harness_test.go
+++ b/leaser/harness_test.go
@@ -112,6 +112,8 @@
 	rng   *rand.Rand
 	// settings is the template of each process' settings.
 	settings Config
+	// wrapPeers changes the peers of the processes to be started.
+	wrapPeers func(Peers) Peers
 
 	mu       sync.Mutex
 	running  map[descriptor.InstanceID]*process
@@ -154,6 +156,9 @@
 	cfg.Rand = rand.New(rand.NewPCG(c.rng.Uint64(), 3))
 	cfg.Table = p.client
 	cfg.Peers = &fakePeers{cell: c, from: name}
+	if c.wrapPeers != nil {
+		cfg.Peers = c.wrapPeers(cfg.Peers)
+	}
 	cfg.Instance = name
 	p.leaser = New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
