measurer: gangs come from a team of their own

Cause: since the sequencer orders callers of a team by use, gangs of a quarter of the cell wait for their callers' turn; the scenario is to measure placement. Bounds unchanged.

--- a/measurer/gang.go
+++ b/measurer/gang.go
@@ -64,7 +64,7 @@
 		Run: g.smallRun, Declare: g.declare, Rate: Constant(smallRate), MaxRate: smallRate, Resources: smallNeed,
 	}
 	gang := Flow{
-		Kind: "wiringPlan", Policy: descriptor.Gang, Team: OneTeam("fitters"), Caller: SomeCaller("admin", 20),
+		Kind: "wiringPlan", Policy: descriptor.Gang, Team: OneTeam("administrators"), Caller: SomeCaller("admin", 20),
 		Run: Around(gangRun), Declare: g.declare, Resources: g.need,
 	}
 	jobs := append(Generate(rnd, 0, gangEnd, small), g.gangs(rnd, gang, gangRate)...)
