placer: larger shards and fewer cache lines per decision

Cause: at 27,000 targets decisions searched four shards and touched cold memory. Change: shards of 16,384 targets, list places in one array, hot fields together.

--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -9,10 +9,10 @@
 // node is a target with what is in use on it. Used may exceed the capacity
 // after Take; Place then finds no room on it.
 type node struct {
-	target   descriptor.Target
-	capacity descriptor.Resources
-	used     descriptor.Resources
 	state    TargetState
+	used     descriptor.Resources
+	capacity descriptor.Resources
+	target   descriptor.Target
 }
 
 func (n *node) free() descriptor.Resources { return n.capacity.Sub(n.used) }
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -11,7 +11,7 @@
 // shardSize is the number of targets of a shard. A search has to look into each
 // shard that may have room, so a larger shard costs less when the cell is nearly
 // full; a smaller one makes parallel decisions wait less for its lock.
-const shardSize = 8192
+const shardSize = 16384
 
 // moment is a time in nanoseconds since 1970. It holds no pointer, unlike
 // time.Time, so that the garbage collector need not scan the tasks of a cell.
@@ -35,16 +35,16 @@
 
 // slot is a target in the index. It is guarded by the lock of its shard.
 type slot struct {
-	node
 	shard *shard
 	pos   int
-	place int32 // in the list of its class
 	tasks []runningTask
 	// held is the reservation that names this target, or nil. It changes only
 	// under the exclusive lock of the packer.
 	held *hold
 	// probes is the number of tasks that the slot takes while it is probed.
 	probes int
+	// node comes last, so that the fields of a decision share cache lines.
+	node
 }
 
 // order numbers the slots.
@@ -89,6 +89,8 @@
 	// memory.
 	avail []descriptor.Resources
 	slots []*slot
+	// places holds the place of each target in the list of its class.
+	places []int32
 	// classes indexes the targets whose avail isn't below zero.
 	classes classes
 	// largest is an upper bound of the amounts in avail.
@@ -117,6 +119,7 @@
 	s := &slot{shard: sh, pos: len(sh.slots)}
 	sh.slots = append(sh.slots, nil)
 	sh.avail = append(sh.avail, closed)
+	sh.places = append(sh.places, 0)
 	return s
 }
 
@@ -128,7 +131,7 @@
 		now = s.free()
 	}
 	sh.avail[pos] = now
-	sh.move(s, before, now)
+	sh.move(pos, before, now)
 	if !now.Fits(before) {
 		sh.madeRoom(now)
 	}
@@ -139,7 +142,7 @@
 }
 
 // move changes the class of a slot.
-func (sh *shard) move(s *slot, before, now descriptor.Resources) {
+func (sh *shard) move(pos int, before, now descriptor.Resources) {
 	was, is := !before.IsNegative(), !now.IsNegative()
 	var old, next class
 	if was {
@@ -152,12 +155,12 @@
 		return
 	}
 	if was {
-		if moved := sh.classes.remove(old, s.place); moved >= 0 {
-			sh.slots[moved].place = s.place
+		if moved := sh.classes.remove(old, sh.places[pos]); moved >= 0 {
+			sh.places[moved] = sh.places[pos]
 		}
 	}
 	if is {
-		s.place = sh.classes.insert(next, int32(s.pos))
+		sh.places[pos] = sh.classes.insert(next, int32(pos))
 	}
 }
 
