dispatcher: stop renewing leases at a target that does not answer

Each renewal may take effect unseen, so every failed attempt moved the latest possible end of the tasks, and work on a dead target was never known to have ended. Change: a target without an answer for half a task lease gets no renewals. Conclusion: work on a lost target is settled one task lease after its last renewal.

--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,257 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/claimer"
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/emulator"
+)
+
+// TestSecondSubmissionJoins guards against a resent request that runs twice.
+func TestSecondSubmissionJoins(t *testing.T) {
+	c := newTestCell(t, 2)
+	d := c.add("a", nil)
+	c.give("a", all)
+	s := c.submission("r1", "plan", emulator.Work{RunMs: 50})
+	first, err := d.Begin(context.Background(), s)
+	require.NoError(t, err)
+	second := c.submit(d, s)
+	<-first.Done()
+	o, err := first.Result()
+	require.NoError(t, err)
+	require.Equal(t, descriptor.Completed, o.Kind())
+	require.Equal(t, o, second)
+	require.Equal(t, o, c.submit(d, s), "a late submission gets the kept outcome")
+	require.Len(t, c.runs(s.Key), 1)
+}
+
+// TestLostStartAnswer guards against a start order that is sent again elsewhere
+// although the first one took effect.
+func TestLostStartAnswer(t *testing.T) {
+	for _, kind := range []string{"plan", "settlement"} {
+		c := newTestCell(t, 3)
+		d := c.add("a", nil)
+		c.give("a", all)
+		c.submit(d, c.submission("warm", "plan", emulator.Work{RunMs: 1}))
+		c.setFaults(emulator.Faults{LoseAnswers: 1})
+		s := c.submission("r1", kind, emulator.Work{RunMs: 100})
+		require.Equal(t, descriptor.Completed, c.submit(d, s).Kind(), kind)
+		require.Len(t, c.runs(s.Key), 1, kind)
+	}
+}
+
+// lateDialer delays the first start order beyond its start deadline, as a pause
+// of the process between the check of the grant and the send does.
+type lateDialer struct {
+	connector.Dialer
+	delay time.Duration
+	once  chan struct{}
+}
+
+type lateConn struct {
+	connector.TargetConn
+	d *lateDialer
+}
+
+func (d *lateDialer) Dial(t descriptor.Target) connector.TargetConn {
+	return &lateConn{d.Dialer.Dial(t), d}
+}
+
+func (c *lateConn) Start(ctx context.Context, o connector.StartOrder) (connector.TargetStatus, error) {
+	select {
+	case c.d.once <- struct{}{}:
+		time.Sleep(c.d.delay)
+		ctx = context.WithoutCancel(ctx)
+	default:
+	}
+	return c.TargetConn.Start(ctx, o)
+}
+
+// TestPausedSenderStartsNothing guards against an order that starts after the
+// grant under which it was sent has ended.
+func TestPausedSenderStartsNothing(t *testing.T) {
+	c := newTestCell(t, 2)
+	dialer := &lateDialer{
+		Dialer: &connector.HTTPDialer{Client: connector.NewHTTPClient(16, "")},
+		delay:  time.Second, once: make(chan struct{}, 1),
+	}
+	d := c.add("a", dialer)
+	c.give("a", all)
+	s := c.submission("r1", "plan", emulator.Work{RunMs: 20})
+	require.Equal(t, descriptor.Completed, c.submit(d, s).Kind())
+	require.Len(t, c.runs(s.Key), 1)
+	late := 0
+	for _, target := range c.cell.Targets {
+		late += target.History().LateOrders
+	}
+	require.LessOrEqual(t, late, 1)
+}
+
+// TestNothingStartsWithoutGrant guards against starts by an instance whose lease
+// has lapsed.
+func TestNothingStartsWithoutGrant(t *testing.T) {
+	c := newTestCell(t, 2)
+	d := c.add("a", nil)
+	c.give("a", all)
+	c.submit(d, c.submission("warm", "plan", emulator.Work{RunMs: 1}))
+	s := c.submission("r1", "plan", emulator.Work{RunMs: 1})
+	c.owners.suspend("a", true)
+	_, err := d.Begin(context.Background(), s)
+	require.ErrorIs(t, err, ErrNotOwner)
+	c.owners.suspend("a", false)
+	require.Equal(t, descriptor.Completed, c.submit(d, s).Kind())
+	require.Len(t, c.runs(s.Key), 1)
+}
+
+// TestNextOwnerFindsRunningWork guards against work that is started anew, or an
+// answer that is lost, when its owner dies.
+func TestNextOwnerFindsRunningWork(t *testing.T) {
+	for _, kind := range []string{"plan", "settlement", "stairwell"} {
+		c := newTestCell(t, 3)
+		a := c.add("a", nil)
+		c.give("a", all)
+		running := c.submission("running", kind, emulator.Work{RunMs: 1500})
+		ended := c.submission("ended", kind, emulator.Work{RunMs: 1})
+		require.Equal(t, descriptor.Completed, c.submit(a, ended).Kind())
+		_, err := a.Begin(context.Background(), running)
+		require.NoError(t, err)
+		tasks := c.rules.Kinds[running.Kind].Tasks
+		c.eventually(func() bool { return len(c.runs(running.Key)) == tasks })
+		c.crash("a")
+
+		b := c.add("b", nil)
+		c.give("b", all)
+		require.Equal(t, descriptor.Completed, c.submit(b, running).Kind(), kind)
+		require.Equal(t, descriptor.Completed, c.submit(b, ended).Kind(), kind)
+		require.Len(t, c.runs(running.Key), tasks, kind)
+		require.Len(t, c.runs(ended.Key), tasks, kind)
+	}
+}
+
+// TestNoRefusalAfterARun guards against a refusal of work of which an earlier
+// owner's attempt has run and expired.
+func TestNoRefusalAfterARun(t *testing.T) {
+	c := newTestCell(t, 1)
+	a := c.add("a", nil)
+	c.give("a", all)
+	s := c.submission("r1", "plan", emulator.Work{RunMs: 60_000})
+	again := c.submission("r2", "plan", emulator.Work{RunMs: 60_000})
+	for _, sub := range []Submission{s, again} {
+		_, err := a.Begin(context.Background(), sub)
+		require.NoError(t, err)
+		c.eventually(func() bool { return len(c.runs(sub.Key)) == 1 })
+	}
+	c.crash("a")
+	c.eventually(func() bool { return c.runs(s.Key)[0].State.Ended() && c.runs(again.Key)[0].State.Ended() })
+
+	b := c.add("b", nil)
+	c.give("b", all)
+	s.Kind = "unknownKind"
+	require.Equal(t, descriptor.Failed, c.submit(b, s).Kind())
+	again.Payload = nil
+	require.Equal(t, descriptor.Completed, c.submit(b, again).Kind(), "idempotent work may run again")
+}
+
+// TestClaimDecides guards against non-idempotent work that starts without a
+// durable claim of its own.
+func TestClaimDecides(t *testing.T) {
+	c := newTestCell(t, 2)
+	d := c.add("a", nil)
+	c.give("a", all)
+	s := c.submission("r1", "settlement", emulator.Work{RunMs: 1})
+
+	c.claimers["a"].err = connector.ErrUnavailable
+	o := c.submit(d, s)
+	require.Equal(t, descriptor.Refused, o.Kind())
+	require.Equal(t, descriptor.ReasonStoreUnavailable, o.Reason())
+	require.Positive(t, o.RetryAfter())
+	c.claimers["a"].err = nil
+
+	c.claims[s.Key] = claimer.Claim{Holder: claimer.Holder{Instance: "gone"}, ClaimedMs: time.Now().UnixMilli()}
+	o = c.submit(d, s)
+	require.Equal(t, descriptor.Unknown, o.Kind())
+	require.Positive(t, o.RetryAfter(), "the holder may still settle its claim")
+	c.claims[s.Key] = claimer.Claim{Holder: claimer.Holder{Instance: "gone"}, ClaimedMs: time.Now().Add(-time.Hour).UnixMilli()}
+	o = c.submit(d, s)
+	require.Equal(t, descriptor.Unknown, o.Kind())
+	require.Zero(t, o.RetryAfter(), "an old claim without an outcome stays unknown")
+	require.Empty(t, c.runs(s.Key))
+}
+
+// TestLostTarget guards against work that waits for ever for a target that has
+// died, and against idempotent work that runs elsewhere before its lease ended.
+func TestLostTarget(t *testing.T) {
+	c := newTestCell(t, 2)
+	d := c.add("a", nil)
+	c.give("a", all)
+	plan := c.submission("r1", "plan", emulator.Work{RunMs: 4000})
+	settlement := c.submission("r2", "settlement", emulator.Work{RunMs: 4000})
+	_, err := d.Begin(context.Background(), plan)
+	require.NoError(t, err)
+	_, err = d.Begin(context.Background(), settlement)
+	require.NoError(t, err)
+	c.eventually(func() bool { return len(c.runs(plan.Key)) == 1 && len(c.runs(settlement.Key)) == 1 })
+	lost := c.runs(plan.Key)[0].Target
+	require.Equal(t, lost, c.runs(settlement.Key)[0].Target, "both are packed onto one target")
+	c.cell.Targets[lost].Set(emulator.Faults{Down: true})
+
+	require.Equal(t, descriptor.Unknown, c.submit(d, settlement).Kind())
+	require.Equal(t, descriptor.Completed, c.submit(d, plan).Kind())
+	runs := c.runs(plan.Key)
+	require.Len(t, runs, 2)
+	first, second := runs[0], runs[1]
+	if second.StartedNs < first.StartedNs {
+		first, second = second, first
+	}
+	require.Less(t, first.EndedNs, second.StartedNs)
+	require.Len(t, c.runs(settlement.Key), 1)
+}
+
+// TestLeavingTarget guards against new work on a target that said it leaves.
+func TestLeavingTarget(t *testing.T) {
+	c := newTestCell(t, 2)
+	d := c.add("a", nil)
+	c.give("a", all)
+	c.submit(d, c.submission("warm", "plan", emulator.Work{RunMs: 1}))
+	c.cell.Targets["t0"].Set(emulator.Faults{Leaving: true})
+	c.eventually(func() bool {
+		for _, info := range d.Targets() {
+			if info.ID == "t0" {
+				return info.Leaving
+			}
+		}
+		return false
+	})
+	before := len(c.cell.Targets["t0"].History().Runs)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		require.Equal(t, descriptor.Completed, c.submit(d, c.submission(id, "plan", emulator.Work{RunMs: 1})).Kind())
+	}
+	require.Len(t, c.cell.Targets["t0"].History().Runs, before)
+}
+
+// TestCancelStopsWork guards against a cancelled request that goes on running or
+// runs later.
+func TestCancelStopsWork(t *testing.T) {
+	c := newTestCell(t, 1)
+	d := c.add("a", nil)
+	c.give("a", all)
+	s := c.submission("r1", "stairwell", emulator.Work{RunMs: 60_000})
+	_, err := d.Begin(context.Background(), s)
+	require.NoError(t, err)
+	c.eventually(func() bool { return len(c.runs(s.Key)) == 3 })
+	h, err := d.Cancel(context.Background(), s.Key)
+	require.NoError(t, err)
+	<-h.Done()
+	o, err := h.Result()
+	require.NoError(t, err)
+	require.Equal(t, descriptor.Cancelled, o.Kind())
+	for _, r := range c.runs(s.Key) {
+		require.Equal(t, descriptor.TaskStopped, r.State)
+	}
+}
--- /dev/null
+++ b/dispatcher/harness_test.go
@@ -0,0 +1,337 @@
+package dispatcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/masticlead/masticlead/claimer"
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/emulator"
+	"github.com/masticlead/masticlead/leaser"
+	"github.com/masticlead/masticlead/messenger"
+	"github.com/masticlead/masticlead/placer"
+	"github.com/masticlead/masticlead/scheduler"
+)
+
+// testOwners is the table of owners that all dispatchers of a test share.
+type testOwners struct {
+	mu     sync.Mutex
+	owner  [descriptor.SliceCount]descriptor.InstanceID
+	epoch  [descriptor.SliceCount]descriptor.Epoch
+	paused map[descriptor.InstanceID]bool // grants are suspended
+}
+
+// view is what one instance sees of the owners.
+type view struct {
+	*testOwners
+	self    descriptor.InstanceID
+	changes chan leaser.Change
+}
+
+func (v *view) Grant(s descriptor.SliceID) (leaser.Grant, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.owner[s] != v.self || v.paused[v.self] {
+		return leaser.Grant{}, false
+	}
+	return leaser.Grant{Slice: s, Epoch: v.epoch[s], Until: time.Now().Add(2 * time.Second)}, true
+}
+
+func (v *view) Owner(s descriptor.SliceID) (descriptor.InstanceID, descriptor.Epoch, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.owner[s], v.epoch[s], v.owner[s] != ""
+}
+
+func (v *view) Changes() <-chan leaser.Change { return v.changes }
+
+func (o *testOwners) suspend(id descriptor.InstanceID, paused bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.paused[id] = paused
+}
+
+// testClaims is an in-memory table of claims.
+type testClaims struct {
+	mu     sync.Mutex
+	holder claimer.Holder
+	claims map[descriptor.Key]claimer.Claim
+	err    error
+}
+
+func (c *testClaims) Claim(_ context.Context, k descriptor.Key) (bool, claimer.Claim, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return false, claimer.Claim{}, c.err
+	}
+	if old, ok := c.claims[k]; ok && old.Holder != c.holder {
+		return false, old, nil
+	}
+	c.claims[k] = claimer.Claim{Holder: c.holder, ClaimedMs: time.Now().UnixMilli()}
+	return true, claimer.Claim{}, nil
+}
+
+func (c *testClaims) Record(_ context.Context, k descriptor.Key, o descriptor.Outcome) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	claim := c.claims[k]
+	claim.Outcome = &o
+	c.claims[k] = claim
+	return nil
+}
+
+func (c *testClaims) Withdraw(_ context.Context, k descriptor.Key) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.claims, k)
+	return nil
+}
+
+// testPeers calls the other dispatchers of the test directly.
+type testPeers struct {
+	c *testCell
+}
+
+func (p *testPeers) peer(to descriptor.InstanceID) (*Dispatcher, error) {
+	p.c.mu.Lock()
+	defer p.c.mu.Unlock()
+	d, ok := p.c.dispatchers[to]
+	if !ok {
+		return nil, fmt.Errorf("instance %s: %w", to, messenger.ErrPeerUnreachable)
+	}
+	return d, nil
+}
+
+// ask passes a request through its JSON form, as it crosses processes.
+func ask[Req, Rep any](p *testPeers, to descriptor.InstanceID, req Req, h func(*Dispatcher, Req) Rep) (Rep, error) {
+	var rep Rep
+	d, err := p.peer(to)
+	if err != nil {
+		return rep, err
+	}
+	b, err := json.Marshal(req)
+	if err != nil {
+		return rep, err
+	}
+	var copied Req
+	if err := json.Unmarshal(b, &copied); err != nil {
+		return rep, err
+	}
+	return h(d, copied), nil
+}
+
+func (p *testPeers) SliceTasks(_ context.Context, to descriptor.InstanceID, req SliceTasksRequest) (SliceTasksReply, error) {
+	return ask(p, to, req, (*Dispatcher).HandleSliceTasks)
+}
+
+func (p *testPeers) Offer(_ context.Context, to descriptor.InstanceID, req OfferRequest) (OfferReply, error) {
+	return ask(p, to, req, (*Dispatcher).HandleOffer)
+}
+
+func (p *testPeers) Confirm(_ context.Context, to descriptor.InstanceID, req ConfirmRequest) (ConfirmReply, error) {
+	return ask(p, to, req, (*Dispatcher).HandleConfirm)
+}
+
+func (p *testPeers) Report(_ context.Context, to descriptor.InstanceID, req ReportRequest) (ReportReply, error) {
+	return ask(p, to, req, (*Dispatcher).HandleReport)
+}
+
+func (p *testPeers) Stop(ctx context.Context, to descriptor.InstanceID, req StopRequest) (StopReply, error) {
+	return ask(p, to, req, func(d *Dispatcher, r StopRequest) StopReply { return d.HandleStop(ctx, r) })
+}
+
+// testCell is a data centre with targets and any number of dispatchers.
+type testCell struct {
+	t        *testing.T
+	cell     *emulator.Cell
+	platform *connector.Platform
+	owners   *testOwners
+	claims   map[descriptor.Key]claimer.Claim
+	rules    *descriptor.Rules
+
+	mu          sync.Mutex
+	dispatchers map[descriptor.InstanceID]*Dispatcher
+	views       map[descriptor.InstanceID]*view
+	claimers    map[descriptor.InstanceID]*testClaims
+}
+
+func newTestCell(t *testing.T, targets int) *testCell {
+	t.Helper()
+	cell := &emulator.Cell{PlatformAddress: "127.0.0.1:0"}
+	for i := range targets {
+		cell.Listing.Targets = append(cell.Listing.Targets, descriptor.Target{
+			ID: descriptor.TargetID(fmt.Sprintf("t%d", i)), DataCentre: "gyor", Address: "127.0.0.1:0",
+			Capacity: descriptor.Resources{CPU: 4000, Memory: 4096, Slots: 4},
+		})
+	}
+	require.NoError(t, cell.Start())
+	t.Cleanup(func() { require.NoError(t, cell.Close()) })
+	return &testCell{
+		t: t, cell: cell,
+		platform: &connector.Platform{Client: connector.NewHTTPClient(8, ""), DirectoryURL: "http://" + cell.PlatformAddress + "/directory"},
+		owners:   &testOwners{paused: map[descriptor.InstanceID]bool{}},
+		claims:   map[descriptor.Key]claimer.Claim{},
+		rules: &descriptor.Rules{
+			Version: 1,
+			Teams:   map[descriptor.TeamID]descriptor.Team{"team": {ID: "team", Weight: 1}},
+			Callers: []descriptor.CallerRule{{Pattern: "*", Team: "team"}},
+			Access:  []descriptor.AccessRule{{Allow: true, Caller: "*", Kind: "*"}},
+			Kinds: map[descriptor.KindName]descriptor.Kind{
+				"plan":       testKind("plan", true, 1),
+				"settlement": testKind("settlement", false, 1),
+				"stairwell":  testKind("stairwell", true, 3),
+			},
+		},
+		dispatchers: map[descriptor.InstanceID]*Dispatcher{},
+		views:       map[descriptor.InstanceID]*view{},
+		claimers:    map[descriptor.InstanceID]*testClaims{},
+	}
+}
+
+func testKind(name descriptor.KindName, idempotent bool, tasks int) descriptor.Kind {
+	return descriptor.Kind{
+		Name: name, Policy: descriptor.Batch, Priority: descriptor.Normal, Idempotent: idempotent, Tasks: tasks,
+		Resources: descriptor.Resources{CPU: 1000, Memory: 64, Slots: 1}, Run: 20 * time.Millisecond, Deadline: 30 * time.Second, Limit: 1,
+	}
+}
+
+// add starts a dispatcher that owns nothing.
+func (c *testCell) add(id descriptor.InstanceID, dialer connector.Dialer) *Dispatcher {
+	v := &view{testOwners: c.owners, self: id, changes: make(chan leaser.Change, 1024)}
+	claims := &testClaims{holder: claimer.Holder{Instance: id, Incarnation: 1}, claims: c.claims}
+	if dialer == nil {
+		dialer = &connector.HTTPDialer{Client: connector.NewHTTPClient(16, "")}
+	}
+	d := New(Config{
+		Clock: clockwork.NewRealClock(), Self: id, DataCentre: "gyor",
+		Scheduler: scheduler.New(scheduler.Config{Placer: placer.NewPacker(placer.PackerConfig{}), Rand: rand.New(rand.NewPCG(1, 1))}),
+		Owners:    v, Claims: claims, Peers: &testPeers{c}, Directory: c.platform, Dialer: dialer,
+		Rules: func() *descriptor.Rules { return c.rules }, Loads: func() []PeerLoad { return c.loads(id) },
+		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
+		PollWait: 100 * time.Millisecond, StartWindow: 300 * time.Millisecond, DirectoryInterval: 100 * time.Millisecond,
+		TaskLease: 2 * time.Second,
+	})
+	d.cfg.Scheduler.SetRules(c.rules)
+	c.mu.Lock()
+	c.dispatchers[id], c.views[id], c.claimers[id] = d, v, claims
+	c.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(context.Background())
+	}()
+	c.t.Cleanup(func() {
+		_ = d.Close()
+		<-done
+	})
+	return d
+}
+
+func (c *testCell) loads(self descriptor.InstanceID) []PeerLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var loads []PeerLoad
+	for id := range c.dispatchers {
+		if id != self {
+			loads = append(loads, PeerLoad{ID: id, FreeFraction: 1})
+		}
+	}
+	return loads
+}
+
+// give moves slices to an instance, as a takeover does.
+func (c *testCell) give(id descriptor.InstanceID, choose func(descriptor.SliceID) bool) {
+	for s := range descriptor.SliceID(descriptor.SliceCount) {
+		if !choose(s) {
+			continue
+		}
+		c.owners.mu.Lock()
+		old := c.owners.owner[s]
+		c.owners.owner[s] = id
+		c.owners.epoch[s]++
+		epoch := c.owners.epoch[s]
+		c.owners.mu.Unlock()
+		c.mu.Lock()
+		if v, ok := c.views[old]; ok {
+			v.changes <- leaser.Change{Slice: s}
+		}
+		c.views[id].changes <- leaser.Change{Slice: s, Epoch: epoch, Owned: true, SafeFrom: time.Now()}
+		d := c.dispatchers[id]
+		c.mu.Unlock()
+		c.eventually(func() bool {
+			got, _, owned := d.shards[s].ownership()
+			return owned && got == epoch
+		})
+	}
+}
+
+func all(descriptor.SliceID) bool { return true }
+
+// crash stops a dispatcher without a handover.
+func (c *testCell) crash(id descriptor.InstanceID) {
+	c.mu.Lock()
+	d := c.dispatchers[id]
+	delete(c.dispatchers, id)
+	delete(c.views, id)
+	c.mu.Unlock()
+	require.NoError(c.t, d.Close())
+}
+
+func (c *testCell) submission(id, kind string, work emulator.Work) Submission {
+	payload, err := json.Marshal(work)
+	require.NoError(c.t, err)
+	return Submission{Key: testKey(id), Kind: descriptor.KindName(kind), Payload: payload}
+}
+
+func testKey(id string) descriptor.Key {
+	return descriptor.Key{Caller: "caller", ID: descriptor.RequestID(id)}
+}
+
+const testLimit = 20 * time.Second
+
+// submit waits for the outcome of a request.
+func (c *testCell) submit(d *Dispatcher, s Submission) descriptor.Outcome {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	o, err := d.Submit(ctx, s)
+	require.NoError(c.t, err)
+	return o
+}
+
+// runs returns the runs of a request at all targets.
+func (c *testCell) runs(k descriptor.Key) []emulator.RunRecord {
+	var runs []emulator.RunRecord
+	for _, target := range c.cell.Targets {
+		for _, r := range target.History().Runs {
+			if r.Key == k {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
+func (c *testCell) eventually(condition func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, condition, testLimit, 5*time.Millisecond)
+}
+
+// setFaults switches faults on at all targets.
+func (c *testCell) setFaults(f emulator.Faults) {
+	for _, target := range c.cell.Targets {
+		target.Set(f)
+	}
+}
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -392,12 +392,15 @@
 }
 
 // renew extends the leases of all tasks on the target, three times in each task
-// lease. It needs a valid grant, so a deposed owner extends nothing.
+// lease. It needs a valid grant, so a deposed owner extends nothing. A target that
+// does not answer gets no renewals after half a lease: each may take effect
+// unseen, so the end of its tasks could never be known.
 func (w *targetWorker) renew() {
 	grant, ok := w.d.cfg.Owners.Grant(w.target.ID.Slice())
 	now := w.d.cfg.Clock.Now()
 	w.mu.Lock()
-	due := ok && grant.Epoch == w.epoch && w.running > 0 && !now.Before(w.nextRenew)
+	due := ok && grant.Epoch == w.epoch && w.running > 0 && !now.Before(w.nextRenew) &&
+		now.Sub(w.lastSeen) < w.d.cfg.TaskLease/2
 	if !due {
 		w.mu.Unlock()
 		return
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -403,8 +403,15 @@
 	k.end.Reset(left)
 }
 
-func (t *Target) serveHistory(w http.ResponseWriter, _ *http.Request) {
+// History returns what the target has run so far.
+func (t *Target) History() History {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	writeJSON(w, http.StatusOK, t.history)
+	h := t.history
+	h.Runs = slices.Clone(h.Runs)
+	return h
+}
+
+func (t *Target) serveHistory(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, t.History())
 }
