--- /dev/null
+++ b/storer/metrics.go
@@ -0,0 +1,16 @@
+package storer
+
+import "github.com/uber-go/tally/v4"
+
+// metrics counts retries and refusals by their reason.
+type metrics struct{ scope tally.Scope }
+
+func newMetrics(root tally.Scope) metrics { return metrics{root.SubScope("storer")} }
+
+func (m metrics) retried(call, reason string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"call": call, "reason": reason}).Counter("retries")
+}
+
+func (m metrics) refused(reason string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals")
+}
