--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -116,6 +116,7 @@
 	closing bool
 	started bool
 
+	wake chan struct{} // asks for a read
 	stop chan struct{} // closed by Close
 	done chan struct{} // closed when Run has ended
 	once sync.Once
@@ -161,12 +162,6 @@
 	withheld bool
 }
 
-// view is an immutable copy of what Grant needs.
-type view struct {
-	until time.Time
-	epoch [descriptor.SliceCount]descriptor.Epoch // 0: not owned
-}
-
 // New returns a Leaser that does nothing until Run.
 func New(cfg Config) *Leaser {
 	if cfg.Scope == nil {
@@ -187,6 +182,7 @@
 		base:    now,
 		members: map[descriptor.InstanceID]*member{},
 		pledges: newPledges(now),
+		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 	}
@@ -211,6 +207,9 @@
 		case <-ctx.Done():
 		}
 	}()
+	// Instances of a data centre that restart together share its part of the
+	// write budget, about one write per instance and second.
+	l.sleep(ctx, l.jitter(l.cfg.Renewal/4, 1))
 	for ctx.Err() == nil {
 		if !l.register(ctx) {
 			break
@@ -259,42 +258,6 @@
 	return l.current.session, true
 }
 
-// Grant returns the right to use a slice if it holds now.
-//
-// The end of the grant is at most one renewal period away, so that a slice that
-// is handed over is usable soon by its next owner.
-func (l *Leaser) Grant(s descriptor.SliceID) (Grant, bool) {
-	now := l.cfg.Clock.Now()
-	v := l.view.Load()
-	if int(s) >= len(v.epoch) || v.epoch[s] == 0 || !now.Before(v.until) {
-		return Grant{}, false
-	}
-	until := v.until
-	if limit := now.Add(l.grantSpan()); limit.Before(until) {
-		until = limit
-	}
-	// The end is published before the second look at the view. A release first
-	// changes the view and then reads the end, so one of the two sees the other.
-	storeMax(&l.granted[s], int64(until.Sub(l.base)))
-	if l.view.Load().epoch[s] != v.epoch[s] {
-		return Grant{}, false
-	}
-	return Grant{Slice: s, Epoch: v.epoch[s], Until: until}, true
-}
-
-// grantSpan bounds the time from the send of an order to its start.
-func (l *Leaser) grantSpan() time.Duration { return l.cfg.Renewal }
-
-// storeMax raises a to at least v.
-func storeMax(a *atomic.Int64, v int64) {
-	for {
-		old := a.Load()
-		if old >= v || a.CompareAndSwap(old, v) {
-			return
-		}
-	}
-}
-
 // Owner returns the last known owner of a slice.
 func (l *Leaser) Owner(s descriptor.SliceID) (descriptor.InstanceID, descriptor.Epoch, bool) {
 	if int(s) >= descriptor.SliceCount {
@@ -306,32 +269,19 @@
 	return row.Owner, row.Epoch, row.Owner != ""
 }
 
-// Changes returns the gains and losses of slices in their order. All of them
-// are delivered, so the channel must be read. It is closed by Close.
-func (l *Leaser) Changes() <-chan Change { return l.changes.out }
-
-// publish makes the current state visible to Grant. The caller holds mu.
-func (l *Leaser) publish() {
-	v := &view{}
-	if c := l.current; c != nil && !l.closing {
-		v.until = l.until(c)
-		for s, o := range c.owned {
-			if !o.withheld {
-				v.epoch[s] = o.epoch
-			}
-		}
+// Wake asks for a read of the rows soon. It is called when heartbeats show that
+// an instance of the data centre joined, is leaving or has died, so that its
+// slices don't wait for the next regular read. Calls are cheap.
+func (l *Leaser) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
 	}
-	l.view.Store(v)
 }
 
-// until returns the end of the lease. The caller holds mu.
-func (l *Leaser) until(c *incarnation) time.Time {
-	end := c.ackedSent.Add(l.cfg.Lease)
-	if c.extended.After(end) {
-		end = c.extended
-	}
-	return end
-}
+// Changes returns the gains and losses of slices in their order. All of them
+// are delivered, so the channel must be read. It is closed by Close.
+func (l *Leaser) Changes() <-chan Change { return l.changes.out }
 
 // gain records a slice that the row assigns to this incarnation. The caller
 // holds mu.
@@ -391,6 +341,21 @@
 	return d - time.Duration(span) + time.Duration(l.cfg.Rand.Int64N(2*span+1))
 }
 
+// nap is sleep, shortened by Wake.
+func (l *Leaser) nap(ctx context.Context, d time.Duration) bool {
+	timer := l.cfg.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.wake:
+		// All instances of the data centre are woken at the same time.
+		return l.sleep(ctx, min(d, l.jitter(l.cfg.Renewal/16, 1)))
+	}
+}
+
 // sleep waits for d or for the end of the context.
 func (l *Leaser) sleep(ctx context.Context, d time.Duration) bool {
 	timer := l.cfg.Clock.NewTimer(d)
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -83,5 +83,14 @@
 		require.NoError(t, c.leave("a"))
 		took := c.awaitOwned(DefaultLease)
 		t.Logf("all slices owned %v after a graceful release", took)
+
+		// Heartbeats announce the next release.
+		c.start("c")
+		c.run(8 * time.Second)
+		c.requireBalanced()
+		require.NoError(t, c.leave("b"))
+		c.process("c").leaser.Wake()
+		took = c.awaitOwned(DefaultRenewal / 2)
+		t.Logf("all slices owned %v after an announced release", took)
 	})
 }
--- a/leaser/watch.go
+++ b/leaser/watch.go
@@ -43,7 +43,7 @@
 	wait := l.jitter(l.cfg.Renewal/4, 2)
 	cycle := 0
 	settled := false
-	for l.sleep(ctx, wait) {
+	for l.nap(ctx, wait) {
 		full := !settled || cycle%settledCycles == 0
 		cycle++
 		settled = l.watch(ctx, full)
