placer: weigh resources by scarcity; measurer: packing after churn

Change: weights follow the use of the cell. The packing scenario also measures the cell after 100,000 random starts and ends at load 0.85.

--- a/measurer/packing.go
+++ b/measurer/packing.go
@@ -56,7 +56,58 @@
 			Baseline: targetsUsed(c, placer.NewFirstFit(), work) / least,
 		})
 	}
-	return metrics, nil
+	return append(metrics, churnMetrics(env)...), nil
+}
+
+// churnMetrics measures the cell after many random ends and starts, when holes
+// of all sizes have opened on its targets.
+func churnMetrics(env Env) []Metric {
+	const (
+		load  = 0.85
+		steps = 100_000
+	)
+	run := func(policy placer.Policy) (used, noRoom, large float64) {
+		c := &churn{policy: policy, rnd: env.Rand(10), shapes: mixedWork, load: load, now: NewDriver().Clock.Now()}
+		for i := range packingChurn {
+			t := cellTarget(i, packingCases[0].capacity)
+			policy.AddTarget(t)
+			c.capacity = c.capacity.Add(t.Capacity)
+		}
+		for range steps {
+			before := len(c.running)
+			if c.place(c.demand()); len(c.running) == before {
+				noRoom++
+			}
+			c.end()
+		}
+		targets := make(map[descriptor.TargetID]bool)
+		for _, task := range c.running {
+			targets[task.target] = true
+		}
+		least := math.Ceil(c.used.DominantShare(packingCases[0].capacity))
+		return float64(len(targets)) / least, noRoom, largeTasks(c)
+	}
+	ours, oursNoRoom, oursLarge := run(placer.NewPacker(placer.PackerConfig{}))
+	plain, plainNoRoom, plainLarge := run(placer.NewFirstFit())
+	return []Metric{
+		{Name: "targetsUsedAfterChurn", Unit: "ratio", Value: ours, Baseline: plain, Bound: AtMost(1.05)},
+		{Name: "noRoomInChurn", Unit: "tasks", Value: oursNoRoom, Baseline: plainNoRoom},
+		{Name: "halfTargetsFreeAfterChurn", Unit: "tasks", Value: oursLarge, Baseline: plainLarge},
+	}
+}
+
+// packingChurn is the number of targets of the cell after churn.
+const packingChurn = 400
+
+// largeTasks returns how many tasks of half a target the cell still has room for.
+func largeTasks(c *churn) float64 {
+	half := descriptor.Resources{CPU: 16000, Memory: 65536, Slots: 1}
+	for n := 0.0; ; n++ {
+		r := &descriptor.Request{Key: descriptor.Key{Caller: "bench"}, Tasks: 1, Resources: half}
+		if _, verdict := c.policy.Place(c.now, placer.Demand{Request: r}); verdict != placer.Placed {
+			return n
+		}
+	}
 }
 
 // packingWork returns the tasks that fill the cell and the lower bound of the
--- a/measurer/placement.go
+++ b/measurer/placement.go
@@ -240,9 +240,9 @@
 func runPlacement(env Env) ([]Metric, error) {
 	const (
 		load           = 0.85
-		batches        = 20
-		decisions      = 5_000
-		slowDecisions  = 100 // first fit is slow on a large cell
+		batches        = 100
+		decisions      = 1_000
+		slowDecisions  = 20 // first fit is slow on a large cell
 		decisionsBound = 15_000
 	)
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // figures are per core
--- a/placer/cell.go
+++ b/placer/cell.go
@@ -82,10 +82,11 @@
 	c.used = c.used.Add(r)
 }
 
-func (c *cell) sum() descriptor.Resources {
+// weights returns the weights for the present use of the cell.
+func (c *cell) weights() weights {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.all
+	return newWeights(c.all, c.used, c.count)
 }
 
 func (c *cell) totals() (capacity, used descriptor.Resources) {
--- a/placer/gang.go
+++ b/placer/gang.go
@@ -44,7 +44,7 @@
 // bestOpen returns the best target of the first shard that has room, or nil.
 func (p *Packer) bestOpen(need descriptor.Resources, avoid []descriptor.TargetID) *slot {
 	for i := p.tree.next(0, need); i >= 0; i = p.tree.next(i+1, need) {
-		if s := p.shards[i].best(need, avoid, &p.weights); s != nil {
+		if s := p.shards[i].best(need, avoid, p.weights.Load()); s != nil {
 			return s
 		}
 	}
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/masticlead/masticlead/descriptor"
@@ -60,8 +61,10 @@
 	byID    map[descriptor.TargetID]*slot
 	shards  []*shard
 	vacant  []*slot // unused positions of shards
-	weights weights
-	tree    maxTree
+	weights atomic.Pointer[weights]
+	// takes counts down to the next change of weights.
+	takes atomic.Int64
+	tree  maxTree
 
 	cell     cell
 	services services
@@ -77,13 +80,15 @@
 
 // NewPacker returns a Packer without targets.
 func NewPacker(cfg PackerConfig) *Packer {
-	return &Packer{
+	p := &Packer{
 		cfg:          cfg.withDefaults(),
 		byID:         make(map[descriptor.TargetID]*slot),
 		cell:         newCell(),
 		services:     newServices(),
 		reservations: make(map[descriptor.Key]*reservation),
 	}
+	p.weigh()
+	return p
 }
 
 // AddTarget implements Policy.
@@ -105,7 +110,7 @@
 		s.state = Leaving
 	}
 	p.cell.add(s)
-	p.weights = newWeights(p.cell.sum(), len(p.byID))
+	p.weigh()
 	p.refresh(s)
 }
 
@@ -162,7 +167,7 @@
 	s.shard.slots[s.pos] = nil
 	p.refresh(s)
 	p.vacant = append(p.vacant, s)
-	p.weights = newWeights(p.cell.sum(), len(p.byID))
+	p.weigh()
 }
 
 // SetState implements Policy.
@@ -225,7 +230,7 @@
 func (p *Packer) placeIn(sh *shard, task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	s := sh.best(task.need, avoid, &p.weights)
+	s := sh.best(task.need, avoid, p.weights.Load())
 	if s == nil {
 		return "", false
 	}
@@ -239,6 +244,20 @@
 	s.add(task)
 	p.cell.use(s, task.need)
 	p.refresh(s)
+	if p.takes.Add(-1) <= 0 {
+		p.weigh()
+	}
+}
+
+// weighEvery is the number of tasks after which the weights follow the use of
+// the cell.
+const weighEvery = 512
+
+// weigh computes the weights anew.
+func (p *Packer) weigh() {
+	p.takes.Store(weighEvery)
+	w := p.cell.weights()
+	p.weights.Store(&w)
 }
 
 // Take implements Policy.
--- a/placer/search.go
+++ b/placer/search.go
@@ -138,21 +138,45 @@
 	}
 }
 
-// weights makes amounts of different resources comparable: each is the inverse
-// of the mean amount per target.
+// weights makes amounts of different resources comparable.
 type weights struct{ cpu, memory, accelerators, slots float64 }
 
-// newWeights returns the weights for n targets with the given sum.
-func newWeights(sum descriptor.Resources, n int) weights {
+// leastScarcity keeps a resource that is hardly used from having no weight.
+const leastScarcity = 0.05
+
+// newWeights returns the weights for n targets with the given sums. The weight
+// of a resource is the inverse of its mean amount per target, times the square
+// of its scarcity: the fraction in use over that of the resource most in use.
+// What is left of an abundant resource matters little. Accelerators keep their
+// full weight, so that other work leaves their targets free.
+func newWeights(sum, used descriptor.Resources, n int) weights {
 	inverse := func(amount float64) float64 {
 		if amount <= 0 {
 			return 0
 		}
 		return float64(n) / amount
 	}
+	fraction := func(part, whole float64) float64 {
+		if whole <= 0 {
+			return 0
+		}
+		return part / whole
+	}
+	cpu := fraction(float64(used.CPU), float64(sum.CPU))
+	memory := fraction(float64(used.Memory), float64(sum.Memory))
+	slots := fraction(float64(used.Slots), float64(sum.Slots))
+	most := max(cpu, memory, slots)
+	scarcity := func(used float64) float64 {
+		if most <= 0 {
+			return 1
+		}
+		return max(leastScarcity, used*used/(most*most))
+	}
 	return weights{
-		cpu: inverse(float64(sum.CPU)), memory: inverse(float64(sum.Memory)),
-		accelerators: inverse(float64(sum.Accelerators)), slots: inverse(float64(sum.Slots)),
+		cpu:          inverse(float64(sum.CPU)) * scarcity(cpu),
+		memory:       inverse(float64(sum.Memory)) * scarcity(memory),
+		slots:        inverse(float64(sum.Slots)) * scarcity(slots),
+		accelerators: inverse(float64(sum.Accelerators)),
 	}
 }
 
--- a/placer/service.go
+++ b/placer/service.go
@@ -90,7 +90,7 @@
 func (p *Packer) bestRack(g groupID, need descriptor.Resources, avoid []descriptor.TargetID) *slot {
 	var found *slot
 	fewest := 0
-	q := search{need: need, avoid: avoid, weights: &p.weights, perClass: maxSpreadChecks, budget: maxSpreadChecks}
+	q := search{need: need, avoid: avoid, weights: p.weights.Load(), perClass: maxSpreadChecks, budget: maxSpreadChecks}
 	q.penalty = func(s *slot) float64 { return rackPenalty * float64(p.services.count(g, s.target.Rack)) }
 	for i := p.tree.next(0, need); i >= 0; i = p.tree.next(i+1, need) {
 		s := p.shards[i].find(q)
