detector: replace lost probes by a new quarantine, round the limit up

Cause: probes were replaced by setting the state probing again, so any repeated call of SetState would have allowed more probes; with 6 targets, an instance's share of a data centre, only one bad target could be quarantined. Change: lost probes lead to quarantine and then to new probes; the limit is rounded up.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -17,6 +17,7 @@
 const (
 	reasonFailures    = "failures"    // it fails what succeeds elsewhere
 	reasonProbeFailed = "probeFailed" // it failed a probe
+	reasonProbesLost  = "probesLost"  // its probes had no result
 	reasonProbe       = "probe"       // it gets probes
 	reasonRecovered   = "recovered"   // its probes succeeded
 	reasonWorkFault   = "workFault"   // its failures were those of the work
@@ -26,7 +27,7 @@
 // Config configures a Detector. The zero value is usable.
 type Config struct {
 	// MaxShare bounds the fraction of the targets that are quarantined or probed
-	// at once; at least one may be. The default is 0.2: a rack of 8 targets in a
+	// at once, rounded up. The default is 0.2: a rack of 8 targets in a
 	// data centre of 50 is 0.16.
 	MaxShare float64
 	// FirstProbe is the time from a quarantine to the first probe. It doubles
@@ -164,7 +165,9 @@
 	return d.limit()
 }
 
-func (d *Detector) limit() int { return max(1, int(d.cfg.MaxShare*float64(len(d.targets)))) }
+func (d *Detector) limit() int {
+	return max(1, int(math.Ceil(d.cfg.MaxShare*float64(len(d.targets)))))
+}
 
 // Observe implements Policy.
 func (d *Detector) Observe(target descriptor.TargetID, key descriptor.Key, kind descriptor.KindName, succeeded bool, _ time.Duration, now time.Time) {
@@ -330,13 +333,19 @@
 	return changes
 }
 
-// probe starts the probes that are due. Probes without a result, such as
-// cancelled ones, are replaced after another interval.
+// probe starts the probes that are due. If probes had no result within another
+// interval, such as cancelled ones, the target is quarantined until the next
+// call, which starts new ones.
 func (d *Detector) probe(now time.Time) {
 	for _, h := range d.away {
 		if now.Before(h.probeAt) {
 			continue
 		}
+		if h.state == placer.Probing {
+			d.isolate(h, reasonProbesLost, now)
+			h.probeAt = now
+			continue
+		}
 		h.state, h.succeeded = placer.Probing, 0
 		h.probeAt = now.Add(h.interval)
 		d.changes[h.id] = Change{h.id, placer.Probing, reasonProbe}
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -184,6 +185,27 @@
 	}
 }
 
+// TestSmallCells guards against an instance that owns only a few targets and
+// never finds the bad one, or blames good ones for chance failures.
+func TestSmallCells(t *testing.T) {
+	for _, targets := range []int{2, 3, 6, 12} {
+		t.Run(fmt.Sprint(targets), func(t *testing.T) {
+			c := newCell(t, targets, Config{})
+			c.rounds(10, good)
+			c.rounds(30, func(i int) bool { return i != 1 })
+			require.Equal(t, map[descriptor.TargetID]placer.TargetState{"t01": placer.Quarantined}, c.state)
+
+			rnd := rand.New(rand.NewPCG(1, uint64(targets)))
+			c = newCell(t, targets, Config{})
+			c.rounds(20_000/targets, func(int) bool { return rnd.Float64() > 0.1 })
+			require.Zero(t, c.most, "a tenth of all tasks fails by chance")
+		})
+	}
+	c := newCell(t, 1, Config{})
+	c.rounds(100, func(int) bool { return false })
+	require.Zero(t, c.most, "there is no peer to compare the only target with")
+}
+
 // TestLostProbesAreReplaced guards against a target that stays out of service
 // because its probes were cancelled.
 func TestLostProbesAreReplaced(t *testing.T) {
@@ -191,9 +213,12 @@
 	c.rounds(2, good)
 	c.rounds(6, func(i int) bool { return i != 0 })
 	require.Equal(t, placer.Quarantined, c.state["t00"])
+	c.now = c.now.Add(5 * time.Second)
+	require.Equal(t, []Change{{"t00", placer.Probing, reasonProbe}}, c.d.Changes(c.now))
 	for range 2 {
+		require.Empty(t, c.d.Changes(c.now))
 		c.now = c.now.Add(5 * time.Second)
+		require.Equal(t, []Change{{"t00", placer.Quarantined, reasonProbesLost}}, c.d.Changes(c.now))
 		require.Equal(t, []Change{{"t00", placer.Probing, reasonProbe}}, c.d.Changes(c.now))
-		require.Empty(t, c.d.Changes(c.now))
 	}
 }
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -175,7 +175,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.byID[id]
-	if s == nil || s.state == state && state != Probing {
+	if s == nil || s.state == state {
 		return
 	}
 	p.setProbing(s, state == Probing)
--- a/placer/policy.go
+++ b/placer/policy.go
@@ -23,8 +23,8 @@
 	Probing // probing
 )
 
-// ProbeTasks is the number of tasks that a target takes after each SetState to
-// Probing.
+// ProbeTasks is the number of tasks that a target takes after its state has
+// changed to Probing.
 const ProbeTasks = 3
 
 // Verdict is the answer to one attempt to place a request.
