messenger, heartbeater: drop calls of a pause; keep digests of both links current

A resumed instance would carry out calls whose callers have long given up, since remaining times count from when a call is read. The server now closes the connections that were open during a pause of more than 1.2 s.

Closing a pool waited for a write that a peer does not read, up to the write timeout; TestPeerThatDoesNotRead found this. The connections of a pool now end with it.

News of both links are relayed again, the second without its fixed part.

go test -race -count=8 ./messenger and -count=25 ./heartbeater pass.

--- a/heartbeater/digest.go
+++ b/heartbeater/digest.go
@@ -242,11 +242,12 @@
 	if !direct && fresh {
 		r.relayed, r.relayedStatic = now, d.Static
 	}
-	// The members may have the change already, by way of the other link.
-	news := changed && d.Static != r.relayedStatic
-	if direct && fresh && (news || now.Sub(r.relayed) >= h.cfg.RelayInterval) {
+	if direct && fresh && (changed || now.Sub(r.relayed) >= h.cfg.RelayInterval) {
+		// The members may have the fixed part already, by way of the other
+		// link. They still need the digest, as they merge those of both.
+		withFixed := changed && d.Static != r.relayedStatic
 		r.relayed, r.relayedStatic = now, d.Static
-		h.startRelay(r.sources[d.Carrier].digest, changed)
+		h.startRelay(r.sources[d.Carrier].digest, withFixed)
 	}
 	h.mu.Unlock()
 	if changed {
@@ -273,22 +274,22 @@
 
 // startRelay passes a digest on to the members of the own data centre. The lock
 // must be held.
-func (h *Heartbeater) startRelay(full digest, changed bool) {
+func (h *Heartbeater) startRelay(full digest, withFixed bool) {
 	for _, e := range h.view.members {
 		address := e.PeerAddress
-		h.spawn(func(ctx context.Context) { h.relay(ctx, address, full, changed) })
+		h.spawn(func(ctx context.Context) { h.relay(ctx, address, full, withFixed) })
 	}
 }
 
 // relay sends a digest to one member, without the fixed part if that is not
 // likely to be needed.
-func (h *Heartbeater) relay(ctx context.Context, address string, full digest, changed bool) {
+func (h *Heartbeater) relay(ctx context.Context, address string, full digest, withFixed bool) {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.CallTimeout)
 	defer cancel()
 	short := full
 	short.Fixed = nil
 	msg := digestMessage{Relay: true, Digest: &short}
-	if changed {
+	if withFixed {
 		msg.Digest = &full
 	}
 	for range 2 {
--- a/messenger/fault_test.go
+++ b/messenger/fault_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticlead/masticlead/descriptor"
@@ -191,3 +194,58 @@
 		require.Eventually(t, func() bool { return p.existing(address) == nil }, time.Minute, time.Millisecond)
 	}
 }
+
+// TestResumedServer guards against a paused instance that, once it resumes,
+// carries out calls whose callers have long given up.
+func TestResumedServer(t *testing.T) {
+	s := &Server{MaxPause: time.Hour} // the ticker stays silent; calls do the check
+	address, _ := startServer(t, s)
+	p := newPool(t, &Pool{BackoffMin: time.Millisecond, BackoffMax: time.Millisecond})
+	ctx := longContext(t)
+	_, err := Call[note, note](ctx, p, address, echo, note{})
+	require.NoError(t, err)
+	s.watch.last.Add(-int64(2 * time.Hour))
+	_, err = Call[note, note](ctx, p, address, echo, note{})
+	require.ErrorIs(t, err, ErrPeerTimeout)
+	_, err = Call[note, note](ctx, p, address, echo, note{})
+	require.NoError(t, err, "calls that arrive after the pause are carried out")
+}
+
+// TestPauseIsSeenOnce guards against a pause that the first check hides from the
+// calls that were waiting, or that is reported again and again.
+func TestPauseIsSeenOnce(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var gaps []time.Duration
+	w := &pauseWatch{limit: time.Second, now: clock.Now, start: clock.Now()}
+	w.onPause = func(gap time.Duration) { gaps = append(gaps, gap) }
+	for range 10 {
+		clock.Advance(time.Second)
+		w.check()
+	}
+	require.Empty(t, gaps)
+	clock.Advance(time.Minute)
+	w.check()
+	w.check()
+	require.Equal(t, []time.Duration{time.Minute}, gaps)
+}
+
+// TestPeerThatDoesNotRead guards against callers that hang, and a queue that
+// grows, behind a peer whose socket buffers are full.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	address := silentListener(t)
+	p := newPool(t, &Pool{MaxQueued: 8, MaxQueuedBytes: 64 << 20, MaxBytes: 64 << 20, WriteTimeout: time.Hour, ProbeEvery: time.Millisecond})
+	large := note{strings.Repeat("x", MaxFrame-100)}
+	busy := false
+	for i := 0; i < 100 && !busy; i++ {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		_, err := Call[note, note](ctx, p, address, echo, large)
+		cancel()
+		require.Error(t, err)
+		busy = errors.Is(err, ErrPeerBusy)
+	}
+	require.True(t, busy, "calls that can't be written keep their place")
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := CallControl[note, note](ctx, p, address, beat, note{})
+	require.ErrorIs(t, err, ErrPeerTimeout, "heartbeats have a connection of their own")
+}
--- a/messenger/handle.go
+++ b/messenger/handle.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -53,12 +54,16 @@
 	rpc     *jsonrpc2.Conn
 	normal  chan struct{} // one element for each call in progress
 	control chan struct{}
+	stale   atomic.Bool // takes no more calls
 }
 
 // Handle implements jsonrpc2.Handler. It runs on the connection's reader, so it
 // only checks the bounds and starts the call.
 func (c *serverConn) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	s := c.server
+	if s.watch.check(); c.stale.Load() {
+		return
+	}
 	var meta callMeta
 	if req.Meta != nil {
 		if err := json.Unmarshal(*req.Meta, &meta); err != nil {
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -250,7 +250,7 @@
 	stream.packed.Store(ln.control)
 	heard := jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) { pe.health.heard(p.Clock.Now()) })
 	logger := jsonrpc2.SetLogger(rpcLogger{p.Log, p.Scope})
-	return &link{rpc: jsonrpc2.NewConn(context.Background(), stream, rejectCalls{}, heard, logger)}, nil
+	return &link{rpc: jsonrpc2.NewConn(p.base, stream, rejectCalls{}, heard, logger)}, nil
 }
 
 // end notes that a call is no longer waited for.
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -45,6 +45,10 @@
 	MaxTimeout time.Duration
 	// WriteTimeout bounds the write of a reply; DefaultWriteTimeout by default.
 	WriteTimeout time.Duration
+	// MaxPause is the longest time for which this process may have been paused
+	// and still carry out the calls that arrived meanwhile; 1.2 s by default,
+	// as a member that is silent for so long is suspected.
+	MaxPause time.Duration
 	// DrainTimeout is how long Close waits for calls in progress before it
 	// cancels them; 5 s by default.
 	DrainTimeout time.Duration
@@ -60,6 +64,8 @@
 	bytes    atomic.Int64
 	base     context.Context
 	cancel   context.CancelFunc
+	watch    *pauseWatch
+	watching sync.WaitGroup
 }
 
 // handler is a registered method.
@@ -89,9 +95,11 @@
 		s.MaxBytes = orDefault(s.MaxBytes, 32<<20)
 		s.MaxTimeout = orDefault(s.MaxTimeout, time.Minute)
 		s.WriteTimeout = orDefault(s.WriteTimeout, DefaultWriteTimeout)
+		s.MaxPause = orDefault(s.MaxPause, 1200*time.Millisecond)
 		s.DrainTimeout = orDefault(s.DrainTimeout, 5*time.Second)
 		s.conns = map[*serverConn]struct{}{}
 		s.base, s.cancel = context.WithCancel(context.Background())
+		s.watch = newPauseWatch(s.MaxPause, s.resumed)
 	})
 }
 
@@ -104,6 +112,8 @@
 		return nil
 	}
 	s.accept.Add(1)
+	s.watch.reset() // the time before Run is no pause
+	s.watching.Go(func() { s.watch.run(s.base.Done()) })
 	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { s.Listener.Close() })
 	defer stop()
@@ -182,14 +192,18 @@
 	}
 	s.cancel()
 	<-drained
+	s.watching.Wait()
 	s.closeConns()
 	return nil
 }
 
+// closeConns closes all connections. Calls that are read from them after it has
+// begun are not carried out.
 func (s *Server) closeConns() {
 	s.mu.Lock()
 	conns := make([]*serverConn, 0, len(s.conns))
 	for c := range s.conns {
+		c.stale.Store(true)
 		conns = append(conns, c)
 	}
 	s.mu.Unlock()
@@ -198,6 +212,13 @@
 	}
 }
 
+// resumed drops the calls that arrived while this process was paused.
+func (s *Server) resumed(gap time.Duration) {
+	s.Scope.Counter("pauses").Inc(1)
+	s.Log.Warn("messenger: process was paused; dropping the calls that arrived meanwhile", "pause", gap)
+	s.closeConns()
+}
+
 // rpcLogger passes protocol errors of jsonrpc2 on to the log.
 type rpcLogger struct {
 	log   *slog.Logger
