router: ask a peer when the own view of the owner is stale

Cause: at a stop the leaser releases the slices and ends, and its view of their owners then stands still at "self". Callers are still served for the drain time. The router asked its own dispatcher again and again until the caller's wait of 10 s ended, and the HTTP server waited for these calls.

Change: if the dispatcher doesn't own a request that the view assigns to this instance, the router asks another member of the data centre, which names the owner, as it does for other data centres.

--- a/router/home.go
+++ b/router/home.go
@@ -64,12 +64,15 @@
 	}
 }
 
-// candidate returns the known owner of the slice, or any live member of the data
-// centre, which then names the owner.
+// candidate returns the known owner of the slice, or any other live member of the
+// data centre, which then names the owner.
 func (r *Router) candidate(h homeSlice) (heartbeater.Member, bool) {
 	var alive []heartbeater.Member
 	owner, known := r.owners.get(h)
 	for _, m := range r.cfg.Members.Members(h.dc) {
+		if m.ID == r.cfg.Self {
+			continue
+		}
 		if known && m.ID == owner {
 			return m, true
 		}
--- a/router/peer.go
+++ b/router/peer.go
@@ -158,12 +158,15 @@
 	return ""
 }
 
-// tryRemote asks the home data centre of the caller. If the instance that was
-// asked names the owner, the owner is asked next.
+// tryRemote asks another instance of the home data centre of the caller. If that
+// names the owner, the owner is asked next.
 func (r *Router) tryRemote(ctx context.Context, op operation, s dispatcher.Submission, home descriptor.DataCentreID) place {
 	h := homeSlice{home, s.Key.Slice()}
 	m, ok := r.candidate(h)
-	if !ok {
+	switch {
+	case !ok && home == r.cfg.DataCentre:
+		return place{reason: descriptor.ReasonOwnerUnreachable}
+	case !ok:
 		return place{reason: descriptor.ReasonHomeUnreachable, final: true}
 	}
 	p, owner := r.callOnce(ctx, op, s, m)
@@ -172,7 +175,7 @@
 		return p
 	}
 	r.owners.drop(h, m.ID)
-	if owner == "" || owner == m.ID {
+	if owner == "" || owner == m.ID || owner == r.cfg.Self {
 		return p
 	}
 	r.owners.set(h, owner)
--- a/router/router.go
+++ b/router/router.go
@@ -303,7 +303,13 @@
 		return place{reason: descriptor.ReasonOwnerUnreachable}
 	}
 	if owner == r.cfg.Self {
-		return r.tryLocal(ctx, op, s)
+		p, stale := r.tryLocal(ctx, op, s)
+		if stale {
+			// The view of the owners stands still once this instance has released
+			// its slices at a stop, while callers are still served. Peers know.
+			return r.tryRemote(ctx, op, s, r.cfg.DataCentre)
+		}
+		return p
 	}
 	for _, m := range r.cfg.Members.Members(r.cfg.DataCentre) {
 		if m.ID == owner {
@@ -314,13 +320,14 @@
 	return place{reason: descriptor.ReasonOwnerUnreachable, final: late}
 }
 
-// tryLocal asks the dispatcher of this instance.
-func (r *Router) tryLocal(ctx context.Context, op operation, s dispatcher.Submission) place {
+// tryLocal asks the dispatcher of this instance. It reports true if this instance
+// doesn't own the request.
+func (r *Router) tryLocal(ctx context.Context, op operation, s dispatcher.Submission) (place, bool) {
 	h, err := r.operate(ctx, op, s)
 	if err != nil {
-		return place{reason: reasonOf(err), missing: errors.Is(err, dispatcher.ErrNotFound)}
+		return place{reason: reasonOf(err), missing: errors.Is(err, dispatcher.ErrNotFound)}, errors.Is(err, dispatcher.ErrNotOwner)
 	}
-	return place{accepted: true, handle: &h}
+	return place{accepted: true, handle: &h}, false
 }
 
 func (r *Router) operate(ctx context.Context, op operation, s dispatcher.Submission) (dispatcher.Handle, error) {
