runner: send all calls of the store through its limits

Cause: leases, claims and rules called the platform directly, without timeouts, breaker or the instance's share of the budget. Change: the store wraps the platform; the budget follows the number of live instances; the leaser reads its rows when membership changes.

--- a/runner/build.go
+++ b/runner/build.go
@@ -31,6 +31,7 @@
 	"github.com/masticlead/masticlead/router"
 	"github.com/masticlead/masticlead/scheduler"
 	"github.com/masticlead/masticlead/server"
+	"github.com/masticlead/masticlead/storer"
 )
 
 // Connections to each host of the platform, and to each target. A target holds
@@ -134,6 +135,14 @@
 	})
 }
 
+func newStore(s *loader.Settings, p *connector.Platform, c clockwork.Clock, m *metrics, log *slog.Logger) *storer.Store {
+	return storer.New(storer.Config{
+		Clock: c, Rand: newRand(s, "storer"), Table: p, Objects: p,
+		WritesPerSecond: float64(s.Limits.StoreWritesPerSecond), ReadsPerSecond: float64(s.Limits.StoreReadsPerSecond),
+		Scope: m.scope.SubScope("storer"), Log: log,
+	})
+}
+
 func newHeartbeater(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, ms *messenger.Server, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*heartbeater.Heartbeater, *rulesReport) {
 	report := &rulesReport{}
 	h := heartbeater.New(heartbeater.Config{
@@ -180,10 +189,10 @@
 	}
 }
 
-func newDistributor(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, ms *messenger.Server, h *heartbeater.Heartbeater, report *rulesReport, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*distributor.Distributor, *ruleSet) {
+func newDistributor(s *loader.Settings, c clockwork.Clock, st *storer.Store, pool *messenger.Pool, ms *messenger.Server, h *heartbeater.Heartbeater, report *rulesReport, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*distributor.Distributor, *ruleSet) {
 	rules := &ruleSet{}
 	d := distributor.New(distributor.Config{
-		Clock: c, Rand: newRand(s, "distributor"), Table: p, Objects: p, Pool: pool, Members: h.Members,
+		Clock: c, Rand: newRand(s, "distributor"), Table: st, Objects: st, Pool: pool, Members: h.Members,
 		Self: s.Instance.Name, DataCentre: s.Instance.DataCentre, DataCentres: s.DataCentres,
 		Parse: parseRules(s.DataCentres),
 		OnInstall: func(r *descriptor.Rules) {
@@ -210,9 +219,9 @@
 	}
 }
 
-func newLeaser(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *leaser.Leaser {
+func newLeaser(s *loader.Settings, c clockwork.Clock, st *storer.Store, pool *messenger.Pool, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *leaser.Leaser {
 	return leaser.New(leaser.Config{
-		Clock: c, Rand: newRand(s, "leaser"), Table: p, Peers: &peers{pool, h},
+		Clock: c, Rand: newRand(s, "leaser"), Table: st, Peers: &peers{pool, h},
 		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, PeerAddress: s.Advertise.Peer,
 		Lease: s.Timing.Lease, Renewal: s.Timing.Renewal, Promise: s.Timing.Promise, MaxExtension: s.Timing.MaxExtension,
 		Alive: func() []descriptor.InstanceID { return aliveIDs(h, s.Instance.DataCentre) },
@@ -240,9 +249,9 @@
 	return max(1, n)
 }
 
-func newClaimer(s *loader.Settings, c clockwork.Clock, p *connector.Platform, l *leaser.Leaser, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *claimer.Claimer {
+func newClaimer(s *loader.Settings, c clockwork.Clock, st *storer.Store, l *leaser.Leaser, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *claimer.Claimer {
 	return claimer.New(claimer.Config{
-		Clock: c, Table: p, Session: l.Session, DataCentre: s.Instance.DataCentre,
+		Clock: c, Table: st, Session: l.Session, DataCentre: s.Instance.DataCentre,
 		Instances: func() int { return liveInstances(s, h) }, WritesPerSecond: float64(s.Limits.StoreWritesPerSecond),
 		Scope: m.scope.SubScope("claimer"), Log: log,
 	})
@@ -298,7 +307,7 @@
 	}
 }
 
-func newLifetime(s *loader.Settings, ms *messenger.Server, pool *messenger.Pool, h *heartbeater.Heartbeater, dist *distributor.Distributor, l *leaser.Leaser, cl *claimer.Claimer, d *dispatcher.Dispatcher, r *router.Router, srv *server.Server, hc *health, log *slog.Logger) *lifetime {
+func newLifetime(s *loader.Settings, ms *messenger.Server, pool *messenger.Pool, h *heartbeater.Heartbeater, dist *distributor.Distributor, l *leaser.Leaser, cl *claimer.Claimer, d *dispatcher.Dispatcher, r *router.Router, srv *server.Server, st *storer.Store, hc *health, log *slog.Logger) *lifetime {
 	return &lifetime{
 		parts: []part{
 			{"messenger", ms.Run, func() error { return joinClose(pool.Close, ms.Close) }},
@@ -307,6 +316,7 @@
 			{"dispatcher", d.Run, d.Close},
 			{"router", r.Run, r.Close},
 			{"server", srv.Run, srv.Close},
+			{"membership", followMembers(s, h, st, l), func() error { return nil }},
 		},
 		// Outcomes are written before the session ends, since it is their fence.
 		release: []part{{"claimer", cl.Run, cl.Close}, {"leaser", l.Run, l.Close}},
--- a/runner/operate.go
+++ b/runner/operate.go
@@ -15,6 +15,7 @@
 	"github.com/masticlead/masticlead/loader"
 	"github.com/masticlead/masticlead/messenger"
 	"github.com/masticlead/masticlead/server"
+	"github.com/masticlead/masticlead/storer"
 )
 
 // ruleSet holds the rules in force; nil until there are any.
@@ -209,3 +210,19 @@
 	}
 	return errors.Join(errs...)
 }
+
+// followMembers divides the store's budget by the number of live instances, and
+// has the leaser look at the rows when membership changes.
+func followMembers(s *loader.Settings, h *heartbeater.Heartbeater, st *storer.Store, l *leaser.Leaser) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			st.SetInstances(liveInstances(s, h))
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-h.Changes():
+				l.Wake()
+			}
+		}
+	}
+}
