--- a/scheduler/direct.go
+++ b/scheduler/direct.go
@@ -25,6 +25,10 @@
 	// peakEnd is how long short work must have had room before throttled work is
 	// set free.
 	peakEnd = 2 * time.Second
+	// relendPause is how long after an order to checkpoint no capacity beyond the
+	// allowance is lent again. Without it the stopped work starts again as soon as
+	// the short work has ended, and is stopped again a second later.
+	relendPause = 10 * time.Second
 	// checkpointPause is how long a task runs at least between checkpoints, so
 	// that it makes progress.
 	checkpointPause = 5 * time.Second
@@ -35,6 +39,8 @@
 	// since is when short work began to wait without room; zero if it doesn't.
 	since time.Time
 	last  time.Time
+	// ordered is when work was last told to checkpoint.
+	ordered time.Time
 	// throttled holds the tasks that were told to slow down.
 	throttled map[*task]struct{}
 }
@@ -56,7 +62,7 @@
 
 // Directives returns orders for running work. At a demand peak, when short work
 // waits without room, checkpointable long work is told to make room, the lowest
-// priority and the latest start first, and other bulk work is throttled.
+// priority, the least often stopped and the latest start first, and other bulk work is throttled.
 func (s *Scheduler) Directives() []Directive {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,10 +96,15 @@
 			candidates = append(candidates, t)
 		}
 	}
-	need := s.waiting.shortShare - s.share(leaving)
+	// Only what long work takes beyond its allowance is called back, or each
+	// chance coincidence of short requests would stop long work. A weight for the
+	// crest lowers the allowance.
+	allowance := s.cfg.Sharer.LongAllowance(now).Usual / max(weightOr1(s.rules.Weights.Crest), 1)
+	need := min(s.waiting.shortShare, s.share(s.usage.long.Add(s.usage.lent))-allowance) - s.share(leaving)
 	slices.SortFunc(candidates, func(a, b *task) int {
 		return cmp.Or(
 			-cmp.Compare(a.class.Priority, b.class.Priority),
+			cmp.Compare(a.rec.stops, b.rec.stops),
 			-a.started.Compare(b.started),
 			cmp.Compare(a.ref.key.String(), b.ref.key.String()),
 			cmp.Compare(a.ref.index, b.ref.index),
@@ -108,6 +119,8 @@
 			continue // with another task of its gang
 		}
 		t.rec.directed = true
+		t.rec.stops++
+		s.peak.ordered = now
 		for _, member := range t.rec.tasks {
 			need -= member.share
 			out = append(out, member.directive(connector.CheckpointTask))
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -22,9 +22,10 @@
 	// without room. More would let a full cell cost time in proportion to the
 	// queue.
 	maxMisses = 4
-	// rescueWindow is how long before its latest start a request may overtake
-	// others.
-	rescueWindow = 300 * time.Millisecond
+	// rescuePart is the part of the time from arrival to deadline before the latest
+	// start in which a request may overtake others. Large work needs some time
+	// until there is room for it on one target.
+	rescuePart = 0.1
 	// maxRescueTries bounds the time that a pass spends on late requests.
 	maxRescueTries = 64
 	// maxRescues is how many rescues can be saved up. Each placement in fair
@@ -102,7 +103,7 @@
 // stay in fair order in any case.
 func (s *Scheduler) rescueLate(p *pass) {
 	tries := 0
-	s.rescue.visit(p.now, p.now.Add(rescueWindow), func(rec *Record) bool {
+	s.rescue.visit(p.now, p.now, func(rec *Record) bool {
 		tries++
 		if s.rescues < 1 || tries > maxRescueTries || p.full || len(p.out) >= p.limit {
 			return false
@@ -152,7 +153,7 @@
 
 // barred reports whether a limit keeps the record from starting now.
 func (s *Scheduler) barred(p *pass, rec *Record) bool {
-	need := rec.req.Resources.Scale(rec.req.Tasks)
+	need := rec.need()
 	kind := rec.req.Kind
 	if limit := s.rules.Kinds[kind].Limit; limit > 0 && limit < 1 &&
 		s.share(s.usage.kinds[kind].Add(need)) > limit {
@@ -163,13 +164,14 @@
 	}
 	if rec.req.Checkpointable {
 		// Lent capacity is not taken back and lent out again at once.
-		return s.waiting.shortShare > 0 && s.share(s.usage.long.Add(s.usage.lent).Add(need)) > p.allowance.Usual
+		short := s.waiting.shortShare > 0 || p.now.Sub(s.peak.ordered) < relendPause
+		return short && s.share(s.usage.long.Add(s.usage.lent).Add(need)) > p.allowance.Usual
 	}
 	if p.longFull {
 		return true
 	}
 	// The first long request always gets a place, or a large one would never run.
-	slowdown := p.now.Sub(rec.req.Arrived).Seconds() / rec.run.Mean.Seconds()
+	slowdown := p.now.Sub(rec.arrived).Seconds() / rec.run.Mean.Seconds()
 	if s.usage.long != (descriptor.Resources{}) && s.share(s.usage.long.Add(need)) > p.allowance.After(slowdown) {
 		// Later long requests don't overtake this one, or a large one would wait
 		// for ever.
@@ -181,15 +183,23 @@
 
 // place asks the placer and starts the record if there is room.
 func (s *Scheduler) place(p *pass, rec *Record) placer.Verdict {
-	if rec.req.Tasks <= 1 {
+	req := rec.req
+	if s.overtaken(p, rec) {
+		if rec.gang == nil {
+			gang := *rec.req
+			gang.Policy = descriptor.Gang
+			rec.gang = &gang
+		}
+		req = rec.gang
+	} else if req.Tasks <= 1 {
 		for _, shape := range p.shapes {
-			if shape.Fits(rec.req.Resources) {
+			if shape.Fits(req.Resources) {
 				return placer.NoRoom // at least as large as one without room
 			}
 		}
 	}
 	assignments, verdict := s.cfg.Placer.Place(p.now, placer.Demand{
-		Request: rec.req, Run: rec.run.Mean, Avoid: rec.avoid,
+		Request: req, Run: rec.run.Mean, Avoid: rec.avoid,
 	})
 	switch verdict {
 	case placer.Placed:
@@ -208,6 +218,20 @@
 	return verdict
 }
 
+// overtaken reports whether smaller work keeps a large single task from ever
+// finding room on one target.
+func (s *Scheduler) overtaken(p *pass, rec *Record) bool {
+	const (
+		large    = 2 // times the mean of the running tasks
+		patience = time.Second
+	)
+	if rec.req.Tasks > 1 || rec.req.Policy == descriptor.Service || s.tasks.n == 0 {
+		return false
+	}
+	waited := p.now.Sub(rec.arrived)
+	return waited >= max(patience, rec.run.Mean) && rec.share*float64(s.tasks.n) >= large*s.usage.share
+}
+
 // start turns a waiting record into running tasks and charges for them.
 func (s *Scheduler) start(now time.Time, rec *Record, assignments []placer.Assignment) {
 	class := rec.item.Class
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -13,6 +13,7 @@
 // that order it.
 type Record struct {
 	req     *descriptor.Request
+	arrived time.Time
 	item    sequencer.Item[*Record]
 	run     estimator.Estimate
 	share   float64 // of the capacity, all tasks
@@ -22,9 +23,13 @@
 	// queuedWork is the work that the backlogs count while the record waits.
 	queuedWork float64
 	spent      time.Duration // longest run of the earlier attempts' tasks
-	directed   bool          // the attempt was told to checkpoint
-	reserved   bool          // the placer may hold a reservation
-	done       bool
+	stops      int           // orders to checkpoint
+	// gang is a copy of a single large task that is placed like a gang, since
+	// only gangs get a reservation.
+	gang     *descriptor.Request
+	directed bool // the attempt was told to checkpoint
+	reserved bool // the placer may hold a reservation
+	done     bool
 
 	// rescue and expiry are the record's places by its latest start if it runs
 	// long, and if it runs short.
@@ -34,6 +39,9 @@
 // work returns the capacity-seconds that the request is expected to use.
 func (r *Record) work() float64 { return r.share * r.run.Mean.Seconds() }
 
+// need returns the resources of all tasks.
+func (r *Record) need() descriptor.Resources { return r.req.Resources.Scale(max(r.req.Tasks, 1)) }
+
 // latestStart is when a run of the given length must start at the latest.
 func (r *Record) latestStart(run time.Duration) time.Time { return r.req.Deadline.Add(-run) }
 
--- a/scheduler/running.go
+++ b/scheduler/running.go
@@ -16,6 +16,8 @@
 type usage struct {
 	teams map[descriptor.TeamID]descriptor.Resources
 	kinds map[descriptor.KindName]descriptor.Resources
+	// share sums the shares of all running tasks.
+	share float64
 	// tasks counts the running tasks of each target.
 	tasks map[descriptor.TargetID]int
 	// long is used by long work that can't be moved away, lent by long work that
@@ -131,6 +133,7 @@
 	s.tasks.put(t.ref, t)
 	s.usage.add(t, t.resources)
 	s.usage.tasks[t.ref.target]++
+	s.usage.share += t.share
 	if t.movable {
 		s.movable[t] = struct{}{}
 	}
@@ -143,6 +146,9 @@
 	if s.usage.tasks[t.ref.target]--; s.usage.tasks[t.ref.target] == 0 {
 		delete(s.usage.tasks, t.ref.target)
 	}
+	if s.usage.share -= t.share; s.tasks.n == 0 {
+		s.usage.share = 0 // drops the rounding error
+	}
 	delete(s.movable, t)
 	delete(s.peak.throttled, t)
 	heap.Remove(&s.overruns, t.pos)
--- a/scheduler/sharer.go
+++ b/scheduler/sharer.go
@@ -93,8 +93,8 @@
 	// demand beyond its mean, before weighing.
 	maxDeviations = 6
 	// longShare is the part of short work for each part of long work in an
-	// overload, before weighing.
-	longShare = 8
+	// overload, before weighing. It is that of the lanes.
+	longShare = 4
 	// longFloor is the least fraction of the capacity that long work may take.
 	longFloor = 0.1
 )
@@ -225,7 +225,7 @@
 	if spare := 1 - short - long; spare > 0 && shortDeviation > 0 {
 		extra = min(spare*shortDeviation/(shortDeviation+longDeviation), maxDeviations*shortDeviation)
 	}
-	least := min(long, 1/(1+longShare*weight))
+	least := min(long, 1/(1+longShare*s.short))
 	kept := min(lastResort*s.short, 1)
 	usual := min(max(1-short-extra, least, longFloor), 1)
 	return Allowance{Usual: usual, Most: min(max(1-short-extra*kept, usual), 1)}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -31,8 +31,11 @@
 		attempt = rec.attempt
 	}
 	s.counters.submitted.Inc(1)
-	rec = &Record{req: r, attempt: attempt}
-	if refusal := s.impossible(r); refusal != nil {
+	rec = &Record{req: r, attempt: attempt, arrived: r.Arrived}
+	if rec.arrived.IsZero() {
+		rec.arrived = now
+	}
+	if refusal := s.impossible(rec); refusal != nil {
 		return s.count(refusal)
 	}
 	s.assess(rec)
@@ -52,7 +55,8 @@
 }
 
 // impossible refuses what can't run at all or finds no target now.
-func (s *Scheduler) impossible(r *descriptor.Request) *descriptor.Refusal {
+func (s *Scheduler) impossible(rec *Record) *descriptor.Refusal {
+	r := rec.req
 	if s.capacity == (descriptor.Resources{}) {
 		return &descriptor.Refusal{
 			Reason:     descriptor.ReasonNoTargets,
@@ -64,7 +68,7 @@
 		return &descriptor.Refusal{Reason: descriptor.ReasonNeverFits, Detail: why}
 	}
 	limit := s.rules.Kinds[r.Kind].Limit
-	if share := s.share(r.Resources.Scale(r.Tasks)); limit > 0 && share > limit {
+	if share := s.share(rec.need()); limit > 0 && share > limit {
 		return &descriptor.Refusal{
 			Reason: descriptor.ReasonNeverFits,
 			Detail: fmt.Sprintf("the request takes %.3g of the capacity and kind %s is limited to %.3g", share, r.Kind, limit),
@@ -77,11 +81,11 @@
 func (s *Scheduler) assess(rec *Record) {
 	r := rec.req
 	rec.run = s.cfg.Estimator.Estimate(r)
-	rec.share = s.share(r.Resources.Scale(r.Tasks))
+	rec.share = s.share(rec.need())
 	rec.queuedWork = rec.work()
 	long := r.Policy == descriptor.Service || s.cfg.Sharer.IsLong(rec.run.Mean)
 	rec.item = sequencer.Item[*Record]{
-		Value: rec, Team: r.Team, Caller: r.Caller, Arrived: r.Arrived,
+		Value: rec, Team: r.Team, Caller: r.Caller, Arrived: rec.arrived,
 		Class: sequencer.Class{Kind: r.Kind, Priority: r.Priority, Long: long},
 	}
 }
@@ -117,7 +121,8 @@
 	if rec.req.Deadline.IsZero() {
 		return
 	}
-	rec.rescue = dueLink{rec: rec, at: rec.latestStart(rec.run.High)}
+	window := time.Duration(rescuePart * float64(rec.req.Deadline.Sub(rec.arrived)))
+	rec.rescue = dueLink{rec: rec, at: rec.latestStart(rec.run.High).Add(-window)}
 	s.rescue.add(&rec.rescue, now)
 	rec.expiry = dueLink{rec: rec, at: rec.latestStart(rec.run.Low)}
 	s.expiry.add(&rec.expiry, now)
