--- a/placer/gang.go
+++ b/placer/gang.go
@@ -44,7 +44,7 @@
 // bestOpen returns the best target of the first shard that has room, or nil.
 func (p *Packer) bestOpen(need descriptor.Resources, avoid []descriptor.TargetID) *slot {
 	for i := p.tree.next(0, need); i >= 0; i = p.tree.next(i+1, need) {
-		if s := p.shards[i].best(need, avoid, &p.weights); s != nil {
+		if s := p.shards[i].best(need, avoid, p.weights.Load()); s != nil {
 			return s
 		}
 	}
@@ -71,6 +71,9 @@
 	if p.reservations[key] != nil {
 		return nil, Reserved
 	}
+	if now.Sub(d.Request.Arrived) < time.Duration(p.cfg.Patience*float64(d.Run)) {
+		return nil, NoRoom
+	}
 	if p.blocked.key != key && now.Before(p.blocked.seen.Add(blockedFor)) {
 		return nil, NoRoom
 	}
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/masticlead/masticlead/descriptor"
@@ -15,6 +16,10 @@
 	// ReservedShare bounds the fraction of the targets that reservations may
 	// name at once, unless there is only one reservation. The default is 0.3.
 	ReservedShare float64
+	// Patience is how long a request of several tasks waits for room before it
+	// reserves targets, as a fraction of its expected run. The default is 1. A
+	// reservation keeps small work waiting, and most gangs start without one.
+	Patience float64
 	// Grace is how long a reservation outlasts its expected start before its
 	// targets are given up. The default is 2 s; it grows to half of the
 	// expected wait.
@@ -28,6 +33,9 @@
 	if c.ReservedShare <= 0 {
 		c.ReservedShare = 0.3
 	}
+	if c.Patience <= 0 {
+		c.Patience = 1
+	}
 	if c.Grace <= 0 {
 		c.Grace = 2 * time.Second
 	}
@@ -53,8 +61,10 @@
 	byID    map[descriptor.TargetID]*slot
 	shards  []*shard
 	vacant  []*slot // unused positions of shards
-	weights weights
-	tree    maxTree
+	weights atomic.Pointer[weights]
+	// takes counts down to the next change of weights.
+	takes atomic.Int64
+	tree  maxTree
 
 	cell     cell
 	services services
@@ -70,13 +80,15 @@
 
 // NewPacker returns a Packer without targets.
 func NewPacker(cfg PackerConfig) *Packer {
-	return &Packer{
+	p := &Packer{
 		cfg:          cfg.withDefaults(),
 		byID:         make(map[descriptor.TargetID]*slot),
 		cell:         newCell(),
 		services:     newServices(),
 		reservations: make(map[descriptor.Key]*reservation),
 	}
+	p.weigh()
+	return p
 }
 
 // AddTarget implements Policy.
@@ -98,7 +110,7 @@
 		s.state = Leaving
 	}
 	p.cell.add(s)
-	p.weights = newWeights(p.cell.sum(), len(p.byID))
+	p.weigh()
 	p.refresh(s)
 }
 
@@ -155,7 +167,7 @@
 	s.shard.slots[s.pos] = nil
 	p.refresh(s)
 	p.vacant = append(p.vacant, s)
-	p.weights = newWeights(p.cell.sum(), len(p.byID))
+	p.weigh()
 }
 
 // SetState implements Policy.
@@ -163,7 +175,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.byID[id]
-	if s == nil || s.state == state && state != Probing {
+	if s == nil || s.state == state {
 		return
 	}
 	p.setProbing(s, state == Probing)
@@ -218,7 +230,7 @@
 func (p *Packer) placeIn(sh *shard, task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	s := sh.best(task.need, avoid, &p.weights)
+	s := sh.best(task.need, avoid, p.weights.Load())
 	if s == nil {
 		return "", false
 	}
@@ -232,6 +244,20 @@
 	s.add(task)
 	p.cell.use(s, task.need)
 	p.refresh(s)
+	if p.takes.Add(-1) <= 0 {
+		p.weigh()
+	}
+}
+
+// weighEvery is the number of tasks after which the weights follow the use of
+// the cell.
+const weighEvery = 512
+
+// weigh computes the weights anew.
+func (p *Packer) weigh() {
+	p.takes.Store(weighEvery)
+	w := p.cell.weights()
+	p.weights.Store(&w)
 }
 
 // Take implements Policy.
