scheduler, admitter: share by team weight first; bound the start of urgent work

Admission predicted a caller's rate from the number of callers over all teams. Urgent work is admitted and rescued by its start bound of 3.7 s also if its deadline is later. A lost order to checkpoint is repeated after 30 s, and a reservation never outlives its request's start.

--- a/admitter/meter.go
+++ b/admitter/meter.go
@@ -76,5 +76,5 @@
 func (m *meter) callerRate(q Question) float64 {
 	rate := m.rate()
 	others := max(m.offered/m.demandWindow()-q.CallerOffered, 0)
-	return max(rate/float64(max(q.Callers, 1)), rate-others)
+	return max(rate*q.Share, rate-others)
 }
--- a/admitter/policy.go
+++ b/admitter/policy.go
@@ -36,8 +36,9 @@
 	// Caller, InClass and Total are what waits already: of the caller in this
 	// class, in the class, and altogether.
 	Caller, InClass, Total Backlog
-	// Callers is the number of callers that have work of the class waiting.
-	Callers int
+	// Share is the fraction of the class's service that the caller gets in fair
+	// order.
+	Share float64
 	// CallerOffered is the work per second that the caller has sent lately.
 	CallerOffered float64
 	// CallerTotal is what waits of the caller in all classes.
--- a/admitter/predictive.go
+++ b/admitter/predictive.go
@@ -44,6 +44,9 @@
 	return b
 }
 
+// UrgentStart is the time within which urgent work starts, whatever its deadline.
+const UrgentStart = 3700 * time.Millisecond
+
 const (
 	// window is the time over which the service rate is measured. A few seconds
 	// follow a demand swing, which is over in ten. For classes with longer runs
@@ -196,7 +199,11 @@
 			Detail: fmt.Sprintf("a run takes at least %s and the deadline is in %s", q.Run.Low, left),
 		}
 	}
-	slack := slackPart * (left - q.Run.High).Seconds() / p.crest
+	start := left - q.Run.High
+	if q.Class.Priority == descriptor.Urgent {
+		start = min(start, UrgentStart)
+	}
+	slack := slackPart * start.Seconds() / p.crest
 	if q.InClass.Requests == 0 {
 		return nil
 	}
--- a/admitter/predictive_test.go
+++ b/admitter/predictive_test.go
@@ -26,7 +26,7 @@
 		Request: &descriptor.Request{Deadline: now.Add(deadline)}, Class: class,
 		Run: estimator.Estimate{Low: run, Mean: run, High: run},
 		Own: Backlog{Requests: 1, Bytes: 300, Work: 0.01}, InClass: waiting, Total: waiting,
-		Caller: own, CallerTotal: own, Callers: max(waiting.Requests/10, 1),
+		Caller: own, CallerTotal: own, Share: 1 / float64(max(waiting.Requests/10, 1)),
 	}
 }
 
@@ -94,7 +94,7 @@
 	own := 0
 	for {
 		q := ask(now, 10*time.Second, backlog(50+own), backlog(own))
-		q.Callers, q.CallerOffered = 10, 1
+		q.Share, q.CallerOffered = 0.1, 1
 		if p.Admit(now, q) != nil {
 			break
 		}
@@ -102,7 +102,7 @@
 		require.Less(t, own, 200)
 	}
 	q := ask(now, 10*time.Second, backlog(50+own), Backlog{})
-	q.Callers = 10
+	q.Share = 0.1
 	require.Nil(t, p.Admit(now, q), "a caller without backlog is still admitted")
 }
 
@@ -156,3 +156,17 @@
 		})
 	}
 }
+
+// TestUrgentStartsWithinItsBound guards against urgent work that is queued for
+// longer than urgent work may wait because its deadline is far.
+func TestUrgentStartsWithinItsBound(t *testing.T) {
+	p := policy()
+	urgent := sequencer.Class{Kind: "route", Priority: descriptor.Urgent}
+	ask := func(n int) *descriptor.Refusal {
+		q := ask(start, time.Hour, backlog(n), Backlog{})
+		q.Class = urgent
+		return p.Admit(start, q)
+	}
+	require.Nil(t, ask(10))
+	require.NotNil(t, ask(500), "500 requests take 5 s at least")
+}
--- a/measurer/cancel_wave.go
+++ b/measurer/cancel_wave.go
@@ -112,7 +112,7 @@
 }
 
 // waveResult holds p99 decision times in microseconds and bytes of heap.
-type waveResult struct{ before, during, base, after, cancel float64 }
+type waveResult struct{ before, during, base, after, cancel, perRequest float64 }
 
 func runWave(env Env, cfg scheduler.Config, round uint64) (waveResult, error) {
 	var res waveResult
@@ -127,6 +127,7 @@
 	if err != nil {
 		return res, err
 	}
+	res.perRequest = (heapBytes() - empty - res.base) / float64(len(keys))
 	w.rng.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
 
 	second := make(chan struct{})
@@ -161,6 +162,7 @@
 // also delayed by whatever else runs on the machine.
 func cancelWave(env Env) ([]Metric, error) {
 	var before, during, slowdown, memory, cancel, plainSlowdown []float64
+	var perRequest float64
 	for round := range uint64(waveRounds) {
 		r, err := runWave(env, scheduler.Config{}, round)
 		if err != nil {
@@ -169,6 +171,7 @@
 		before, during = append(before, r.before), append(during, r.during)
 		slowdown, memory = append(slowdown, r.during/r.before), append(memory, r.after/r.base)
 		cancel = append(cancel, r.cancel)
+		perRequest = r.perRequest
 	}
 	plain, err := runWave(env, scheduler.Plain(scheduler.Config{}), 0)
 	if err != nil {
@@ -180,6 +183,7 @@
 		{Name: "decisionP99InWave", Value: Quantile(during, 0.5), Unit: "us", Baseline: plain.during},
 		{Name: "decisionP99Ratio", Value: Quantile(slowdown, 0.5), Unit: "ratio", Baseline: Quantile(plainSlowdown, 0.5), Bound: AtMost(2)},
 		{Name: "memoryRatio", Value: Quantile(memory, 0.5), Unit: "ratio", Baseline: plain.after / plain.base, Bound: AtMost(1.1)},
+		{Name: "memoryPerRequest", Value: perRequest, Unit: "bytes", Baseline: plain.perRequest},
 		{Name: "cancelMean", Value: Quantile(cancel, 0.5), Unit: "us", Baseline: plain.cancel},
 	}, nil
 }
--- a/measurer/fairness.go
+++ b/measurer/fairness.go
@@ -40,7 +40,7 @@
 
 func fairFlow(load func(time.Duration) float64, most float64, caller func(*rand.Rand) descriptor.CallerID) Flow {
 	return Flow{
-		Kind: "routeBuild", Priority: descriptor.Urgent, Team: OneTeam("reseller"), Caller: caller,
+		Kind: "weekPlan", Priority: descriptor.Normal, Team: OneTeam("reseller"), Caller: caller,
 		Run: Around(fairRun), Deadline: fairDeadline,
 		Rate:    func(at time.Duration) float64 { return fairCapacity * load(at) },
 		MaxRate: fairCapacity * most,
@@ -94,6 +94,7 @@
 		{Name: "othersWaitP99", Value: p99(flooded), Unit: "s", Baseline: p99(plainFlooded)},
 		{Name: "othersWaitP99ToCalm", Value: p99(flooded) / p99(calm), Unit: "ratio", Baseline: p99(plainFlooded) / p99(plainCalm), Bound: AtMost(1.1)},
 		{Name: "othersRefusedMore", Value: (refusedOthers(flooded) - refusedOthers(calm)) / float64(len(others)), Unit: "fraction", Baseline: (refusedOthers(plainFlooded) - refusedOthers(plainCalm)) / float64(len(others)), Bound: AtMost(0.001)},
+		{Name: "jainTeams", Value: jainOfTeams(env), Unit: "index", Baseline: None(), Bound: AtLeast(0.99)},
 		{Name: "jainBacklogged", Value: ours, Unit: "index", Baseline: plain, Bound: AtLeast(0.99)},
 	}, nil
 }
@@ -125,3 +126,24 @@
 	}
 	return index(scheduler.Config{}), index(scheduler.Plain(scheduler.Config{}))
 }
+
+// jainOfTeams returns the fairness index of the run time per weight of two teams
+// that both ask for more than they get: a single caller, and a reseller of twice
+// its weight with 100 callers.
+func jainOfTeams(env Env) float64 {
+	const length = 30 * time.Second
+	one := fairFlow(Constant(1), 1, func(*rand.Rand) descriptor.CallerID { return "single" })
+	one.Team = OneTeam("single")
+	work := Generate(env.Rand(4), 0, length, one, fairFlow(Constant(2), 2, SomeCaller("salon", 100)))
+	rules := &descriptor.Rules{Teams: map[descriptor.TeamID]descriptor.Team{
+		"single": {ID: "single", Weight: 1}, "reseller": {ID: "reseller", Weight: 2},
+	}}
+	jobs := Clone(work)
+	c := NewCell(scheduler.Config{}, rules, fairTargets, Slots8, env.Rand(9))
+	c.Add(jobs)
+	c.Run(length)
+	busy := func(team descriptor.TeamID) float64 {
+		return BusySeconds(jobs, length/3, length, func(j *Job) bool { return j.Request.Team == team })
+	}
+	return Jain([]float64{busy("single"), busy("reseller") / 2})
+}
--- a/scheduler/direct.go
+++ b/scheduler/direct.go
@@ -29,6 +29,9 @@
 	// allowance is lent again. Without it the stopped work starts again as soon as
 	// the short work has ended, and is stopped again a second later.
 	relendPause = 10 * time.Second
+	// orderTimeout is how long an order may take. A task that still runs after it
+	// may be ordered again, since the order can get lost.
+	orderTimeout = 30 * time.Second
 	// checkpointPause is how long a task runs at least between checkpoints, so
 	// that it makes progress.
 	checkpointPause = 5 * time.Second
@@ -89,6 +92,9 @@
 	var leaving descriptor.Resources // on its way out already
 	var candidates []*task
 	for t := range s.movable {
+		if t.rec != nil && t.rec.directed && now.Sub(t.rec.directedAt) > orderTimeout {
+			t.rec.directed = false
+		}
 		switch {
 		case t.rec != nil && t.rec.directed:
 			leaving = leaving.Add(t.resources)
@@ -118,7 +124,7 @@
 		if t.rec.directed {
 			continue // with another task of its gang
 		}
-		t.rec.directed = true
+		t.rec.directed, t.rec.directedAt = true, now
 		t.rec.stops++
 		s.peak.ordered = now
 		for _, member := range t.rec.tasks {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/masticlead/masticlead/admitter"
 	"github.com/masticlead/masticlead/descriptor"
 	"github.com/masticlead/masticlead/placer"
 	"github.com/masticlead/masticlead/sequencer"
@@ -26,6 +27,8 @@
 	// start in which a request may overtake others. Large work needs some time
 	// until there is room for it on one target.
 	rescuePart = 0.1
+	// urgentRescue is the same for the bound of urgent work.
+	urgentRescue = admitter.UrgentStart * 9 / 10
 	// maxRescueTries bounds the time that a pass spends on late requests.
 	maxRescueTries = 64
 	// maxRescues is how many rescues can be saved up. Each placement in fair
@@ -240,7 +243,11 @@
 	s.cfg.Sequencer.Serve(&rec.item)
 	s.cfg.Admitter.Served(now, class, rec.queuedWork, s.waiting.class(class).Backlog)
 	rec.attempt++
-	rec.reserved = false
+	if rec.reserved {
+		// Work that was placed without its reservation must not leave it behind.
+		s.cfg.Placer.Withdraw(rec.req.Key)
+		rec.reserved = false
+	}
 	rec.tasks = rec.tasks[:0]
 	share := s.share(rec.req.Resources)
 	for _, a := range assignments {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -24,6 +24,7 @@
 	queuedWork float64
 	spent      time.Duration // longest run of the earlier attempts' tasks
 	stops      int           // orders to checkpoint
+	directedAt time.Time     // the last order to checkpoint
 	// gang is a copy of a single large task that is placed like a gang, since
 	// only gangs get a reservation.
 	gang     *descriptor.Request
@@ -45,6 +46,18 @@
 // latestStart is when a run of the given length must start at the latest.
 func (r *Record) latestStart(run time.Duration) time.Time { return r.req.Deadline.Add(-run) }
 
+// rescueAt is when a request may begin to overtake others, so that it starts in
+// time: before its deadline even if it runs long, and within the bound of urgent
+// work.
+func (r *Record) rescueAt() time.Time {
+	window := time.Duration(rescuePart * float64(r.req.Deadline.Sub(r.arrived)))
+	at := r.latestStart(r.run.High).Add(-window)
+	if urgent := r.arrived.Add(urgentRescue); r.req.Priority == descriptor.Urgent && urgent.Before(at) {
+		return urgent
+	}
+	return at
+}
+
 // taskRef identifies a task for good: two owners may number attempts alike, but
 // not on the same target.
 type taskRef struct {
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -103,7 +103,7 @@
 		CallerTotal:   c.total,
 		CallerMax:     c.limit,
 		InClass:       k.Backlog,
-		Callers:       k.callers,
+		Share:         s.cfg.Sequencer.Share(rec.req.Team, rec.req.Caller, rec.item.Class),
 		CallerOffered: c.offered.work / offeredWindow.Seconds(),
 		Total:         s.waiting.total,
 	}
@@ -121,8 +121,7 @@
 	if rec.req.Deadline.IsZero() {
 		return
 	}
-	window := time.Duration(rescuePart * float64(rec.req.Deadline.Sub(rec.arrived)))
-	rec.rescue = dueLink{rec: rec, at: rec.latestStart(rec.run.High).Add(-window)}
+	rec.rescue = dueLink{rec: rec, at: rec.rescueAt()}
 	s.rescue.add(&rec.rescue, now)
 	rec.expiry = dueLink{rec: rec, at: rec.latestStart(rec.run.Low)}
 	s.expiry.add(&rec.expiry, now)
--- a/sequencer/fair_accounts.go
+++ b/sequencer/fair_accounts.go
@@ -117,3 +117,29 @@
 		e.class.tiers[e.tier].remove(e)
 	}
 }
+
+// Share divides the class by the weights of the teams that wait, and the team's
+// part by its callers that wait. Teams above their entitlement are left out for
+// a team below it.
+func (q *Fair[T]) Share(tid descriptor.TeamID, cid descriptor.CallerID, cl Class) float64 {
+	k, ok := q.classes[cl]
+	if !ok {
+		return 1
+	}
+	t := q.team(tid)
+	weight, callers := t.weight, 1
+	for tier := range t.tier() + 1 {
+		for _, e := range k.tiers[tier].elements {
+			if e.team != t {
+				weight += e.team.weight
+			}
+		}
+	}
+	if e, ok := k.entries[t]; ok {
+		callers = max(e.flows.len(), 1)
+		if c, ok := t.callers[cid]; !ok || c.queued == 0 {
+			callers = e.flows.len() + 1
+		}
+	}
+	return t.weight / weight / float64(callers)
+}
--- a/sequencer/fair_test.go
+++ b/sequencer/fair_test.go
@@ -254,3 +254,23 @@
 	}
 	require.Zero(t, q.Len())
 }
+
+// TestShareFollowsWeightsAndCallers guards against a share that counts callers
+// over all teams, which would leave a single caller of a small team with next to
+// nothing beside a reseller.
+func TestShareFollowsWeightsAndCallers(t *testing.T) {
+	q := NewFair[int]()
+	q.SetRules(&descriptor.Rules{Teams: map[descriptor.TeamID]descriptor.Team{
+		"single": {ID: "single", Weight: 1}, "reseller": {ID: "reseller", Weight: 3},
+	}})
+	require.InDelta(t, 1, q.Share("single", "s", short), 1e-9)
+	for i := range 10 {
+		push(q, "reseller", fmt.Sprint("r", i), short, 5)
+	}
+	require.InDelta(t, 0.25, q.Share("single", "s", short), 1e-9)
+	push(q, "single", "s", short, 5)
+	require.InDelta(t, 0.25, q.Share("single", "s", short), 1e-9)
+	require.InDelta(t, 0.075, q.Share("reseller", "r1", short), 1e-9)
+	require.InDelta(t, 0.75/11, q.Share("reseller", "new", short), 1e-9)
+	require.InDelta(t, 1, q.Share("single", "s", long), 1e-9)
+}
--- a/sequencer/policy.go
+++ b/sequencer/policy.go
@@ -81,6 +81,9 @@
 	Charge(team descriptor.TeamID, caller descriptor.CallerID, c Class, work float64)
 	// SetUsage says which fraction of the capacity a team uses now.
 	SetUsage(team descriptor.TeamID, share float64)
+	// Share returns the fraction of the class's service that the caller gets if it
+	// and all that wait now keep waiting.
+	Share(team descriptor.TeamID, caller descriptor.CallerID, c Class) float64
 	// OverQuota reports whether the team uses as much as it is entitled to.
 	OverQuota(team descriptor.TeamID) bool
 }
@@ -162,5 +165,8 @@
 // SetUsage does nothing.
 func (*Arrival[T]) SetUsage(descriptor.TeamID, float64) {}
 
+// Share returns 1.
+func (*Arrival[T]) Share(descriptor.TeamID, descriptor.CallerID, Class) float64 { return 1 }
+
 // OverQuota returns false.
 func (*Arrival[T]) OverQuota(descriptor.TeamID) bool { return false }
