--- a/cmd/masticlead-bench/main.go
+++ b/cmd/masticlead-bench/main.go
@@ -61,7 +61,9 @@
 	if scenario == "all" {
 		names = names[:0]
 		for _, s := range measurer.Scenarios() {
-			names = append(names, s.Name)
+			if !s.Extra {
+				names = append(names, s.Name)
+			}
 		}
 	}
 	var errs []error
--- a/measurer/registry.go
+++ b/measurer/registry.go
@@ -22,6 +22,8 @@
 	Name string
 	// Doc says in one sentence what is measured.
 	Doc string
+	// Extra scenarios are run by name only.
+	Extra bool
 	// Run returns the metrics. Their Scenario field is filled in by Run of the
 	// package.
 	Run func(Env) ([]Metric, error)
--- a/scheduler/peak_test.go
+++ b/scheduler/peak_test.go
@@ -154,3 +154,68 @@
 func (f *fixture) charge(team descriptor.TeamID, caller descriptor.CallerID) {
 	f.cfg.Sequencer.Charge(team, caller, sequencer.Class{}, 1000)
 }
+
+// TestThrottleAndRelease guards against bulk work that stays throttled after the
+// peak, and against orders that are repeated.
+func TestThrottleAndRelease(t *testing.T) {
+	f := newFixture(t, 1)
+	for range 4 {
+		f.submit(f.request("office", func(r *descriptor.Request) {
+			r.Kind, r.DeclaredRun, r.Priority, r.Deadline = "list", time.Hour, descriptor.Bulk, time.Time{}
+		}))
+	}
+	long := f.Next(10)
+	require.Len(t, long, 4)
+	for range 8 {
+		f.submit(f.request("fitter"))
+	}
+	for range 2 {
+		require.Empty(t, f.Next(10))
+		f.clock.Advance(time.Second)
+	}
+	orders := f.Directives()
+	require.Len(t, orders, len(long))
+	for _, d := range orders {
+		require.Equal(t, connector.ThrottleTask, d.Directive)
+	}
+	require.Empty(t, f.Directives())
+
+	f.end(long[0], 2*time.Second)
+	for f.Load().Queued > 0 {
+		p := f.Next(10)
+		require.Len(t, p, 1)
+		require.Empty(t, f.Directives(), "the peak lasts")
+		f.clock.Advance(time.Second)
+		f.end(p[0], time.Second)
+	}
+	f.clock.Advance(5 * time.Second)
+	require.Empty(t, f.Next(10))
+	released := f.Directives()
+	require.Len(t, released, len(long)-1)
+	for _, d := range released {
+		require.Equal(t, connector.UnthrottleTask, d.Directive)
+	}
+	require.Empty(t, f.Directives())
+}
+
+// TestLostOrderIsRepeated guards against a task that keeps lent capacity for
+// ever because one order to checkpoint got lost.
+func TestLostOrderIsRepeated(t *testing.T) {
+	f := newFixture(t, 1)
+	for range 4 {
+		f.submit(f.request("office", func(r *descriptor.Request) {
+			r.Kind, r.DeclaredRun, r.Checkpointable, r.Priority = "plan", time.Hour, true, descriptor.Bulk
+			r.Deadline = f.clock.Now().Add(24 * time.Hour)
+		}))
+	}
+	require.Len(t, f.Next(10), 4)
+	f.clock.Advance(10 * time.Second)
+	f.submit(f.request("fitter", func(r *descriptor.Request) { r.Deadline = f.clock.Now().Add(time.Hour) }))
+	orders := 0
+	for range 60 {
+		f.Next(10)
+		orders += len(f.Directives())
+		f.clock.Advance(time.Second)
+	}
+	require.Equal(t, 2, orders)
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -366,3 +367,58 @@
 	f.AddTarget(descriptor.Target{ID: "t0", Capacity: descriptor.Resources{CPU: 4000, Memory: 4096, Slots: 4}})
 	require.Equal(t, 3, f.Load().Used.Slots)
 }
+
+// TestConcurrentUse guards against state that is touched without the lock, and
+// against capacity that is not given back when calls interleave.
+func TestConcurrentUse(t *testing.T) {
+	s := New(Config{Placer: placer.NewPacker(placer.PackerConfig{})})
+	for i := range 4 {
+		s.AddTarget(descriptor.Target{
+			ID: descriptor.TargetID(fmt.Sprint("t", i)), Capacity: descriptor.Resources{CPU: 8000, Memory: 8192, Slots: 8},
+		})
+	}
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 500 {
+				now := time.Now()
+				r := &descriptor.Request{
+					Key:  descriptor.Key{Caller: descriptor.CallerID(fmt.Sprint("c", g)), ID: descriptor.RequestID(fmt.Sprint(i))},
+					Team: descriptor.TeamID(fmt.Sprint("team", g%2)), Kind: "check", Tasks: 1 + i%2,
+					Resources: descriptor.Resources{CPU: 1000, Memory: 256, Slots: 1}, DeclaredRun: time.Millisecond,
+					Arrived: now, Deadline: now.Add(time.Minute),
+				}
+				if s.Submit(r) == nil && i%5 == 0 {
+					s.Cancel(r.Key)
+				}
+				for _, p := range s.Next(2) {
+					for _, a := range p.Tasks {
+						s.Ended(p.Request.Key, p.Attempt, a.Index, a.Target, Result{Succeeded: true, Started: true, Ran: time.Millisecond})
+					}
+					s.Done(p.Request.Key)
+				}
+				s.Expire()
+				s.Directives()
+				s.Load()
+				if i%100 == 0 {
+					s.SetRules(&descriptor.Rules{Version: descriptor.RulesVersion(i)})
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for {
+		placements := s.Next(10)
+		if len(placements) == 0 {
+			break
+		}
+		for _, p := range placements {
+			for _, a := range p.Tasks {
+				s.Ended(p.Request.Key, p.Attempt, a.Index, a.Target, Result{Succeeded: true, Started: true, Ran: time.Millisecond})
+			}
+			s.Done(p.Request.Key)
+		}
+	}
+	require.Zero(t, s.Load().Used)
+	require.Zero(t, s.Load().Queued)
+}
