--- a/admitter/predictive.go
+++ b/admitter/predictive.go
@@ -216,7 +216,7 @@
 	return &descriptor.Refusal{
 		Reason:     descriptor.ReasonDeadlineUnmet,
 		RetryAfter: p.retry(m, q.InClass.Work),
-		Detail:     fmt.Sprintf("the predicted wait is %s and has to be at most %s",
+		Detail: fmt.Sprintf("the predicted wait is %s and has to be at most %s",
 			max(seconds(q.InClass.Work/m.rate()), seconds(waiting/m.callerRate(q))).Round(time.Millisecond),
 			seconds(max(slack, 0)).Round(time.Millisecond)),
 	}
