--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -63,9 +64,12 @@
 	Outcome *descriptor.Outcome `json:"outcome,omitempty"`
 }
 
-// Config holds the settings of a Claimer. Instances, Scope and Log may be nil.
+// Config holds the settings of a Claimer. Rand, Instances, Scope and Log may be
+// nil.
 type Config struct {
 	Clock clockwork.Clock
+	// Rand spreads the sweeps of the instances.
+	Rand  *rand.Rand
 	Table connector.Table
 	// Session returns the fence of this instance's writes.
 	Session    func() (leaser.Session, bool)
@@ -74,8 +78,10 @@
 	Instances func() int
 	// WritesPerSecond is the budget of all instances together.
 	WritesPerSecond float64
-	Scope           tally.Scope
-	Log             *slog.Logger
+	// Retention is how long claims are kept; 0 means DefaultRetention.
+	Retention time.Duration
+	Scope     tally.Scope
+	Log       *slog.Logger
 }
 
 // Claimer batches the claims and outcomes of one instance.
@@ -123,6 +129,12 @@
 	if cfg.WritesPerSecond <= 0 {
 		cfg.WritesPerSecond = DefaultWritesPerSecond
 	}
+	if cfg.Retention <= 0 {
+		cfg.Retention = DefaultRetention
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	cfg.Log = cfg.Log.With("component", "claimer")
 	return &Claimer{
 		cfg:       cfg,
--- a/claimer/queue.go
+++ b/claimer/queue.go
@@ -161,10 +161,14 @@
 	defer close(c.done)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var flights sync.WaitGroup
+	sweepCtx, stopSweep := context.WithCancel(ctx)
+	var sweeping, flights sync.WaitGroup
+	sweeping.Go(func() { c.sweepLoop(sweepCtx) })
 	for c.turn(ctx, &flights) {
 	}
+	stopSweep()
 	c.drain(ctx, cancel, &flights)
+	sweeping.Wait()
 	return nil
 }
 
--- /dev/null
+++ b/claimer/rules_test.go
@@ -0,0 +1,362 @@
+package claimer
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/faketable"
+)
+
+func completed(detail string) descriptor.Outcome {
+	return descriptor.NewUnstarted().Start().Complete(descriptor.Run{Target: "t1", Detail: detail})
+}
+
+// claim claims a key within a second.
+func (i *instance) claim(key descriptor.Key) (bool, Claim, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return i.claimer.Claim(ctx, key)
+}
+
+// TestOutcomeIsDurable guards against an outcome that is lost, or replaced by a
+// later one, although answers of the store are lost.
+func TestOutcomeIsDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(1)
+		a, b := startInstance(t, table, "a", 2), startInstance(t, table, "b", 2)
+		defer a.end()
+		defer b.end()
+		won, _, err := a.claim(testKey(1))
+		require.NoError(t, err)
+		require.True(t, won)
+		a.client.Set(faketable.Faults{LostAnswer: 0.7})
+		require.NoError(t, a.claimer.Record(t.Context(), testKey(1), completed("first")))
+		require.NoError(t, a.claimer.Record(t.Context(), testKey(1), completed("first")))
+		require.ErrorIs(t, b.claimer.Record(t.Context(), testKey(1), completed("second")), ErrRecorded)
+		won, existing, err := b.claim(testKey(1))
+		require.NoError(t, err)
+		require.False(t, won)
+		require.Equal(t, Holder{Instance: "a", Incarnation: 1}, existing.Holder)
+		require.Equal(t, "first", existing.Outcome.Detail())
+		require.ErrorIs(t, b.claimer.Record(t.Context(), testKey(2), completed("no claim")), connector.ErrNotFound)
+	})
+}
+
+// TestResolvedByNewOwner guards against a claim of a dead holder that can't get
+// an outcome, and against the dead holder's own outcome after that.
+func TestResolvedByNewOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(2)
+		a, b := startInstance(t, table, "a", 2), startInstance(t, table, "b", 2)
+		defer a.end()
+		defer b.end()
+		_, _, err := a.claim(testKey(1))
+		require.NoError(t, err)
+		lost := descriptor.NewUnstarted().Start().Lose(descriptor.Run{})
+		require.NoError(t, b.claimer.Record(t.Context(), testKey(1), lost))
+		require.ErrorIs(t, a.claimer.Record(t.Context(), testKey(1), completed("late")), ErrRecorded)
+		claim, ok, err := a.claimer.Lookup(t.Context(), testKey(1))
+		require.NoError(t, err)
+		require.True(t, ok)
+		require.Equal(t, descriptor.Unknown, claim.Outcome.Kind())
+	})
+}
+
+// TestFailedKeyLeavesTheOthers guards against a batch that fails as a whole
+// because one of its keys was claimed before.
+func TestFailedKeyLeavesTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(3)
+		a, b := startInstance(t, table, "a", 2), startInstance(t, table, "b", 2)
+		defer a.end()
+		defer b.end()
+		_, _, err := b.claim(testKey(50))
+		require.NoError(t, err)
+		_, before := table.Counts()
+		var mu sync.Mutex
+		won := 0
+		var callers sync.WaitGroup
+		for n := range 100 {
+			callers.Go(func() {
+				ok, _, err := a.claim(testKey(n))
+				assert.NoError(t, err)
+				assert.Equal(t, n != 50, ok)
+				mu.Lock()
+				defer mu.Unlock()
+				if ok {
+					won++
+				}
+			})
+		}
+		callers.Wait()
+		require.Equal(t, 99, won)
+		_, after := table.Counts()
+		// The first claim alone, the batch of the rest, and the batch without the
+		// key that failed.
+		require.LessOrEqual(t, after-before, 3)
+	})
+}
+
+// TestFencedSessionClaimsNothing guards against a claim of a session that has
+// been removed, after which others may run the request.
+func TestFencedSessionClaimsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(4)
+		a := startInstance(t, table, "a", 1)
+		defer a.end()
+		_, err := table.Client().Commit(t.Context(), connector.Transaction{Deletes: []connector.RowKey{a.session.Row}})
+		require.NoError(t, err)
+		won, _, err := a.claim(testKey(1))
+		require.ErrorIs(t, err, connector.ErrUnavailable)
+		require.False(t, won)
+		_, ok, err := a.claimer.Lookup(t.Context(), testKey(1))
+		require.NoError(t, err)
+		require.False(t, ok)
+	})
+}
+
+// TestAmbiguousClaimIsSettledLater guards against a claim that is lost to its own
+// holder, and against one that is won twice, after an answer was lost.
+func TestAmbiguousClaimIsSettledLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(5)
+		a := startInstance(t, table, "a", 1)
+		defer a.end()
+		a.client.Set(faketable.Faults{LostAnswer: 1})
+		time.AfterFunc(100*time.Millisecond, func() { a.client.Set(faketable.Faults{}) })
+		won, _, err := a.claim(testKey(1))
+		require.NoError(t, err)
+		require.True(t, won, "the conflict of the repeated write shows our row")
+		a.client.Set(faketable.Faults{LateCommit: 1, LateBy: 5 * time.Second})
+		_, _, err = a.claim(testKey(2))
+		require.ErrorIs(t, err, connector.ErrAmbiguous)
+		table.Wait()
+		a.client.Set(faketable.Faults{})
+		won, _, err = a.claim(testKey(2))
+		require.NoError(t, err)
+		require.True(t, won)
+		won, existing, err := a.claim(testKey(2))
+		require.NoError(t, err)
+		require.False(t, won)
+		require.Equal(t, descriptor.InstanceID("a"), existing.Holder.Instance)
+	})
+}
+
+// TestResolvedClaimIsNotWon guards against a run of a request whose ambiguous
+// claim was meanwhile resolved as unknown by another instance.
+func TestResolvedClaimIsNotWon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(6)
+		a, b := startInstance(t, table, "a", 2), startInstance(t, table, "b", 2)
+		defer a.end()
+		defer b.end()
+		a.client.Set(faketable.Faults{LateCommit: 1})
+		_, _, err := a.claim(testKey(1))
+		require.ErrorIs(t, err, connector.ErrAmbiguous)
+		lost := descriptor.NewUnstarted().Start().Lose(descriptor.Run{})
+		require.NoError(t, b.claimer.Record(t.Context(), testKey(1), lost))
+		a.client.Set(faketable.Faults{})
+		won, existing, err := a.claim(testKey(1))
+		require.NoError(t, err)
+		require.False(t, won)
+		require.NotNil(t, existing.Outcome)
+	})
+}
+
+// TestWithdraw guards against a withdrawn claim that still blocks the request,
+// and against the removal of another holder's claim.
+func TestWithdraw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(7)
+		a, b := startInstance(t, table, "a", 2), startInstance(t, table, "b", 2)
+		defer a.end()
+		defer b.end()
+		_, _, err := a.claim(testKey(1))
+		require.NoError(t, err)
+		require.ErrorIs(t, b.claimer.Withdraw(t.Context(), testKey(1)), ErrNotHolder)
+		a.client.Set(faketable.Faults{LostAnswer: 0.7})
+		require.NoError(t, a.claimer.Withdraw(t.Context(), testKey(1)))
+		require.NoError(t, a.claimer.Withdraw(t.Context(), testKey(1)))
+		won, _, err := b.claim(testKey(1))
+		require.NoError(t, err)
+		require.True(t, won)
+		require.NoError(t, b.claimer.Record(t.Context(), testKey(1), completed("")))
+		require.ErrorIs(t, b.claimer.Withdraw(t.Context(), testKey(1)), ErrRecorded)
+	})
+}
+
+// TestKeysHaveTheirOwnRows guards against two keys that share a row because of a
+// slash in the caller's name or the id.
+func TestKeysHaveTheirOwnRows(t *testing.T) {
+	require.NotEqual(t,
+		rowKey(descriptor.Key{Caller: "a/b", ID: "c"}),
+		rowKey(descriptor.Key{Caller: "a", ID: "b/c"}))
+}
+
+// TestBudget guards against claims that together exceed the write budget, and
+// against a lone claim that waits.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, seconds = 9, 5
+		table := faketable.New(8)
+		var instances []*instance
+		for k := range n {
+			instances = append(instances, startInstance(t, table, descriptor.InstanceID(fmt.Sprint(k)), n))
+		}
+		start := time.Now()
+		_, _, err := instances[0].claim(testKey(0))
+		require.NoError(t, err)
+		require.Zero(t, time.Since(start))
+		time.Sleep(time.Second)
+		_, before := table.Counts()
+		var callers sync.WaitGroup
+		for k, i := range instances {
+			for worker := range 200 {
+				callers.Go(func() {
+					for m := 0; time.Since(start) < (1+seconds)*time.Second; m++ {
+						_, _, err := i.claim(testKey(1 + k + n*(worker+200*m)))
+						assert.NoError(t, err)
+					}
+				})
+			}
+		}
+		callers.Wait()
+		_, after := table.Counts()
+		rate := float64(after-before) / time.Since(start.Add(time.Second)).Seconds()
+		t.Logf("%.1f writes/s", rate)
+		require.LessOrEqual(t, rate, DefaultWritesPerSecond*1.01)
+		for _, i := range instances {
+			i.end()
+		}
+	})
+}
+
+// TestCloseFlushes guards against claims and outcomes that are dropped on a
+// planned stop.
+func TestCloseFlushes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(9)
+		a := startInstance(t, table, "a", 30) // 10 writes/s
+		var callers sync.WaitGroup
+		for n := range 300 {
+			callers.Go(func() {
+				won, _, err := a.claim(testKey(n))
+				assert.NoError(t, err)
+				assert.True(t, won)
+			})
+		}
+		synctest.Wait()
+		require.NoError(t, a.claimer.Close())
+		callers.Wait()
+		_, _, err := a.claim(testKey(1000))
+		require.ErrorIs(t, err, ErrClosed)
+		a.end()
+	})
+}
+
+// TestStopWhileAmbiguous guards against a claim that is reported as surely not
+// made because the instance stops, although it takes effect later.
+func TestStopWhileAmbiguous(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(11)
+		a := startInstance(t, table, "a", 1)
+		a.client.Set(faketable.Faults{LateCommit: 1, LateBy: time.Minute})
+		time.AfterFunc(10*time.Millisecond, a.cancel)
+		_, _, err := a.claim(testKey(1))
+		require.ErrorIs(t, err, connector.ErrAmbiguous)
+		require.NotErrorIs(t, err, connector.ErrUnavailable)
+		table.Wait()
+		require.Equal(t, 1, countClaims(t, table))
+		a.end()
+	})
+}
+
+// TestAbandonedClaimIsAmbiguous guards against a claim that is reported as surely
+// not made because its caller's time ended while the commit was on its way.
+func TestAbandonedClaimIsAmbiguous(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startInstance(t, faketable.New(12), "a", 1)
+		defer a.end()
+		a.client.Set(faketable.Faults{Hang: true})
+		_, _, err := a.claim(testKey(1))
+		require.ErrorIs(t, err, connector.ErrAmbiguous)
+		require.NotErrorIs(t, err, connector.ErrUnavailable)
+	})
+}
+
+// TestSweepLeavesActiveSweeper guards against instances that all sweep at once.
+func TestSweepLeavesActiveSweeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(13)
+		a := startInstance(t, table, "a", 2)
+		defer a.end()
+		other := table.Client()
+		version := connector.RowVersion(0)
+		for range 30 {
+			versions, err := other.Commit(t.Context(), connector.Transaction{
+				Conditions: []connector.Condition{{Key: sweepRow, Version: version}},
+				Puts:       []connector.Put{{Key: sweepRow, Value: []byte(`{"sweeper":"b"}`)}},
+			})
+			require.NoError(t, err, "another instance wrote the row of the active sweeper")
+			version = versions[0]
+			time.Sleep(sweepWatch - time.Second)
+		}
+	})
+}
+
+// TestSweep guards against claims that are kept for ever, against young ones that
+// are removed, and against instances that all sweep at once.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := faketable.New(10)
+		var instances []*instance
+		for _, name := range []descriptor.InstanceID{"a", "b", "c"} {
+			instances = append(instances, startInstance(t, table, name, 3))
+		}
+		for n := range 400 {
+			_, _, err := instances[0].claim(testKey(n))
+			require.NoError(t, err)
+		}
+		time.Sleep(DefaultRetention - time.Hour)
+		_, _, err := instances[0].claim(testKey(1000))
+		require.NoError(t, err)
+		require.Equal(t, 401, countClaims(t, table))
+		time.Sleep(4 * time.Hour)
+		require.Equal(t, 1, countClaims(t, table))
+
+		r0, w0 := table.Counts()
+		time.Sleep(24 * time.Hour)
+		r1, w1 := table.Counts()
+		// One sweep an hour of a single page, and the reads of the sweep row.
+		require.LessOrEqual(t, w1-w0, 25)
+		require.LessOrEqual(t, float64(r1-r0), 3*24*time.Hour.Seconds()/sweepWatch.Seconds())
+		for _, i := range instances {
+			i.end()
+		}
+	})
+}
+
+func countClaims(t *testing.T, table *faketable.Table) int {
+	total, after := 0, connector.RowKey("")
+	for {
+		rows, err := table.Client().Scan(t.Context(), claimPrefix, after, 100)
+		require.NoError(t, err)
+		for _, row := range rows {
+			require.True(t, strings.HasPrefix(string(row.Key), string(claimPrefix)))
+			after = row.Key
+		}
+		if total += len(rows); len(rows) < 100 {
+			return total
+		}
+	}
+}
