leaser: test a rack failure, measure Grant

Change: TestRackFailure bounds the time to new owners and the calls of the store; BenchmarkGrant measures the check before each send.

--- a/leaser/cost_test.go
+++ b/leaser/cost_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticlead/masticlead/descriptor"
@@ -86,3 +87,46 @@
 		require.Equal(t, descriptor.SliceCount, c.total())
 	})
 }
+
+// TestRackFailure guards against takeovers that conflict with each other, or
+// exceed the budget, when a rack of eight instances fails at once.
+func TestRackFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCentre(t, 22)
+		defer c.end()
+		time.Sleep(30 * time.Second)
+		for n := range 8 {
+			c.kill(descriptor.InstanceID(fmt.Sprintf("i%02d", n)))
+		}
+		start := time.Now()
+		owned := time.Duration(0)
+		reads, writes := 0, 0
+		for time.Since(start) < 30*time.Second {
+			r, w := c.peak(time.Second)
+			reads, writes = max(reads, r), max(writes, w)
+			if c.total() == descriptor.SliceCount && owned == 0 {
+				owned = time.Since(start)
+			}
+		}
+		t.Logf("owned after %v; at most %d reads/s, %d writes/s", owned, reads, writes)
+		require.LessOrEqual(t, float64(reads), centreReads)
+		require.LessOrEqual(t, float64(writes), centreWrites)
+		require.NotZero(t, owned)
+		require.LessOrEqual(t, owned, 9*time.Second+2*3*time.Second+time.Second)
+		c.requireBalanced()
+	})
+}
+
+// BenchmarkGrant measures what each send of an order pays for the lease check.
+func BenchmarkGrant(b *testing.B) {
+	l := New(Config{Clock: clockwork.NewRealClock(), Lease: DefaultLease, Renewal: DefaultRenewal, Promise: DefaultPromise})
+	v := &view{until: time.Now().Add(time.Hour)}
+	v.epoch[7] = 1
+	l.view.Store(v)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := l.Grant(7); !ok {
+			b.Fatal("no grant")
+		}
+	}
+}
