--- a/heartbeater/bench_test.go
+++ b/heartbeater/bench_test.go
@@ -62,3 +62,21 @@
 		n.queued.Store(random.Int64N(500))
 	}
 }
+
+// BenchmarkMembers measures what a look at the members of the own and of another
+// data centre costs, which the router does for each forwarded request.
+func BenchmarkMembers(b *testing.B) {
+	c := newCluster(b, 1, "a", "b")
+	c.startAll(17)
+	h := c.members["a-0"].h
+	for _, dc := range c.dcs {
+		b.Run(string(dc), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(h.Members(dc)) != 17 {
+					b.Fatal("members are missing")
+				}
+			}
+		})
+	}
+}
--- a/heartbeater/digest.go
+++ b/heartbeater/digest.go
@@ -53,6 +53,7 @@
 			continue
 		}
 		r.prune(now, 2*h.cfg.RelayInterval)
+		h.invalidate(dc)
 		h.startPull(dc, r, now)
 		place := h.place(dc)
 		if place < 0 || h.linkCalls[dc] {
@@ -236,6 +237,7 @@
 		return false // our own, or one that is not in the settings
 	}
 	want, changed, fresh := r.take(d, now)
+	h.invalidate(d.DataCentre)
 	if direct && (fresh || want) {
 		r.direct = now
 	}
--- a/heartbeater/exchange.go
+++ b/heartbeater/exchange.go
@@ -103,6 +103,7 @@
 		before = e.Rules
 	}
 	what, changed := h.view.hear(id, hb, now)
+	h.invalidate(h.cfg.Self.DataCentre)
 	if what == accepted && !hb.Leaving && hb.Beat.View != h.view.hash(h.self.Incarnation) {
 		h.view.ask = id
 	}
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -28,6 +28,7 @@
 	digests      uint64 // number of our last digest
 	view         *view
 	remotes      map[descriptor.DataCentreID]*remote
+	snapshots    map[descriptor.DataCentreID]snapshot
 	linkCalls    map[descriptor.DataCentreID]bool // digests in progress
 	listing      bool                             // a read of the directory is in progress
 	nextLinks    time.Time
@@ -47,6 +48,7 @@
 	h := &Heartbeater{cfg: cfg, changes: make(chan struct{}, 1), self: cfg.Self}
 	h.view = newView(&h.cfg)
 	h.remotes = map[descriptor.DataCentreID]*remote{}
+	h.snapshots = map[descriptor.DataCentreID]snapshot{}
 	h.linkCalls = map[descriptor.DataCentreID]bool{}
 	h.dataCentres = slices.Clone(cfg.DataCentres)
 	slices.Sort(h.dataCentres)
@@ -104,6 +106,7 @@
 	now := h.cfg.Clock.Now()
 	h.mu.Lock()
 	changed := h.view.tick(now)
+	h.invalidate(h.cfg.Self.DataCentre)
 	due := h.view.duties(now)
 	h.startCalls(due)
 	h.startLinks(now)
@@ -124,6 +127,7 @@
 		h.self.Rules, h.self.RulesSince = rules, now
 	}
 	h.self.Load, h.self.LastHeard = load, now
+	h.invalidate(h.cfg.Self.DataCentre)
 	reached := h.reached(now)
 	if rules == h.status.Rules && reached == h.status.Reached && now.Before(h.nextStatus) {
 		return
@@ -140,6 +144,7 @@
 	defer h.mu.Unlock()
 	if n > h.self.Incarnation {
 		h.self.Incarnation = n
+		h.invalidate(h.cfg.Self.DataCentre)
 	}
 }
 
@@ -208,9 +213,18 @@
 	for dc, r := range h.remotes {
 		sortMembers(seeds[dc])
 		r.seeds = seeds[dc]
+		h.invalidate(dc)
 	}
 }
 
+// snapshot is a list of members that was put together earlier. Heartbeats and
+// digests make it invalid some ten times a second, while the router reads it for
+// each request.
+type snapshot struct {
+	members []Member
+	until   time.Time
+}
+
 // Members returns the live and suspect members of a data centre sorted by id,
 // of the own one with this instance, of another as last reported.
 func (h *Heartbeater) Members(dc descriptor.DataCentreID) []Member {
@@ -219,13 +233,25 @@
 	return h.membersLocked(dc)
 }
 
+// membersLocked returns a copy that the caller may change.
 func (h *Heartbeater) membersLocked(dc descriptor.DataCentreID) []Member {
+	now := h.cfg.Clock.Now()
+	s := h.snapshots[dc]
+	if !now.Before(s.until) {
+		// Digests also grow old without an event that makes it invalid.
+		s = snapshot{members: h.collect(dc, now), until: now.Add(h.cfg.Interval)}
+		h.snapshots[dc] = s
+	}
+	return slices.Clone(s.members)
+}
+
+// collect puts the list of members together.
+func (h *Heartbeater) collect(dc descriptor.DataCentreID, now time.Time) []Member {
 	if dc != h.cfg.Self.DataCentre {
-		r := h.remotes[dc]
-		if r == nil {
-			return nil
+		if r := h.remotes[dc]; r != nil {
+			return r.current(now, h.freshFor())
 		}
-		return r.current(h.cfg.Clock.Now(), h.freshFor())
+		return nil
 	}
 	all := make([]Member, 0, len(h.view.members)+1)
 	if !h.closing {
@@ -238,6 +264,10 @@
 	return all
 }
 
+// invalidate notes that the members of a data centre may have changed. The lock
+// must be held.
+func (h *Heartbeater) invalidate(dc descriptor.DataCentreID) { delete(h.snapshots, dc) }
+
 // freshFor is how long digests of several carriers are merged: until each had
 // the time for one relay.
 func (h *Heartbeater) freshFor() time.Duration { return h.cfg.RelayInterval * 3 / 2 }
@@ -312,6 +342,7 @@
 	h.once.Do(func() {
 		h.mu.Lock()
 		h.closing = true
+		h.invalidate(h.cfg.Self.DataCentre)
 		h.mu.Unlock()
 		h.stop()
 		h.wg.Wait()
