--- a/placer/packer.go
+++ b/placer/packer.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/masticlead/masticlead/descriptor"
@@ -15,6 +16,10 @@
 	// ReservedShare bounds the fraction of the targets that reservations may
 	// name at once, unless there is only one reservation. The default is 0.3.
 	ReservedShare float64
+	// Patience is how long a request of several tasks waits for room before it
+	// reserves targets, as a fraction of its expected run. The default is 1. A
+	// reservation keeps small work waiting, and most gangs start without one.
+	Patience float64
 	// Grace is how long a reservation outlasts its expected start before its
 	// targets are given up. The default is 2 s; it grows to half of the
 	// expected wait.
@@ -28,6 +33,9 @@
 	if c.ReservedShare <= 0 {
 		c.ReservedShare = 0.3
 	}
+	if c.Patience <= 0 {
+		c.Patience = 1
+	}
 	if c.Grace <= 0 {
 		c.Grace = 2 * time.Second
 	}
@@ -53,8 +61,10 @@
 	byID    map[descriptor.TargetID]*slot
 	shards  []*shard
 	vacant  []*slot // unused positions of shards
-	weights weights
-	tree    maxTree
+	weights atomic.Pointer[weights]
+	// takes counts down to the next change of weights.
+	takes atomic.Int64
+	tree  maxTree
 
 	cell     cell
 	services services
@@ -64,17 +74,21 @@
 	nextLimit    time.Time
 	blocked      blocked
 	planFrom     int
+
+	probing []*slot
 }
 
 // NewPacker returns a Packer without targets.
 func NewPacker(cfg PackerConfig) *Packer {
-	return &Packer{
+	p := &Packer{
 		cfg:          cfg.withDefaults(),
 		byID:         make(map[descriptor.TargetID]*slot),
 		cell:         newCell(),
 		services:     newServices(),
 		reservations: make(map[descriptor.Key]*reservation),
 	}
+	p.weigh()
+	return p
 }
 
 // AddTarget implements Policy.
@@ -96,37 +110,39 @@
 		s.state = Leaving
 	}
 	p.cell.add(s)
-	p.weights = newWeights(p.cell.sum(), len(p.byID))
+	p.weigh()
 	p.refresh(s)
 }
 
 // newSlot returns a slot in a vacant position of a shard.
 func (p *Packer) newSlot() *slot {
-	if len(p.vacant) == 0 {
-		p.addShard()
+	var s *slot
+	if last := len(p.vacant) - 1; last >= 0 {
+		s = &slot{shard: p.vacant[last].shard, pos: p.vacant[last].pos}
+		p.vacant = p.vacant[:last]
+	} else {
+		s = p.lastShard().addSlot()
 	}
-	last := len(p.vacant) - 1
-	at := p.vacant[last]
-	p.vacant = p.vacant[:last]
-	s := &slot{shard: at.shard, pos: at.pos}
 	s.shard.slots[s.pos] = s
 	return s
 }
 
-func (p *Packer) addShard() {
+// lastShard returns a shard with room for one more target.
+func (p *Packer) lastShard() *shard {
+	if n := len(p.shards); n > 0 && len(p.shards[n-1].slots) < shardSize {
+		return p.shards[n-1]
+	}
 	sh := newShard(len(p.shards))
 	p.shards = append(p.shards, sh)
 	p.tree.grow(len(p.shards))
 	p.cell.grow(len(p.shards))
-	for pos := shardSize - 1; pos >= 0; pos-- {
-		p.vacant = append(p.vacant, &slot{shard: sh, pos: pos})
-	}
+	return sh
 }
 
 // refresh brings the index up to date after a change of the slot. The caller
 // holds the lock of the packer exclusively or that of the slot's shard.
 func (p *Packer) refresh(s *slot) {
-	if s.shard.refresh(s.pos) {
+	if s.shard.refresh(s.pos, s) {
 		p.tree.set(s.shard.index, s.shard.largest)
 	}
 }
@@ -143,6 +159,7 @@
 		p.cancel(s.held.reservation)
 	}
 	delete(p.byID, id)
+	p.setProbing(s, false)
 	p.cell.remove(s)
 	for i := range s.tasks {
 		p.services.ended(s.tasks[i].group, s.target.Rack)
@@ -150,7 +167,7 @@
 	s.shard.slots[s.pos] = nil
 	p.refresh(s)
 	p.vacant = append(p.vacant, s)
-	p.weights = newWeights(p.cell.sum(), len(p.byID))
+	p.weigh()
 }
 
 // SetState implements Policy.
@@ -161,6 +178,7 @@
 	if s == nil || s.state == state {
 		return
 	}
+	p.setProbing(s, state == Probing)
 	if s.held != nil {
 		p.cancel(s.held.reservation)
 	}
@@ -189,13 +207,20 @@
 func (p *Packer) placeSingle(now time.Time, d Demand) ([]Assignment, Verdict) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	task := runningTask{need: d.Request.Resources, end: now.Add(d.Run)}
+	task := runningTask{need: d.Request.Resources, end: momentOf(now.Add(d.Run))}
+	eager := d.Request.Idempotent && d.Request.Priority != descriptor.Urgent
+	if id, ok := p.probe(eager, task, d.Avoid); ok {
+		return []Assignment{{Target: id}}, Placed
+	}
 	for i := p.tree.next(0, task.need); i >= 0; i = p.tree.next(i+1, task.need) {
 		if id, ok := p.placeIn(p.shards[i], task, d.Avoid); ok {
 			return []Assignment{{Target: id}}, Placed
 		}
 	}
-	if id, ok := p.backfill(now, task, d.Avoid); ok {
+	if id, ok := p.backfill(task, d.Avoid); ok {
+		return []Assignment{{Target: id}}, Placed
+	}
+	if id, ok := p.probe(!eager, task, d.Avoid); ok {
 		return []Assignment{{Target: id}}, Placed
 	}
 	return nil, NoRoom
@@ -205,7 +230,7 @@
 func (p *Packer) placeIn(sh *shard, task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	s := sh.best(task.need, avoid, &p.weights)
+	s := sh.best(task.need, avoid, p.weights.Load())
 	if s == nil {
 		return "", false
 	}
@@ -219,6 +244,20 @@
 	s.add(task)
 	p.cell.use(s, task.need)
 	p.refresh(s)
+	if p.takes.Add(-1) <= 0 {
+		p.weigh()
+	}
+}
+
+// weighEvery is the number of tasks after which the weights follow the use of
+// the cell.
+const weighEvery = 512
+
+// weigh computes the weights anew.
+func (p *Packer) weigh() {
+	p.takes.Store(weighEvery)
+	w := p.cell.weights()
+	p.weights.Store(&w)
 }
 
 // Take implements Policy.
