runner: report the own rules version as it is in force; be ready after contact

Cause: TestOperatorsRace saw an instance report a lower version at /v1/rules/status than before at /v1/rules, since the status took its own version from the last heartbeat. TestCancellations got homeUnreachable from instances that said they were ready some 50 ms after their start, before the first contact with the other data centres.

Change: the status takes the own version from the distributor. An instance is ready only after contact with all data centres, or 3 s after its start.

--- a/runner/operate.go
+++ b/runner/operate.go
@@ -25,13 +25,25 @@
 
 // health says whether the instance can serve callers.
 type health struct {
-	stopping   atomic.Bool
-	rules      *ruleSet
-	dispatcher *dispatcher.Dispatcher
+	stopping    atomic.Bool
+	rules       *ruleSet
+	dispatcher  *dispatcher.Dispatcher
+	members     *heartbeater.Heartbeater
+	dataCentres []descriptor.DataCentreID
+	// joinUntil ends the time in which the instance waits for contact with the
+	// other data centres before it is ready.
+	joinUntil time.Time
 }
 
-func newHealth(rules *ruleSet, d *dispatcher.Dispatcher) *health {
-	return &health{rules: rules, dispatcher: d}
+// joinLimit is how long an instance that starts waits for contact with the other
+// data centres. Until then it answers their callers with homeUnreachable, while
+// its peers can serve them. A data centre that is cut off must not wait for ever.
+const joinLimit = 3 * time.Second
+
+func newHealth(s *loader.Settings, rules *ruleSet, d *dispatcher.Dispatcher, h *heartbeater.Heartbeater) *health {
+	return &health{
+		rules: rules, dispatcher: d, members: h, dataCentres: s.DataCentres, joinUntil: time.Now().Add(joinLimit),
+	}
 }
 
 // Ready implements server.Health.
@@ -42,12 +54,25 @@
 	case h.rules.current.Load() == nil:
 		return errors.New("no rules are in force yet")
 	}
+	if dc, ok := h.noContact(); ok && time.Now().Before(h.joinUntil) {
+		return fmt.Errorf("no contact with data centre %s yet", dc)
+	}
 	if recovered, owned := h.dispatcher.Recovered(); recovered < owned {
 		return fmt.Errorf("%d of %d slices are recovering", owned-recovered, owned)
 	}
 	return nil
 }
 
+// noContact returns a data centre that can't be reached.
+func (h *health) noContact() (descriptor.DataCentreID, bool) {
+	for _, dc := range h.dataCentres {
+		if !h.members.Reachable(dc) {
+			return dc, true
+		}
+	}
+	return "", false
+}
+
 // Live implements server.Health.
 func (h *health) Live() error { return nil }
 
@@ -114,10 +139,15 @@
 	for _, dc := range o.settings.DataCentres {
 		reachable := dc == o.settings.Instance.DataCentre || o.members.Reachable(dc)
 		for _, m := range o.members.Members(dc) {
-			all = append(all, server.RulesStatus{
+			status := server.RulesStatus{
 				Instance: m.ID, DataCentre: dc, Version: m.Rules, Since: m.RulesSince,
 				Reachable: reachable && m.State != heartbeater.Suspect,
-			})
+			}
+			if m.ID == o.settings.Instance.Name {
+				// Heartbeats lag behind what is in force here.
+				status.Version, _, status.Since = o.distributor.Current()
+			}
+			all = append(all, status)
 		}
 	}
 	return all, nil
