--- a/integration/long_test.go
+++ b/integration/long_test.go
@@ -11,6 +11,7 @@
 	run  func(*testing.T)
 }{
 	{"StoreDownForAMinute", testStoreDownForAMinute},
+	{"GracefulStops", testAllGracefulStops},
 	{"RollingRestart", testRollingRestart},
 	{"TwoFaults1", func(t *testing.T) { testTwoTroubles(t, 1, 4) }},
 	{"TwoFaults2", func(t *testing.T) { testTwoTroubles(t, 2, 4) }},
--- a/integration/restart_test.go
+++ b/integration/restart_test.go
@@ -106,7 +106,23 @@
 	testGracefulStops(t, func(c *cell) []*instance { return c.of("gyor") })
 }
 
-// testRollingRestart guards against the same over a restart of all instances.
-func testRollingRestart(t *testing.T) {
+// testAllGracefulStops guards against the same over a restart of all instances.
+func testAllGracefulStops(t *testing.T) {
 	testGracefulStops(t, func(c *cell) []*instance { return c.instances })
 }
+
+// testRollingRestart guards against requests that are lost in a restart of all
+// instances while callers send them to any instance, also to one that is down.
+func testRollingRestart(t *testing.T) {
+	c := newCell(t, defaultLayout(), testRules)
+	l := c.startLoad(testSeed, 60, c.instances)
+	time.Sleep(2 * time.Second)
+	for _, in := range c.instances {
+		in.terminate(t)
+		c.startInstance(in)
+		c.waitReady(in)
+	}
+	time.Sleep(2 * time.Second)
+	l.stop()
+	l.check(t)
+}
