dispatcher: notice that a target has restarted

Cause: TestTargetKilled kills a target and starts it again, empty and with a clock and event numbers that begin anew. Its owner went on to ask for events after the last number of the earlier process, so it did not see the tasks that it had started since.

Change: a list whose clock or event number is lower than those of the list before comes from a later process. The worker then marks the tasks of the earlier one as ended without a result and reads the whole list. An order without an answer counts as lost, not as never started. The first poll after a failed one does not wait, so that a restart is noticed at once. An order that was given up as lost stays in the reports to other owners, which would otherwise take it for one that never started.

Conclusion: a restart is missed only if the target was up for longer after it, and had more events, than before, without any poll in between.

--- /dev/null
+++ b/dispatcher/restart.go
@@ -0,0 +1,84 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/masticlead/masticlead/connector"
+	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/scheduler"
+)
+
+// A target that restarts has lost its tasks and their results, and its clock and
+// the numbers of its events begin anew. Without notice of this, new tasks would
+// have event numbers that were read already, and an order whose task does not show
+// up would count as one that never started.
+
+// restarted reports whether the list comes from a later process of the target than
+// the one before. The lists of a worker are read one after another, so within one
+// process neither the clock nor the event number goes back.
+func (w *targetWorker) restarted(list connector.TaskList) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return list.Sequence < w.sequence || list.NowMs < w.listedMs
+}
+
+// resync forgets the earlier process of the target and reads the list of the new
+// one. What ran before has ended without a result. An order without an answer may
+// have started before the restart, or may start until its start window is over.
+// It reports false if the worker ends.
+func (w *targetWorker) resync(list connector.TaskList) bool {
+	w.mu.Lock()
+	w.synced = false
+	w.anchor, w.anchorMs, w.leaseEnd = time.Time{}, 0, 0
+	w.sequence, w.listedMs = 0, 0
+	lost := w.expireRunning(0)
+	for _, p := range w.pending {
+		p.lost = true
+		p.startBefore = list.NowMs + connector.TargetClock((w.d.cfg.StartWindow + time.Second).Milliseconds())
+	}
+	w.mu.Unlock()
+	w.d.cfg.Scope.Counter("target_restarts").Inc(1)
+	w.d.cfg.Log.Warn("dispatcher: target has restarted", "target", w.target.ID, "tasks", len(lost))
+	w.settleLost(lost)
+	return w.sync()
+}
+
+// expireRunning marks all running tasks as ended without a result at the given
+// time, or at their start if that is later, and returns them. It needs w.mu.
+func (w *targetWorker) expireRunning(at connector.TargetClock) []connector.ListedTask {
+	var lost []connector.ListedTask
+	for id, t := range w.tasks {
+		if !t.State.Ended() {
+			t.State, t.EndedMs = descriptor.TaskExpired, max(at, t.StartedMs, 1)
+			w.tasks[id] = t
+			lost = append(lost, t)
+		}
+	}
+	w.running = 0
+	return lost
+}
+
+// expire notes an order that may have run, without a result, so that other owners
+// of requests learn of it. It needs w.mu.
+func (w *targetWorker) expire(p *pendingStart, at connector.TargetClock) {
+	o := &p.order
+	w.tasks[o.Task] = connector.ListedTask{
+		Task: o.Task, Key: o.Key, Epoch: o.Epoch, Attempt: o.Attempt, Index: o.Index, Of: o.Of,
+		Idempotent: o.Idempotent, Kind: o.Kind, Resources: o.Resources,
+		State: descriptor.TaskExpired, StartedMs: at, EndedMs: max(at, 1),
+	}
+}
+
+// settleLost releases tasks that ended without a result.
+func (w *targetWorker) settleLost(lost []connector.ListedTask) {
+	for _, t := range lost {
+		w.release(t)
+		w.d.settle(t.Key, t.Task, runEnded)
+	}
+}
+
+// settlePending releases an order of which it is now known what became of it.
+func (w *targetWorker) settlePending(p *pendingStart, s runState) {
+	w.d.cfg.Scheduler.Ended(p.order.Key, p.placed, p.order.Index, w.target.ID, scheduler.Result{})
+	w.d.settle(p.order.Key, p.order.Task, s)
+}
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -29,6 +29,9 @@
 	// startBefore is the last moment at which the target may start it; 0 until
 	// the order is about to be sent.
 	startBefore connector.TargetClock
+	// lost says that the target has restarted since, so that the task may have
+	// run without being listed.
+	lost bool
 }
 
 // targetWorker follows one target that this instance owns.
@@ -48,10 +51,12 @@
 	anchorMs connector.TargetClock
 	synced   bool
 	reached  bool
+	failing  bool // the last poll had no answer
 	lastSeen time.Time
 	sequence uint64
-	leaving  bool // by the target's own word
-	listedLv bool // by the platform's list
+	listedMs connector.TargetClock // the target's clock in the last list
+	leaving  bool                  // by the target's own word
+	listedLv bool                  // by the platform's list
 	state    placer.TargetState
 	pending  map[descriptor.TaskID]*pendingStart
 	tasks    map[descriptor.TaskID]connector.ListedTask // as listed, running and ended
@@ -173,12 +178,23 @@
 // poll waits for events. It reports false if the target did not answer.
 func (w *targetWorker) poll() bool {
 	w.mu.Lock()
-	after := w.sequence
+	after, wait := w.sequence, w.d.cfg.PollWait
+	if w.failing {
+		// The first answer after a failure shows at once whether the target has
+		// restarted.
+		wait = 0
+	}
 	w.mu.Unlock()
-	ctx, cancel := context.WithTimeout(w.ctx, w.d.cfg.PollWait+callTimeout)
-	list, err := w.conn.Events(ctx, after, w.d.cfg.PollWait)
+	ctx, cancel := context.WithTimeout(w.ctx, wait+callTimeout)
+	list, err := w.conn.Events(ctx, after, wait)
 	cancel()
 	now := w.d.cfg.Clock.Now()
+	w.mu.Lock()
+	w.failing = err != nil
+	w.mu.Unlock()
+	if err == nil && w.restarted(list) {
+		return w.resync(list)
+	}
 	if err == nil {
 		w.handle(list, now)
 		return true
@@ -197,6 +213,7 @@
 	w.mu.Lock()
 	w.noteStatusLocked(list.TargetStatus, now)
 	w.sequence = max(w.sequence, list.Sequence)
+	w.listedMs = list.NowMs
 	for _, t := range list.Tasks {
 		old, known := w.tasks[t.Task]
 		w.tasks[t.Task] = t
@@ -230,9 +247,12 @@
 		w.d.observe(t)
 	}
 	for _, p := range resolved {
-		w.d.cfg.Scope.Tagged(map[string]string{"result": "notStarted"}).Counter("starts_resolved").Inc(1)
-		w.d.cfg.Scheduler.Ended(p.order.Key, p.placed, p.order.Index, w.target.ID, scheduler.Result{})
-		w.d.settle(p.order.Key, p.order.Task, runNotStarted)
+		result, state := "notStarted", runNotStarted
+		if p.lost {
+			result, state = "lost", runEnded
+		}
+		w.d.cfg.Scope.Tagged(map[string]string{"result": result}).Counter("starts_resolved").Inc(1)
+		w.settlePending(p, state)
 	}
 	w.updateState(now)
 }
@@ -282,6 +302,9 @@
 		if p.startBefore != 0 && now > p.startBefore {
 			delete(w.pending, id)
 			expired = append(expired, p)
+			if p.lost {
+				w.expire(p, now)
+			}
 		}
 	}
 	return expired
@@ -437,26 +460,17 @@
 		w.mu.Unlock()
 		return
 	}
-	var lost []connector.ListedTask
-	for id, t := range w.tasks {
-		if !t.State.Ended() {
-			t.State, t.EndedMs = descriptor.TaskExpired, w.leaseEnd
-			w.tasks[id] = t
-			lost = append(lost, t)
-		}
-	}
+	lost := w.expireRunning(w.leaseEnd)
 	pending := w.pending
 	w.pending = map[descriptor.TaskID]*pendingStart{}
-	w.running = 0
+	for _, p := range pending {
+		w.expire(p, w.leaseEnd)
+	}
 	w.mu.Unlock()
 	w.d.cfg.Log.Warn("dispatcher: target unreachable until its leases expired", "target", w.target.ID, "tasks", len(lost))
-	for _, t := range lost {
-		w.release(t)
-		w.d.settle(t.Key, t.Task, runEnded)
-	}
+	w.settleLost(lost)
 	for _, p := range pending {
-		w.d.cfg.Scheduler.Ended(p.order.Key, p.placed, p.order.Index, w.target.ID, scheduler.Result{})
-		w.d.settle(p.order.Key, p.order.Task, runEnded)
+		w.settlePending(p, runEnded)
 	}
 }
 
--- a/integration/cell_test.go
+++ b/integration/cell_test.go
@@ -31,6 +31,8 @@
 	capacity    descriptor.Resources
 	// timing overrides settings of the timing section.
 	timing map[string]int
+	// alone runs the first target in a process of its own, which can be killed.
+	alone bool
 }
 
 // defaultLayout is a small version of the deployments of today.
@@ -67,6 +69,10 @@
 	instances []*instance
 	targets   []descriptor.Target // with direct addresses
 	client    *http.Client
+	// lone is the first target's process if it has one, and past what that target
+	// did in processes that were killed.
+	lone *process
+	past emulator.History
 }
 
 // freeAddress returns an address on the IP that nothing listens on now.
@@ -129,14 +135,46 @@
 	}
 	c.targets = direct.Targets
 	c.platform = freeAddress(t, "127.0.0.1")
-	file := filepath.Join(t.TempDir(), "cell.json")
-	b, err := json.Marshal(direct)
-	require.NoError(t, err)
-	require.NoError(t, os.WriteFile(file, b, 0o600))
-	start(t, "platform", "masticlead-standin", "--cell", file, "--platform", c.platform)
+	if c.layout.alone {
+		c.startLone()
+		direct.Targets = direct.Targets[1:]
+	}
+	start(t, "platform", "masticlead-standin", "--cell", c.writeCell(direct), "--platform", c.platform)
 	c.eventually("platform answers", func() error { return c.get("http://"+c.platform+"/table/stats", nil) })
 }
 
+func (c *cell) writeCell(l connector.Listing) string {
+	file := filepath.Join(c.t.TempDir(), "cell.json")
+	b, err := json.Marshal(l)
+	require.NoError(c.t, err)
+	require.NoError(c.t, os.WriteFile(file, b, 0o600))
+	return file
+}
+
+// startLone starts the first target in a process of its own.
+func (c *cell) startLone() {
+	file := c.writeCell(connector.Listing{Targets: c.targets[:1]})
+	c.lone = start(c.t, string(c.targets[0].ID), "masticlead-standin", "--cell", file)
+	c.eventually("target answers", func() error { return c.get("http://"+c.targets[0].Address+"/tasks", nil) })
+}
+
+// killLone kills the first target with all that it runs and knows. What it did is
+// read after it has stopped to answer, and before it is killed.
+func (c *cell) killLone() {
+	url := "http://" + c.targets[0].Address
+	c.setFaults(url, emulator.Faults{Down: true})
+	var h emulator.History
+	require.NoError(c.t, c.get(url+"/history", &h))
+	c.lone.kill()
+	for _, r := range h.Runs {
+		if r.EndedNs == 0 {
+			r.EndedNs = time.Now().UnixNano()
+		}
+		c.past.Runs = append(c.past.Runs, r)
+	}
+	c.past.Overcommitted += h.Overcommitted
+}
+
 // publishInstances gives the directory the addresses of instances and targets as
 // the proxies expose them.
 func (c *cell) publishInstances() {
@@ -323,6 +361,10 @@
 				c.t.Errorf("history of %s: %v", target.ID, err)
 				return
 			}
+			if target.ID == c.targets[0].ID {
+				h.Runs = append(h.Runs, c.past.Runs...)
+				h.Overcommitted += c.past.Overcommitted
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			all[target.ID] = h
--- a/integration/targets_test.go
+++ b/integration/targets_test.go
@@ -105,6 +105,25 @@
 	l.check(t)
 }
 
+// TestTargetKilled guards against requests that never end, and against work that
+// runs in two places, when a target dies with all that it runs and knows and comes
+// back empty, with a clock that starts again.
+func TestTargetKilled(t *testing.T) {
+	layout := shortLeases()
+	layout.alone = true
+	c := newCell(t, layout, testRules)
+	l := c.startLoad(testSeed, 60, c.instances)
+	time.Sleep(6 * time.Second)
+	c.killLone()
+	time.Sleep(2 * time.Second)
+	c.startLone()
+	back := time.Now()
+	time.Sleep(12 * time.Second)
+	l.stop()
+	l.check(t)
+	c.requireStarts(t, "at the target after it came back", back, time.Now(), on(string(c.targets[0].ID)))
+}
+
 // TestTargetFailsEverything guards against a target that draws work because it
 // ends everything at once by failing.
 func TestTargetFailsEverything(t *testing.T) {
