dispatcher: don't avoid a target for ever that was unavailable once

Each order that found the target unavailable put it on the list of targets that the request avoids, so with one target left the request waited until its deadline. Change: a target that refuses connections gets no orders until it answers again; only one that rejects an order is avoided by later attempts. Figures: TestTargetMoves no outcome in 20 s before, passes after; 13 tests of the package pass under the race detector. Conclusion: a short outage of the only fitting target costs a retry.

--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -119,6 +119,13 @@
 	return r.spilled && r.settled()
 }
 
+// avoidTarget keeps later attempts from a target.
+func (r *record) avoidTarget(id descriptor.TargetID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoid = append(r.avoid, id)
+}
+
 func (r *record) isDone() bool {
 	select {
 	case <-r.done:
--- a/dispatcher/start.go
+++ b/dispatcher/start.go
@@ -137,6 +137,9 @@
 		order.Epoch = grant.Epoch
 		err = d.transmit(w, grant.Until, &order)
 	}
+	if errors.Is(err, connector.ErrRejected) {
+		r.avoidTarget(a.Target)
+	}
 	if d.sent(w, order.Task, err) {
 		d.notStarted(r, p.Attempt, order, a)
 	}
@@ -151,6 +154,9 @@
 		return false
 	case errors.Is(err, connector.ErrRejected), errors.Is(err, connector.ErrUnavailable), errors.Is(err, errNotSent):
 		d.cfg.Scope.Tagged(map[string]string{"reason": rejectionReason(err)}).Counter("starts_rejected").Inc(1)
+		if errors.Is(err, connector.ErrUnavailable) {
+			w.noteUnavailable()
+		}
 		return w.dropPending(id)
 	}
 	d.cfg.Scope.Counter("starts_ambiguous").Inc(1)
@@ -334,9 +340,6 @@
 		r.finish(d.resend(), d.cfg.Clock.Now())
 		return verdictResend, ""
 	case !ran:
-		for _, t := range r.tasks {
-			r.avoid = append(r.avoid, t.target)
-		}
 		return verdictRetry, "notStarted"
 	case s.completed == len(r.tasks):
 		r.finish(r.started.Complete(d.runOf(r, "")), d.cfg.Clock.Now())
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -347,6 +347,15 @@
 	w.leaving = s.Leaving
 }
 
+// noteUnavailable takes the target out of use until it answers again. Requests
+// that it did not take are then placed elsewhere without avoiding it for ever.
+func (w *targetWorker) noteUnavailable() {
+	w.mu.Lock()
+	w.reached = false
+	w.mu.Unlock()
+	w.updateState(w.d.cfg.Clock.Now())
+}
+
 func (w *targetWorker) setListedLeaving(leaving bool) {
 	w.mu.Lock()
 	w.listedLv = leaving
