leaser: vary promise and maxExtension in the schedules

Cause: all schedules used the same durations. Change: seeds also use a maxExtension of two leases and a promise of one lease.

--- a/leaser/schedule_test.go
+++ b/leaser/schedule_test.go
@@ -40,6 +40,12 @@
 	if seed%2 == 1 {
 		c.settings.Alive = c.alive
 	}
+	if seed%3 == 1 {
+		c.settings.MaxExtension = 2 * c.settings.Lease
+	}
+	if seed%5 == 1 {
+		c.settings.Promise = c.settings.Lease
+	}
 	names := []descriptor.InstanceID{"a", "b", "c", "d"}
 	for _, name := range names[:3] {
 		c.start(name)
