--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -203,3 +203,43 @@
 		require.NoError(t, err)
 	})
 }
+
+// memoryObjects is an object store whose first put loses its answer.
+type memoryObjects struct {
+	objects map[string][]byte
+	puts    int
+}
+
+func (m *memoryObjects) PutObject(_ context.Context, key string, body []byte) error {
+	m.objects[key] = body
+	if m.puts++; m.puts == 1 {
+		return connector.ErrAmbiguous
+	}
+	return nil
+}
+
+func (m *memoryObjects) GetObject(_ context.Context, key string) ([]byte, error) {
+	if body, ok := m.objects[key]; ok {
+		return body, nil
+	}
+	return nil, connector.ErrNotFound
+}
+
+// TestObjects guards against a put that fails on a lost answer although it can
+// be repeated, and against an absent object that counts as a failure.
+func TestObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newTestStore()
+		objects := &memoryObjects{objects: map[string][]byte{}}
+		s.cfg.Objects = objects
+		require.NoError(t, s.PutObject(t.Context(), "k", []byte("v")))
+		require.Equal(t, 2, objects.puts)
+		for range 2 * breakerFailures {
+			_, err := s.GetObject(t.Context(), "absent")
+			require.ErrorIs(t, err, connector.ErrNotFound)
+		}
+		body, err := s.GetObject(t.Context(), "k")
+		require.NoError(t, err)
+		require.Equal(t, []byte("v"), body)
+	})
+}
