--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,8 +26,10 @@
 	"github.com/masticlead/masticlead/storer"
 )
 
-// DefaultWritesPerSecond is the write budget of all instances together.
-const DefaultWritesPerSecond = 300
+// DefaultWritesPerSecond is the write budget of the claims and outcomes of all
+// instances together: 300 writes/s less 90 for renewals and 30 for everything
+// else, which would otherwise wait behind claims for as long as there is load.
+const DefaultWritesPerSecond = 180
 
 // callTimeout bounds each call of the store.
 const callTimeout = 2 * time.Second
@@ -63,19 +66,25 @@
 	Outcome *descriptor.Outcome `json:"outcome,omitempty"`
 }
 
-// Config holds the settings of a Claimer. Instances, Scope and Log may be nil.
+// Config holds the settings of a Claimer. Rand, Instances, Scope and Log may be
+// nil.
 type Config struct {
 	Clock clockwork.Clock
+	// Rand spreads the sweeps of the instances.
+	Rand  *rand.Rand
 	Table connector.Table
 	// Session returns the fence of this instance's writes.
 	Session    func() (leaser.Session, bool)
 	DataCentre descriptor.DataCentreID
 	// Instances returns the number of live instances that share the budget.
 	Instances func() int
-	// WritesPerSecond is the budget of all instances together.
+	// WritesPerSecond is the claims' budget of all instances together; 0 means
+	// DefaultWritesPerSecond.
 	WritesPerSecond float64
-	Scope           tally.Scope
-	Log             *slog.Logger
+	// Retention is how long claims are kept; 0 means DefaultRetention.
+	Retention time.Duration
+	Scope     tally.Scope
+	Log       *slog.Logger
 }
 
 // Claimer batches the claims and outcomes of one instance.
@@ -123,6 +132,12 @@
 	if cfg.WritesPerSecond <= 0 {
 		cfg.WritesPerSecond = DefaultWritesPerSecond
 	}
+	if cfg.Retention <= 0 {
+		cfg.Retention = DefaultRetention
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	cfg.Log = cfg.Log.With("component", "claimer")
 	return &Claimer{
 		cfg:       cfg,
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -21,6 +21,7 @@
 
 	"github.com/masticlead/masticlead/connector"
 	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/storer"
 )
 
 // Default durations for a cell of a few instances.
@@ -37,10 +38,10 @@
 // Session identifies an incarnation of this instance. Row and Version are the
 // fence for writes that only this incarnation may make.
 type Session struct {
-	Instance    descriptor.InstanceID
-	Incarnation descriptor.Incarnation
-	Row         connector.RowKey
-	Version     connector.RowVersion
+	Instance    descriptor.InstanceID  `json:"instance"`
+	Incarnation descriptor.Incarnation `json:"incarnation"`
+	Row         connector.RowKey       `json:"row"`
+	Version     connector.RowVersion   `json:"version"`
 }
 
 // Grant is the right to use a slice until a time on the injected clock. An
@@ -116,6 +117,7 @@
 	closing bool
 	started bool
 
+	wake chan struct{} // asks for a read
 	stop chan struct{} // closed by Close
 	done chan struct{} // closed when Run has ended
 	once sync.Once
@@ -161,12 +163,6 @@
 	withheld bool
 }
 
-// view is an immutable copy of what Grant needs.
-type view struct {
-	until time.Time
-	epoch [descriptor.SliceCount]descriptor.Epoch // 0: not owned
-}
-
 // New returns a Leaser that does nothing until Run.
 func New(cfg Config) *Leaser {
 	if cfg.Scope == nil {
@@ -187,6 +183,7 @@
 		base:    now,
 		members: map[descriptor.InstanceID]*member{},
 		pledges: newPledges(now),
+		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 	}
@@ -202,7 +199,9 @@
 		return err
 	}
 	defer close(l.done)
-	ctx, cancel := context.WithCancel(ctx)
+	// Takeovers and handovers go before claims too: claims may use all of the
+	// instance's share for as long as there is load.
+	ctx, cancel := context.WithCancel(storer.WithClass(ctx, storer.ClassRenewal))
 	defer cancel()
 	go func() {
 		select {
@@ -211,6 +210,9 @@
 		case <-ctx.Done():
 		}
 	}()
+	// Instances of a data centre that restart together share its part of the
+	// write budget, about one write per instance and second.
+	l.sleep(ctx, l.jitter(l.cfg.Renewal/4, 1))
 	for ctx.Err() == nil {
 		if !l.register(ctx) {
 			break
@@ -259,42 +261,6 @@
 	return l.current.session, true
 }
 
-// Grant returns the right to use a slice if it holds now.
-//
-// The end of the grant is at most one renewal period away, so that a slice that
-// is handed over is usable soon by its next owner.
-func (l *Leaser) Grant(s descriptor.SliceID) (Grant, bool) {
-	now := l.cfg.Clock.Now()
-	v := l.view.Load()
-	if int(s) >= len(v.epoch) || v.epoch[s] == 0 || !now.Before(v.until) {
-		return Grant{}, false
-	}
-	until := v.until
-	if limit := now.Add(l.grantSpan()); limit.Before(until) {
-		until = limit
-	}
-	// The end is published before the second look at the view. A release first
-	// changes the view and then reads the end, so one of the two sees the other.
-	storeMax(&l.granted[s], int64(until.Sub(l.base)))
-	if l.view.Load().epoch[s] != v.epoch[s] {
-		return Grant{}, false
-	}
-	return Grant{Slice: s, Epoch: v.epoch[s], Until: until}, true
-}
-
-// grantSpan bounds the time from the send of an order to its start.
-func (l *Leaser) grantSpan() time.Duration { return l.cfg.Renewal }
-
-// storeMax raises a to at least v.
-func storeMax(a *atomic.Int64, v int64) {
-	for {
-		old := a.Load()
-		if old >= v || a.CompareAndSwap(old, v) {
-			return
-		}
-	}
-}
-
 // Owner returns the last known owner of a slice.
 func (l *Leaser) Owner(s descriptor.SliceID) (descriptor.InstanceID, descriptor.Epoch, bool) {
 	if int(s) >= descriptor.SliceCount {
@@ -306,32 +272,19 @@
 	return row.Owner, row.Epoch, row.Owner != ""
 }
 
-// Changes returns the gains and losses of slices in their order. All of them
-// are delivered, so the channel must be read. It is closed by Close.
-func (l *Leaser) Changes() <-chan Change { return l.changes.out }
-
-// publish makes the current state visible to Grant. The caller holds mu.
-func (l *Leaser) publish() {
-	v := &view{}
-	if c := l.current; c != nil && !l.closing {
-		v.until = l.until(c)
-		for s, o := range c.owned {
-			if !o.withheld {
-				v.epoch[s] = o.epoch
-			}
-		}
+// Wake asks for a read of the rows soon. It is called when heartbeats show that
+// an instance of the data centre joined, is leaving or has died, so that its
+// slices don't wait for the next regular read. Calls are cheap.
+func (l *Leaser) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
 	}
-	l.view.Store(v)
 }
 
-// until returns the end of the lease. The caller holds mu.
-func (l *Leaser) until(c *incarnation) time.Time {
-	end := c.ackedSent.Add(l.cfg.Lease)
-	if c.extended.After(end) {
-		end = c.extended
-	}
-	return end
-}
+// Changes returns the gains and losses of slices in their order. All of them
+// are delivered, so the channel must be read until it is closed after Close.
+func (l *Leaser) Changes() <-chan Change { return l.changes.out }
 
 // gain records a slice that the row assigns to this incarnation. The caller
 // holds mu.
@@ -391,6 +344,21 @@
 	return d - time.Duration(span) + time.Duration(l.cfg.Rand.Int64N(2*span+1))
 }
 
+// nap is sleep, shortened by Wake.
+func (l *Leaser) nap(ctx context.Context, d time.Duration) bool {
+	timer := l.cfg.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.wake:
+		// All instances of the data centre are woken at the same time.
+		return l.sleep(ctx, min(d, l.jitter(l.cfg.Renewal/16, 1)))
+	}
+}
+
 // sleep waits for d or for the end of the context.
 func (l *Leaser) sleep(ctx context.Context, d time.Duration) bool {
 	timer := l.cfg.Clock.NewTimer(d)
