placer: pause before a gang reserves again after its limit

Cause: a gang could reserve the same targets again at once when its reservation had reached its limit, and so hold them without a limit. Change: it may reserve again after 100 ms, in which other work gets the targets.

--- a/placer/gang.go
+++ b/placer/gang.go
@@ -82,7 +82,7 @@
 	if p.blocked.key != key && now.Before(p.blocked.seen.Add(blockedFor)) {
 		return nil, NoRoom
 	}
-	if now.Before(p.nextPlan) {
+	if now.Before(p.nextPlan) || now.Before(p.lapsed[key]) {
 		return nil, NoRoom
 	}
 	r := p.plan(now, d)
--- a/placer/gang_test.go
+++ b/placer/gang_test.go
@@ -76,14 +76,19 @@
 // ever because the work that it waits for doesn't end.
 func TestReservationEndsAtItsLimit(t *testing.T) {
 	p := busyCell(t, 2, 10*time.Second)
-	_, verdict := p.Place(start, gang("g", 2, size(4, 1, 0, 1), time.Second))
+	g := gang("g", 2, size(4, 1, 0, 1), time.Second)
+	_, verdict := p.Place(start, g)
 	require.Equal(t, Reserved, verdict)
 	limit := p.Reservations(start)[0].Limit
 	small := single("small", size(2, 1, 0, 1), time.Hour)
 	_, verdict = p.Place(limit.Add(-1), small)
 	require.Equal(t, NoRoom, verdict)
+	_, verdict = p.Place(limit, g)
+	require.Equal(t, NoRoom, verdict, "other work gets the targets first")
 	_, verdict = p.Place(limit, small)
 	require.Equal(t, Placed, verdict)
+	_, verdict = p.Place(limit.Add(lapsePause), g)
+	require.Equal(t, Reserved, verdict)
 }
 
 // TestWithdrawnReservationIsGone guards against capacity that stays reserved for
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -72,10 +72,13 @@
 	reservations map[descriptor.Key]*reservation
 	holds        []*slot // targets that a reservation names
 	nextLimit    time.Time
-	blocked      blocked
-	planFrom     int
-	nextPlan     time.Time
-	ends         []ending // scratch space of forecast
+	// lapsed holds the ends of the pauses after reservations that have reached
+	// their limit.
+	lapsed   map[descriptor.Key]time.Time
+	blocked  blocked
+	planFrom int
+	nextPlan time.Time
+	ends     []ending // scratch space of forecast
 
 	probing []*slot
 }
@@ -88,6 +91,7 @@
 		cell:         newCell(),
 		services:     newServices(),
 		reservations: make(map[descriptor.Key]*reservation),
+		lapsed:       make(map[descriptor.Key]time.Time),
 	}
 	p.weigh()
 	return p
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -35,6 +35,14 @@
 	spare descriptor.Resources
 }
 
+// lapsePause is how long a request whose reservation has reached its limit may
+// not reserve again. Other work gets the targets meanwhile; without the pause
+// the request could hold the same targets again and again, past any limit.
+const lapsePause = 100 * time.Millisecond
+
+// maxLapsed bounds the requests whose pause is remembered.
+const maxLapsed = 1024
+
 // blockedFor is how long a request that found too many targets reserved keeps
 // others from reserving, after it last asked.
 const blockedFor = 5 * time.Second
@@ -78,6 +86,7 @@
 	if p.blocked.key == key {
 		p.blocked = blocked{}
 	}
+	delete(p.lapsed, key)
 	if r := p.reservations[key]; r != nil {
 		p.cancel(r)
 	}
@@ -117,10 +126,19 @@
 	for _, r := range p.reservations {
 		if !now.Before(r.limit) {
 			p.cancel(r)
+			p.lapse(now, r.key)
 		}
 	}
 }
 
+// lapse starts the pause of a request.
+func (p *Packer) lapse(now time.Time, key descriptor.Key) {
+	if len(p.lapsed) >= maxLapsed {
+		clear(p.lapsed)
+	}
+	p.lapsed[key] = now.Add(lapsePause)
+}
+
 // backfill places a single task on a reserved target, if it ends before the
 // reservation starts or leaves enough room for it.
 func (p *Packer) backfill(task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
