placer: large single tasks reserve a target

Cause: a single task of a whole target never started while small work took every slot that became free. Change: a single task of at least half of a mean target gets a reservation as a gang does.

--- a/placer/cell.go
+++ b/placer/cell.go
@@ -119,6 +119,17 @@
 	c.used = c.used.Add(r)
 }
 
+// largeShare is the fraction of a mean target from which a single task may
+// reserve a target. Small work would take every smaller part that becomes free.
+const largeShare = 0.5
+
+// isLarge reports whether a single task may reserve a target.
+func (c *cell) isLarge(task descriptor.Resources) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return task.Scale(c.count).DominantShare(c.all) >= largeShare
+}
+
 // weights returns the weights for the present use of the cell.
 func (c *cell) weights() weights {
 	c.mu.Lock()
--- a/placer/gang_test.go
+++ b/placer/gang_test.go
@@ -72,6 +72,51 @@
 	require.Empty(t, p.Reservations(now))
 }
 
+// TestLargeTaskIsNotStarvedBySmallWork guards against a single task of a whole
+// target that waits for ever while small work takes every slot that becomes free.
+func TestLargeTaskIsNotStarvedBySmallWork(t *testing.T) {
+	p := NewPacker(PackerConfig{})
+	for i := range 2 {
+		p.AddTarget(target(i, size(8, 16, 0, 8)))
+	}
+	type end struct {
+		at     time.Time
+		target descriptor.TargetID
+	}
+	var ends []end
+	now := start
+	small := single("small", size(1, 1, 0, 1), time.Second)
+	fill := func() {
+		for {
+			placed, verdict := p.Place(now, small)
+			if verdict != Placed {
+				return
+			}
+			ends = append(ends, end{now.Add(time.Second), placed[0].Target})
+		}
+	}
+	for range 10 { // staggered, so that the targets never become empty by chance
+		fill()
+		now = now.Add(100 * time.Millisecond)
+		p.Release(now, ends[0].target, size(1, 1, 0, 1))
+		ends = ends[1:]
+	}
+	large := single("large", size(8, 8, 0, 8), time.Second)
+	for range 100 {
+		if _, verdict := p.Place(now, large); verdict == Placed {
+			require.LessOrEqual(t, now.Sub(start), 4*time.Second)
+			return
+		}
+		fill()
+		if ends[0].at.After(now) {
+			now = ends[0].at
+		}
+		p.Release(now, ends[0].target, size(1, 1, 0, 1))
+		ends = ends[1:]
+	}
+	t.Fatal("the large task never started")
+}
+
 // TestReservationEndsAtItsLimit guards against a gang that holds capacity for
 // ever because the work that it waits for doesn't end.
 func TestReservationEndsAtItsLimit(t *testing.T) {
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -48,8 +48,8 @@
 // Packer is a best-fit policy over an index of shards. A task goes to the first
 // shard that has room for it, and there to the target with the least room left
 // after it. Filling shards in order keeps whole targets free for large work.
-// Requests of several tasks that find no room get a reservation on named
-// targets.
+// Requests of several tasks, and single tasks that need half of a target, get a
+// reservation on named targets if they find no room.
 //
 // Single tasks and releases take the lock of the packer shared and that of one
 // shard; everything else takes the packer's lock exclusively. The order of
@@ -205,7 +205,21 @@
 	case taskCount(d.Request) > 1 || d.Request.Policy == descriptor.Gang:
 		return p.placeGang(now, d)
 	}
-	return p.placeSingle(now, d)
+	placed, verdict := p.placeSingle(now, d)
+	switch {
+	case verdict == Placed && p.waits(d.Request.Key):
+		p.Withdraw(d.Request.Key)
+	case verdict == NoRoom && p.cell.isLarge(d.Request.Resources):
+		return p.placeGang(now, d)
+	}
+	return placed, verdict
+}
+
+// waits reports whether the request has a reservation or is the next to get one.
+func (p *Packer) waits(key descriptor.Key) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return len(p.reservations) > 0 && p.reservations[key] != nil || p.blocked.key == key
 }
 
 // placeSingle places a request of one task.
