--- a/placer/packer.go
+++ b/placer/packer.go
@@ -48,8 +48,8 @@
 // Packer is a best-fit policy over an index of shards. A task goes to the first
 // shard that has room for it, and there to the target with the least room left
 // after it. Filling shards in order keeps whole targets free for large work.
-// Requests of several tasks that find no room get a reservation on named
-// targets.
+// Requests of several tasks, and single tasks that need half of a target, get a
+// reservation on named targets if they find no room.
 //
 // Single tasks and releases take the lock of the packer shared and that of one
 // shard; everything else takes the packer's lock exclusively. The order of
@@ -72,8 +72,13 @@
 	reservations map[descriptor.Key]*reservation
 	holds        []*slot // targets that a reservation names
 	nextLimit    time.Time
-	blocked      blocked
-	planFrom     int
+	// lapsed holds the ends of the pauses after reservations that have reached
+	// their limit.
+	lapsed   map[descriptor.Key]time.Time
+	blocked  blocked
+	planFrom int
+	nextPlan time.Time
+	ends     []ending // scratch space of forecast
 
 	probing []*slot
 }
@@ -86,6 +91,7 @@
 		cell:         newCell(),
 		services:     newServices(),
 		reservations: make(map[descriptor.Key]*reservation),
+		lapsed:       make(map[descriptor.Key]time.Time),
 	}
 	p.weigh()
 	return p
@@ -135,7 +141,6 @@
 	sh := newShard(len(p.shards))
 	p.shards = append(p.shards, sh)
 	p.tree.grow(len(p.shards))
-	p.cell.grow(len(p.shards))
 	return sh
 }
 
@@ -200,7 +205,21 @@
 	case taskCount(d.Request) > 1 || d.Request.Policy == descriptor.Gang:
 		return p.placeGang(now, d)
 	}
-	return p.placeSingle(now, d)
+	placed, verdict := p.placeSingle(now, d)
+	switch {
+	case verdict == Placed && p.waits(d.Request.Key):
+		p.Withdraw(d.Request.Key)
+	case verdict == NoRoom && p.cell.isLarge(d.Request.Resources):
+		return p.placeGang(now, d)
+	}
+	return placed, verdict
+}
+
+// waits reports whether the request has a reservation or is the next to get one.
+func (p *Packer) waits(key descriptor.Key) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return len(p.reservations) > 0 && p.reservations[key] != nil || p.blocked.key == key
 }
 
 // placeSingle places a request of one task.
