router: don't take the refusal of an earlier attempt for the last one

A refused request is forgotten, so the next submission may run. An instance that waits for an outcome submits again every 2 s, since outcomes can get lost. An outcome message whose answer is lost holds up the next ones to the same instance for 2 s, so the refusal arrived after the second submission had been accepted as a new one, and was passed on as its outcome.

Change: a router numbers its attempts, the owner returns the number with the outcome, and a refusal counts only for the last attempt. Other outcomes don't change, so they count for all attempts.

Conclusion: a submission that the network holds back for longer than a call takes, and that arrives after a refusal of a later attempt, would still run. On one connection it can't overtake.

--- a/router/peer.go
+++ b/router/peer.go
@@ -26,6 +26,8 @@
 	Submission dispatcher.Submission `json:"submission"`
 	// ReplyTo is the peer address that the outcome is sent to.
 	ReplyTo string `json:"replyTo"`
+	// Attempt numbers the attempts of the sender. The outcome carries it.
+	Attempt uint64 `json:"attempt,omitempty"`
 }
 
 // ForwardReply is the answer of the instance that was asked. Exactly one of the
@@ -42,6 +44,8 @@
 type KeyedOutcome struct {
 	Key     descriptor.Key     `json:"key"`
 	Outcome descriptor.Outcome `json:"outcome"`
+	// Attempt is the attempt of the receiver that was accepted.
+	Attempt uint64 `json:"attempt,omitempty"`
 }
 
 // OutcomesRequest carries outcomes to the instance that callers wait at.
@@ -88,19 +92,19 @@
 		return ForwardReply{Reason: descriptor.ReasonOwnerUnreachable}
 	default:
 	}
-	r.wg.Go(func() { r.sendWhenDone(key, h, req.ReplyTo) })
+	r.wg.Go(func() { r.sendWhenDone(h, req) })
 	return ForwardReply{Accepted: true}
 }
 
 // sendWhenDone queues the outcome for the instance that forwarded the request.
-func (r *Router) sendWhenDone(key descriptor.Key, h dispatcher.Handle, replyTo string) {
+func (r *Router) sendWhenDone(h dispatcher.Handle, req ForwardRequest) {
 	select {
 	case <-h.Done():
 	case <-r.ctx.Done():
 		return
 	}
 	if o, err := h.Result(); err == nil {
-		r.outbox.add(replyTo, KeyedOutcome{key, o})
+		r.outbox.add(req.ReplyTo, KeyedOutcome{req.Submission.Key, o, req.Attempt})
 	}
 }
 
@@ -124,7 +128,7 @@
 func (r *Router) callOnce(ctx context.Context, op operation, s dispatcher.Submission, m heartbeater.Member) (place, descriptor.InstanceID) {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.HopTimeout)
 	defer cancel()
-	req := ForwardRequest{Submission: s, ReplyTo: r.selfAddress()}
+	req := ForwardRequest{Submission: s, ReplyTo: r.selfAddress(), Attempt: attemptOf(ctx)}
 	reply, err := messenger.Call[ForwardRequest, ForwardReply](ctx, r.cfg.Pool, m.PeerAddress, methodOf(op), req)
 	if err != nil {
 		r.cfg.Scope.Tagged(map[string]string{"reason": callReason(err)}).Counter("forward_errors").Inc(1)
@@ -187,36 +191,78 @@
 	return p
 }
 
+// attemptKey marks the context of an attempt.
+type attemptKey struct{}
+
+func withAttempt(ctx context.Context, n uint64) context.Context {
+	return context.WithValue(ctx, attemptKey{}, n)
+}
+
+func attemptOf(ctx context.Context) uint64 {
+	n, _ := ctx.Value(attemptKey{}).(uint64)
+	return n
+}
+
+// waiter is a caller that waits at this instance for the outcome of a request.
+type waiter struct {
+	ch chan descriptor.Outcome
+	// attempt is the last attempt made for it; guarded by waiters.mu. A refusal of
+	// an earlier attempt says nothing about a later one, which may have been
+	// accepted and run meanwhile.
+	attempt uint64
+}
+
 // waiters are the callers that wait at this instance, by request.
 type waiters struct {
-	mu    sync.Mutex
-	byKey map[descriptor.Key][]chan descriptor.Outcome
+	mu       sync.Mutex
+	byKey    map[descriptor.Key][]*waiter
+	attempts uint64
 }
 
-// register returns a channel that gets the outcome, and a function that ends the
+// register returns a waiter that gets the outcome, and a function that ends the
 // registration.
-func (w *waiters) register(k descriptor.Key) (<-chan descriptor.Outcome, func()) {
-	ch := make(chan descriptor.Outcome, 1)
+func (w *waiters) register(k descriptor.Key) (*waiter, func()) {
+	v := &waiter{ch: make(chan descriptor.Outcome, 1)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.byKey[k] = append(w.byKey[k], ch)
-	return ch, func() {
+	w.byKey[k] = append(w.byKey[k], v)
+	return v, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.byKey[k] = slices.DeleteFunc(w.byKey[k], func(c chan descriptor.Outcome) bool { return c == ch })
+		w.byKey[k] = slices.DeleteFunc(w.byKey[k], func(o *waiter) bool { return o == v })
 		if len(w.byKey[k]) == 0 {
 			delete(w.byKey, k)
 		}
 	}
 }
 
+// begin numbers the next attempt for a waiter and drops a refusal of an earlier
+// one that was not taken yet.
+func (w *waiters) begin(v *waiter) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempts++
+	v.attempt = w.attempts
+	select {
+	case o := <-v.ch:
+		if o.Kind() != descriptor.Refused {
+			v.ch <- o
+		}
+	default:
+	}
+	return v.attempt
+}
+
 // deliver gives the outcome to all callers that wait for the request.
 func (w *waiters) deliver(o KeyedOutcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, ch := range w.byKey[o.Key] {
+	for _, v := range w.byKey[o.Key] {
+		if o.Outcome.Kind() == descriptor.Refused && o.Attempt != v.attempt {
+			continue
+		}
 		select {
-		case ch <- o.Outcome:
+		case v.ch <- o.Outcome:
 		default: // a duplicate of an outcome that was delivered
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -86,7 +86,7 @@
 	setDefault(&cfg.HopTimeout, 2*time.Second)
 	r := &Router{cfg: cfg, rand: cfg.Rand}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	r.waiters.byKey = map[descriptor.Key][]chan descriptor.Outcome{}
+	r.waiters.byKey = map[descriptor.Key][]*waiter{}
 	r.outbox.pending = map[string][]KeyedOutcome{}
 	r.outbox.wake = make(chan struct{}, 1)
 	r.owners.byslice = map[homeSlice]descriptor.InstanceID{}
@@ -160,7 +160,7 @@
 // follow brings the operation to the owner and waits for the outcome. It
 // reports false if the owner doesn't know the request.
 func (r *Router) follow(ctx context.Context, op operation, s dispatcher.Submission, wait time.Duration) (server.Answer, bool, error) {
-	ch, unregister := r.waiters.register(s.Key)
+	waiter, unregister := r.waiters.register(s.Key)
 	defer unregister()
 	start := r.cfg.Clock.Now()
 	// A status without a wait still needs time to reach the owner.
@@ -169,7 +169,8 @@
 	accepted := false
 	backoff := 20 * time.Millisecond
 	for {
-		p := r.try(ctx, op, r.remaining(s, start))
+		attempt := withAttempt(ctx, r.waiters.begin(waiter))
+		p := r.try(attempt, op, r.remaining(s, start))
 		switch {
 		case !p.outcome.IsZero():
 			return server.Answer{Outcome: p.outcome}, true, nil
@@ -180,7 +181,7 @@
 			if wait <= 0 {
 				return server.Answer{Pending: true}, true, nil
 			}
-			if o, ok := r.await(ctx, p, ch); ok {
+			if o, ok := r.await(ctx, p, waiter.ch); ok {
 				return server.Answer{Outcome: o}, true, nil
 			}
 			op = afterFirst(op)
