runner: leave a part of the write budget to other writes than claims

Cause: claims and outcomes go before rule changes, and the runner gave them the whole budget of 300 writes/s, so under load no rule change would get through. Change: claims get 60% of it. Conclusion: 120 writes/s stay for renewals and rules.

--- a/runner/build.go
+++ b/runner/build.go
@@ -249,10 +249,14 @@
 	return max(1, n)
 }
 
+// claimShare is the part of the write budget that claims and outcomes may take.
+// They go before all other writes but renewals, and would starve rule changes.
+const claimShare = 0.6
+
 func newClaimer(s *loader.Settings, c clockwork.Clock, st *storer.Store, l *leaser.Leaser, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *claimer.Claimer {
 	return claimer.New(claimer.Config{
 		Clock: c, Table: st, Session: l.Session, DataCentre: s.Instance.DataCentre,
-		Instances: func() int { return liveInstances(s, h) }, WritesPerSecond: float64(s.Limits.StoreWritesPerSecond),
+		Instances: func() int { return liveInstances(s, h) }, WritesPerSecond: claimShare * float64(s.Limits.StoreWritesPerSecond),
 		Scope: m.scope.SubScope("claimer"), Log: log,
 	})
 }
