dispatcher: refuse a gang that fits onto no instance, and never refuse a running request

Cause: a gang larger than the targets of each instance was offered until its deadline. A refusal after the last round of offers could meet a host that had just been confirmed. Change: if all other instances say that a request never fits, it is refused with that reason; a refusal checks for a running attempt under the lock of the record. Conclusion: offers end with a truthful answer.

--- a/dispatcher/spill.go
+++ b/dispatcher/spill.go
@@ -212,8 +212,9 @@
 	latest := r.request.Deadline.Add(-r.request.DeclaredRun)
 	accepted := false
 	for {
-		accepted = d.offer(r) || accepted
-		if once && !accepted {
+		taken, fitsNowhere := d.offer(r)
+		accepted = accepted || taken
+		if !accepted && (once || (fitsNowhere && refusal.Reason == descriptor.ReasonNeverFits)) {
 			break
 		}
 		select {
@@ -231,9 +232,7 @@
 			break
 		}
 	}
-	if !r.inFlight() {
-		d.refuse(r, refusal)
-	}
+	d.refuse(r, refusal)
 }
 
 // inFlight reports whether an attempt is running.
@@ -251,34 +250,39 @@
 	d.wg.Go(func() { d.offer(r) })
 }
 
-// offer makes one round of offers and reports whether a host has queued the
-// request.
-func (d *Dispatcher) offer(r *record) bool {
+// offer makes one round of offers. It reports whether a host has queued the
+// request, and else whether all other instances have said that it never fits
+// onto their targets.
+func (d *Dispatcher) offer(r *record) (accepted, fitsNowhere bool) {
 	r.mu.Lock()
 	if r.isDone() || r.cancelled {
 		r.mu.Unlock()
-		return false
+		return false, false
 	}
 	req := OfferRequest{
 		Owner: d.cfg.Self, Request: *r.request, DataCentre: d.cfg.DataCentre, Resume: r.resume,
 		RemainingMs: r.request.Deadline.Sub(d.cfg.Clock.Now()).Milliseconds(), Avoid: r.avoid,
 	}
 	r.mu.Unlock()
+	neverFits := 0
 	for _, h := range d.hosts() {
 		ctx, cancel := context.WithTimeout(d.ctx, offerTimeout)
 		reply, err := d.cfg.Peers.Offer(ctx, h.ID, req)
 		cancel()
 		if err == nil && reply.Accepted {
 			d.cfg.Scope.Counter("offers_accepted").Inc(1)
-			return true
+			return true, false
 		}
 		reason := "unreachable"
 		if err == nil {
 			reason = reply.Reason.String()
 		}
+		if err == nil && reply.Reason == descriptor.ReasonNeverFits {
+			neverFits++
+		}
 		d.cfg.Scope.Tagged(map[string]string{"reason": reason}).Counter("offers_declined").Inc(1)
 	}
-	return false
+	return false, neverFits == len(d.cfg.Loads())
 }
 
 // HandleOffer queues a request of another instance if there is room for it.
--- a/dispatcher/spill_test.go
+++ b/dispatcher/spill_test.go
@@ -110,3 +110,31 @@
 	require.Equal(t, descriptor.Completed, o.Kind())
 	require.Len(t, c.runs(s.Key), 1)
 }
+
+// TestGangTooLargeForEachInstance guards against a gang that waits until its
+// deadline although no instance owns enough targets for it.
+func TestGangTooLargeForEachInstance(t *testing.T) {
+	c := newTestCell(t, 2)
+	a, b := c.add("a", nil), c.add("b", nil)
+	own := descriptor.TargetID("t0").Slice()
+	c.give("b", func(s descriptor.SliceID) bool { return s != own })
+	c.give("a", func(s descriptor.SliceID) bool { return s == own })
+	c.eventually(func() bool {
+		for _, d := range []*Dispatcher{a, b} {
+			if recovered, owned := d.Recovered(); recovered < owned {
+				return false
+			}
+		}
+		return true
+	})
+	s := c.submission("r1", "stairwell", emulator.Work{RunMs: 1})
+	s.Tasks = 5
+	owner := b
+	if s.Key.Slice() == own {
+		owner = a
+	}
+	o := c.submit(owner, s)
+	require.Equal(t, descriptor.Refused, o.Kind())
+	require.Equal(t, descriptor.ReasonNeverFits, o.Reason())
+	require.Empty(t, c.runs(s.Key))
+}
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -274,7 +274,8 @@
 func (d *Dispatcher) refuse(r *record, f descriptor.Refusal) {
 	r.mu.Lock()
 	switch {
-	case r.isDone():
+	case r.isDone() || !r.settled():
+		// A host has started it in the meantime.
 		r.mu.Unlock()
 		return
 	case r.unstarted != nil:
