--- a/cmd/masticlead-bench/main.go
+++ b/cmd/masticlead-bench/main.go
@@ -89,6 +89,7 @@
 func printMetrics(w io.Writer, metrics []measurer.Metric, asJSON bool) error {
 	if asJSON {
 		enc := json.NewEncoder(w)
+		enc.SetEscapeHTML(false)
 		for _, m := range metrics {
 			if err := enc.Encode(m); err != nil {
 				return err
--- /dev/null
+++ b/cmd/masticlead-bench/main_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/measurer"
+)
+
+func init() {
+	measurer.Register(measurer.Scenario{
+		Name: "testMissed", Extra: true,
+		Run: func(measurer.Env) ([]measurer.Metric, error) {
+			return []measurer.Metric{
+				{Name: "kept", Value: 1, Baseline: measurer.None(), Bound: measurer.AtMost(1)},
+				{Name: "missed", Value: 2, Baseline: 3, Bound: measurer.AtMost(1)},
+			}, nil
+		},
+	})
+}
+
+// TestMissedBoundFails guards against a bench run that reports success although
+// a bound is missed or a scenario does not exist.
+func TestMissedBoundFails(t *testing.T) {
+	var out bytes.Buffer
+	require.ErrorIs(t, run(&out, "testMissed", measurer.Env{Seed: 1}, true), errBoundMissed)
+	require.Contains(t, out.String(), `"metric":"kept","value":1,"unit":"","baseline":null,"bound":"<= 1","holds":true`)
+	require.Contains(t, out.String(), `"metric":"missed","value":2,"unit":"","baseline":3,"bound":"<= 1","holds":false`)
+	out.Reset()
+	require.ErrorIs(t, run(&out, "testMissed", measurer.Env{Seed: 1}, false), errBoundMissed)
+	require.Contains(t, out.String(), "MISSED")
+	require.Error(t, run(&out, "none", measurer.Env{}, false))
+}
--- a/measurer/metric.go
+++ b/measurer/metric.go
@@ -1,6 +1,7 @@
 package measurer
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"strconv"
@@ -52,9 +53,13 @@
 // Holds reports whether the metric keeps its bound.
 func (m Metric) Holds() bool { return m.Bound.Holds(m.Value) }
 
-// MarshalJSON encodes the metric. Figures that are not finite become null.
+// MarshalJSON encodes the metric. Figures that are not finite become null, and
+// the signs of bounds are not escaped.
 func (m Metric) MarshalJSON() ([]byte, error) {
-	return json.Marshal(struct {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	enc.SetEscapeHTML(false)
+	err := enc.Encode(struct {
 		Scenario string   `json:"scenario"`
 		Metric   string   `json:"metric"`
 		Value    *float64 `json:"value"`
@@ -63,6 +68,7 @@
 		Bound    string   `json:"bound"`
 		Holds    bool     `json:"holds"`
 	}{m.Scenario, m.Name, finite(m.Value), m.Unit, finite(m.Baseline), m.Bound.String(), m.Holds()})
+	return b.Bytes(), err
 }
 
 func finite(v float64) *float64 {
--- a/measurer/variants.go
+++ b/measurer/variants.go
@@ -36,6 +36,8 @@
 	high             float64
 	// returns is how often a refused request comes back at its time.
 	returns int
+	// long is the load of checkpointable work that runs for 100 s each.
+	long float64
 }
 
 func (v variant) load(at time.Duration) float64 {
@@ -54,12 +56,19 @@
 	}
 }
 
-// measure returns the served part of the capacity at the peak, the admitted
-// requests that were late, the part of all requests that ended in time, and the
-// p99 wait of urgent work.
+// measure returns, of the interactive work, the served part of the capacity at
+// the peak, the admitted requests that were late, the part of all requests that
+// ended in time, and the p99 wait of urgent work.
 func (v variant) measure(env Env, cfg scheduler.Config) (served, late, inTime, wait float64) {
-	work := Generate(env.Rand(1), 0, v.start+4*crestLength,
-		v.flow("routeBuild", descriptor.Urgent, crestUrgent), v.flow("weekPlan", descriptor.Normal, 1-crestUrgent))
+	flows := []Flow{
+		v.flow("routeBuild", descriptor.Urgent, crestUrgent),
+		v.flow("weekPlan", descriptor.Normal, 1-crestUrgent),
+	}
+	if v.long > 0 {
+		list := mixPart{kind: longKind, priority: descriptor.Normal, load: v.long * float64(v.targets) / mixTargetsAll, run: 100 * time.Second, slots: 1, deadline: time.Hour, checkpointable: true}
+		flows = append(flows, list.flow())
+	}
+	work := Generate(env.Rand(1), 0, v.start+4*crestLength, flows...)
 	c := NewCell(cfg, &descriptor.Rules{}, v.targets, Slots8, env.Rand(2))
 	var all []*Job
 	var add func(j *Job, n int)
@@ -80,7 +89,11 @@
 		add(j, 0)
 	}
 	c.Run(v.start + 6*crestLength)
+	var asked float64
 	for _, j := range all {
+		if j.Request.Kind == longKind {
+			continue
+		}
 		if j.Late() {
 			late++
 		}
@@ -88,12 +101,18 @@
 			inTime++
 		}
 	}
-	served = BusySeconds(all, v.start+crestRamp, v.start+crestLength, (*Job).InTime) /
+	for _, j := range work {
+		if j.Request.Kind != longKind {
+			asked++
+		}
+	}
+	answered := func(j *Job) bool { return j.Request.Kind != longKind && j.InTime() }
+	served = BusySeconds(all, v.start+crestRamp, v.start+crestLength, answered) /
 		(float64(v.targets*8) * (crestLength - crestRamp).Seconds())
 	wait = Quantile(Waits(all, func(j *Job) bool {
 		return j.Request.Priority == descriptor.Urgent && j.At > v.start
 	}), 0.99)
-	return served, late, inTime / float64(len(work)), wait
+	return served, late, inTime / asked, wait
 }
 
 func crestVariants(env Env) ([]Metric, error) {
@@ -122,6 +141,7 @@
 		with("runs1200ms", func(v *variant) { runs(v, 1200*time.Millisecond) }),
 		with("peak1.2", func(v *variant) { v.high = 1.2 }),
 		with("peak10", func(v *variant) { v.high = 10 }),
+		with("overLongWork", func(v *variant) { v.start, v.long = 10*time.Minute, 0.6 }),
 		with("deadline30s", func(v *variant) { v.deadline = 30 * time.Second }),
 	} {
 		served, late, inTime, wait := v.measure(env, scheduler.Config{})
@@ -136,7 +156,14 @@
 	return out, nil
 }
 
-// mixPart is a constant stream of one kind on 6 targets.
+// mixTargetsAll is the number of targets of mixVariants.
+const mixTargetsAll = 6
+
+// longKind is the kind of long work.
+const longKind = descriptor.KindName("long")
+
+// mixPart is a constant stream of one kind, with the load as a part of the cell of
+// mixVariants.
 type mixPart struct {
 	kind           descriptor.KindName
 	priority       descriptor.Priority
@@ -148,7 +175,7 @@
 }
 
 func (m mixPart) flow() Flow {
-	rate := m.load * 48 / m.run.Seconds() / float64(m.slots)
+	rate := m.load * mixTargetsAll * 8 / m.run.Seconds() / float64(m.slots)
 	return Flow{
 		Kind: m.kind, Priority: m.priority, Checkpointable: m.checkpointable,
 		Team: OneTeam("team"), Caller: SomeCaller("caller", 50),
@@ -162,7 +189,7 @@
 		return mixPart{kind: "short", priority: descriptor.Normal, load: load, run: time.Second, slots: 1, deadline: deadline}
 	}
 	long := func(load float64, deadline time.Duration, checkpointable bool) mixPart {
-		return mixPart{kind: "long", priority: descriptor.Normal, load: load, run: 100 * time.Second, slots: 1, deadline: deadline, checkpointable: checkpointable}
+		return mixPart{kind: longKind, priority: descriptor.Normal, load: load, run: 100 * time.Second, slots: 1, deadline: deadline, checkpointable: checkpointable}
 	}
 	large := func(load float64, deadline time.Duration) mixPart {
 		return mixPart{kind: "large", priority: descriptor.Normal, load: load, run: time.Second, slots: 5, deadline: deadline}
@@ -195,7 +222,7 @@
 		work := Generate(env.Rand(1), 0, m.length, flows...)
 		run := func(cfg scheduler.Config) []*Job {
 			jobs := Clone(work)
-			c := NewCell(cfg, &descriptor.Rules{}, 6, Slots8, env.Rand(2))
+			c := NewCell(cfg, &descriptor.Rules{}, mixTargetsAll, Slots8, env.Rand(2))
 			c.Add(jobs)
 			c.Run(m.length + 10*time.Minute)
 			return jobs
--- a/scheduler/peak_test.go
+++ b/scheduler/peak_test.go
@@ -219,3 +219,24 @@
 	}
 	require.Equal(t, 2, orders)
 }
+
+// TestRefusedDemandRaisesTheReserve guards against a peak at which short work is
+// refused while lent capacity stays with long work that could be checkpointed,
+// because only what was admitted counted as demand.
+func TestRefusedDemandRaisesTheReserve(t *testing.T) {
+	f := newFixture(t, 4)
+	calm := f.cfg.Sharer.LongAllowance(f.clock.Now())
+	refused := 0
+	for range 100 {
+		f.clock.Advance(50 * time.Millisecond)
+		for range 5 {
+			r := f.request("fitter", func(r *descriptor.Request) { r.Deadline = f.clock.Now().Add(1500 * time.Millisecond) })
+			if f.Submit(r) != nil {
+				refused++
+			}
+		}
+	}
+	require.Greater(t, refused, 300)
+	require.InDelta(t, longFloor, f.cfg.Sharer.LongAllowance(f.clock.Now()).Usual, 0.05)
+	require.Greater(t, calm.Usual, 0.9)
+}
--- a/scheduler/sharer.go
+++ b/scheduler/sharer.go
@@ -14,8 +14,8 @@
 	SetWeights(w descriptor.Weights)
 	// IsLong says whether work of the given run time is long.
 	IsLong(run time.Duration) bool
-	// Arrived counts admitted work: the share of the capacity it takes and how
-	// long it runs.
+	// Arrived counts work that asks for admission: the share of the capacity it
+	// takes and how long it runs.
 	Arrived(now time.Time, share float64, run time.Duration, long bool)
 	// LongAllowance returns the fraction of the capacity that long work may take
 	// that can't be moved away soon.
