--- a/distributor/harness_test.go
+++ b/distributor/harness_test.go
@@ -156,7 +156,7 @@
 
 // cell is a set of instances in one process that speak over loopback TCP.
 type cell struct {
-	t     *testing.T
+	t     testing.TB
 	clock *clockwork.FakeClock
 	store *store
 	dcs   []descriptor.DataCentreID
@@ -166,6 +166,8 @@
 	nodes  map[descriptor.InstanceID]*node
 	byAddr map[string]descriptor.InstanceID
 	cut    func(from, to descriptor.InstanceID) bool
+	blind  bool                           // heartbeats don't show versions
+	failed map[descriptor.InstanceID]bool // listed as members and out of reach
 }
 
 // node is an instance of a cell.
@@ -181,7 +183,7 @@
 	installed []descriptor.RulesVersion
 }
 
-func newCell(t *testing.T, seed uint64, perDataCentre int, dcs ...descriptor.DataCentreID) *cell {
+func newCell(t testing.TB, seed uint64, perDataCentre int, dcs ...descriptor.DataCentreID) *cell {
 	t.Helper()
 	c := &cell{
 		t: t, clock: clockwork.NewFakeClock(), store: newStore(), dcs: dcs, seed: seed,
@@ -227,7 +229,7 @@
 	all := make([]heartbeater.Member, len(nodes))
 	for i, n := range nodes {
 		all[i] = heartbeater.Member{ID: n.id, DataCentre: dc, PeerAddress: n.address}
-		if n.id != self {
+		if n.id != self && !c.blind {
 			all[i].Rules = n.d.version()
 		}
 	}
@@ -242,7 +244,7 @@
 	n := &node{id: id, dc: dc, address: l.Addr().String(), server: &messenger.Server{Listener: l}, done: make(chan error, 1)}
 	n.pool = &messenger.Pool{Self: id, BackoffMin: time.Millisecond, BackoffMax: time.Millisecond, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 		c.mu.Lock()
-		cut := c.cut(id, c.byAddr[address])
+		cut := c.cut(id, c.byAddr[address]) || c.failed[c.byAddr[address]]
 		c.mu.Unlock()
 		if cut {
 			return nil, errors.New("no route")
@@ -298,7 +300,9 @@
 	for ; d > 0; d -= step {
 		c.clock.Advance(step)
 		for _, n := range c.nodes {
-			n.d.tick()
+			if !c.failed[n.id] {
+				n.d.tick()
+			}
 		}
 		c.quiet()
 	}
--- a/messenger/fault_test.go
+++ b/messenger/fault_test.go
@@ -8,10 +8,13 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticlead/masticlead/descriptor"
@@ -227,6 +230,23 @@
 	w.check()
 	w.check()
 	require.Equal(t, []time.Duration{time.Minute}, gaps)
+
+	// Calls of several connections that are read at once after a pause. Each
+	// must find the pause reported when its own check returns.
+	clock.Advance(time.Minute)
+	var reported atomic.Int32
+	w.onPause = func(time.Duration) {
+		time.Sleep(5 * time.Millisecond)
+		reported.Add(1)
+	}
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			w.check()
+			assert.EqualValues(t, 1, reported.Load())
+		})
+	}
+	wg.Wait()
 }
 
 // TestPeerThatDoesNotRead guards against callers that hang, and a queue that
--- a/messenger/pause.go
+++ b/messenger/pause.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -16,8 +17,10 @@
 	limit   time.Duration
 	onPause func(gap time.Duration)
 	now     func() time.Time
-	last    atomic.Int64 // nanoseconds since start
 	start   time.Time
+	last    atomic.Int64 // nanoseconds since start
+
+	mu sync.Mutex // held while a pause is reported
 }
 
 func newPauseWatch(limit time.Duration, onPause func(time.Duration)) *pauseWatch {
@@ -27,19 +30,34 @@
 }
 
 // reset begins the watch.
-func (w *pauseWatch) reset() { w.last.Store(int64(w.now().Sub(w.start))) }
+func (w *pauseWatch) reset() { w.last.Store(int64(w.elapsed())) }
 
 // check reports a pause since the last check that is longer than the limit. It
 // is called regularly, and before each call is carried out: whichever comes
-// first after a pause sees the gap.
+// first after a pause sees the gap, and the others wait until it is reported.
 func (w *pauseWatch) check() {
-	now := int64(w.now().Sub(w.start))
-	last := w.last.Load()
-	if gap := time.Duration(now - last); gap > w.limit {
+	now := w.elapsed()
+	if now-w.lastCheck() <= w.limit {
+		w.touch(now)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now = w.elapsed()
+	if gap := now - w.lastCheck(); gap > w.limit {
 		w.onPause(gap)
 	}
-	// Only after onPause, so that no other check takes the gap for over.
-	for now > last && !w.last.CompareAndSwap(last, now) {
+	w.touch(now)
+}
+
+func (w *pauseWatch) elapsed() time.Duration { return w.now().Sub(w.start) }
+
+func (w *pauseWatch) lastCheck() time.Duration { return time.Duration(w.last.Load()) }
+
+// touch notes a check that read the clock at now, so that a pause between the
+// reading and here is not hidden. The time never goes back.
+func (w *pauseWatch) touch(now time.Duration) {
+	for last := w.last.Load(); int64(now) > last && !w.last.CompareAndSwap(last, int64(now)); {
 		last = w.last.Load()
 	}
 }
