--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -362,6 +362,10 @@
 // batchSize bounds the placements that are taken from the scheduler at once.
 const batchSize = 64
 
+// dispatchInterval is the time after which the scheduler is asked without a
+// signal, since time alone makes some work placeable.
+const dispatchInterval = 100 * time.Millisecond
+
 // dispatch starts what the scheduler places.
 func (d *Dispatcher) dispatch() {
 	for {
@@ -369,7 +373,7 @@
 		case <-d.ctx.Done():
 			return
 		case <-d.cfg.Scheduler.Ready():
-		case <-d.cfg.Clock.After(20 * time.Millisecond):
+		case <-d.cfg.Clock.After(dispatchInterval):
 		}
 		if d.isDraining() {
 			continue
@@ -389,6 +393,7 @@
 // maintain ends waiting requests that can't make their deadline, sends
 // directives to running work, and forgets old outcomes.
 func (d *Dispatcher) maintain() {
+	nextPrune := d.cfg.Clock.Now()
 	for d.sleep(50 * time.Millisecond) {
 		for _, e := range d.cfg.Scheduler.Expire() {
 			if r := d.record(e.Key); r != nil {
@@ -401,12 +406,19 @@
 			d.wg.Go(func() { d.direct(o) })
 		}
 		now := d.cfg.Clock.Now()
+		if now.Before(nextPrune) {
+			continue
+		}
+		nextPrune = now.Add(pruneInterval)
 		for i := range d.shards {
 			d.shards[i].prune(now)
 		}
 	}
 }
 
+// pruneInterval is the time between two looks for old outcomes.
+const pruneInterval = 5 * time.Second
+
 // direct sends a directive to a running task of this owner.
 func (d *Dispatcher) direct(o scheduler.Directive) {
 	w := d.worker(o.Target)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -173,11 +173,14 @@
 	require.Equal(t, descriptor.ReasonStoreUnavailable, o.Reason())
 	require.Positive(t, o.RetryAfter())
 	c.claimers["a"].err = nil
+	// A refused request is kept until its claim has been withdrawn.
+	c.eventually(func() bool { return d.record(s.Key) == nil })
 
 	c.claims[s.Key] = claimer.Claim{Holder: claimer.Holder{Instance: "gone"}, ClaimedMs: time.Now().UnixMilli()}
 	o = c.submit(d, s)
 	require.Equal(t, descriptor.Unknown, o.Kind())
 	require.Positive(t, o.RetryAfter(), "the holder may still settle its claim")
+	c.eventually(func() bool { return d.record(s.Key) == nil })
 	c.claims[s.Key] = claimer.Claim{Holder: claimer.Holder{Instance: "gone"}, ClaimedMs: time.Now().Add(-time.Hour).UnixMilli()}
 	o = c.submit(d, s)
 	require.Equal(t, descriptor.Unknown, o.Kind())
--- a/runner/build.go
+++ b/runner/build.go
@@ -96,6 +96,10 @@
 	}
 }
 
+func newDirectory(p *connector.Platform, c clockwork.Clock) *connector.DirectoryCache {
+	return &connector.DirectoryCache{Directory: p, Clock: c}
+}
+
 // listeners are opened before any part starts, so that a taken address is found
 // at once.
 type listeners struct{ http, peer net.Listener }
@@ -143,7 +147,7 @@
 	})
 }
 
-func newHeartbeater(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, ms *messenger.Server, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*heartbeater.Heartbeater, *rulesReport) {
+func newHeartbeater(s *loader.Settings, c clockwork.Clock, dir *connector.DirectoryCache, pool *messenger.Pool, ms *messenger.Server, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*heartbeater.Heartbeater, *rulesReport) {
 	report := &rulesReport{}
 	h := heartbeater.New(heartbeater.Config{
 		Clock: c, Rand: newRand(s, "heartbeater"),
@@ -151,7 +155,7 @@
 			ID: s.Instance.Name, Incarnation: descriptor.Incarnation(time.Now().UnixNano()),
 			DataCentre: s.Instance.DataCentre, PeerAddress: s.Advertise.Peer, HTTPAddress: s.Advertise.HTTP,
 		},
-		DataCentres: s.DataCentres, Directory: p, Pool: pool,
+		DataCentres: s.DataCentres, Directory: dir, Pool: pool,
 		Report:    func() (descriptor.RulesVersion, heartbeater.LoadReport) { return report.version(), loadReport(sch) },
 		OnVersion: report.see,
 		Scope:     m.scope.SubScope("heartbeater"), Log: log,
@@ -261,10 +265,10 @@
 	})
 }
 
-func newDispatcher(s *loader.Settings, c clockwork.Clock, sch *scheduler.Scheduler, l *leaser.Leaser, cl *claimer.Claimer, pool *messenger.Pool, ms *messenger.Server, h *heartbeater.Heartbeater, p *connector.Platform, rules *ruleSet, m *metrics, log *slog.Logger) *dispatcher.Dispatcher {
+func newDispatcher(s *loader.Settings, c clockwork.Clock, sch *scheduler.Scheduler, l *leaser.Leaser, cl *claimer.Claimer, pool *messenger.Pool, ms *messenger.Server, h *heartbeater.Heartbeater, dir *connector.DirectoryCache, rules *ruleSet, m *metrics, log *slog.Logger) *dispatcher.Dispatcher {
 	d := dispatcher.New(dispatcher.Config{
 		Clock: c, Self: s.Instance.Name, DataCentre: s.Instance.DataCentre, Scheduler: sch, Owners: l, Claims: cl,
-		Peers: &peers{pool, h}, Directory: p, Dialer: &connector.HTTPDialer{Client: connector.NewHTTPClient(targetConnections, sourceIP(s))},
+		Peers: &peers{pool, h}, Directory: dir, Dialer: &connector.HTTPDialer{Client: connector.NewHTTPClient(targetConnections, sourceIP(s))},
 		Rules: rules.current.Load, Loads: func() []dispatcher.PeerLoad { return peerLoads(s, h) },
 		Scope: m.scope.SubScope("dispatcher"), Log: log, TaskLease: s.Timing.TaskLease,
 	})
