--- a/scheduler/direct.go
+++ b/scheduler/direct.go
@@ -29,6 +29,9 @@
 	// allowance is lent again. Without it the stopped work starts again as soon as
 	// the short work has ended, and is stopped again a second later.
 	relendPause = 10 * time.Second
+	// relendFree is the part of the capacity that may stay idle because of the
+	// pause.
+	relendFree = 0.25
 	// orderTimeout is how long an order may take. A task that still runs after it
 	// may be ordered again, since the order can get lost.
 	orderTimeout = 30 * time.Second
@@ -53,7 +56,7 @@
 
 // watchPeak notes whether short work was left without room.
 func (s *Scheduler) watchPeak(p *pass) {
-	if s.waiting.shortShare <= 0 || len(p.out) == p.limit {
+	if s.waiting.short == (descriptor.Resources{}) || len(p.out) == p.limit {
 		s.peak.over(p.now)
 		return
 	}
@@ -106,7 +109,7 @@
 	// chance coincidence of short requests would stop long work. A weight for the
 	// crest lowers the allowance.
 	allowance := s.cfg.Sharer.LongAllowance(now).Usual / max(weightOr1(s.rules.Weights.Crest), 1)
-	need := min(s.waiting.shortShare, s.share(s.usage.long.Add(s.usage.lent))-allowance) - s.share(leaving)
+	need := min(s.share(s.waiting.short), s.share(s.usage.long.Add(s.usage.lent))-allowance) - s.share(leaving)
 	slices.SortFunc(candidates, func(a, b *task) int {
 		return cmp.Or(
 			-cmp.Compare(a.class.Priority, b.class.Priority),
--- a/scheduler/peak_test.go
+++ b/scheduler/peak_test.go
@@ -240,3 +240,57 @@
 	require.InDelta(t, longFloor, f.cfg.Sharer.LongAllowance(f.clock.Now()).Usual, 0.05)
 	require.Greater(t, calm.Usual, 0.9)
 }
+
+// TestReserveEndsWithThePeak guards against long work that waits on an idle cell
+// because of short work that was refused a while ago, or because of the pause
+// after an order to checkpoint.
+func TestReserveEndsWithThePeak(t *testing.T) {
+	f := newFixture(t, 4)
+	for range 200 {
+		f.clock.Advance(50 * time.Millisecond)
+		for range 5 {
+			f.Submit(f.request("fitter", func(r *descriptor.Request) { r.Deadline = f.clock.Now().Add(1500 * time.Millisecond) }))
+		}
+	}
+	f.peak.ordered = f.clock.Now()
+	for f.Load().Queued > 0 {
+		f.clock.Advance(time.Second)
+		f.Expire()
+	}
+	for i := range 8 {
+		f.submit(f.request("office", func(r *descriptor.Request) {
+			r.Kind, r.DeclaredRun, r.Checkpointable = "plan", time.Hour, i%2 == 0
+			r.Deadline = f.clock.Now().Add(24 * time.Hour)
+		}))
+	}
+	started := len(f.Next(10))
+	f.clock.Advance(15 * time.Second)
+	started += len(f.Next(10))
+	require.Equal(t, 8, started)
+}
+
+// TestNoPeakWithoutShortWork guards against a rest of rounding that looks like
+// waiting short work: it stopped checkpointable work on an idle cell.
+func TestNoPeakWithoutShortWork(t *testing.T) {
+	f := newFixture(t, 3)
+	hour := func(r *descriptor.Request) { r.Deadline = f.clock.Now().Add(1000 * time.Hour) }
+	f.SetRules(&descriptor.Rules{Kinds: map[descriptor.KindName]descriptor.Kind{"plan": {Limit: 0.1}}})
+	plan := func(r *descriptor.Request) { r.Kind, r.DeclaredRun, r.Checkpointable = "plan", 10*time.Minute, true }
+	f.submit(f.request("office", hour, plan))
+	f.submit(f.request("office", hour, plan))
+	require.Len(t, f.Next(10), 1, "the second plan waits for the limit of its kind")
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 50 {
+		var keys []descriptor.Key
+		for i := range 20 {
+			keys = append(keys, f.submit(f.request("fitter", hour, func(r *descriptor.Request) { r.Resources.Slots = 1 + i%3 })))
+		}
+		rng.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+		for _, k := range keys {
+			require.True(t, f.Cancel(k))
+		}
+		require.Equal(t, 1, f.Load().Queued)
+		require.Empty(t, f.Next(10))
+		require.Zero(t, f.peak.since)
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -167,8 +167,8 @@
 	}
 	if rec.req.Checkpointable {
 		// Lent capacity is not taken back and lent out again at once.
-		short := s.waiting.shortShare > 0 || p.now.Sub(s.peak.ordered) < relendPause
-		return short && s.share(s.usage.long.Add(s.usage.lent).Add(need)) > p.allowance.Usual
+		recent := p.now.Sub(s.peak.ordered) < relendPause && s.usage.share+rec.share > 1-relendFree
+		return (s.waiting.short != (descriptor.Resources{}) || recent) && s.share(s.usage.long.Add(s.usage.lent).Add(need)) > p.allowance.Usual
 	}
 	if p.longFull {
 		return true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -162,10 +162,12 @@
 
 // backlogs counts what waits.
 type backlogs struct {
-	total      admitter.Backlog
-	classes    map[sequencer.Class]*classBacklog
-	callers    *table[descriptor.CallerID, *callerBacklog]
-	shortShare float64 // capacity that waiting short work would take at once
+	total   admitter.Backlog
+	classes map[sequencer.Class]*classBacklog
+	callers *table[descriptor.CallerID, *callerBacklog]
+	// short is what the waiting short work would take at once. It is kept in whole
+	// units, because a rest of rounding would look like work that waits for ever.
+	short descriptor.Resources
 }
 
 // classBacklog is what waits of one class, and of how many callers.
@@ -234,7 +236,7 @@
 	c.classes[r.item.Class] = c.classes[r.item.Class].Add(own)
 	b.callers.put(r.req.Caller, c)
 	if !r.item.Class.Long {
-		b.shortShare += r.share
+		b.short = b.short.Add(r.need())
 	}
 }
 
@@ -258,10 +260,10 @@
 		b.callers.remove(r.req.Caller)
 	}
 	if !r.item.Class.Long {
-		b.shortShare -= r.share
+		b.short = b.short.Sub(r.need())
 	}
 	if b.total.Requests == 0 {
-		b.shortShare, b.total.Work = 0, 0
+		b.total.Work = 0
 	}
 }
 
--- a/scheduler/sharer.go
+++ b/scheduler/sharer.go
@@ -14,14 +14,21 @@
 	SetWeights(w descriptor.Weights)
 	// IsLong says whether work of the given run time is long.
 	IsLong(run time.Duration) bool
-	// Arrived counts work that asks for admission: the share of the capacity it
-	// takes and how long it runs.
-	Arrived(now time.Time, share float64, run time.Duration, long bool)
+	// Arrived counts work that has asked for admission.
+	Arrived(now time.Time, a Arrival)
 	// LongAllowance returns the fraction of the capacity that long work may take
 	// that can't be moved away soon.
 	LongAllowance(now time.Time) Allowance
 }
 
+// Arrival is work that has asked for admission.
+type Arrival struct {
+	// Share is the fraction of the capacity that it takes for Run.
+	Share          float64
+	Run            time.Duration
+	Long, Admitted bool
+}
+
 // Allowance is the fraction of the capacity that long work may take: usually, and
 // at most when it has waited long for its run time.
 type Allowance struct{ Usual, Most float64 }
@@ -53,7 +60,7 @@
 func (Unshared) IsLong(time.Duration) bool { return false }
 
 // Arrived does nothing.
-func (Unshared) Arrived(time.Time, float64, time.Duration, bool) {}
+func (Unshared) Arrived(time.Time, Arrival) {}
 
 // LongAllowance returns 1.
 func (Unshared) LongAllowance(time.Time) Allowance { return Allowance{1, 1} }
@@ -161,18 +168,23 @@
 // IsLong compares with ten times the median run time of all arrivals.
 func (s *Reserve) IsLong(run time.Duration) bool { return run > s.threshold }
 
-// Arrived counts work towards the demand and the median.
-func (s *Reserve) Arrived(now time.Time, share float64, run time.Duration, long bool) {
-	work := share * run.Seconds()
-	if long {
+// Arrived counts work towards the demand and the median. Refused short work is
+// demand too, or the reserve would follow what short work gets and not what it
+// needs; but only for the fast window, since it says nothing of a minute later.
+func (s *Reserve) Arrived(now time.Time, a Arrival) {
+	work := a.Share * a.Run.Seconds()
+	switch {
+	case a.Long:
 		s.long.add(now, work)
-		fadeTo(&s.longUnit, share)
-	} else {
+		fadeTo(&s.longUnit, a.Share)
+	default:
 		s.fast.add(now, work)
-		s.slow.add(now, work)
-		fadeTo(&s.unit, share)
+		if a.Admitted {
+			s.slow.add(now, work)
+		}
+		fadeTo(&s.unit, a.Share)
 	}
-	s.count(run)
+	s.count(a.Run)
 }
 
 // fadeTo moves a mean towards a value, by a hundredth once there is one.
--- a/scheduler/sharer_test.go
+++ b/scheduler/sharer_test.go
@@ -16,10 +16,10 @@
 	for range int(length / step) {
 		from = from.Add(step)
 		for range int(short * 100 * step.Seconds() / 0.1) {
-			s.Arrived(from, 0.01, 100*time.Millisecond, false)
+			s.Arrived(from, Arrival{Share: 0.01, Run: 100 * time.Millisecond, Admitted: true})
 		}
 		for owed += long * 100 * step.Seconds() / 100; owed >= 1; owed-- {
-			s.Arrived(from, 0.01, 100*time.Second, true)
+			s.Arrived(from, Arrival{Share: 0.01, Run: 100 * time.Second, Long: true, Admitted: true})
 		}
 	}
 	return from
@@ -61,7 +61,7 @@
 			if i%100 == 0 {
 				run *= 100
 			}
-			s.Arrived(time.Unix(0, 0), 0.01, run, false)
+			s.Arrived(time.Unix(0, 0), Arrival{Share: 0.01, Run: run, Admitted: true})
 		}
 		require.False(t, s.IsLong(3*typical))
 		require.True(t, s.IsLong(50*typical))
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -39,10 +39,11 @@
 		return s.count(refusal)
 	}
 	s.assess(rec)
-	// Refused work is demand too: counting only what is admitted would measure
-	// what short work gets, not what it needs.
-	s.cfg.Sharer.Arrived(now, rec.share, rec.run.Mean, rec.item.Class.Long)
-	if refusal := s.cfg.Admitter.Admit(now, s.question(now, rec)); refusal != nil {
+	refusal := s.cfg.Admitter.Admit(now, s.question(now, rec))
+	s.cfg.Sharer.Arrived(now, Arrival{
+		Share: rec.share, Run: rec.run.Mean, Long: rec.item.Class.Long, Admitted: refusal == nil,
+	})
+	if refusal != nil {
 		return s.count(refusal)
 	}
 	s.tokens = min(s.tokens+s.cfg.RetryBudget, maxTokens)
