heartbeater: a rules version of another data centre never goes back

Members that asked each other passed an old digest on as a new one, and a digest of a carrier that lagged behind could replace one that did not. Digests now carry their age, and the highest version seen of a member is kept. TestLaggingCarrier guards against both.

--- a/heartbeater/digest.go
+++ b/heartbeater/digest.go
@@ -220,6 +220,7 @@
 		return nil
 	}
 	d := s.digest
+	d.AgeMs = now.Sub(s.at).Milliseconds()
 	if d.Static == have {
 		d.Fixed = nil
 	}
--- a/heartbeater/remote.go
+++ b/heartbeater/remote.go
@@ -14,6 +14,9 @@
 // replace the list of one that is not.
 type remote struct {
 	sources map[descriptor.InstanceID]*source
+	// floors holds the highest rules version seen of each member, so that a
+	// digest whose carrier lags behind another's never takes one back.
+	floors map[descriptor.InstanceID]floor
 	// direct is when the last digest came in on a link of our own.
 	direct time.Time
 	// relayed is when anyone last relayed a digest within our data centre.
@@ -30,6 +33,41 @@
 	seeds         []Member // from the platform's list, until a digest comes in
 }
 
+// floor is the highest rules version that was seen of a member.
+type floor struct {
+	incarnation descriptor.Incarnation
+	rules       descriptor.RulesVersion
+	since, seen time.Time
+}
+
+// floorFor is how long a floor outlives the last digest that lists its member.
+const floorFor = 10 * time.Minute
+
+// raise takes the versions of a digest into the floors.
+func (r *remote) raise(members []Member, now time.Time) {
+	if r.floors == nil {
+		r.floors = map[descriptor.InstanceID]floor{}
+	}
+	for _, m := range members {
+		f := r.floors[m.ID]
+		if m.Incarnation > f.incarnation || m.Incarnation == f.incarnation && m.Rules > f.rules {
+			f = floor{incarnation: m.Incarnation, rules: m.Rules, since: m.RulesSince}
+		}
+		f.seen = now
+		r.floors[m.ID] = f
+	}
+}
+
+// lift raises the versions of members to their floors.
+func (r *remote) lift(members []Member) {
+	for i := range members {
+		m := &members[i]
+		if f := r.floors[m.ID]; m.Incarnation <= f.incarnation && m.Rules < f.rules {
+			m.Rules, m.RulesSince = f.rules, f.since
+		}
+	}
+}
+
 // source is the last digest of a carrier.
 type source struct {
 	incarnation descriptor.Incarnation
@@ -59,15 +97,21 @@
 	}
 	changed = s == nil || s.static != d.Static
 	full := *d
-	full.Fixed = fixed
+	full.Fixed, full.AgeMs = fixed, 0
+	at := now.Add(-time.Duration(max(0, d.AgeMs)) * time.Millisecond)
+	members := full.membersAt(at)
+	r.raise(members, now)
 	if r.sources == nil {
 		r.sources = map[descriptor.InstanceID]*source{}
 	}
 	r.sources[d.Carrier] = &source{
 		incarnation: d.Incarnation, number: d.Number, static: d.Static, fixed: fixed,
-		digest: full, members: full.membersAt(now), at: now,
+		digest: full, members: members, at: at,
+	}
+	r.lastStatic = d.Static
+	if at.After(r.heard) {
+		r.heard = at
 	}
-	r.heard, r.lastStatic = now, d.Static
 	return false, changed, true
 }
 
@@ -149,6 +193,7 @@
 		all = append(all, m)
 	}
 	sortMembers(all)
+	r.lift(all)
 	return all
 }
 
@@ -162,6 +207,11 @@
 
 // prune drops digests that are too old to be merged, except the last.
 func (r *remote) prune(now time.Time, keep time.Duration) {
+	for id, f := range r.floors {
+		if now.Sub(f.seen) > floorFor {
+			delete(r.floors, id)
+		}
+	}
 	if len(r.sources) < 2 {
 		return
 	}
--- a/heartbeater/remote_test.go
+++ b/heartbeater/remote_test.go
@@ -115,3 +115,31 @@
 	}
 	require.Positive(t, calls)
 }
+
+// TestLaggingCarrier guards against a rules version that goes back in the view
+// of another data centre, because a digest came in later whose carrier lags
+// behind, or because members keep an old digest fresh by asking each other.
+func TestLaggingCarrier(t *testing.T) {
+	const fresh = 7500 * time.Millisecond
+	clock := clockwork.NewFakeClock()
+	r := &remote{}
+	ahead, behind := testDigest("b1", 1, "b1", "b2"), testDigest("b2", 1, "b1", "b2")
+	ahead.Loads[0][4], behind.Loads[0][4] = 10, 2
+	for _, d := range []*digest{ahead, behind} {
+		_, _, accepted := r.take(d, clock.Now())
+		require.True(t, accepted)
+		clock.Advance(time.Second)
+	}
+	for range 3 {
+		require.Equal(t, descriptor.RulesVersion(10), r.current(clock.Now(), fresh)[0].Rules)
+		clock.Advance(fresh)
+		r.prune(clock.Now(), fresh)
+	}
+
+	old := testDigest("b3", 1, "b1", "b2")
+	old.AgeMs = 20_000
+	_, _, accepted := r.take(old, clock.Now())
+	require.True(t, accepted)
+	require.Equal(t, clock.Now().Add(-20*time.Second), r.sources["b3"].at)
+	require.True(t, r.heard.Before(clock.Now().Add(-fresh)), "an old digest is not fresh")
+}
--- a/heartbeater/wire.go
+++ b/heartbeater/wire.go
@@ -116,6 +116,9 @@
 	Carrier     descriptor.InstanceID  `json:"c"`
 	Incarnation descriptor.Incarnation `json:"i"`
 	Number      uint64                 `json:"n"`
+	// AgeMs is how long ago the sender received it; 0 from the carrier itself.
+	// Without it, members that ask each other would keep an old digest fresh.
+	AgeMs int64 `json:"a,omitempty"`
 	// Static is a hash of Fixed. A digest without Fixed is complete only for a
 	// receiver that has the fixed part with this hash.
 	Static uint32      `json:"s"`
