--- a/dispatcher/restart.go
+++ b/dispatcher/target_lost.go
@@ -82,3 +82,32 @@
 	w.d.cfg.Scheduler.Ended(p.order.Key, p.placed, p.order.Index, w.target.ID, scheduler.Result{})
 	w.d.settle(p.order.Key, p.order.Task, s)
 }
+
+// unreached notes a failed poll. When all leases have surely ended, the tasks
+// have ended too.
+func (w *targetWorker) unreached(now time.Time) {
+	w.updateState(now)
+	w.mu.Lock()
+	if w.anchor.IsZero() {
+		w.mu.Unlock()
+		return
+	}
+	elapsed := time.Duration(float64(now.Sub(w.anchor)) * driftMargin)
+	latest := w.anchorMs + connector.TargetClock(elapsed.Milliseconds())
+	if latest <= w.leaseEnd || (w.running == 0 && len(w.pending) == 0) {
+		w.mu.Unlock()
+		return
+	}
+	lost := w.expireRunning(w.leaseEnd)
+	pending := w.pending
+	w.pending = map[descriptor.TaskID]*pendingStart{}
+	for _, p := range pending {
+		w.expire(p, w.leaseEnd)
+	}
+	w.mu.Unlock()
+	w.d.cfg.Log.Warn("dispatcher: target unreachable until its leases expired", "target", w.target.ID, "tasks", len(lost))
+	w.settleLost(lost)
+	for _, p := range pending {
+		w.settlePending(p, runEnded)
+	}
+}
