heartbeater: keep the highest rules version heard of a member

Cause: TestOperatorsRace saw sopron-1 report version 40 of szombathely-0 after version 46, for about a second. Two carriers send digests of a data centre, and the one heard last may have heard of a member's version first.

Change: a digest that comes in gets the highest version heard of the same incarnation of each member.

--- a/heartbeater/remote.go
+++ b/heartbeater/remote.go
@@ -14,6 +14,9 @@
 // replace the list of one that is not.
 type remote struct {
 	sources map[descriptor.InstanceID]*source
+	// known holds the highest rules version heard of each member. Of two carriers
+	// the one that is heard last may have heard of the member first.
+	known map[descriptor.InstanceID]knownRules
 	// direct is when the last digest came in on a link of our own.
 	direct time.Time
 	// relayed is when anyone last relayed a digest within our data centre.
@@ -41,6 +44,37 @@
 	at          time.Time
 }
 
+// knownRules is the highest rules version heard of an incarnation.
+type knownRules struct {
+	incarnation descriptor.Incarnation
+	version     descriptor.RulesVersion
+	since       time.Time
+}
+
+// raise replaces rules versions that are lower than those heard before, since an
+// instance never goes back to a lower one. Members that are no longer listed are
+// forgotten once they outnumber those that are.
+func (r *remote) raise(members []Member) {
+	if r.known == nil || len(r.known) > 2*len(members)+knownSpare {
+		r.known = map[descriptor.InstanceID]knownRules{}
+	}
+	for i := range members {
+		m := &members[i]
+		k, ok := r.known[m.ID]
+		switch {
+		case ok && k.incarnation > m.Incarnation:
+		case ok && k.incarnation == m.Incarnation && k.version > m.Rules:
+			m.Rules, m.RulesSince = k.version, k.since
+		default:
+			r.known[m.ID] = knownRules{m.Incarnation, m.Rules, m.RulesSince}
+		}
+	}
+}
+
+// knownSpare keeps versions through a restart of a small data centre, in which
+// carriers list different members for a while.
+const knownSpare = 16
+
 // take stores a digest. want reports that its fixed part is needed first;
 // changed that the members differ from what the same carrier said before.
 func (r *remote) take(d *digest, now time.Time) (want, changed, fresh bool) {
@@ -63,9 +97,11 @@
 	if r.sources == nil {
 		r.sources = map[descriptor.InstanceID]*source{}
 	}
+	members := full.membersAt(now)
+	r.raise(members)
 	r.sources[d.Carrier] = &source{
 		incarnation: d.Incarnation, number: d.Number, static: d.Static, fixed: fixed,
-		digest: full, members: full.membersAt(now), at: now,
+		digest: full, members: members, at: now,
 	}
 	r.heard, r.lastStatic = now, d.Static
 	return false, changed, true
--- a/heartbeater/remote_test.go
+++ b/heartbeater/remote_test.go
@@ -57,6 +57,29 @@
 	require.Equal(t, []descriptor.InstanceID{"b2"}, idsOf(r.current(clock.Now(), fresh)), "as last reported")
 }
 
+// TestRulesOfTwoCarriers guards against a rules version that goes back because a
+// carrier that is heard later has heard of the member earlier (P8).
+func TestRulesOfTwoCarriers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := &remote{}
+	reported := func(carrier descriptor.InstanceID, incarnation descriptor.Incarnation, version int64) descriptor.RulesVersion {
+		d := testDigest(carrier, uint64(clock.Now().UnixMilli()), "b1", "b2", "b3")
+		d.Fixed[2].Incarnation = incarnation
+		d.Loads[2][4] = version
+		d.Static = uint32(incarnation)
+		_, _, accepted := r.take(d, clock.Now())
+		require.True(t, accepted)
+		clock.Advance(100 * time.Millisecond)
+		return r.current(clock.Now(), time.Second)[2].Rules
+	}
+	require.EqualValues(t, 46, reported("b1", 1, 46))
+	require.EqualValues(t, 46, reported("b2", 1, 40))
+	clock.Advance(time.Minute) // the digest of b1 is no longer fresh
+	require.EqualValues(t, 46, reported("b2", 1, 41))
+	require.EqualValues(t, 47, reported("b2", 1, 47))
+	require.EqualValues(t, 0, reported("b2", 2, 0), "b3 has restarted and has no rules yet")
+}
+
 // TestOldDigest guards against a digest that arrives late and overrides a later
 // one, and against loads that are matched with the wrong members.
 func TestOldDigest(t *testing.T) {
