server: let operators remove the session of an instance that has ended

Cause: leaser.Forget had no caller outside the tests. If all members of a roster are gone for good, the slices wait for maxExtension (1 h). The session rows of all data centres are read first, so that the error for an instance of another data centre names it (421), also if the instance is no longer known as a member. A member that still sends heartbeats is not removed (409). Conclusion: the operator can end the wait after losing a whole data centre's instances.

--- a/cmd/masticlead/operators.go
+++ b/cmd/masticlead/operators.go
@@ -132,13 +132,50 @@
 }
 
 func newInstances(o *options) *cobra.Command {
-	return listing(o, "instances", "List the instances of the cell", "/v1/instances",
+	cmd := listing(o, "instances", "List the instances of the cell", "/v1/instances",
 		table("INSTANCE\tDATA CENTRE\tSTATE\tRULES\tSLICES\tQUEUED\tRUNNING", func(b server.InstancesBody) (rows [][]any) {
 			for _, i := range b.Instances {
 				rows = append(rows, []any{i.ID, i.DataCentre, i.State, i.Version, i.Slices, i.Queued, i.Running})
 			}
 			return rows
 		}))
+	cmd.AddCommand(newForget(o))
+	return cmd
+}
+
+func newForget(o *options) *cobra.Command {
+	var confirm bool
+	cmd := &cobra.Command{
+		Use:   "forget NAME --confirm",
+		Short: "Remove the session of an instance that has ended",
+		Long: "Remove the session of an instance that has ended, so that the other instances\n" +
+			"of its data centre take over its slices at once.\n\n" +
+			"This is needed only if nobody can consent to the takeover, such as after all\n" +
+			"instances of a data centre were replaced under new names. --server must be an\n" +
+			"instance of the same data centre.\n\n" +
+			"--confirm states that the process has surely ended and that no instance will\n" +
+			"return under this name. The lease of the instance is not waited for: if it is\n" +
+			"only paused or cut off, it and the new owner may use the same targets at the\n" +
+			"same time.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if !confirm {
+				return fmt.Errorf("--confirm is missing: forget only an instance that has surely ended and will not return as %s", args[0])
+			}
+			path := "/v1/instances/" + url.PathEscape(args[0]) + "/forget"
+			out, err := get[server.ForgetBody](cmd.Context(), newClient(o.server), http.MethodPost, path, nil, nil)
+			if err != nil {
+				return err
+			}
+			if o.json {
+				return printJSON(cmd.OutOrStdout(), out)
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "session of %s removed\n", out.Instance)
+			return err
+		},
+	}
+	cmd.Flags().BoolVar(&confirm, "confirm", false, "the instance has surely ended and will not return under its name")
+	return clientFlags(cmd, o)
 }
 
 func newTargets(o *options) *cobra.Command {
--- a/cmd/masticlead/stub_test.go
+++ b/cmd/masticlead/stub_test.go
@@ -70,6 +70,13 @@
 	return []server.TargetInfo{{ID: "t1", State: "placeable", Capacity: descriptor.Resources{Slots: 8}}}, nil
 }
 
+func (s *stub) Forget(_ context.Context, instance descriptor.InstanceID) error {
+	if instance != "gyor-2" {
+		return &server.ForgetError{Instance: instance, DataCentre: "sopron"}
+	}
+	return nil
+}
+
 func (s *stub) Ready() error { return nil }
 
 func (s *stub) Live() error { return nil }
--- a/leaser/rows.go
+++ b/leaser/rows.go
@@ -79,7 +79,11 @@
 func (l *Leaser) slicePrefix() connector.RowKey   { return l.prefix("slice") }
 
 func (l *Leaser) prefix(table string) connector.RowKey {
-	return connector.RowKey(table + "/" + string(l.cfg.DataCentre) + "/")
+	return rowPrefix(table, l.cfg.DataCentre)
+}
+
+func rowPrefix(table string, dc descriptor.DataCentreID) connector.RowKey {
+	return connector.RowKey(table + "/" + string(dc) + "/")
 }
 
 // put encodes a row. The row types can always be encoded.
--- a/leaser/takeover.go
+++ b/leaser/takeover.go
@@ -162,6 +162,21 @@
 	return nil
 }
 
+// SessionIn returns which of the given data centres has a session of an
+// instance, and connector.ErrNotFound if none has.
+func (l *Leaser) SessionIn(ctx context.Context, instance descriptor.InstanceID, dcs []descriptor.DataCentreID) (descriptor.DataCentreID, error) {
+	for _, dc := range dcs {
+		row, err := l.get(ctx, rowPrefix("session", dc)+connector.RowKey(instance))
+		if err != nil {
+			return "", fmt.Errorf("find the session of %s: %w", instance, err)
+		}
+		if row.Version != 0 {
+			return dc, nil
+		}
+	}
+	return "", fmt.Errorf("find the session of %s: %w", instance, connector.ErrNotFound)
+}
+
 // remove deletes the session and renewal rows of an instance and gives its
 // slices to the live instances in one transaction. Orders of the instance may
 // still be started for the given time.
--- a/runner/operate.go
+++ b/runner/operate.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/masticlead/masticlead/connector"
 	"github.com/masticlead/masticlead/descriptor"
 	"github.com/masticlead/masticlead/dispatcher"
 	"github.com/masticlead/masticlead/distributor"
@@ -173,6 +174,27 @@
 	return all, nil
 }
 
+// Forget implements server.Cell. A member that still sends heartbeats is not
+// removed: its session would end while it works.
+func (o *operator) Forget(ctx context.Context, instance descriptor.InstanceID) error {
+	dc, err := o.leaser.SessionIn(ctx, instance, o.settings.DataCentres)
+	if errors.Is(err, connector.ErrNotFound) {
+		return &server.ForgetError{Instance: instance}
+	}
+	if err != nil {
+		return err
+	}
+	if dc != o.settings.Instance.DataCentre {
+		return &server.ForgetError{Instance: instance, DataCentre: dc}
+	}
+	for _, m := range o.members.Members(dc) {
+		if m.ID == instance {
+			return &server.ForgetError{Instance: instance, State: m.State.String()}
+		}
+	}
+	return o.leaser.Forget(ctx, instance)
+}
+
 const methodTargets messenger.Method = "targets.list"
 
 // targetsRequest asks an instance for the targets that it owns.
--- a/server/api.go
+++ b/server/api.go
@@ -103,6 +103,30 @@
 type Cell interface {
 	Instances(ctx context.Context) ([]InstanceInfo, error)
 	Targets(ctx context.Context) ([]TargetInfo, error)
+	// Forget removes the session of an instance that has ended, so that others
+	// take over its slices. It fails with *ForgetError if it does not apply.
+	Forget(ctx context.Context, instance descriptor.InstanceID) error
+}
+
+// ForgetError says why an instance can't be removed. Nothing was changed.
+type ForgetError struct {
+	Instance descriptor.InstanceID
+	// DataCentre is set if the instance belongs to another data centre.
+	DataCentre descriptor.DataCentreID
+	// State is set if the instance is still a member, such as alive or suspect.
+	State string
+}
+
+// Error implements error.
+func (e *ForgetError) Error() string {
+	switch {
+	case e.DataCentre != "":
+		return fmt.Sprintf("instance %s belongs to data centre %s; ask an instance of %s", e.Instance, e.DataCentre, e.DataCentre)
+	case e.State != "":
+		return fmt.Sprintf("instance %s is %s; only an instance that has ended can be removed", e.Instance, e.State)
+	default:
+		return fmt.Sprintf("instance %s has no session in any data centre", e.Instance)
+	}
 }
 
 // InstanceInfo describes an entry instance.
--- a/server/endpoint.go
+++ b/server/endpoint.go
@@ -139,8 +139,12 @@
 func (s *Server) writeError(c *call, err error) {
 	var findings parser.Findings
 	var conflict *ConflictError
+	var forget *ForgetError
 	body := FaultBody{ID: c.id}
 	switch {
+	case errors.As(err, &forget):
+		body.Findings = []Finding{{Field: "instance", Message: forget.Error()}}
+		s.write(c, forget.status(), 0, body)
 	case errors.As(err, &findings):
 		body.Findings = fromParser(findings)
 		s.write(c, http.StatusUnprocessableEntity, 0, body)
@@ -167,6 +171,18 @@
 	}
 }
 
+// status returns the HTTP status for the error.
+func (e *ForgetError) status() int {
+	switch {
+	case e.DataCentre != "":
+		return http.StatusMisdirectedRequest
+	case e.State != "":
+		return http.StatusConflict
+	default:
+		return http.StatusNotFound
+	}
+}
+
 func fromParser(findings parser.Findings) []Finding {
 	out := make([]Finding, 0, len(findings))
 	for _, f := range findings {
--- a/server/fake_test.go
+++ b/server/fake_test.go
@@ -25,6 +25,9 @@
 	applies error
 	ready   error
 	targets []TargetInfo
+	// forget is the answer to Forget, forgotten the instance that it named.
+	forget    error
+	forgotten descriptor.InstanceID
 }
 
 func (f *fake) Submit(ctx context.Context, s Submission) (Answer, error) {
@@ -71,6 +74,11 @@
 
 func (f *fake) Targets(context.Context) ([]TargetInfo, error) { return f.targets, f.err }
 
+func (f *fake) Forget(_ context.Context, instance descriptor.InstanceID) error {
+	f.forgotten = instance
+	return f.forget
+}
+
 func (f *fake) Ready() error { return f.ready }
 
 func (f *fake) Live() error { return nil }
--- a/server/operators.go
+++ b/server/operators.go
@@ -7,6 +7,8 @@
 	"unicode"
 	"unicode/utf8"
 
+	"github.com/gorilla/mux"
+
 	"github.com/masticlead/masticlead/descriptor"
 )
 
@@ -125,6 +127,26 @@
 	return ok(InstancesBody{ID: c.id, Instances: nonNil(instances)})
 }
 
+// decodeInstance reads the name of an instance from the path.
+func decodeInstance(c *call) descriptor.InstanceID {
+	c.checkQuery()
+	id := mux.Vars(c.r)["id"]
+	if fault := checkID(id); fault != "" {
+		c.find("id", fault)
+	}
+	return descriptor.InstanceID(id)
+}
+
+func (s *Server) forget(ctx context.Context, c *call, instance descriptor.InstanceID) (reply[ForgetBody], error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Limits.Backend)
+	defer cancel()
+	if err := s.Cell.Forget(ctx, instance); err != nil {
+		return reply[ForgetBody]{}, err
+	}
+	s.Log.Info("server: instance forgotten", "forgotten", instance, "id", c.id)
+	return ok(ForgetBody{ID: c.id, Instance: instance})
+}
+
 func (s *Server) targets(ctx context.Context, c *call, _ struct{}) (reply[TargetsBody], error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Limits.Backend)
 	defer cancel()
--- a/server/operators_test.go
+++ b/server/operators_test.go
@@ -76,3 +76,33 @@
 	}
 	require.Equal(t, 200, do(s, "POST", "/v1/rules/check", "team a weight=1 # asked by Anna").Code)
 }
+
+// TestForget guards against an operator who removes another instance than the
+// one named, or is not told why nothing was removed.
+func TestForget(t *testing.T) {
+	f := &fake{}
+	w := do(newServer(f), "POST", "/v1/instances/gyor-2/forget", "")
+	require.Equal(t, 200, w.Code, w.Body)
+	require.EqualValues(t, "gyor-2", f.forgotten)
+	require.EqualValues(t, "gyor-2", decode[ForgetBody](t, w.Body).Instance)
+
+	cases := map[int]struct {
+		err     error
+		message string
+	}{
+		421: {&ForgetError{Instance: "sopron-1", DataCentre: "sopron"}, "instance sopron-1 belongs to data centre sopron; ask an instance of sopron"},
+		409: {&ForgetError{Instance: "gyor-2", State: "alive"}, "instance gyor-2 is alive; only an instance that has ended can be removed"},
+		404: {&ForgetError{Instance: "gyor-9"}, "instance gyor-9 has no session in any data centre"},
+		503: {connector.ErrUnavailable, connector.ErrUnavailable.Error()},
+		500: {connector.ErrAmbiguous, "not known"},
+	}
+	for status, c := range cases {
+		w := do(newServer(&fake{forget: c.err}), "POST", "/v1/instances/gyor-2/forget", "")
+		require.Equal(t, status, w.Code, w.Body)
+		require.Contains(t, w.Body.String(), c.message)
+	}
+
+	f = &fake{}
+	require.Equal(t, 400, do(newServer(f), "POST", "/v1/instances/a%20b/forget", "").Code)
+	require.Empty(t, f.forgotten)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -214,6 +214,7 @@
 	route(http.MethodGet, "/v1/rules/history", endpoint(s, decodeLimit, s.history))
 	route(http.MethodGet, "/v1/rules/status", endpoint(s, decodeNothing, s.rulesStatus))
 	route(http.MethodGet, "/v1/instances", endpoint(s, decodeNothing, s.instances))
+	route(http.MethodPost, "/v1/instances/{id}/forget", endpoint(s, decodeInstance, s.forget))
 	route(http.MethodGet, "/v1/targets", endpoint(s, decodeNothing, s.targets))
 
 	r.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet, http.MethodHead)
--- a/server/wire.go
+++ b/server/wire.go
@@ -92,6 +92,12 @@
 	Instances []InstanceInfo `json:"instances"`
 }
 
+// ForgetBody is the answer after the session of an instance was removed.
+type ForgetBody struct {
+	ID       string                `json:"id"`
+	Instance descriptor.InstanceID `json:"instance"`
+}
+
 // TargetsBody is the answer with all known targets.
 type TargetsBody struct {
 	ID      string       `json:"id"`
