--- a/claimer/metrics.go
+++ b/claimer/metrics.go
@@ -9,14 +9,13 @@
 	recorded, withdrawn, swept        tally.Counter
 }
 
-func newMetrics(root tally.Scope) metrics {
-	s := root.SubScope("claimer")
+func newMetrics(s tally.Scope) metrics {
 	result := func(r string) tally.Counter {
 		return s.Tagged(map[string]string{"result": r}).Counter("claims")
 	}
 	return metrics{
 		transactions: s.Counter("transactions"),
-		retries:      s.Counter("ambiguousRetries"),
+		retries:      s.Counter("ambiguous_retries"),
 		won:          result("won"),
 		lost:         result("lost"),
 		unavailable:  result("unavailable"),
--- a/distributor/repair.go
+++ b/distributor/repair.go
@@ -87,7 +87,7 @@
 	// The interval is never shortened, so that the bound on reads holds.
 	d.nextHead = d.cfg.Clock.Now().Add(interval + time.Duration(d.cfg.Rand.Int64N(int64(interval/5)+1)))
 	if err != nil {
-		d.cfg.Scope.Counter("headReadsFailed").Inc(1)
+		d.cfg.Scope.Counter("head_reads_failed").Inc(1)
 		d.cfg.Log.Debug("distributor: could not read the rules from the store", "error", err)
 	}
 }
--- a/distributor/ruleset.go
+++ b/distributor/ruleset.go
@@ -102,12 +102,12 @@
 	d.installMu.Lock()
 	defer d.installMu.Unlock()
 	if s.Version <= d.version() {
-		d.cfg.Scope.Counter("lowerVersionIgnored").Inc(1)
+		d.cfg.Scope.Counter("lower_version_ignored").Inc(1)
 		return false, nil
 	}
 	rules, err := d.cfg.Parse(s.Version, s.body)
 	if err != nil {
-		d.cfg.Scope.Counter("parseErrors").Inc(1)
+		d.cfg.Scope.Counter("parse_errors").Inc(1)
 		return false, fmt.Errorf("rules version %d: %w", s.Version, err)
 	}
 	if err := d.describe(s); err != nil {
--- a/distributor/spread.go
+++ b/distributor/spread.go
@@ -70,7 +70,7 @@
 			return
 		}
 	}
-	d.cfg.Scope.Counter("pushesToDataCentreFailed").Inc(1)
+	d.cfg.Scope.Counter("pushes_to_data_centre_failed").Inc(1)
 }
 
 // pushTo sends a version to one member: as a delta, then whole if needed.
@@ -82,14 +82,14 @@
 		msg.PassOn = passOn
 		reply, err := messenger.CallControl[rulesMessage, versionReply](ctx, d.cfg.Pool, m.PeerAddress, methodPush, msg)
 		if err != nil {
-			d.cfg.Scope.Counter("pushesFailed").Inc(1)
+			d.cfg.Scope.Counter("pushes_failed").Inc(1)
 			d.cfg.Log.Debug("distributor: push failed", "member", m.ID, "version", msg.Version, "error", err)
 			return err
 		}
 		if !reply.NeedBody {
 			return nil
 		}
-		d.cfg.Scope.Counter("pushesRepeated").Inc(1)
+		d.cfg.Scope.Counter("pushes_repeated").Inc(1)
 	}
 	return nil
 }
@@ -215,7 +215,7 @@
 			return
 		}
 		if err := d.pullFrom(ctx, m.PeerAddress); err != nil {
-			d.cfg.Scope.Counter("pullsFailed").Inc(1)
+			d.cfg.Scope.Counter("pulls_failed").Inc(1)
 			d.cfg.Log.Debug("distributor: pull failed", "member", m.ID, "error", err)
 		}
 	}
@@ -264,7 +264,7 @@
 	have := d.version()
 	if h.Version < have {
 		// A row that went back is a fault of the store; rules never revert.
-		d.cfg.Scope.Counter("headBehind").Inc(1)
+		d.cfg.Scope.Counter("head_behind").Inc(1)
 	}
 	if h.Version <= have {
 		return nil
--- a/distributor/store.go
+++ b/distributor/store.go
@@ -192,7 +192,7 @@
 		// Once one attempt is ambiguous only a definite answer settles it.
 		ambiguous = true
 		d.noteStore(false)
-		d.cfg.Scope.Counter("ambiguousCommits").Inc(1)
+		d.cfg.Scope.Counter("ambiguous_commits").Inc(1)
 		return head{}, err
 	}
 	after, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
--- a/heartbeater/digest.go
+++ b/heartbeater/digest.go
@@ -103,7 +103,7 @@
 			return
 		}
 	}
-	h.cfg.Scope.Counter("linkErrors").Inc(1)
+	h.cfg.Scope.Counter("link_errors").Inc(1)
 }
 
 // linkTargets returns whom a link to the data centre can call. Without a digest
--- a/heartbeater/exchange.go
+++ b/heartbeater/exchange.go
@@ -37,7 +37,7 @@
 		_, err = h.beatTo(ctx, d, true)
 	}
 	if err != nil {
-		h.cfg.Scope.Counter("heartbeatErrors").Inc(1)
+		h.cfg.Scope.Counter("heartbeat_errors").Inc(1)
 	}
 }
 
@@ -127,7 +127,7 @@
 	}
 	what := h.hear(from, req)
 	if what == outdated {
-		h.cfg.Scope.Counter("outdatedHeartbeats").Inc(1)
+		h.cfg.Scope.Counter("outdated_heartbeats").Inc(1)
 		return nil, &messenger.RemoteError{Code: codeOutdated}
 	}
 	h.mu.Lock()
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -194,7 +194,7 @@
 	defer h.mu.Unlock()
 	h.listing = false
 	if err != nil {
-		h.cfg.Scope.Counter("directoryErrors").Inc(1)
+		h.cfg.Scope.Counter("directory_errors").Inc(1)
 		h.cfg.Log.Debug("heartbeater: could not read the platform's list", "error", err)
 		h.nextList = now.Add(min(h.cfg.DirectoryInterval, h.cfg.CandidateInterval))
 		return
--- a/leaser/metrics.go
+++ b/leaser/metrics.go
@@ -15,8 +15,7 @@
 	owned                                         tally.Gauge
 }
 
-func newMetrics(root tally.Scope) metrics {
-	s := root.SubScope("leaser")
+func newMetrics(s tally.Scope) metrics {
 	counter := func(name, label, value string) tally.Counter {
 		return s.Tagged(map[string]string{label: value}).Counter(name)
 	}
@@ -37,7 +36,7 @@
 		promiseRefused:     counter("promises", "result", "refused"),
 		consentGiven:       counter("consents", "result", "given"),
 		consentRefused:     counter("consents", "result", "refused"),
-		scanFailed:         s.Counter("scanFailures"),
-		owned:              s.Gauge("ownedSlices"),
+		scanFailed:         s.Counter("scan_failures"),
+		owned:              s.Gauge("owned_slices"),
 	}
 }
--- a/messenger/call.go
+++ b/messenger/call.go
@@ -67,7 +67,7 @@
 	case <-ctx.Done():
 	}
 	if c.state.CompareAndSwap(callQueued, callAbandoned) {
-		p.Scope.Counter("abandonedUnsent").Inc(1)
+		p.Scope.Counter("abandoned_unsent").Inc(1)
 		return nil, fmt.Errorf("%w: %s: not sent in time: %w", ErrPeerUnreachable, address, ctx.Err())
 	}
 	// The frame is being written, or its result is about to be reported. The
@@ -125,7 +125,7 @@
 func (pe *peer) answerError(err error) error {
 	var wire *jsonrpc2.Error
 	if !errors.As(err, &wire) {
-		pe.pool.Scope.Counter("brokenConnections").Inc(1)
+		pe.pool.Scope.Counter("broken_connections").Inc(1)
 		return fmt.Errorf("%w: %s: %w", ErrPeerTimeout, pe.address, err)
 	}
 	switch wire.Code {
--- a/messenger/handle.go
+++ b/messenger/handle.go
@@ -86,7 +86,7 @@
 	}
 	release, refusal := c.admit(h, req)
 	if refusal != nil {
-		s.Scope.Tagged(map[string]string{"reason": refusal.Message}).Counter("callsRefused").Inc(1)
+		s.Scope.Tagged(map[string]string{"reason": refusal.Message}).Counter("calls_refused").Inc(1)
 		c.reply(ctx, rpc, req, nil, refusal)
 		return
 	}
@@ -148,7 +148,7 @@
 func runHandler(ctx context.Context, s *Server, h handler, from descriptor.InstanceID, req *jsonrpc2.Request) (rep any, err error) {
 	defer func() {
 		if r := recover(); r != nil {
-			s.Scope.Counter("handlerPanics").Inc(1)
+			s.Scope.Counter("handler_panics").Inc(1)
 			s.Log.Error("messenger: handler panicked", "method", req.Method, "from", from, "panic", r, "stack", string(debug.Stack()))
 			err = &RemoteError{Code: CodeInternal, Message: fmt.Sprintf("handler panicked: %v", r)}
 		}
@@ -175,7 +175,7 @@
 	}
 	err = rpc.SendResponse(ctx, res)
 	if errors.Is(err, ErrFrameTooLarge) {
-		c.server.Scope.Counter("repliesTooLarge").Inc(1)
+		c.server.Scope.Counter("replies_too_large").Inc(1)
 		res.Result, res.Error = nil, wireError(&RemoteError{Code: CodeReplyTooLarge, Message: err.Error()})
 		err = rpc.SendResponse(ctx, res)
 	}
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -233,7 +233,7 @@
 	pe := ln.peer
 	p := pe.pool
 	if !pe.health.mayDial(p.Clock.Now()) {
-		p.Scope.Counter("dialBackoff").Inc(1)
+		p.Scope.Counter("dial_backoff").Inc(1)
 		return nil, errors.New("waiting before the next dial")
 	}
 	ctx, cancel := context.WithTimeout(p.base, p.DialTimeout)
@@ -241,7 +241,7 @@
 	conn, err := p.Dial(ctx, "tcp", pe.address)
 	p.dialed(&pe.health, err == nil)
 	if err != nil {
-		p.Scope.Counter("dialFailures").Inc(1)
+		p.Scope.Counter("dial_failures").Inc(1)
 		return nil, err
 	}
 	counted := newCountedConn(conn, p.Traffic, p.Scope)
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -151,7 +151,7 @@
 		pe = p.newPeer(address)
 	}
 	if !c.control && !pe.health.admit(p.Clock.Now()) {
-		p.Scope.Counter("suspectedPeer").Inc(1)
+		p.Scope.Counter("suspected_peer").Inc(1)
 		return fmt.Errorf("%w: %s does not answer", ErrPeerUnreachable, address)
 	}
 	ln := &pe.lanes[0]
@@ -159,7 +159,7 @@
 		ln = &pe.lanes[1]
 	}
 	if err := ln.take(c); err != nil {
-		p.Scope.Counter("queueFull").Inc(1)
+		p.Scope.Counter("queue_full").Inc(1)
 		return fmt.Errorf("%w: %s: %w", ErrPeerBusy, address, err)
 	}
 	p.peers[address] = pe
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -135,7 +135,7 @@
 			return nil
 		}
 		if err != nil {
-			s.Scope.Counter("acceptErrors").Inc(1)
+			s.Scope.Counter("accept_errors").Inc(1)
 			s.Log.Warn("messenger: accept failed; trying again", "error", err)
 			time.Sleep(pause)
 			continue
@@ -149,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing || len(s.conns) >= s.MaxConns {
-		s.Scope.Counter("connsRefused").Inc(1)
+		s.Scope.Counter("conns_refused").Inc(1)
 		conn.Close()
 		return
 	}
@@ -227,6 +227,6 @@
 
 // Printf implements jsonrpc2.Logger.
 func (l rpcLogger) Printf(format string, v ...any) {
-	l.scope.Counter("protocolErrors").Inc(1)
+	l.scope.Counter("protocol_errors").Inc(1)
 	l.log.Debug("messenger: connection", "format", format, "values", v)
 }
--- a/messenger/traffic.go
+++ b/messenger/traffic.go
@@ -55,8 +55,8 @@
 	c := &countedConn{Conn: conn, traffic: t, scope: scope}
 	for _, class := range []PeerClass{SameDataCentre, OtherDataCentre} {
 		tagged := scope.Tagged(map[string]string{"peer": class.String()})
-		c.inCount[class] = tagged.Counter("bytesIn")
-		c.ouCount[class] = tagged.Counter("bytesOut")
+		c.inCount[class] = tagged.Counter("bytes_in")
+		c.ouCount[class] = tagged.Counter("bytes_out")
 	}
 	c.class.Store(-1)
 	return c
--- a/runner/build.go
+++ b/runner/build.go
@@ -127,7 +127,7 @@
 func newScheduler(s *loader.Settings, c clockwork.Clock, m *metrics) *scheduler.Scheduler {
 	q := newQuarantine(placer.NewPacker(placer.PackerConfig{}), detector.New(detector.Config{Scope: m.scope.SubScope("detector")}))
 	return scheduler.New(scheduler.Config{
-		Clock: c, Rand: newRand(s, "scheduler"), Placer: q, Detector: q, Scope: m.scope,
+		Clock: c, Rand: newRand(s, "scheduler"), Placer: q, Detector: q, Scope: m.scope.SubScope("scheduler"),
 		Bounds: admitter.Bounds{
 			Requests: s.Limits.QueuedRequests, Bytes: s.Limits.QueuedBytes,
 			CallerRequests: s.Limits.CallerQueuedRequests, CallerBytes: s.Limits.CallerQueuedBytes,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -272,17 +272,16 @@
 }
 
 func newCounters(scope tally.Scope) counters {
-	scope = scope.SubScope("scheduler")
 	c := counters{
 		submitted: scope.Counter("submitted"),
 		placed:    scope.Counter("placed"),
-		retried:   scope.Counter("retried"),
+		retried:   scope.Counter("retries"),
 		overran:   scope.Counter("overran"),
 		rescued:   scope.Counter("rescued"),
 		direct:    scope.Counter("directives"),
 	}
-	for i := range c.refused {
-		c.refused[i] = scope.Tagged(map[string]string{"reason": descriptor.Reason(i).String()}).Counter("refused")
+	for i := descriptor.ReasonNone + 1; int(i) < len(c.refused); i++ {
+		c.refused[i] = scope.Tagged(map[string]string{"reason": i.String()}).Counter("refusals")
 	}
 	return c
 }
--- a/storer/metrics.go
+++ b/storer/metrics.go
@@ -5,7 +5,7 @@
 // metrics counts retries and refusals by their reason.
 type metrics struct{ scope tally.Scope }
 
-func newMetrics(root tally.Scope) metrics { return metrics{root.SubScope("storer")} }
+func newMetrics(scope tally.Scope) metrics { return metrics{scope} }
 
 func (m metrics) retried(call, reason string) tally.Counter {
 	return m.scope.Tagged(map[string]string{"call": call, "reason": reason}).Counter("retries")
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -154,8 +154,8 @@
 )
 
 func (s *Store) newBreaker(name string) *breaker {
-	scope := s.cfg.Scope.SubScope("storer").Tagged(map[string]string{"breaker": name})
-	state := scope.Gauge("breakerState") // 0: closed, 1: half open, 2: open
+	scope := s.cfg.Scope.Tagged(map[string]string{"breaker": name})
+	state := scope.Gauge("breaker_state") // 0: closed, 1: half open, 2: open
 	return gobreaker.NewTwoStepCircuitBreaker[struct{}](gobreaker.Settings{
 		Name:        name,
 		Timeout:     breakerOpen,
