runner: follow the settings of addresses and heartbeats

Cause: five instances with settings like those in examples, that is without advertise, removed each other after 2.4 s: they told their peers an empty address ('peer unreachable: : waiting before the next dial'). Port 0 in listen had the same effect. timing.heartbeatMs, suspectMs and removeMs were read and checked but not used; the defaults of the membership applied. Change: the addresses default to those of the listeners. The three times reach the membership. The default of heartbeatMs becomes 400, the period that was in force and that docs/decisions/membership.md measured against 8 KB/s; 300 would send a third more.

--- a/loader/settings.go
+++ b/loader/settings.go
@@ -93,7 +93,7 @@
 			Renewal:      2 * time.Second,
 			Promise:      3 * time.Second,
 			MaxExtension: time.Hour,
-			Heartbeat:    300 * time.Millisecond,
+			Heartbeat:    400 * time.Millisecond,
 			Suspect:      1200 * time.Millisecond,
 			Remove:       2 * time.Second,
 			TaskLease:    30 * time.Second,
--- a/runner/build.go
+++ b/runner/build.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"log/slog"
@@ -113,6 +114,18 @@
 	return &listeners{h, p}, nil
 }
 
+// advertised holds the addresses at which others reach this instance.
+type advertised struct{ http, peer string }
+
+// newAdvertised takes the addresses of the settings, or those of the listeners
+// if there are none. Only a listener knows its port if the settings have port 0.
+func newAdvertised(s *loader.Settings, l *listeners) *advertised {
+	return &advertised{
+		http: cmp.Or(s.Advertise.HTTP, l.http.Addr().String()),
+		peer: cmp.Or(s.Advertise.Peer, l.peer.Addr().String()),
+	}
+}
+
 func newMessengerServer(l *listeners, m *metrics, log *slog.Logger) *messenger.Server {
 	return &messenger.Server{Listener: l.peer, Log: log, Scope: m.scope.SubScope("messenger")}
 }
@@ -143,18 +156,19 @@
 	})
 }
 
-func newHeartbeater(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, ms *messenger.Server, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*heartbeater.Heartbeater, *rulesReport) {
+func newHeartbeater(s *loader.Settings, a *advertised, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, ms *messenger.Server, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*heartbeater.Heartbeater, *rulesReport) {
 	report := &rulesReport{}
 	h := heartbeater.New(heartbeater.Config{
 		Clock: c, Rand: newRand(s, "heartbeater"),
 		Self: heartbeater.Member{
 			ID: s.Instance.Name, Incarnation: descriptor.Incarnation(time.Now().UnixNano()),
-			DataCentre: s.Instance.DataCentre, PeerAddress: s.Advertise.Peer, HTTPAddress: s.Advertise.HTTP,
+			DataCentre: s.Instance.DataCentre, PeerAddress: a.peer, HTTPAddress: a.http,
 		},
 		DataCentres: s.DataCentres, Directory: p, Pool: pool,
 		Report:    func() (descriptor.RulesVersion, heartbeater.LoadReport) { return report.version(), loadReport(sch) },
 		OnVersion: report.see,
-		Scope:     m.scope.SubScope("heartbeater"), Log: log,
+		Interval:  s.Timing.Heartbeat, SuspectAfter: s.Timing.Suspect, RemoveAfter: s.Timing.Remove,
+		Scope: m.scope.SubScope("heartbeater"), Log: log,
 	})
 	h.Register(ms)
 	return h, report
@@ -219,10 +233,10 @@
 	}
 }
 
-func newLeaser(s *loader.Settings, c clockwork.Clock, st *storer.Store, pool *messenger.Pool, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *leaser.Leaser {
+func newLeaser(s *loader.Settings, a *advertised, c clockwork.Clock, st *storer.Store, pool *messenger.Pool, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *leaser.Leaser {
 	return leaser.New(leaser.Config{
 		Clock: c, Rand: newRand(s, "leaser"), Table: st, Peers: &peers{pool, h},
-		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, PeerAddress: s.Advertise.Peer,
+		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, PeerAddress: a.peer,
 		Lease: s.Timing.Lease, Renewal: s.Timing.Renewal, Promise: s.Timing.Promise, MaxExtension: s.Timing.MaxExtension,
 		Alive: func() []descriptor.InstanceID { return aliveIDs(h, s.Instance.DataCentre) },
 		Scope: m.scope.SubScope("leaser"), Log: log,
--- a/runner/dev.go
+++ b/runner/dev.go
@@ -79,7 +79,6 @@
 	s := loader.Default()
 	s.Instance = loader.Instance{Name: "dev-0", DataCentre: devDataCentre, Region: "nyugat-hu"}
 	s.Listen = loader.Addresses{HTTP: http, Peer: peer}
-	s.Advertise = s.Listen
 	s.DataCentres = []descriptor.DataCentreID{devDataCentre}
 	base := "http://" + platform
 	s.Platform = loader.Platform{Table: base + "/table", Objects: base + "/objects", Directory: base + "/directory"}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -25,7 +25,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s),
 		fx.Provide(
-			newLog, newClock, newScope, newPlatform, newStore, newListeners, newMessengerServer, newPool,
+			newLog, newClock, newScope, newPlatform, newStore, newListeners, newAdvertised, newMessengerServer, newPool,
 			newHeartbeater, newDistributor, newLeaser, newClaimer, newScheduler, newDispatcher, newRouter,
 			newHealth, newOperator, newServer, newLifetime,
 		),
