runner: count the bytes between data centres apart

Cause: the classes of peers were not set, so all bytes counted as those of the own data centre. Change: the class follows from the members. Incarnations are milliseconds, which saves bytes in each heartbeat. Conclusion: the metrics show the links between data centres.

--- a/runner/build.go
+++ b/runner/build.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -165,7 +166,7 @@
 	h := heartbeater.New(heartbeater.Config{
 		Clock: c, Rand: newRand(s, "heartbeater"),
 		Self: heartbeater.Member{
-			ID: s.Instance.Name, Incarnation: descriptor.Incarnation(time.Now().UnixNano()),
+			ID: s.Instance.Name, Incarnation: descriptor.Incarnation(time.Now().UnixMilli()),
 			DataCentre: s.Instance.DataCentre, PeerAddress: a.peer, HTTPAddress: a.http,
 		},
 		DataCentres: s.DataCentres, Directory: dir, Pool: pool,
@@ -175,6 +176,21 @@
 		Scope: m.scope.SubScope("heartbeater"), Log: log,
 	})
 	h.Register(ms)
+	classOf := func(same bool) messenger.PeerClass {
+		if same {
+			return messenger.SameDataCentre
+		}
+		return messenger.OtherDataCentre
+	}
+	pool.ClassOf = func(address string) messenger.PeerClass {
+		return classOf(slices.ContainsFunc(h.Members(s.Instance.DataCentre), func(m heartbeater.Member) bool {
+			return m.PeerAddress == address
+		}))
+	}
+	ms.ClassOf = func(from descriptor.InstanceID) messenger.PeerClass {
+		m, ok := h.Member(from)
+		return classOf(ok && m.DataCentre == s.Instance.DataCentre)
+	}
 	return h, report
 }
 
