--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -14,9 +14,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -241,124 +239,6 @@
 	}
 }
 
-// followDirectory reads the platform's list of targets. While it can't be read
-// the last list stays in use.
-func (d *Dispatcher) followDirectory() {
-	for {
-		ctx, cancel := context.WithTimeout(d.ctx, 2*time.Second)
-		l, err := d.cfg.Directory.List(ctx, d.cfg.DataCentre)
-		cancel()
-		if err != nil {
-			d.cfg.Scope.Counter("directory_errors").Inc(1)
-			d.cfg.Log.Warn("dispatcher: directory not read", "error", err)
-		} else {
-			d.applyListing(l.Targets)
-		}
-		wait := d.cfg.DirectoryInterval
-		if err != nil {
-			wait /= 3
-		}
-		if !d.sleep(wait) {
-			return
-		}
-	}
-}
-
-// applyListing follows new targets. A target that is no longer listed is
-// followed until it can't be reached and nothing runs on it, since the list may
-// be wrong for a while.
-func (d *Dispatcher) applyListing(targets []descriptor.Target) {
-	d.mu.Lock()
-	d.listKnown = true
-	current := make(map[descriptor.TargetID]descriptor.Target, len(targets))
-	var moved []descriptor.TargetID
-	for _, t := range targets {
-		current[t.ID] = t
-		w, ok := d.workers[t.ID]
-		switch {
-		case ok && w.target.Address != t.Address:
-			moved = append(moved, t.ID)
-		case ok:
-			w.setListedLeaving(t.Leaving)
-		}
-	}
-	for id, w := range d.workers {
-		if _, ok := current[id]; !ok {
-			w.setListedLeaving(true)
-			current[id] = w.target
-		}
-	}
-	d.listed = current
-	d.mu.Unlock()
-	if len(moved) > 0 {
-		d.stopWorkers(func(id descriptor.TargetID) bool { return slices.Contains(moved, id) })
-	}
-	d.startWorkers()
-	d.wakeRecovery()
-}
-
-// startWorkers follows each listed target whose slice this instance owns.
-func (d *Dispatcher) startWorkers() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ctx.Err() != nil {
-		return
-	}
-	for id, t := range d.listed {
-		if _, ok := d.workers[id]; ok {
-			continue
-		}
-		sh := &d.shards[id.Slice()]
-		epoch, safeFrom, owned := sh.ownership()
-		if !owned {
-			continue
-		}
-		w := newTargetWorker(d, t, epoch, safeFrom)
-		d.workers[id] = w
-		d.wg.Go(func() {
-			defer close(w.done)
-			w.run()
-		})
-	}
-}
-
-// stopWorkers stops the workers of the chosen targets and forgets what is in
-// use on them.
-func (d *Dispatcher) stopWorkers(choose func(descriptor.TargetID) bool) {
-	d.mu.Lock()
-	var stopped []*targetWorker
-	for id, w := range d.workers {
-		if choose(id) {
-			delete(d.workers, id)
-			stopped = append(stopped, w)
-		}
-	}
-	d.mu.Unlock()
-	for _, w := range stopped {
-		w.stop()
-		w.abandon()
-		d.cfg.Scheduler.RemoveTarget(w.target.ID)
-	}
-}
-
-// worker returns the worker of a target that this instance owns, or nil.
-func (d *Dispatcher) worker(id descriptor.TargetID) *targetWorker {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.workers[id]
-}
-
-// ownWorkers returns all workers.
-func (d *Dispatcher) ownWorkers() []*targetWorker {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	workers := make([]*targetWorker, 0, len(d.workers))
-	for _, w := range d.workers {
-		workers = append(workers, w)
-	}
-	return workers
-}
-
 // batchSize bounds the placements that are taken from the scheduler at once.
 const batchSize = 64
 
@@ -438,64 +318,6 @@
 	}
 }
 
-func (d *Dispatcher) isDraining() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.draining
-}
-
-// Drain takes no new work, withdraws the claims of requests that still wait, and
-// waits until nothing is running, or ctx ends. It returns an error that counts
-// what is left.
-func (d *Dispatcher) Drain(ctx context.Context) error {
-	d.mu.Lock()
-	d.draining = true
-	d.mu.Unlock()
-	d.releaseClaimed()
-	for {
-		waiting, running := d.Open()
-		if running == 0 && d.recording.Load() == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("%d requests waiting and %d running at the end of the drain time", waiting, running)
-		case <-d.cfg.Clock.After(20 * time.Millisecond):
-		}
-	}
-}
-
-// releaseClaimed lets go of the non-idempotent requests that still wait, while
-// this instance has the session that its claims are fenced by. Otherwise the next
-// owner would find a claim without an outcome, and could not tell that nothing
-// was started under it.
-func (d *Dispatcher) releaseClaimed() {
-	var wg sync.WaitGroup
-	for i := range d.shards {
-		sh := &d.shards[i]
-		for _, r := range sh.claimedWaiting() {
-			if !d.cfg.Scheduler.Cancel(r.request.Key) && !r.idleAtHosts() {
-				continue
-			}
-			wg.Go(func() {
-				d.withdraw(r)
-				d.forget(r)
-				r.move()
-			})
-		}
-	}
-	wg.Wait()
-}
-
-// Open returns the number of requests without an outcome.
-func (d *Dispatcher) Open() (waiting, running int) {
-	for i := range d.shards {
-		w, r := d.shards[i].open()
-		waiting, running = waiting+w, running+r
-	}
-	return waiting, running
-}
-
 // Recovered reports how many of the owned slices have been recovered.
 func (d *Dispatcher) Recovered() (recovered, owned int) {
 	for i := range d.shards {
@@ -512,26 +334,6 @@
 	return recovered, owned
 }
 
-// TargetInfo describes a target that this instance owns.
-type TargetInfo struct {
-	descriptor.Target
-	Used    descriptor.Resources `json:"used"`
-	Running int                  `json:"running"`
-	Synced  bool                 `json:"synced"`
-	Leaving bool                 `json:"leaving"`
-	Reached bool                 `json:"reached"`
-}
-
-// Targets lists the targets that this instance owns.
-func (d *Dispatcher) Targets() []TargetInfo {
-	workers := d.ownWorkers()
-	infos := make([]TargetInfo, 0, len(workers))
-	for _, w := range workers {
-		infos = append(infos, w.info())
-	}
-	return infos
-}
-
 // combine returns the result of a request from the results of its tasks: that
 // of the only task, or a list in the order of the tasks.
 func combine(tasks []taskRun) json.RawMessage {
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
-	"github.com/masticlead/masticlead/claimer"
-	"github.com/masticlead/masticlead/connector"
 	"github.com/masticlead/masticlead/descriptor"
 )
 
@@ -201,74 +198,6 @@
 	return Handle{r}, nil
 }
 
-// Cancel ends a request: a waiting one at once, a running one after its tasks
-// were stopped. Its errors are those of Find.
-func (d *Dispatcher) Cancel(ctx context.Context, k descriptor.Key) (Handle, error) {
-	h, err := d.Find(ctx, k)
-	if err == nil {
-		d.cancelRecord(h.r)
-	}
-	return h, err
-}
-
-func (d *Dispatcher) cancelRecord(r *record) {
-	r.mu.Lock()
-	waiting := d.cfg.Scheduler.Cancel(r.request.Key) || (r.spilled && r.settled())
-	r.cancelled = true
-	var tasks []taskRun
-	switch {
-	case r.isDone():
-	case waiting && r.unstarted != nil:
-		u := r.unstarted
-		r.unstarted = nil
-		r.finish(u.Cancel(), d.cfg.Clock.Now())
-	case waiting:
-		// An earlier attempt has run and ended; the next one was still queued.
-		s := r.started
-		r.started = nil
-		r.finish(s.Cancel(descriptor.Run{}), d.cfg.Clock.Now())
-	default:
-		tasks = append(tasks, r.tasks...)
-	}
-	done := r.isDone()
-	r.mu.Unlock()
-	if done {
-		d.ended(r)
-		return
-	}
-	d.stopTasks(tasks)
-}
-
-// stopTasks has the tasks stopped, through the owners of their targets.
-func (d *Dispatcher) stopTasks(tasks []taskRun) {
-	for _, t := range tasks {
-		if t.state.settled() {
-			continue
-		}
-		d.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
-			defer cancel()
-			if w := d.worker(t.target); w != nil {
-				d.stopTask(ctx, w, t.id)
-				return
-			}
-			owner, _, ok := d.cfg.Owners.Owner(t.target.Slice())
-			if !ok || owner == d.cfg.Self {
-				return
-			}
-			if _, err := d.cfg.Peers.Stop(ctx, owner, StopRequest{Target: t.target, Task: t.id}); err != nil {
-				d.cfg.Log.Warn("dispatcher: task not stopped", "target", t.target, "task", t.id, "error", err)
-			}
-		})
-	}
-}
-
-func (d *Dispatcher) stopTask(ctx context.Context, w *targetWorker, id descriptor.TaskID) {
-	if _, err := w.conn.Direct(ctx, id, connector.StopTask); err != nil {
-		d.cfg.Log.Warn("dispatcher: task not stopped", "target", w.target.ID, "task", id, "error", err)
-	}
-}
-
 // refuse ends a request that the scheduler no longer holds. Work of which an
 // earlier attempt has run can't be refused and has failed instead.
 func (d *Dispatcher) refuse(r *record, f descriptor.Refusal) {
@@ -314,72 +243,6 @@
 	}
 }
 
-// makeClaim claims a non-idempotent request while it waits in the queue.
-func (d *Dispatcher) makeClaim(r *record) {
-	ctx, cancel := context.WithTimeout(d.ctx, d.cfg.ClaimTimeout)
-	defer cancel()
-	c := r.claim
-	c.won, c.existing, c.err = d.cfg.Claims.Claim(ctx, r.request.Key)
-	close(c.done)
-	if c.err == nil && c.won {
-		return
-	}
-	if d.cfg.Scheduler.Cancel(r.request.Key) || r.idleAtHosts() {
-		d.endUnclaimed(r)
-	}
-}
-
-// endUnclaimed ends a request that was not started because its claim was not
-// won.
-func (d *Dispatcher) endUnclaimed(r *record) {
-	c := r.claim
-	if c.err != nil {
-		d.cfg.Log.Warn("dispatcher: claim not made", "request", r.request.Key, "error", c.err)
-		d.refuse(r, descriptor.Refusal{
-			Reason: descriptor.ReasonStoreUnavailable, RetryAfter: 5 * time.Second,
-			Detail: "the claim that keeps the work from running twice could not be made durable",
-		})
-		return
-	}
-	if c.existing.Outcome != nil {
-		d.finishUnclaimed(r, *c.existing.Outcome)
-		d.shards[r.request.Slice()].keepOutcome(r)
-		return
-	}
-	f := descriptor.Refusal{
-		Reason: descriptor.ReasonRecovering, RetryAfter: 2 * time.Second,
-		Detail: fmt.Sprintf("claimed by instance %s, which left no outcome", c.existing.Holder.Instance),
-	}
-	// The slice has been recovered, so no task of the request is known to any
-	// target. The holder may still withdraw the claim for a while.
-	age := d.cfg.Clock.Now().Sub(time.UnixMilli(c.existing.ClaimedMs))
-	final := age > d.cfg.TaskLease+claimSettleTime
-	if final {
-		f.RetryAfter = 0
-	}
-	o := descriptor.Undetermined(f)
-	d.finishUnclaimed(r, o)
-	if !final {
-		d.forget(r)
-		return
-	}
-	d.shards[r.request.Slice()].keepOutcome(r)
-	d.wg.Go(func() { d.recordOutcome(r, o) })
-}
-
-// claimSettleTime is how long a claim whose holder lost its slice may still get an
-// outcome or be withdrawn.
-const claimSettleTime = 10 * time.Second
-
-// finishUnclaimed ends a request with the outcome of another claim.
-func (d *Dispatcher) finishUnclaimed(r *record, o descriptor.Outcome) {
-	r.mu.Lock()
-	r.finish(o, d.cfg.Clock.Now())
-	r.mu.Unlock()
-	d.cfg.Scheduler.Done(r.request.Key)
-	d.cfg.Scope.Tagged(map[string]string{"outcome": o.Kind().String()}).Counter("outcomes").Inc(1)
-}
-
 // forgetRan drops the record of a request that has run without a result, so that
 // a later submission runs it again.
 func (d *Dispatcher) forgetRan(r *record) {
@@ -399,49 +262,3 @@
 		delete(sh.records, r.request.Key)
 	}
 }
-
-// withdrawClaim removes the claim of a refused request and then forgets the
-// request. It is not forgotten earlier, or the withdrawal could remove the claim
-// of the next submission.
-func (d *Dispatcher) withdrawClaim(r *record) {
-	defer d.forget(r)
-	d.withdraw(r)
-}
-
-// withdraw removes the claim of a request of which no task can have run.
-func (d *Dispatcher) withdraw(r *record) {
-	select {
-	case <-r.claim.done:
-	case <-d.ctx.Done():
-		return
-	}
-	lost := r.claim.err == nil && !r.claim.won
-	if lost || errors.Is(r.claim.err, connector.ErrUnavailable) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(d.ctx, d.cfg.ClaimTimeout)
-	defer cancel()
-	if err := d.cfg.Claims.Withdraw(ctx, r.request.Key); err != nil {
-		d.cfg.Log.Warn("dispatcher: claim not withdrawn", "request", r.request.Key, "error", err)
-	}
-}
-
-// recordOutcome makes the outcome of non-idempotent work durable. It tries for
-// as long as the outcome is kept in memory.
-func (d *Dispatcher) recordOutcome(r *record, o descriptor.Outcome) {
-	d.recording.Add(1)
-	defer d.recording.Add(-1)
-	for wait := time.Second; wait < outcomeRetention; wait *= 2 {
-		ctx, cancel := context.WithTimeout(d.ctx, 10*time.Second)
-		err := d.cfg.Claims.Record(ctx, r.request.Key, o)
-		cancel()
-		if err == nil || errors.Is(err, claimer.ErrRecorded) || errors.Is(err, connector.ErrNotFound) {
-			return
-		}
-		d.cfg.Scope.Counter("outcome_record_retries").Inc(1)
-		d.cfg.Log.Warn("dispatcher: outcome not recorded", "request", r.request.Key, "error", err)
-		if !d.sleep(wait) {
-			return
-		}
-	}
-}
