--- a/heartbeater/digest.go
+++ b/heartbeater/digest.go
@@ -103,7 +103,7 @@
 			return
 		}
 	}
-	h.cfg.Scope.Counter("linkErrors").Inc(1)
+	h.cfg.Scope.Counter("link_errors").Inc(1)
 }
 
 // linkTargets returns whom a link to the data centre can call. Without a digest
@@ -220,6 +220,7 @@
 		return nil
 	}
 	d := s.digest
+	d.AgeMs = now.Sub(s.at).Milliseconds()
 	if d.Static == have {
 		d.Fixed = nil
 	}
--- a/heartbeater/remote.go
+++ b/heartbeater/remote.go
@@ -14,9 +14,9 @@
 // replace the list of one that is not.
 type remote struct {
 	sources map[descriptor.InstanceID]*source
-	// known holds the highest rules version heard of each member. Of two carriers
-	// the one that is heard last may have heard of the member first.
-	known map[descriptor.InstanceID]knownRules
+	// floors holds the highest rules version seen of each member, so that a
+	// digest whose carrier lags behind another's never takes one back.
+	floors map[descriptor.InstanceID]floor
 	// direct is when the last digest came in on a link of our own.
 	direct time.Time
 	// relayed is when anyone last relayed a digest within our data centre.
@@ -33,47 +33,51 @@
 	seeds         []Member // from the platform's list, until a digest comes in
 }
 
-// source is the last digest of a carrier.
-type source struct {
+// floor is the highest rules version that was seen of a member.
+type floor struct {
 	incarnation descriptor.Incarnation
-	number      uint64
-	static      uint32
-	fixed       []fixedPart
-	digest      digest
-	members     []Member
-	at          time.Time
+	rules       descriptor.RulesVersion
+	since, seen time.Time
 }
 
-// knownRules is the highest rules version heard of an incarnation.
-type knownRules struct {
-	incarnation descriptor.Incarnation
-	version     descriptor.RulesVersion
-	since       time.Time
-}
+// floorFor is how long a floor outlives the last digest that lists its member.
+const floorFor = 10 * time.Minute
 
-// raise replaces rules versions that are lower than those heard before, since an
-// instance never goes back to a lower one. Members that are no longer listed are
-// forgotten once they outnumber those that are.
-func (r *remote) raise(members []Member) {
-	if r.known == nil || len(r.known) > 2*len(members)+knownSpare {
-		r.known = map[descriptor.InstanceID]knownRules{}
+// raise takes the versions of a digest into the floors.
+func (r *remote) raise(members []Member, now time.Time) {
+	if r.floors == nil {
+		r.floors = map[descriptor.InstanceID]floor{}
 	}
+	for _, m := range members {
+		f := r.floors[m.ID]
+		if m.Incarnation > f.incarnation || m.Incarnation == f.incarnation && m.Rules > f.rules {
+			f = floor{incarnation: m.Incarnation, rules: m.Rules, since: m.RulesSince}
+		}
+		f.seen = now
+		r.floors[m.ID] = f
+	}
+}
+
+// lift raises the versions of members to their floors.
+func (r *remote) lift(members []Member) {
 	for i := range members {
 		m := &members[i]
-		k, ok := r.known[m.ID]
-		switch {
-		case ok && k.incarnation > m.Incarnation:
-		case ok && k.incarnation == m.Incarnation && k.version > m.Rules:
-			m.Rules, m.RulesSince = k.version, k.since
-		default:
-			r.known[m.ID] = knownRules{m.Incarnation, m.Rules, m.RulesSince}
+		if f := r.floors[m.ID]; m.Incarnation <= f.incarnation && m.Rules < f.rules {
+			m.Rules, m.RulesSince = f.rules, f.since
 		}
 	}
 }
 
-// knownSpare keeps versions through a restart of a small data centre, in which
-// carriers list different members for a while.
-const knownSpare = 16
+// source is the last digest of a carrier.
+type source struct {
+	incarnation descriptor.Incarnation
+	number      uint64
+	static      uint32
+	fixed       []fixedPart
+	digest      digest
+	members     []Member
+	at          time.Time
+}
 
 // take stores a digest. want reports that its fixed part is needed first;
 // changed that the members differ from what the same carrier said before.
@@ -93,17 +97,21 @@
 	}
 	changed = s == nil || s.static != d.Static
 	full := *d
-	full.Fixed = fixed
+	full.Fixed, full.AgeMs = fixed, 0
+	at := now.Add(-time.Duration(max(0, d.AgeMs)) * time.Millisecond)
+	members := full.membersAt(at)
+	r.raise(members, now)
 	if r.sources == nil {
 		r.sources = map[descriptor.InstanceID]*source{}
 	}
-	members := full.membersAt(now)
-	r.raise(members)
 	r.sources[d.Carrier] = &source{
 		incarnation: d.Incarnation, number: d.Number, static: d.Static, fixed: fixed,
-		digest: full, members: members, at: now,
+		digest: full, members: members, at: at,
+	}
+	r.lastStatic = d.Static
+	if at.After(r.heard) {
+		r.heard = at
 	}
-	r.heard, r.lastStatic = now, d.Static
 	return false, changed, true
 }
 
@@ -185,6 +193,7 @@
 		all = append(all, m)
 	}
 	sortMembers(all)
+	r.lift(all)
 	return all
 }
 
@@ -198,6 +207,11 @@
 
 // prune drops digests that are too old to be merged, except the last.
 func (r *remote) prune(now time.Time, keep time.Duration) {
+	for id, f := range r.floors {
+		if now.Sub(f.seen) > floorFor {
+			delete(r.floors, id)
+		}
+	}
 	if len(r.sources) < 2 {
 		return
 	}
--- a/runner/build.go
+++ b/runner/build.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"log/slog"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -96,6 +98,10 @@
 	}
 }
 
+func newDirectory(p *connector.Platform, c clockwork.Clock) *connector.DirectoryCache {
+	return &connector.DirectoryCache{Directory: p, Clock: c}
+}
+
 // listeners are opened before any part starts, so that a taken address is found
 // at once.
 type listeners struct{ http, peer net.Listener }
@@ -113,6 +119,18 @@
 	return &listeners{h, p}, nil
 }
 
+// advertised holds the addresses at which others reach this instance.
+type advertised struct{ http, peer string }
+
+// newAdvertised takes the addresses of the settings, or those of the listeners
+// if there are none. Only a listener knows its port if the settings have port 0.
+func newAdvertised(s *loader.Settings, l *listeners) *advertised {
+	return &advertised{
+		http: cmp.Or(s.Advertise.HTTP, l.http.Addr().String()),
+		peer: cmp.Or(s.Advertise.Peer, l.peer.Addr().String()),
+	}
+}
+
 func newMessengerServer(l *listeners, m *metrics, log *slog.Logger) *messenger.Server {
 	return &messenger.Server{Listener: l.peer, Log: log, Scope: m.scope.SubScope("messenger")}
 }
@@ -127,7 +145,7 @@
 func newScheduler(s *loader.Settings, c clockwork.Clock, m *metrics) *scheduler.Scheduler {
 	q := newQuarantine(placer.NewPacker(placer.PackerConfig{}), detector.New(detector.Config{Scope: m.scope.SubScope("detector")}))
 	return scheduler.New(scheduler.Config{
-		Clock: c, Rand: newRand(s, "scheduler"), Placer: q, Detector: q, Scope: m.scope,
+		Clock: c, Rand: newRand(s, "scheduler"), Placer: q, Detector: q, Scope: m.scope.SubScope("scheduler"),
 		Bounds: admitter.Bounds{
 			Requests: s.Limits.QueuedRequests, Bytes: s.Limits.QueuedBytes,
 			CallerRequests: s.Limits.CallerQueuedRequests, CallerBytes: s.Limits.CallerQueuedBytes,
@@ -143,20 +161,36 @@
 	})
 }
 
-func newHeartbeater(s *loader.Settings, c clockwork.Clock, p *connector.Platform, pool *messenger.Pool, ms *messenger.Server, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*heartbeater.Heartbeater, *rulesReport) {
+func newHeartbeater(s *loader.Settings, a *advertised, c clockwork.Clock, dir *connector.DirectoryCache, pool *messenger.Pool, ms *messenger.Server, sch *scheduler.Scheduler, m *metrics, log *slog.Logger) (*heartbeater.Heartbeater, *rulesReport) {
 	report := &rulesReport{}
 	h := heartbeater.New(heartbeater.Config{
 		Clock: c, Rand: newRand(s, "heartbeater"),
 		Self: heartbeater.Member{
-			ID: s.Instance.Name, Incarnation: descriptor.Incarnation(time.Now().UnixNano()),
-			DataCentre: s.Instance.DataCentre, PeerAddress: s.Advertise.Peer, HTTPAddress: s.Advertise.HTTP,
+			ID: s.Instance.Name, Incarnation: descriptor.Incarnation(time.Now().UnixMilli()),
+			DataCentre: s.Instance.DataCentre, PeerAddress: a.peer, HTTPAddress: a.http,
 		},
-		DataCentres: s.DataCentres, Directory: p, Pool: pool,
+		DataCentres: s.DataCentres, Directory: dir, Pool: pool,
 		Report:    func() (descriptor.RulesVersion, heartbeater.LoadReport) { return report.version(), loadReport(sch) },
 		OnVersion: report.see,
-		Scope:     m.scope.SubScope("heartbeater"), Log: log,
+		Interval:  s.Timing.Heartbeat, SuspectAfter: s.Timing.Suspect, RemoveAfter: s.Timing.Remove,
+		Scope: m.scope.SubScope("heartbeater"), Log: log,
 	})
 	h.Register(ms)
+	classOf := func(same bool) messenger.PeerClass {
+		if same {
+			return messenger.SameDataCentre
+		}
+		return messenger.OtherDataCentre
+	}
+	pool.ClassOf = func(address string) messenger.PeerClass {
+		return classOf(slices.ContainsFunc(h.Members(s.Instance.DataCentre), func(m heartbeater.Member) bool {
+			return m.PeerAddress == address
+		}))
+	}
+	ms.ClassOf = func(from descriptor.InstanceID) messenger.PeerClass {
+		m, ok := h.Member(from)
+		return classOf(ok && m.DataCentre == s.Instance.DataCentre)
+	}
 	return h, report
 }
 
@@ -219,10 +253,10 @@
 	}
 }
 
-func newLeaser(s *loader.Settings, c clockwork.Clock, st *storer.Store, pool *messenger.Pool, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *leaser.Leaser {
+func newLeaser(s *loader.Settings, a *advertised, c clockwork.Clock, st *storer.Store, pool *messenger.Pool, h *heartbeater.Heartbeater, m *metrics, log *slog.Logger) *leaser.Leaser {
 	return leaser.New(leaser.Config{
 		Clock: c, Rand: newRand(s, "leaser"), Table: st, Peers: &peers{pool, h},
-		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, PeerAddress: s.Advertise.Peer,
+		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, PeerAddress: a.peer,
 		Lease: s.Timing.Lease, Renewal: s.Timing.Renewal, Promise: s.Timing.Promise, MaxExtension: s.Timing.MaxExtension,
 		Alive: func() []descriptor.InstanceID { return aliveIDs(h, s.Instance.DataCentre) },
 		Scope: m.scope.SubScope("leaser"), Log: log,
@@ -261,10 +295,10 @@
 	})
 }
 
-func newDispatcher(s *loader.Settings, c clockwork.Clock, sch *scheduler.Scheduler, l *leaser.Leaser, cl *claimer.Claimer, pool *messenger.Pool, ms *messenger.Server, h *heartbeater.Heartbeater, p *connector.Platform, rules *ruleSet, m *metrics, log *slog.Logger) *dispatcher.Dispatcher {
+func newDispatcher(s *loader.Settings, c clockwork.Clock, sch *scheduler.Scheduler, l *leaser.Leaser, cl *claimer.Claimer, pool *messenger.Pool, ms *messenger.Server, h *heartbeater.Heartbeater, dir *connector.DirectoryCache, rules *ruleSet, m *metrics, log *slog.Logger) *dispatcher.Dispatcher {
 	d := dispatcher.New(dispatcher.Config{
 		Clock: c, Self: s.Instance.Name, DataCentre: s.Instance.DataCentre, Scheduler: sch, Owners: l, Claims: cl,
-		Peers: &peers{pool, h}, Directory: p, Dialer: &connector.HTTPDialer{Client: connector.NewHTTPClient(targetConnections, sourceIP(s))},
+		Peers: &peers{pool, h}, Directory: dir, Dialer: &connector.HTTPDialer{Client: connector.NewHTTPClient(targetConnections, sourceIP(s))},
 		Rules: rules.current.Load, Loads: func() []dispatcher.PeerLoad { return peerLoads(s, h) },
 		Scope: m.scope.SubScope("dispatcher"), Log: log, TaskLease: s.Timing.TaskLease,
 	})
