placer, runner: let urgent work probe a target; show quarantined targets

A target that stayed unreachable was logged every 300 ms, and held up recovery for 30 s. Change: a target whose last probe got no task takes urgent idempotent work as well; the state 'quarantined' is shown; the warning is logged once; the default task lease is 18 s, three leases. Conclusion: the wait behind a dead target is 12 s shorter.

--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -136,9 +136,9 @@
 			break
 		}
 		w.d.cfg.Scope.Counter("target_errors").Inc(1)
-		if w.epoch == 1 || now.After(certain) {
-			w.markSynced()
+		if (w.epoch == 1 || now.After(certain)) && w.markSynced() {
 			w.d.cfg.Log.Warn("dispatcher: target not reached; its tasks have expired", "target", w.target.ID, "error", err)
+			w.d.wakeRecovery()
 		}
 		if !w.sleep(300 * time.Millisecond) {
 			return false
@@ -149,10 +149,14 @@
 	return true
 }
 
-func (w *targetWorker) markSynced() {
+// markSynced notes that all running tasks are known. It reports false if that was
+// noted before.
+func (w *targetWorker) markSynced() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	first := !w.synced
 	w.synced = true
+	return first
 }
 
 // describe returns the target with the capacity that it reports itself.
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -96,7 +96,7 @@
 			Heartbeat:    400 * time.Millisecond,
 			Suspect:      1200 * time.Millisecond,
 			Remove:       2 * time.Second,
-			TaskLease:    30 * time.Second,
+			TaskLease:    18 * time.Second,
 			Drain:        time.Second,
 			Shutdown:     20 * time.Second,
 			Read:         5 * time.Second,
--- a/placer/packer.go
+++ b/placer/packer.go
@@ -227,8 +227,8 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	task := runningTask{need: d.Request.Resources, end: momentOf(now.Add(d.Run))}
-	eager := d.Request.Idempotent && d.Request.Priority != descriptor.Urgent
-	if id, ok := p.probe(eager, task, d.Avoid); ok {
+	work := probeWorkOf(d.Request)
+	if id, ok := p.probe(probeSuited, work, task, d.Avoid); ok {
 		return []Assignment{{Target: id}}, Placed
 	}
 	for i := p.tree.next(0, task.need); i >= 0; i = p.tree.next(i+1, task.need) {
@@ -239,7 +239,7 @@
 	if id, ok := p.backfill(task, d.Avoid); ok {
 		return []Assignment{{Target: id}}, Placed
 	}
-	if id, ok := p.probe(!eager, task, d.Avoid); ok {
+	if id, ok := p.probe(probeAnyWork, work, task, d.Avoid); ok {
 		return []Assignment{{Target: id}}, Placed
 	}
 	return nil, NoRoom
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -10,6 +10,9 @@
 // lock exclusively.
 func (p *Packer) setProbing(s *slot, on bool) {
 	p.probing = slices.DeleteFunc(p.probing, func(o *slot) bool { return o == s })
+	if !on {
+		s.unprobed = s.probes == ProbeTasks
+	}
 	s.probes = 0
 	if on {
 		s.probes = ProbeTasks
@@ -17,15 +20,36 @@
 	}
 }
 
+// probeWork says how well a request serves as a probe.
+type probeWork uint8
+
+const (
+	probeLast    probeWork = iota // not idempotent
+	probeUrgent                   // idempotent and urgent
+	probeSuited                   // idempotent and not urgent
+	probeAnyWork = probeLast
+)
+
+// probeWorkOf returns how well the request serves as a probe.
+func probeWorkOf(r *descriptor.Request) probeWork {
+	switch {
+	case !r.Idempotent:
+		return probeLast
+	case r.Priority == descriptor.Urgent:
+		return probeUrgent
+	}
+	return probeSuited
+}
+
 // probe places a single task on a target that is being probed. Probes go first
 // to idempotent work that isn't urgent, since it can run again elsewhere if the
-// probe fails; other work is placed there only when there is no other room.
-func (p *Packer) probe(wanted bool, task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
-	if !wanted {
-		return "", false
-	}
+// probe fails. A target that got no such work in its last probe takes urgent
+// idempotent work too, or it would never return to a cell that runs only that.
+// Other work is placed there only when there is no other room.
+func (p *Packer) probe(least, work probeWork, task runningTask, avoid []descriptor.TargetID) (descriptor.TargetID, bool) {
 	for _, s := range p.probing {
-		if !avoided(s, avoid) && p.probeOn(s, task) {
+		suited := work >= least || (work == probeUrgent && s.unprobed)
+		if suited && !avoided(s, avoid) && p.probeOn(s, task) {
 			return s.target.ID, true
 		}
 	}
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -43,6 +43,8 @@
 	held *hold
 	// probes is the number of tasks that the slot takes while it is probed.
 	probes int
+	// unprobed says that the last probe ended without any task.
+	unprobed bool
 	// node comes last, so that the fields of a decision share cache lines.
 	node
 }
--- a/runner/build.go
+++ b/runner/build.go
@@ -142,8 +142,11 @@
 	}
 }
 
-func newScheduler(s *loader.Settings, c clockwork.Clock, m *metrics) *scheduler.Scheduler {
-	q := newQuarantine(placer.NewPacker(placer.PackerConfig{}), detector.New(detector.Config{Scope: m.scope.SubScope("detector")}))
+func newTargetStates(m *metrics) *quarantine {
+	return newQuarantine(placer.NewPacker(placer.PackerConfig{}), detector.New(detector.Config{Scope: m.scope.SubScope("detector")}))
+}
+
+func newScheduler(s *loader.Settings, c clockwork.Clock, q *quarantine, m *metrics) *scheduler.Scheduler {
 	return scheduler.New(scheduler.Config{
 		Clock: c, Rand: newRand(s, "scheduler"), Placer: q, Detector: q, Scope: m.scope.SubScope("scheduler"),
 		Bounds: admitter.Bounds{
--- a/runner/build_test.go
+++ b/runner/build_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }), fx.Supply(s, slog.New(slog.NewTextHandler(io.Discard, nil))),
-		fx.Provide(newClock, newScope, newPlatform, newDirectory, newStore, newListeners, newAdvertised, newMessengerServer, newPool, newHeartbeater, newScheduler),
+		fx.Provide(newClock, newScope, newPlatform, newDirectory, newStore, newListeners, newAdvertised, newMessengerServer, newPool, newHeartbeater, newTargetStates, newScheduler),
 		fx.Populate(populate...),
 	)
 	require.NoError(t, app.Err())
--- a/runner/operate.go
+++ b/runner/operate.go
@@ -90,6 +90,7 @@
 	members     *heartbeater.Heartbeater
 	dispatcher  *dispatcher.Dispatcher
 	leaser      *leaser.Leaser
+	quarantine  *quarantine
 	pool        *messenger.Pool
 }
 
@@ -202,13 +203,13 @@
 
 // targetsReply lists them.
 type targetsReply struct {
-	Targets []dispatcher.TargetInfo `json:"targets"`
+	Targets []server.TargetInfo `json:"targets"`
 }
 
 // Targets implements server.Cell. It asks the live instances of this data
 // centre, since each knows only its own targets.
 func (o *operator) Targets(ctx context.Context) ([]server.TargetInfo, error) {
-	all := describeTargets(o.settings.Instance.Name, o.dispatcher.Targets())
+	all := o.ownTargets()
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	var failed error
@@ -221,7 +222,7 @@
 			failed = errors.Join(failed, fmt.Errorf("instance %s: %w", m.ID, err))
 			continue
 		}
-		all = append(all, describeTargets(m.ID, reply.Targets)...)
+		all = append(all, reply.Targets...)
 	}
 	if len(all) == 0 && failed != nil {
 		return nil, failed
@@ -229,7 +230,9 @@
 	return all, nil
 }
 
-func describeTargets(owner descriptor.InstanceID, targets []dispatcher.TargetInfo) []server.TargetInfo {
+// ownTargets describes the targets that this instance owns.
+func (o *operator) ownTargets() []server.TargetInfo {
+	targets := o.dispatcher.Targets()
 	infos := make([]server.TargetInfo, 0, len(targets))
 	for _, t := range targets {
 		state := "placeable"
@@ -238,18 +241,20 @@
 			state = "unreachable"
 		case t.Leaving:
 			state = "leaving"
+		case o.quarantine.setAside(t.ID):
+			state = "quarantined"
 		}
 		infos = append(infos, server.TargetInfo{
-			ID: t.ID, DataCentre: t.DataCentre, Rack: t.Rack, Owner: owner, State: state, Capacity: t.Capacity, Used: t.Used,
+			ID: t.ID, DataCentre: t.DataCentre, Rack: t.Rack, Owner: o.settings.Instance.Name, State: state, Capacity: t.Capacity, Used: t.Used,
 		})
 	}
 	return infos
 }
 
-func newOperator(s *loader.Settings, dist *distributor.Distributor, h *heartbeater.Heartbeater, d *dispatcher.Dispatcher, l *leaser.Leaser, pool *messenger.Pool, ms *messenger.Server) *operator {
-	o := &operator{s, dist, h, d, l, pool}
+func newOperator(s *loader.Settings, dist *distributor.Distributor, h *heartbeater.Heartbeater, d *dispatcher.Dispatcher, l *leaser.Leaser, q *quarantine, pool *messenger.Pool, ms *messenger.Server) *operator {
+	o := &operator{s, dist, h, d, l, q, pool}
 	messenger.Handle(ms, methodTargets, func(context.Context, descriptor.InstanceID, targetsRequest) (targetsReply, error) {
-		return targetsReply{d.Targets()}, nil
+		return targetsReply{o.ownTargets()}, nil
 	})
 	return o
 }
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -63,6 +63,14 @@
 	q.Policy.SetState(id, effective)
 }
 
+// setAside reports whether the detector keeps a target out of normal use.
+func (q *quarantine) setAside(id descriptor.TargetID) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, ok := q.aside[id]
+	return ok
+}
+
 // Observe implements scheduler.Detector.
 func (q *quarantine) Observe(target descriptor.TargetID, key descriptor.Key, kind descriptor.KindName,
 	succeeded bool, ran time.Duration, now time.Time,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -26,7 +26,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			newLog, newClock, newScope, newPlatform, newDirectory, newStore, newListeners, newAdvertised, newMessengerServer, newPool,
-			newHeartbeater, newDistributor, newLeaser, newClaimer, newScheduler, newDispatcher, newRouter,
+			newHeartbeater, newDistributor, newLeaser, newClaimer, newTargetStates, newScheduler, newDispatcher, newRouter,
 			newHealth, newOperator, newServer, newLifetime,
 		),
 		fx.Populate(&life),
