--- a/dispatcher/start.go
+++ b/dispatcher/start.go
@@ -25,7 +25,9 @@
 	}
 	if r.claim != nil && !d.claimed(r) {
 		d.releaseAll(p)
-		d.endUnclaimed(r)
+		if d.ctx.Err() == nil {
+			d.endUnclaimed(r)
+		}
 		return
 	}
 	attempt, ok := d.prepare(r, p)
