dispatcher, router, distributor, heartbeater: take defaults by cmp.Or

Change: the standard library's cmp.Or in its place; the fuzz target of calls returns for a path that no server hands on instead of skipping. Conclusion: none.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -103,20 +104,13 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.TaskLease, 20*time.Second)
-	setDefault(&c.PollWait, 2*time.Second)
-	setDefault(&c.StartWindow, 2*time.Second)
-	setDefault(&c.DirectoryInterval, 3*time.Second)
-	setDefault(&c.ClaimTimeout, 3*time.Second)
-	setDefault(&c.MaxOutcomes, 100_000)
-	setDefault(&c.MaxAttempts, 3)
-}
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	c.TaskLease = cmp.Or(c.TaskLease, 20*time.Second)
+	c.PollWait = cmp.Or(c.PollWait, 2*time.Second)
+	c.StartWindow = cmp.Or(c.StartWindow, 2*time.Second)
+	c.DirectoryInterval = cmp.Or(c.DirectoryInterval, 3*time.Second)
+	c.ClaimTimeout = cmp.Or(c.ClaimTimeout, 3*time.Second)
+	c.MaxOutcomes = cmp.Or(c.MaxOutcomes, 100_000)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, 3)
 }
 
 // outcomeRetention is how long an outcome is kept. Targets keep results for as
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -4,6 +4,7 @@
 package distributor
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -64,25 +65,18 @@
 	ApplyTimeout time.Duration
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 func (c *Config) setDefaults() {
-	setDefault[clockwork.Clock](&c.Clock, clockwork.NewRealClock())
-	setDefault(&c.Rand, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	setDefault[tally.Scope](&c.Scope, tally.NoopScope)
-	setDefault(&c.Log, slog.Default())
-	setDefault(&c.Interval, 250*time.Millisecond)
-	setDefault(&c.HeadInterval, 5*time.Second)
-	setDefault(&c.HeadReads, 60)
-	setDefault(&c.PullDelay, time.Second)
-	setDefault(&c.RetryInterval, time.Second)
-	setDefault(&c.CallTimeout, 2*time.Second)
-	setDefault(&c.ApplyTimeout, 15*time.Second)
+	c.Clock = cmp.Or[clockwork.Clock](c.Clock, clockwork.NewRealClock())
+	c.Rand = cmp.Or(c.Rand, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	c.Scope = cmp.Or[tally.Scope](c.Scope, tally.NoopScope)
+	c.Log = cmp.Or(c.Log, slog.Default())
+	c.Interval = cmp.Or(c.Interval, 250*time.Millisecond)
+	c.HeadInterval = cmp.Or(c.HeadInterval, 5*time.Second)
+	c.HeadReads = cmp.Or(c.HeadReads, 60)
+	c.PullDelay = cmp.Or(c.PullDelay, time.Second)
+	c.RetryInterval = cmp.Or(c.RetryInterval, time.Second)
+	c.CallTimeout = cmp.Or(c.CallTimeout, 2*time.Second)
+	c.ApplyTimeout = cmp.Or(c.ApplyTimeout, 15*time.Second)
 	if c.OnInstall == nil {
 		c.OnInstall = func(*descriptor.Rules) {}
 	}
--- a/heartbeater/config.go
+++ b/heartbeater/config.go
@@ -1,6 +1,7 @@
 package heartbeater
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -61,29 +62,22 @@
 	ReachableFor time.Duration
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 func (c *Config) setDefaults() {
-	setDefault[clockwork.Clock](&c.Clock, clockwork.NewRealClock())
-	setDefault(&c.Rand, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	setDefault[tally.Scope](&c.Scope, tally.NoopScope)
-	setDefault(&c.Log, slog.Default())
-	setDefault(&c.Interval, 400*time.Millisecond)
-	setDefault(&c.StatusInterval, 2*time.Second)
-	setDefault(&c.SuspectAfter, 1200*time.Millisecond)
-	setDefault(&c.RemoveAfter, 2*time.Second)
-	setDefault(&c.CallTimeout, time.Second)
-	setDefault(&c.CandidateInterval, time.Second)
-	setDefault(&c.ForgetAfter, time.Minute)
-	setDefault(&c.DirectoryInterval, 10*time.Second)
-	setDefault(&c.DigestInterval, time.Second)
-	setDefault(&c.RelayInterval, 5*time.Second)
-	setDefault(&c.ReachableFor, 3*time.Second)
+	c.Clock = cmp.Or[clockwork.Clock](c.Clock, clockwork.NewRealClock())
+	c.Rand = cmp.Or(c.Rand, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	c.Scope = cmp.Or[tally.Scope](c.Scope, tally.NoopScope)
+	c.Log = cmp.Or(c.Log, slog.Default())
+	c.Interval = cmp.Or(c.Interval, 400*time.Millisecond)
+	c.StatusInterval = cmp.Or(c.StatusInterval, 2*time.Second)
+	c.SuspectAfter = cmp.Or(c.SuspectAfter, 1200*time.Millisecond)
+	c.RemoveAfter = cmp.Or(c.RemoveAfter, 2*time.Second)
+	c.CallTimeout = cmp.Or(c.CallTimeout, time.Second)
+	c.CandidateInterval = cmp.Or(c.CandidateInterval, time.Second)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, time.Minute)
+	c.DirectoryInterval = cmp.Or(c.DirectoryInterval, 10*time.Second)
+	c.DigestInterval = cmp.Or(c.DigestInterval, time.Second)
+	c.RelayInterval = cmp.Or(c.RelayInterval, 5*time.Second)
+	c.ReachableFor = cmp.Or(c.ReachableFor, 3*time.Second)
 	if c.Report == nil {
 		c.Report = func() (descriptor.RulesVersion, LoadReport) { return 0, LoadReport{} }
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -9,6 +9,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -81,9 +82,9 @@
 
 // New returns a router. Register adds its methods to the peer server.
 func New(cfg Config) *Router {
-	setDefault(&cfg.Resubmit, 2*time.Second)
-	setDefault(&cfg.Takeover, 8*time.Second)
-	setDefault(&cfg.HopTimeout, 2*time.Second)
+	cfg.Resubmit = cmp.Or(cfg.Resubmit, 2*time.Second)
+	cfg.Takeover = cmp.Or(cfg.Takeover, 8*time.Second)
+	cfg.HopTimeout = cmp.Or(cfg.HopTimeout, 2*time.Second)
 	r := &Router{cfg: cfg, rand: cfg.Rand}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.waiters.byKey = map[descriptor.Key][]*waiter{}
@@ -93,12 +94,6 @@
 	return r
 }
 
-func setDefault(v *time.Duration, d time.Duration) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // Run sends outcomes until ctx ends or Close is called.
 func (r *Router) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, r.cancel)
--- a/server/requests_test.go
+++ b/server/requests_test.go
@@ -254,7 +254,7 @@
 	f.Fuzz(func(t *testing.T, method, target, id, body string) {
 		u, err := url.ParseRequestURI(target)
 		if err != nil || !strings.HasPrefix(target, "/") {
-			t.Skip()
+			return // no server hands on such a target
 		}
 		r := &http.Request{
 			Method: method, URL: u, Header: http.Header{"X-Request-Id": {id}},
