dispatcher: drop waiting guests of a slice that is gained

Cause: found by reading. The scheduler knows a request by its key. An instance that held a request as a guest of its earlier owner and then became the owner had two requests under one key; the guest was placed, its owner did not confirm, and the own record was left without an entry in the queue. Change: a gained slice drops its waiting guests; an offer by a new owner replaces the entry of the earlier one. Figures: TestHostBecomesOwner gets no outcome in 20 s without the change, and completes with one run with it; 15 tests of the package pass with the race detector. Conclusion: a change of owner leaves no request behind at a host.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -205,8 +205,13 @@
 	}
 }
 
-// gain starts to recover a slice and to follow its targets.
+// gain starts to recover a slice and to follow its targets. Guests of the slice
+// that wait are dropped: the scheduler knows a request by its key, so a guest would
+// stand in the way of the request that is now our own.
 func (d *Dispatcher) gain(c leaser.Change) {
+	for _, key := range d.guests.takeWaiting(c.Slice) {
+		d.cfg.Scheduler.Cancel(key)
+	}
 	d.shards[c.Slice].gain(c.Epoch, c.SafeFrom)
 	d.startWorkers()
 	d.wakeRecovery()
--- a/dispatcher/drain.go
+++ b/dispatcher/drain.go
@@ -7,6 +7,12 @@
 	"time"
 )
 
+func (d *Dispatcher) setDraining(draining bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.draining = draining
+}
+
 func (d *Dispatcher) isDraining() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -17,9 +23,7 @@
 // waits until nothing is running, or ctx ends. It returns an error that counts
 // what is left.
 func (d *Dispatcher) Drain(ctx context.Context) error {
-	d.mu.Lock()
-	d.draining = true
-	d.mu.Unlock()
+	d.setDraining(true)
 	d.releaseClaimed()
 	for {
 		waiting, running := d.Open()
--- a/dispatcher/guest.go
+++ b/dispatcher/guest.go
@@ -50,6 +50,21 @@
 	return true
 }
 
+// takeWaiting removes the guests of a slice that wait for room, and returns their
+// keys.
+func (g *guests) takeWaiting(s descriptor.SliceID) []descriptor.Key {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var keys []descriptor.Key
+	for k, v := range g.byKey {
+		if k.Slice() == s && !v.confirming && v.open == 0 {
+			keys = append(keys, k)
+			delete(g.byKey, k)
+		}
+	}
+	return keys
+}
+
 // confirmingIn reports whether a guest of one of the slices may be starting.
 func (g *guests) confirmingIn(wanted *[descriptor.SliceCount]bool) bool {
 	g.mu.Lock()
--- a/dispatcher/spill.go
+++ b/dispatcher/spill.go
@@ -229,6 +229,8 @@
 	if !d.guests.add(req.Key, g) {
 		return OfferReply{Accepted: true}
 	}
+	// An earlier owner may have offered the same request.
+	d.cfg.Scheduler.Cancel(req.Key)
 	if refusal := d.cfg.Scheduler.Submit(&req); refusal != nil {
 		d.guests.remove(req.Key, g)
 		return OfferReply{Reason: refusal.Reason}
--- a/dispatcher/spill_test.go
+++ b/dispatcher/spill_test.go
@@ -138,3 +138,24 @@
 	require.Equal(t, descriptor.ReasonNeverFits, o.Reason())
 	require.Empty(t, c.runs(s.Key))
 }
+
+// TestHostBecomesOwner guards against a request that gets no outcome because the
+// instance that owns it now still holds it as a guest of the earlier owner.
+func TestHostBecomesOwner(t *testing.T) {
+	c, _, host := splitCell(t, 2)
+	host.setDraining(true) // the host starts nothing, so that its guest waits
+	s := c.submission(keyOf(t, c, "r"), "plan", emulator.Work{RunMs: 1})
+	waiting := &guest{owner: "owner", request: &descriptor.Request{
+		Key: s.Key, Kind: s.Kind, Team: "team", Idempotent: true, Tasks: 1, Payload: s.Payload,
+		Resources: descriptor.Resources{CPU: 1000, Memory: 64, Slots: 1}, Deadline: time.Now().Add(time.Minute),
+	}}
+	require.True(t, host.guests.add(s.Key, waiting))
+	require.Nil(t, host.cfg.Scheduler.Submit(waiting.request))
+
+	c.crash("owner")
+	c.give("host", func(slice descriptor.SliceID) bool { return c.owners.owner[slice] == "owner" })
+	host.setDraining(false)
+	require.Equal(t, descriptor.Completed, c.submit(host, s).Kind())
+	require.Len(t, c.runs(s.Key), 1)
+	require.Nil(t, host.guests.get(s.Key))
+}
