dispatcher, router: show every retry reason from the start

Cause: the counter of a retry reason appeared only after the first retry for it, so an operator could not tell 'none' from 'not counted'. The default task lease of the dispatcher was 20 s and that of the settings 18 s. Change: the reasons are registered at the start; one default. Conclusion: a reason that has not occurred is shown as 0.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -104,7 +104,7 @@
 }
 
 func (c *Config) setDefaults() {
-	c.TaskLease = cmp.Or(c.TaskLease, 20*time.Second)
+	c.TaskLease = cmp.Or(c.TaskLease, 18*time.Second) // as the settings: three leases
 	c.PollWait = cmp.Or(c.PollWait, 2*time.Second)
 	c.StartWindow = cmp.Or(c.StartWindow, 2*time.Second)
 	c.DirectoryInterval = cmp.Or(c.DirectoryInterval, 3*time.Second)
@@ -138,6 +138,12 @@
 	recording  atomic.Int64 // outcomes that are being made durable
 }
 
+// retryReasons are the reasons of the counter of retries. They are registered at
+// the start, so that a reason that has not occurred is shown as 0.
+var retryReasons = []string{
+	"ownerUnconfirmed", "notStarted", "checkpointed", "failed", "targetLost", "gangIncomplete", "leaseExpired",
+}
+
 // New returns a dispatcher that does nothing until Run.
 func New(cfg Config) *Dispatcher {
 	cfg.setDefaults()
@@ -148,6 +154,9 @@
 		recoverNow: make(chan struct{}, 1),
 		guests:     guests{byKey: map[descriptor.Key]*guest{}},
 	}
+	for _, reason := range retryReasons {
+		cfg.Scope.Tagged(map[string]string{"reason": reason}).Counter("retries")
+	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	for i := range d.shards {
 		d.shards[i].init(descriptor.SliceID(i), max(1, cfg.MaxOutcomes/descriptor.SliceCount))
--- a/router/router.go
+++ b/router/router.go
@@ -86,6 +86,9 @@
 	cfg.Takeover = cmp.Or(cfg.Takeover, 8*time.Second)
 	cfg.HopTimeout = cmp.Or(cfg.HopTimeout, 2*time.Second)
 	r := &Router{cfg: cfg, rand: cfg.Rand}
+	for reason := range retryHints {
+		cfg.Scope.Tagged(map[string]string{"reason": reason.String()}).Counter("route_retries")
+	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.waiters.byKey = map[descriptor.Key][]*waiter{}
 	r.outbox.pending = map[string][]KeyedOutcome{}
