--- /dev/null
+++ b/coordinator/advice.go
@@ -0,0 +1,198 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+const (
+	// longAdvice separates calls that would hold up short ones on the same
+	// instance.
+	longAdvice = 250 * time.Millisecond
+	// laneDepth is the number of calls that may wait at an instance, so that a
+	// more urgent one is not far behind.
+	laneDepth = 2
+	// ticketMargin covers the way of an order to its target.
+	ticketMargin = 60 * time.Millisecond
+	// maxNamed is the number of targets that one call may name.
+	maxNamed = 100
+	// adviceSlack is added to the expected time of a call before it counts as
+	// lost.
+	adviceSlack = 1500 * time.Millisecond
+)
+
+// advised is what the queue's policy said of a target for one step.
+type advised struct {
+	good   bool
+	ticket string
+	until  time.Time
+	life   w.Incarnation
+}
+
+// ask is a call to the advice service.
+type ask struct {
+	id      int64
+	step    *step
+	targets []*target
+	cost    time.Duration
+	member  *member
+	due     time.Time // when its answer is given up
+}
+
+// holds reports whether a start on the target can carry a valid ticket.
+func (c *Coordinator) holds(s *step, t *target, spare time.Duration) bool {
+	a := s.advice[t.ID]
+	return a != nil && a.good && a.life == t.Incarnation && a.until.After(c.now.Add(ticketMargin+spare))
+}
+
+func (s *step) good(t *target) bool {
+	a := s.advice[t.ID]
+	return a != nil && a.good && a.life == t.Incarnation
+}
+
+func (s *step) asked4(t *target) bool {
+	a := s.advice[t.ID]
+	return a != nil && a.life == t.Incarnation
+}
+
+// request asks for advice on targets for a step.
+func (c *Coordinator) request(s *step, cost *w.AdviceCost, targets []*target) {
+	if len(targets) == 0 {
+		return
+	}
+	if len(targets) > maxNamed {
+		targets = targets[:maxNamed]
+	}
+	s.asking++
+	s.asked = c.now
+	c.nextAsk++
+	c.waiting = append(c.waiting, &ask{
+		id: c.nextAsk, step: s, targets: slices.Clone(targets),
+		cost: cost.Base + time.Duration(len(targets))*cost.PerName,
+	})
+}
+
+// dispatchAsks hands the waiting calls to instances. Long calls use at most half
+// of the instances, so that short ones never wait behind them.
+func (c *Coordinator) dispatchAsks() {
+	for id, a := range c.asks {
+		if c.now.After(a.due) {
+			delete(c.asks, id)
+			a.member.asks--
+			a.step.asking--
+			a.step.tried = -1
+		}
+	}
+	if len(c.waiting) == 0 || len(c.ordered) == 0 {
+		return
+	}
+	slices.SortStableFunc(c.waiting, func(a, b *ask) int {
+		return cmp.Compare(c.priority(a.step.job), c.priority(b.step.job))
+	})
+	rest := c.waiting[:0]
+	for _, a := range c.waiting {
+		if a.step.job.state.Final() {
+			a.step.asking--
+			continue
+		}
+		m := c.lane(a)
+		if m == nil {
+			rest = append(rest, a)
+			continue
+		}
+		a.member = m
+		m.asks++
+		m.free = later(m.free, c.now).Add(a.cost)
+		a.due = m.free.Add(a.cost + adviceSlack)
+		c.asks[a.id] = a
+		out := linker.Ask{ID: a.id, Step: a.step.name}
+		for _, t := range a.targets {
+			out.Targets = append(out.Targets, t.ID)
+		}
+		f := m.due()
+		f.Asks = append(f.Asks, out)
+	}
+	for i := len(rest); i < len(c.waiting); i++ {
+		c.waiting[i] = nil
+	}
+	c.waiting = rest
+}
+
+// lane returns the instance that can answer a call first, or nil if the call
+// should wait.
+func (c *Coordinator) lane(a *ask) *member {
+	long := a.cost >= longAdvice
+	var best *member
+	for i, m := range c.ordered {
+		if m.asks >= laneDepth || (long && len(c.ordered) > 1 && i >= (len(c.ordered)+1)/2) {
+			continue
+		}
+		if best == nil || later(m.free, c.now).Before(later(best.free, c.now)) ||
+			// Among free lanes short calls prefer those that no long call uses.
+			(!long && !later(m.free, c.now).After(later(best.free, c.now))) {
+			best = m
+		}
+	}
+	if best != nil && long && best.asks > 0 {
+		return nil
+	}
+	return best
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// advise takes over an answer of the advice service.
+func (c *Coordinator) advise(m *member, r *linker.Advice) {
+	a := c.asks[r.ID]
+	if a == nil || a.member != m {
+		return
+	}
+	delete(c.asks, r.ID)
+	m.asks--
+	if m.asks == 0 {
+		m.free = c.now
+	}
+	s := a.step
+	s.asking--
+	s.tried = -1
+	if r.Failed {
+		return
+	}
+	q := c.queue(s.job)
+	if q == nil || q.Advice == nil {
+		return
+	}
+	if s.advice == nil {
+		s.advice = make(map[w.TargetID]*advised, len(a.targets))
+	}
+	for _, t := range a.targets {
+		if !s.asked4(t) {
+			s.advice[t.ID] = &advised{life: t.Incarnation}
+		}
+	}
+	for i, id := range r.Good {
+		if t := c.targets[id]; t != nil {
+			s.advice[id] = &advised{good: true, ticket: r.Tickets[i], until: c.now.Add(q.Advice.Validity), life: t.Incarnation}
+		}
+	}
+	const weight = 0.1
+	share := c.shareGood(q.Name)
+	c.goodShare[q.Name] = share + weight*(float64(len(r.Good))/float64(len(a.targets))-share)
+}
+
+// shareGood returns the share of targets that the queue's policy permits.
+func (c *Coordinator) shareGood(queue string) float64 {
+	if v, ok := c.goodShare[queue]; ok {
+		return max(0.05, v)
+	}
+	return 0.5
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,259 @@
+// Package coordinator decides what runs where in a cell. It has no input or
+// output of its own: callers hand it what happened together with the time, and
+// collect the frames, rows and state changes that follow.
+package coordinator
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// Settings are the bounds that the platform states and the limits of the
+// coordinator.
+type Settings struct {
+	Epoch        w.Epoch
+	Self         w.InstanceID
+	Lease        time.Duration // time for which a target may run without contact
+	StopTimeout  time.Duration // longest time that a stop takes
+	GangTimeout  time.Duration // time for which a member of a gang waits for the others
+	Restore      time.Duration // time that a start from a checkpoint takes
+	RemoteFactor float64       // slow-down away from the data or over several racks
+	Retention    time.Duration // time for which the state of an ended job is kept
+	Log          *slog.Logger
+}
+
+// Batch is a set of changes for the store.
+type Batch struct {
+	Progress      []keeper.Progress
+	Remove        []w.JobID
+	Roster        []w.TargetID // written if RosterChanged
+	RosterChanged bool
+
+	seen    map[w.TargetID]int64 // highest end included, by target
+	publish []linker.JobState    // states to publish once stored
+	roster  map[w.TargetID]bool
+}
+
+// Empty reports whether nothing is to be written.
+func (b *Batch) Empty() bool {
+	return len(b.Progress) == 0 && len(b.Remove) == 0 && !b.RosterChanged
+}
+
+// Coordinator holds all that is believed about a cell.
+type Coordinator struct {
+	Settings
+
+	now     time.Time
+	began   time.Time
+	cfg     *w.Config
+	jobs    map[w.JobID]*job
+	targets map[w.TargetID]*target
+	order   []*target // sorted by id
+	members map[w.InstanceID]*member
+	ordered []*member // sorted by id
+	active  []*step   // steps with waiting tasks
+	timed   []*occurrence
+	nextRun w.RunID
+	nextAsk int64
+	asks    map[int64]*ask
+	waiting []*ask
+
+	dirty      map[w.JobID]*job
+	endsSeen   map[w.TargetID]int64
+	publishing []linker.JobState
+	expired    []w.JobID
+	roster     map[w.TargetID]bool // targets that the store lists as possibly running something
+	writing    bool
+	storeSlow  bool
+	assignDue  bool
+	pendingDue time.Time
+	sweepDue   time.Time
+	goodShare  map[string]float64
+	unread     map[w.TargetID]time.Time // listed by the previous coordinator and not read yet, with the time its lease ends
+	generation int64
+	ends       map[w.Ending]int64
+}
+
+// New returns a coordinator that knows nothing yet.
+func New(s Settings, now time.Time) *Coordinator {
+	return &Coordinator{
+		Settings:  s,
+		now:       now,
+		began:     now,
+		jobs:      make(map[w.JobID]*job),
+		targets:   make(map[w.TargetID]*target),
+		members:   make(map[w.InstanceID]*member),
+		nextRun:   w.FirstRun(s.Epoch),
+		asks:      make(map[int64]*ask),
+		dirty:     make(map[w.JobID]*job),
+		endsSeen:  make(map[w.TargetID]int64),
+		roster:    make(map[w.TargetID]bool),
+		goodShare: make(map[string]float64),
+		unread:    make(map[w.TargetID]time.Time),
+		ends:      make(map[w.Ending]int64),
+	}
+}
+
+// Load takes over what the store holds. The roster names the targets that may
+// run something that an earlier coordinator started.
+func (c *Coordinator) Load(s *keeper.Snapshot) {
+	for i := range s.Jobs {
+		c.addJob(&s.Jobs[i], s.Progress[s.Jobs[i].ID], s.Cancelled[s.Jobs[i].ID], false)
+	}
+	for _, id := range s.Roster {
+		c.roster[id] = true
+		// The earlier coordinator extends leases for as long as it believes in
+		// its office, at most linker.Silence after its connections are gone.
+		c.unread[id] = c.now.Add(c.leaseBound() + linker.Silence)
+	}
+}
+
+// Configure puts a configuration in force.
+func (c *Coordinator) Configure(cfg *w.Config) {
+	if c.cfg != nil && cfg.Version <= c.cfg.Version {
+		return
+	}
+	c.cfg = cfg
+	c.generation++
+}
+
+// AddJob takes over a stored job.
+func (c *Coordinator) AddJob(j *w.Job) {
+	c.addJob(j, keeper.Progress{}, false, true)
+}
+
+// Cancel ends a job on request of its caller. The cancellation is stored.
+func (c *Coordinator) Cancel(id w.JobID) {
+	j := c.jobs[id]
+	if j == nil || j.state.Final() {
+		return
+	}
+	j.cancelled = true
+	c.finish(j, w.Cancelled)
+}
+
+// Knows reports whether the job was taken over.
+func (c *Coordinator) Knows(id w.JobID) bool { return c.jobs[id] != nil }
+
+// SetStoreSlow tells whether the store is failing or slow. While it is, states
+// are published before they are stored.
+func (c *Coordinator) SetStoreSlow(slow bool) {
+	c.storeSlow = slow
+	if slow {
+		c.publish(c.publishing...)
+		c.publishing = nil
+	}
+}
+
+// Advance makes all decisions that are due. The frames of the members can be
+// collected afterwards.
+func (c *Coordinator) Advance(now time.Time) {
+	c.now = now
+	c.expireTargets()
+	c.openTimed()
+	if c.assignDue {
+		c.assign()
+	}
+	c.checkHealth()
+	c.place()
+	c.dispatchAsks()
+	if !now.Before(c.pendingDue) {
+		c.pendingDue = now.Add(pendingPeriod)
+		c.publishPending()
+	}
+	if !now.Before(c.sweepDue) {
+		c.sweepDue = now.Add(sweepPeriod)
+		c.sweep()
+	}
+}
+
+const (
+	// pendingPeriod is well inside the 2 s that a count may be old.
+	pendingPeriod = 300 * time.Millisecond
+	// sweepPeriod is the time between two searches for jobs whose states need
+	// not be kept any longer.
+	sweepPeriod = 5 * time.Second
+)
+
+// Frames returns the frames that are due, by member.
+func (c *Coordinator) Frames() map[w.InstanceID]*linker.Frame {
+	var out map[w.InstanceID]*linker.Frame
+	for id, m := range c.members {
+		if m.frame == nil {
+			continue
+		}
+		if out == nil {
+			out = make(map[w.InstanceID]*linker.Frame, len(c.members))
+		}
+		out[id] = m.frame
+		m.frame = nil
+	}
+	return out
+}
+
+// Flush returns what has to be stored next, or nil if nothing has or the last
+// batch is not yet reported as stored.
+func (c *Coordinator) Flush() *Batch {
+	if c.writing {
+		return nil
+	}
+	b := &Batch{seen: c.endsSeen, publish: c.publishing, Remove: c.expired}
+	for _, j := range c.dirty {
+		b.Progress = append(b.Progress, j.progress())
+	}
+	b.roster = c.neededRoster()
+	b.RosterChanged = !sameSet(b.roster, c.roster)
+	if b.Empty() && len(b.seen) == 0 && len(b.publish) == 0 {
+		return nil
+	}
+	for id := range b.roster {
+		b.Roster = append(b.Roster, id)
+	}
+	c.dirty = make(map[w.JobID]*job)
+	c.endsSeen = make(map[w.TargetID]int64)
+	c.publishing = nil
+	c.expired = nil
+	c.writing = true
+	return b
+}
+
+// Stored reports that a batch is in the store.
+func (c *Coordinator) Stored(b *Batch) {
+	c.writing = false
+	if b.RosterChanged {
+		c.roster = b.roster
+		c.generation++
+	}
+	for id, seq := range b.seen {
+		t := c.targets[id]
+		if t == nil || seq <= t.acked {
+			continue
+		}
+		t.acked = seq
+		if t.member != nil {
+			f := t.member.due()
+			f.Acks = append(f.Acks, linker.Ack{Target: id, Incarnation: t.Incarnation, Seq: seq})
+		}
+	}
+	c.publish(b.publish...)
+}
+
+func sameSet(a, b map[w.TargetID]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k := range a {
+		if !b[k] {
+			return false
+		}
+	}
+	return true
+}
+
+// leaseBound is the time after which a lease has surely ended on a target whose
+// clock is up to 2% slow.
+func (c *Coordinator) leaseBound() time.Duration { return c.Lease * 103 / 100 }
--- /dev/null
+++ b/coordinator/jobs.go
@@ -0,0 +1,392 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+type phase uint8
+
+const (
+	waiting phase = iota
+	starting
+	running
+	stopping
+	finished
+)
+
+type task struct {
+	phase    phase
+	lapsing  bool // counted in the step's moving tasks
+	run      w.RunID
+	target   *target
+	avoid    *target // the target of the last failed run
+	failures int
+	saved    string
+	since    time.Time // of the phase
+	percent  int
+	movedAt  time.Time // of the last change of percent
+	usage    int64
+	pace     int
+	missing  int // complete reports that lack the run
+}
+
+// step is a step of one occurrence of a job.
+type step struct {
+	*w.Step
+	job           *job
+	occ           *occurrence
+	index         int
+	name          string
+	tasks         []task
+	done          int
+	waiting       int
+	open          bool // the steps before it are done
+	openAt        time.Time
+	active        bool
+	tried         int64 // generation of the last attempt to place it
+	advice        map[w.TargetID]*advised
+	asking        int
+	asked         time.Time
+	preempt       time.Time // no further preemption before
+	failedRun     w.RunID   // the last run of the gang that counted as failed
+	reserved      []*target
+	reservedUntil time.Time
+}
+
+type occurrence struct {
+	job   *job
+	k     int
+	due   time.Time
+	steps []*step
+	left  int // steps that are not done
+}
+
+type job struct {
+	w.Job
+	occs      []*occurrence
+	left      int // occurrences that are not done
+	state     w.State
+	cancelled bool
+	begun     bool
+	fresh     bool // no earlier coordinator can have started it
+	took      time.Time
+	endedAt   time.Time
+}
+
+func (s *step) id(i int) w.TaskID {
+	return w.TaskID{Job: s.job.ID, Occurrence: s.occ.k, Step: s.index, Index: i}
+}
+
+func (c *Coordinator) queue(j *job) *w.Queue { return c.cfg.Queue(j.Queue) }
+
+func (c *Coordinator) attempts(j *job) int {
+	if q := c.queue(j); q != nil {
+		return max(1, q.Attempts)
+	}
+	return max(1, j.Attempts)
+}
+
+func (c *Coordinator) priority(j *job) int {
+	if q := c.queue(j); q != nil {
+		return q.Priority
+	}
+	return j.Priority
+}
+
+func (c *Coordinator) addJob(rec *w.Job, p keeper.Progress, cancelled, fresh bool) {
+	if c.jobs[rec.ID] != nil {
+		return
+	}
+	j := &job{Job: *rec, cancelled: cancelled, fresh: fresh, took: c.now, state: w.Queued, begun: p.Begun}
+	c.jobs[j.ID] = j
+	switch {
+	case p.State.Final():
+		j.state = p.State
+	case cancelled:
+		j.state = w.Cancelled
+		c.dirty[j.ID] = j
+	}
+	if j.state.Final() {
+		j.endedAt = c.now
+		c.publish(linker.JobState{Job: j.ID, State: j.state})
+		return
+	}
+	j.left = j.Occurrences()
+	j.occs = make([]*occurrence, j.left)
+	for k := range j.occs {
+		o := &occurrence{job: j, k: k, left: len(j.Steps)}
+		if j.Repeat > 0 {
+			o.due = time.UnixMilli(j.StartMs + int64(k)*j.EveryMs)
+		}
+		j.occs[k] = o
+		for i := range j.Steps {
+			s := &step{Step: &j.Steps[i], job: j, occ: o, index: i}
+			s.tasks = make([]task, s.Count)
+			s.waiting = s.Count
+			s.name = s.id(0).StepName()
+			o.steps = append(o.steps, s)
+		}
+		c.restore(o, &p)
+		if j.state.Final() {
+			return
+		}
+		if o.left > 0 {
+			c.timed = append(c.timed, o)
+		}
+	}
+	if j.begun {
+		j.state = w.Running
+	}
+	c.publish(linker.JobState{Job: j.ID, State: j.state})
+	c.openTimed()
+}
+
+// restore applies the stored progress of an occurrence.
+func (c *Coordinator) restore(o *occurrence, p *keeper.Progress) {
+	for _, s := range o.steps {
+		sp := p.Step(o.k, s.index)
+		if sp == nil {
+			continue
+		}
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			t.failures = sp.Failures[i]
+			t.saved = sp.Saved[i]
+			if sp.Done(i) {
+				t.phase = finished
+				s.done++
+				s.waiting--
+			}
+		}
+		if s.done == s.Count {
+			c.closeStep(s)
+		}
+	}
+}
+
+// progress returns the part of a job's state that the store keeps.
+func (j *job) progress() keeper.Progress {
+	p := keeper.Progress{ID: j.ID, State: j.state, Begun: j.begun}
+	if j.state.Final() {
+		return p
+	}
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			var sp *keeper.StepProgress
+			for i := range s.tasks {
+				t := &s.tasks[i]
+				if t.phase != finished && t.failures == 0 && t.saved == "" {
+					continue
+				}
+				if sp == nil {
+					sp = p.AddStep(o.k, s.index)
+				}
+				sp.Set(i, t.phase == finished, t.failures, t.saved)
+			}
+		}
+	}
+	return p
+}
+
+// openTimed opens the occurrences whose time has come.
+func (c *Coordinator) openTimed() {
+	rest := c.timed[:0]
+	for _, o := range c.timed {
+		switch {
+		case o.job.state.Final():
+		case !o.due.IsZero() && c.now.Before(o.due):
+			rest = append(rest, o)
+		default:
+			for _, s := range o.steps {
+				c.openStep(s)
+			}
+		}
+	}
+	for i := len(rest); i < len(c.timed); i++ {
+		c.timed[i] = nil
+	}
+	c.timed = rest
+}
+
+// openStep lets a step start if the steps before it are done.
+func (c *Coordinator) openStep(s *step) {
+	if s.open || s.done == s.Count || (!s.occ.due.IsZero() && c.now.Before(s.occ.due)) {
+		return
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= len(s.occ.steps) || s.occ.steps[a].done < s.occ.steps[a].Count {
+			return
+		}
+	}
+	s.open = true
+	s.openAt = c.now
+	if !s.occ.due.IsZero() {
+		s.openAt = s.occ.due
+	}
+	c.activate(s)
+}
+
+func (c *Coordinator) activate(s *step) {
+	s.tried = -1
+	if s.open && !s.active && s.waiting > 0 {
+		s.active = true
+		c.active = append(c.active, s)
+	}
+}
+
+// setPhase moves a task to another phase.
+func (c *Coordinator) setPhase(s *step, i int, p phase) {
+	t := &s.tasks[i]
+	if t.phase == waiting {
+		s.waiting--
+	}
+	t.phase = p
+	t.since = c.now
+	if p == waiting {
+		s.waiting++
+		t.target = nil
+		c.activate(s)
+	}
+}
+
+// begin notes that a task of a job has started.
+func (c *Coordinator) begin(j *job) {
+	if !j.begun {
+		j.begun = true
+		c.dirty[j.ID] = j
+	}
+	if j.state == w.Queued {
+		j.state = w.Running
+		c.publish(linker.JobState{Job: j.ID, State: j.state})
+	}
+}
+
+// taskDone takes note of a task that ended as done.
+func (c *Coordinator) taskDone(s *step, i int) {
+	if s.tasks[i].phase == finished {
+		return
+	}
+	c.setPhase(s, i, finished)
+	s.done++
+	c.dirty[s.job.ID] = s.job
+	if s.done == s.Count {
+		c.closeStep(s)
+	}
+}
+
+// closeStep follows the end of the last task of a step.
+func (c *Coordinator) closeStep(s *step) {
+	o := s.occ
+	o.left--
+	if o.left == 0 {
+		s.job.left--
+		if s.job.left == 0 {
+			c.finish(s.job, w.Completed)
+		}
+		return
+	}
+	if c.now.Before(o.due) {
+		return
+	}
+	for _, next := range o.steps {
+		if !next.open && len(next.After) > 0 {
+			c.openStep(next)
+		}
+	}
+}
+
+// finish ends a job and stops what still runs for it.
+func (c *Coordinator) finish(j *job, state w.State) {
+	j.state = state
+	j.endedAt = c.now
+	c.dirty[j.ID] = j
+	change := linker.JobState{Job: j.ID, State: state}
+	if c.storeSlow || state == w.Cancelled {
+		c.publish(change)
+	} else {
+		c.publishing = append(c.publishing, change)
+	}
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			c.release(s)
+			for i := range s.tasks {
+				switch s.tasks[i].phase {
+				case starting, running:
+					c.stop(s, i)
+				}
+			}
+		}
+	}
+}
+
+// sweep drops ended jobs whose retention is over.
+func (c *Coordinator) sweep() {
+	for id, j := range c.jobs {
+		if j.state.Final() && c.now.Sub(j.endedAt) > c.Retention && !j.occupies() {
+			delete(c.jobs, id)
+			delete(c.dirty, id)
+			c.expired = append(c.expired, id)
+			if len(c.expired) >= maxRemovals {
+				return
+			}
+		}
+	}
+}
+
+// maxRemovals bounds the rows that one sweep removes.
+const maxRemovals = 200
+
+// occupies reports whether a task of the job may still run.
+func (j *job) occupies() bool {
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				if p := s.tasks[i].phase; p == starting || p == running || p == stopping {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) publish(states ...linker.JobState) {
+	if len(states) == 0 {
+		return
+	}
+	for _, m := range c.ordered {
+		f := m.due()
+		f.States = append(f.States, states...)
+	}
+}
+
+// publishPending sends the number of jobs that wait for their first start.
+func (c *Coordinator) publishPending() {
+	counts := make(map[string]int)
+	for _, j := range c.jobs {
+		if !j.begun && !j.state.Final() {
+			counts[j.Queue]++
+		}
+	}
+	if c.cfg == nil {
+		return
+	}
+	list := make([]linker.Pending, 0, len(c.cfg.Queues))
+	for i := range c.cfg.Queues {
+		if n := counts[c.cfg.Queues[i].Name]; n > 0 {
+			list = append(list, linker.Pending{Queue: c.cfg.Queues[i].Name, Jobs: n})
+		}
+	}
+	for _, m := range c.ordered {
+		if m.pending != nil && slices.Equal(m.pending, list) {
+			continue
+		}
+		m.pending = list
+		m.due().Pending = &linker.PendingCounts{Queues: list}
+	}
+}
--- /dev/null
+++ b/coordinator/placement.go
@@ -0,0 +1,496 @@
+package coordinator
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+const (
+	// retryPeriod is the longest time between two attempts to place a step.
+	retryPeriod = 100 * time.Millisecond
+	// holdSlack is added to the time of a stop for which room is reserved.
+	holdSlack = 300 * time.Millisecond
+	// askMargin is the share of targets named beyond those expected to be
+	// needed.
+	askMargin = 1.4
+	// leastKnownGood is the number of permitted targets that a waiting step
+	// wants to know.
+	leastKnownGood = 3
+)
+
+// place starts what can be started, by priority and then by age.
+func (c *Coordinator) place() {
+	if c.cfg == nil || len(c.order) == 0 {
+		return
+	}
+	kept := c.active[:0]
+	for _, s := range c.active {
+		if s.waiting == 0 || s.job.state.Final() {
+			s.active = false
+			c.release(s)
+			continue
+		}
+		kept = append(kept, s)
+	}
+	for i := len(kept); i < len(c.active); i++ {
+		c.active[i] = nil
+	}
+	c.active = kept
+	slices.SortStableFunc(c.active, func(a, b *step) int {
+		return cmp.Or(
+			cmp.Compare(c.priority(a.job), c.priority(b.job)),
+			a.openAt.Compare(b.openAt),
+		)
+	})
+	round := c.generation + int64(c.now.Sub(c.began)/retryPeriod)
+	for _, s := range c.active {
+		if s.tried == round || (!s.job.fresh && len(c.unread) > 0) {
+			continue
+		}
+		s.tried = round
+		c.placeStep(s)
+	}
+}
+
+func (c *Coordinator) placeStep(s *step) {
+	q := c.queue(s.job)
+	var cost *w.AdviceCost
+	if q != nil {
+		cost = q.Advice
+	}
+	if s.Gang && s.Count > 1 {
+		c.placeGang(s, cost)
+		return
+	}
+	for i := range s.tasks {
+		if s.tasks[i].phase != waiting {
+			continue
+		}
+		t := c.best(s, i, cost != nil)
+		if t == nil {
+			break
+		}
+		c.start(s, i, t)
+	}
+	if s.waiting == 0 {
+		return
+	}
+	if cost != nil {
+		c.askFor(s, cost, s.waiting)
+	}
+	c.preemptFor(s, cost != nil)
+}
+
+// allowed reports whether a target may run a task of the step at all.
+func (c *Coordinator) allowed(s *step, t *target) bool {
+	return c.usable(t) && t.Service == c.service(s.job) &&
+		(s.Label == "" || slices.Contains(t.Labels, s.Label)) && !c.blocked(s, t)
+}
+
+func (c *Coordinator) service(j *job) string {
+	if q := c.queue(j); q != nil {
+		return q.Service
+	}
+	return j.Service
+}
+
+// blocked reports whether the room of a target is reserved for other work.
+func (c *Coordinator) blocked(s *step, t *target) bool {
+	return t.held != nil && t.held != s && c.now.Before(t.heldTill) &&
+		c.priority(t.held.job) <= c.priority(s.job)
+}
+
+// count returns how many tasks of the step a target runs.
+func (s *step) count(t *target) int {
+	n := 0
+	for i := range s.tasks {
+		if p := s.tasks[i].phase; s.tasks[i].target == t && p != waiting && p != finished {
+			n++
+		}
+	}
+	return n
+}
+
+// times returns how many further tasks of the step fit into the room.
+func (s *step) times(t *target, room w.Resources) int {
+	limit := s.Count
+	if s.Spread > 0 {
+		limit = s.Spread - s.count(t)
+	}
+	return s.Room().Times(room, max(0, limit))
+}
+
+// best returns the target on which a task starts, or nil. Of those that fit it
+// takes the fullest, which keeps room for large tasks.
+func (c *Coordinator) best(s *step, i int, advice bool) *target {
+	var best *target
+	bestScore := math.Inf(1)
+	room := s.Room()
+	for _, t := range c.order {
+		if advice && !c.holds(s, t, 0) {
+			continue
+		}
+		free := t.free()
+		if !room.Fits(free) || !c.allowed(s, t) || (s.Spread > 0 && s.count(t) >= s.Spread) {
+			continue
+		}
+		score := float64(free.CPU-room.CPU) / float64(max(1, t.Capacity.CPU))
+		if s.Rack != "" && !slices.Contains(t.Labels, s.Rack) {
+			score += 4
+		}
+		if s.tasks[i].avoid == t {
+			score += 8
+		}
+		score += 2 * float64(t.health.streak)
+		if score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+// start orders a run.
+func (c *Coordinator) start(s *step, i int, t *target) {
+	c.nextRun++
+	c.startRun(s, i, t, c.nextRun)
+}
+
+func (c *Coordinator) startRun(s *step, i int, t *target, run w.RunID) {
+	tk := &s.tasks[i]
+	id := s.id(i)
+	tk.run, tk.target, tk.percent, tk.missing, tk.pace = run, t, 0, 0, 0
+	c.setPhase(s, i, starting)
+	c.occupy(t, id, &slot{step: s, i: i, run: run, room: s.Room()})
+	o := linker.Start{Target: t.ID, Task: id, Run: run, Checkpoint: tk.saved}
+	if a := s.advice[t.ID]; a != nil {
+		o.Ticket = a.ticket
+	}
+	f := t.member.due()
+	f.Starts = append(f.Starts, o)
+	for k := range f.Specs {
+		if f.Specs[k].Job == s.job.ID {
+			return
+		}
+	}
+	f.Specs = append(f.Specs, linker.Spec{Job: s.job.ID, Text: s.job.Spec})
+}
+
+// askFor requests advice for n waiting tasks: first new tickets of permitted
+// targets with room, then advice on further targets.
+func (c *Coordinator) askFor(s *step, cost *w.AdviceCost, n int) {
+	if s.asking > 0 {
+		return
+	}
+	var stale, fresh []*target
+	covered, known := 0, 0
+	for _, t := range c.order {
+		if !c.allowed(s, t) || !s.Room().Fits(t.Capacity) {
+			continue
+		}
+		if !s.asked4(t) {
+			fresh = append(fresh, t)
+			continue
+		}
+		if !s.good(t) {
+			continue
+		}
+		known++
+		k := s.times(t, t.free())
+		if k == 0 {
+			continue
+		}
+		covered += k
+		if !c.holds(s, t, 0) {
+			stale = append(stale, t)
+		}
+	}
+	if len(stale) > 0 {
+		slices.SortFunc(stale, func(a, b *target) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
+		k, need := 0, n
+		for k < len(stale) && need > 0 {
+			need -= s.times(stale[k], stale[k].free())
+			k++
+		}
+		c.request(s, cost, stale[:min(len(stale), k+1)])
+		return
+	}
+	if covered >= n || len(fresh) == 0 {
+		return
+	}
+	slices.SortFunc(fresh, func(a, b *target) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
+	share := c.shareGood(s.job.Queue)
+	want, named := float64(n-covered)*askMargin/share, 0
+	for named < len(fresh) && want > 0 {
+		k := s.times(fresh[named], fresh[named].free())
+		if k == 0 && known+int(float64(named)*share) >= leastKnownGood {
+			break
+		}
+		want -= float64(max(k, 1))
+		named++
+	}
+	c.request(s, cost, fresh[:min(len(fresh), max(named, 1))])
+}
+
+// victims returns runs of less important work on a target that free enough room
+// for k tasks of the step, cheapest first, and the work that is lost.
+func (c *Coordinator) victims(s *step, t *target, k int) (ids []*slot, lost float64) {
+	own := c.priority(s.job)
+	room := t.free().Add(t.coming)
+	if s.times(t, room) >= k {
+		return nil, 0
+	}
+	var list []*slot
+	for _, sl := range t.slots {
+		if sl.step == nil || sl.ending || sl.step.Gang || sl.step.Lasting || c.priority(sl.step.job) <= own {
+			continue
+		}
+		if sl.step.tasks[sl.i].phase == running {
+			list = append(list, sl)
+		}
+	}
+	slices.SortFunc(list, func(a, b *slot) int {
+		return cmp.Or(cmp.Compare(c.unsaved(a), c.unsaved(b)), cmp.Compare(a.run, b.run))
+	})
+	for _, sl := range list {
+		ids = append(ids, sl)
+		lost += c.unsaved(sl)
+		room = room.Add(sl.room)
+		if s.times(t, room) >= k {
+			return ids, lost
+		}
+	}
+	return nil, math.Inf(1)
+}
+
+// unsaved estimates the work that a stop of a run throws away, in core-seconds.
+func (c *Coordinator) unsaved(sl *slot) float64 {
+	age := c.now.Sub(sl.step.tasks[sl.i].since)
+	if sl.step.Saves {
+		age = min(age, c.Restore)
+	}
+	return age.Seconds() * float64(sl.room.CPU) / 1000
+}
+
+// preemptible returns the room that less important work takes on a target.
+func (c *Coordinator) preemptible(s *step, t *target) w.Resources {
+	own := c.priority(s.job)
+	var r w.Resources
+	for _, sl := range t.slots {
+		if sl.step != nil && !sl.ending && !sl.step.Gang && !sl.step.Lasting &&
+			c.priority(sl.step.job) > own && sl.step.tasks[sl.i].phase == running {
+			r = r.Add(sl.room)
+		}
+	}
+	return r
+}
+
+// preemptFor frees room for the waiting tasks of a step by stopping less
+// important work.
+func (c *Coordinator) preemptFor(s *step, advice bool) {
+	if c.now.Before(s.preempt) {
+		return
+	}
+	n := s.waiting
+	for n > 0 {
+		var best *target
+		var stops []*slot
+		bestLost := math.Inf(1)
+		for _, t := range c.order {
+			if (t.held == s && c.now.Before(t.heldTill)) || !c.allowed(s, t) ||
+				(advice && !c.holds(s, t, c.StopTimeout)) || (s.Spread > 0 && s.count(t) >= s.Spread) {
+				continue
+			}
+			ids, lost := c.victims(s, t, 1)
+			if lost < bestLost {
+				best, stops, bestLost = t, ids, lost
+			}
+		}
+		if best == nil {
+			return
+		}
+		c.hold(s, best, c.StopTimeout+holdSlack)
+		c.preemptSlots(s, best, stops)
+		s.preempt = c.now.Add(c.StopTimeout / 2)
+		n -= max(1, s.times(best, best.free().Add(best.coming)))
+	}
+}
+
+func (c *Coordinator) preemptSlots(s *step, t *target, stops []*slot) {
+	for _, sl := range stops {
+		c.Log.Debug("preempt", "task", sl.step.id(sl.i), "target", t.ID, "for", s.name)
+		c.stop(sl.step, sl.i)
+	}
+}
+
+// hold reserves the room of a target for a step.
+func (c *Coordinator) hold(s *step, t *target, d time.Duration) {
+	t.held, t.heldTill = s, c.now.Add(d)
+	s.reserved = append(s.reserved, t)
+}
+
+// release gives up the reservations of a step.
+func (c *Coordinator) release(s *step) {
+	for _, t := range s.reserved {
+		if t.held == s {
+			t.held = nil
+			c.generation++
+		}
+	}
+	s.reserved = nil
+}
+
+// share is a part of a gang on one target.
+type share struct {
+	t *target
+	n int
+}
+
+// plan spreads a gang over targets with the given room, or returns nil.
+func (c *Coordinator) plan(s *step, fits func(*target) bool, room func(*target) w.Resources) []share {
+	var list []share
+	sum := 0
+	for _, t := range c.order {
+		if !fits(t) || !c.allowed(s, t) {
+			continue
+		}
+		if n := s.times(t, room(t)); n > 0 {
+			list = append(list, share{t, n})
+			sum += n
+		}
+	}
+	if sum < s.Count {
+		return nil
+	}
+	if s.OneRack {
+		if one := oneRack(list, s.Count); one != nil {
+			list = one
+		}
+	}
+	slices.SortStableFunc(list, func(a, b share) int {
+		return cmp.Or(cmp.Compare(a.t.health.streak, b.t.health.streak), cmp.Compare(b.n, a.n))
+	})
+	left := s.Count
+	for i := range list {
+		list[i].n = min(list[i].n, left)
+		left -= list[i].n
+		if left == 0 {
+			return list[:i+1]
+		}
+	}
+	return nil
+}
+
+// oneRack returns the targets of the rack with the most room, if it holds n.
+func oneRack(list []share, n int) []share {
+	sums := make(map[string]int)
+	best := ""
+	for _, sh := range list {
+		r := sh.t.rack()
+		sums[r] += sh.n
+		if sums[r] > sums[best] || best == "" {
+			best = r
+		}
+	}
+	if sums[best] < n {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(sh share) bool { return sh.t.rack() != best })
+}
+
+// rack returns the label that names the target's rack.
+func (t *target) rack() string {
+	if len(t.Labels) == 0 {
+		return ""
+	}
+	return t.Labels[len(t.Labels)-1]
+}
+
+// placeGang starts all tasks of a step at once, or none.
+func (c *Coordinator) placeGang(s *step, cost *w.AdviceCost) {
+	if s.waiting < s.Count {
+		return
+	}
+	free := (*target).free
+	valid := func(spare time.Duration) func(*target) bool {
+		return func(t *target) bool { return cost == nil || c.holds(s, t, spare) }
+	}
+	permitted := func(t *target) bool { return cost == nil || s.good(t) }
+	if p := c.plan(s, valid(0), free); p != nil {
+		c.startGang(s, p)
+		return
+	}
+	withStops := func(t *target) w.Resources { return t.free().Add(t.coming).Add(c.preemptible(s, t)) }
+	if c.now.Before(s.preempt) {
+		return
+	}
+	if p := c.plan(s, valid(c.StopTimeout+ticketMargin), withStops); p != nil {
+		c.release(s)
+		for _, sh := range p {
+			if ids, lost := c.victims(s, sh.t, sh.n); !math.IsInf(lost, 1) {
+				c.preemptSlots(s, sh.t, ids)
+			}
+			c.hold(s, sh.t, c.StopTimeout+holdSlack)
+		}
+		s.preempt = c.now.Add(c.StopTimeout + holdSlack/2)
+		return
+	}
+	if cost == nil || s.asking > 0 {
+		return
+	}
+	if p := c.plan(s, permitted, withStops); p != nil {
+		// New tickets for the plan, and for some more targets in case the room
+		// is gone when they arrive.
+		var ts []*target
+		in := make(map[*target]bool)
+		for _, sh := range p {
+			ts = append(ts, sh.t)
+			in[sh.t] = true
+		}
+		for _, t := range c.order {
+			if len(ts) >= len(p)*3/2+1 {
+				break
+			}
+			if !in[t] && s.good(t) && c.allowed(s, t) && s.times(t, withStops(t)) > 0 {
+				ts = append(ts, t)
+			}
+		}
+		c.request(s, cost, ts)
+		return
+	}
+	var fresh []*target
+	for _, t := range c.order {
+		if !s.asked4(t) && c.allowed(s, t) && s.Room().Fits(t.Capacity) {
+			fresh = append(fresh, t)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *target) int {
+		return cmp.Compare(withStops(b).CPU, withStops(a).CPU)
+	})
+	c.request(s, cost, fresh)
+}
+
+// startGang starts all tasks with one run id.
+func (c *Coordinator) startGang(s *step, p []share) {
+	c.release(s)
+	c.nextRun++
+	// All members carry the same checkpoint.
+	saved := ""
+	for i := range s.tasks {
+		if s.tasks[i].saved > saved {
+			saved = s.tasks[i].saved
+		}
+	}
+	i := 0
+	for _, sh := range p {
+		for range sh.n {
+			s.tasks[i].saved = saved
+			c.startRun(s, i, sh.t, c.nextRun)
+			i++
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/targets.go
@@ -0,0 +1,556 @@
+package coordinator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// slot is a run that takes room on a target.
+type slot struct {
+	step   *step // nil for a run of an unknown job
+	i      int
+	run    w.RunID
+	room   w.Resources
+	seen   time.Time
+	ending bool // its stop was ordered
+}
+
+type target struct {
+	w.Target
+	used     w.Resources
+	slots    map[w.TaskID]*slot
+	foreign  int // slots of unknown jobs
+	member   *member
+	listed   bool // by the platform
+	read     bool // a complete list was read by this coordinator
+	lost     bool // its lease has lapsed without contact
+	reported time.Time
+	seen     int64 // highest end
+	acked    int64
+	health   health
+	held     *step // room is reserved for this step
+	heldTill time.Time
+	coming   w.Resources // room of runs that are being stopped
+}
+
+// free is the room that is left on a target.
+func (t *target) free() w.Resources { return t.Capacity.Sub(t.used) }
+
+// usable reports whether a target may be given new work.
+func (c *Coordinator) usable(t *target) bool {
+	return t.listed && t.State == w.TargetReady && t.read && t.member != nil && t.foreign == 0 &&
+		!t.health.unreachable && c.roster[t.ID] && !c.now.Before(t.health.barred)
+}
+
+// SetTargets takes over the platform's list of targets. Targets that are missing
+// from an incomplete list stay.
+func (c *Coordinator) SetTargets(list []w.Target, complete bool, now time.Time) {
+	c.now = now
+	named := make(map[w.TargetID]bool, len(list))
+	for i := range list {
+		n := &list[i]
+		named[n.ID] = true
+		t := c.targets[n.ID]
+		if t == nil {
+			t = &target{Target: *n, slots: make(map[w.TaskID]*slot), reported: c.now}
+			c.targets[n.ID] = t
+			c.order = append(c.order, t)
+			c.assignDue = true
+			c.generation++
+			c.Log.Info("target listed", "target", n.ID, "incarnation", n.Incarnation, "zone", n.Zone)
+		}
+		if n.Incarnation > t.Incarnation && t.Incarnation != 0 {
+			c.reborn(t, n.Incarnation)
+		}
+		if t.Address != n.Address || t.Incarnation != n.Incarnation || !t.listed {
+			c.assignDue = true
+			c.generation++
+		}
+		if t.State != n.State {
+			c.Log.Info("target state", "target", n.ID, "draining", n.State == w.TargetDraining, "remaining", n.Remaining)
+			c.generation++
+		}
+		if n.Incarnation >= t.Incarnation {
+			t.Target = *n
+		}
+		t.listed = true
+		t.lost = false
+	}
+	for _, t := range c.order {
+		if complete && t.listed && !named[t.ID] {
+			t.listed = false
+			c.Log.Info("target no longer listed", "target", t.ID, "slots", len(t.slots))
+		}
+	}
+	slices.SortFunc(c.order, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
+// neededRoster returns the targets that the store must list: those that may be
+// given work and those that may still run something.
+func (c *Coordinator) neededRoster() map[w.TargetID]bool {
+	r := make(map[w.TargetID]bool, len(c.order))
+	for _, t := range c.order {
+		if t.listed || len(t.slots) > 0 {
+			r[t.ID] = true
+		}
+	}
+	for id := range c.unread {
+		r[id] = true
+	}
+	return r
+}
+
+// reborn drops all that an earlier incarnation of a target held.
+func (c *Coordinator) reborn(t *target, incarnation w.Incarnation) {
+	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
+	// An order that was sent about the time of the birth may have reached the
+	// new incarnation: its slot stays until a list of runs tells.
+	age := time.Duration(c.now.UnixMilli()-int64(incarnation))*time.Millisecond + birthSlack
+	for id, sl := range t.slots {
+		if sl.step != nil && c.now.Sub(sl.step.tasks[sl.i].since) < age {
+			continue
+		}
+		c.lose(t, id, sl)
+	}
+	delete(c.unread, t.ID)
+	c.generation++
+	t.Incarnation = incarnation
+	t.seen, t.acked = 0, 0
+	delete(c.endsSeen, t.ID)
+	t.read = false
+	t.health = health{}
+	t.reported = c.now
+	c.assignDue = true
+}
+
+// birthSlack covers the differences between the clocks of instances and
+// targets.
+const birthSlack = 1500 * time.Millisecond
+
+// vacate frees all slots of a target whose runs have surely ended.
+func (c *Coordinator) vacate(t *target) {
+	for id, sl := range t.slots {
+		c.lose(t, id, sl)
+	}
+	delete(c.unread, t.ID)
+	c.generation++
+}
+
+// lose frees a slot whose run ended without a known result.
+func (c *Coordinator) lose(t *target, id w.TaskID, sl *slot) {
+	c.free(t, id, sl)
+	s := sl.step
+	if s == nil {
+		return
+	}
+	tk := &s.tasks[sl.i]
+	if tk.target == t && tk.run == sl.run && tk.phase != finished {
+		c.setPhase(s, sl.i, waiting)
+		if s.Gang {
+			c.stopGang(s)
+		}
+	}
+}
+
+// occupy takes room on a target.
+func (c *Coordinator) occupy(t *target, id w.TaskID, sl *slot) {
+	t.slots[id] = sl
+	t.used = t.used.Add(sl.room)
+	if sl.step == nil {
+		t.foreign++
+	}
+}
+
+func (c *Coordinator) free(t *target, id w.TaskID, sl *slot) {
+	if t.slots[id] != sl {
+		return
+	}
+	delete(t.slots, id)
+	t.used = t.used.Sub(sl.room)
+	if sl.step == nil {
+		t.foreign--
+	}
+	if sl.ending {
+		t.coming = t.coming.Sub(sl.room)
+	}
+	c.generation++
+}
+
+// expireTargets gives up targets whose leases have surely ended.
+func (c *Coordinator) expireTargets() {
+	for id, end := range c.unread {
+		if c.now.After(end) {
+			delete(c.unread, id)
+			c.generation++
+			c.Log.Warn("unread target of the earlier coordinator lapsed", "target", id)
+		}
+	}
+	for _, t := range c.order {
+		if t.lost || c.now.Sub(t.reported) < c.leaseBound()+reportSlack {
+			continue
+		}
+		t.lost = true
+		t.read = false
+		if len(t.slots) > 0 {
+			c.Log.Warn("target lapsed", "target", t.ID, "slots", len(t.slots), "silent", c.now.Sub(t.reported))
+		}
+		c.vacate(t)
+	}
+	kept := c.order[:0]
+	for _, t := range c.order {
+		if !t.listed && len(t.slots) == 0 && t.lost {
+			delete(c.targets, t.ID)
+			c.assignDue = true
+			continue
+		}
+		kept = append(kept, t)
+	}
+	c.order = kept
+}
+
+// reportSlack covers renewals that an instance has sent since its last report:
+// one long poll and the silence after which it stops renewing.
+const reportSlack = linker.Silence + 1200*time.Millisecond
+
+// Report takes over what a target said.
+func (c *Coordinator) Report(m *member, r *linker.Report) {
+	t := c.targets[r.Target]
+	if t == nil || t.member != m {
+		return
+	}
+	if r.Gone || r.Incarnation > t.Incarnation {
+		if r.Incarnation > t.Incarnation {
+			c.reborn(t, r.Incarnation)
+		}
+		return
+	}
+	if r.Incarnation != t.Incarnation {
+		return
+	}
+	if r.Unreachable {
+		if !t.health.unreachable {
+			t.health.unreachable = true
+			c.Log.Warn("target unreachable", "target", t.ID, "slots", len(t.slots))
+		}
+		return
+	}
+	if t.health.unreachable {
+		t.health.unreachable = false
+		c.generation++
+		c.Log.Info("target answers again", "target", t.ID)
+	}
+	t.reported = c.now
+	t.lost = false
+	for i := range r.Ends {
+		c.end(t, &r.Ends[i])
+	}
+	if !r.Complete {
+		return
+	}
+	c.list(t, r.Runs)
+	if !t.read {
+		t.read = true
+		delete(c.unread, t.ID)
+		c.generation++
+	}
+}
+
+// list compares what a target runs with what is believed.
+func (c *Coordinator) list(t *target, runs []w.Run) {
+	t.health.observe(c.now, len(runs))
+	for i := range runs {
+		r := &runs[i]
+		sl := t.slots[r.Task]
+		if sl == nil || sl.run < r.Run {
+			c.adopt(t, r)
+			continue
+		}
+		sl.seen = c.now
+		if sl.step == nil || sl.run != r.Run {
+			continue
+		}
+		tk := &sl.step.tasks[sl.i]
+		if tk.run != r.Run || tk.target != t {
+			continue
+		}
+		tk.missing = 0
+		if tk.phase == starting {
+			c.setPhase(sl.step, sl.i, running)
+			tk.movedAt = c.now
+			c.begin(sl.step.job)
+		}
+		if r.Percent != tk.percent {
+			tk.percent = r.Percent
+			tk.movedAt = c.now
+			t.health.moved = c.now
+		}
+		tk.usage = r.Usage
+		if r.Checkpoint != "" {
+			tk.saved = r.Checkpoint
+		}
+	}
+	for id, sl := range t.slots {
+		if sl.seen.Equal(c.now) {
+			continue
+		}
+		if sl.step == nil {
+			c.free(t, id, sl)
+			continue
+		}
+		tk := &sl.step.tasks[sl.i]
+		if tk.phase == starting || c.now.Sub(tk.since) < vanishAfter {
+			continue
+		}
+		if tk.missing++; tk.missing >= vanishLists {
+			c.Log.Warn("run vanished", "task", id, "target", t.ID, "run", sl.run)
+			c.lose(t, id, sl)
+		}
+	}
+}
+
+const (
+	// vanishAfter and vanishLists bound the time for which a run that its
+	// target no longer lists is believed in: an order may still be on its way.
+	vanishAfter = 3 * time.Second
+	vanishLists = 3
+)
+
+// adopt takes over a run that an earlier coordinator started.
+func (c *Coordinator) adopt(t *target, r *w.Run) {
+	old := t.slots[r.Task]
+	if old != nil {
+		c.free(t, r.Task, old)
+	}
+	sl := &slot{run: r.Run, seen: c.now}
+	j := c.jobs[r.Task.Job]
+	if j == nil {
+		c.occupy(t, r.Task, sl)
+		c.Log.Warn("run of an unknown job", "task", r.Task, "target", t.ID)
+		return
+	}
+	s := j.step(r.Task)
+	if s == nil {
+		c.occupy(t, r.Task, sl)
+		c.sendStop(t, r.Task, r.Run)
+		return
+	}
+	sl.step, sl.i, sl.room = s, r.Task.Index, s.Room()
+	c.occupy(t, r.Task, sl)
+	tk := &s.tasks[sl.i]
+	if j.state.Final() || tk.phase != waiting {
+		// A second run of a task, or a run of a task that is no longer wanted.
+		c.sendStop(t, r.Task, r.Run)
+		return
+	}
+	tk.run, tk.target, tk.percent, tk.movedAt = r.Run, t, r.Percent, c.now
+	if r.Checkpoint != "" {
+		tk.saved = r.Checkpoint
+	}
+	c.setPhase(s, sl.i, running)
+	c.begin(j)
+}
+
+func (j *job) step(id w.TaskID) *step {
+	if id.Occurrence >= len(j.occs) || id.Step >= len(j.occs[id.Occurrence].steps) {
+		return nil
+	}
+	s := j.occs[id.Occurrence].steps[id.Step]
+	if id.Index >= len(s.tasks) {
+		return nil
+	}
+	return s
+}
+
+// end takes note of an ended run.
+func (c *Coordinator) end(t *target, e *w.End) {
+	if e.Seq <= t.seen {
+		return
+	}
+	t.seen = e.Seq
+	c.endsSeen[t.ID] = e.Seq
+	c.ends[e.How]++
+	sl := t.slots[e.Task]
+	if sl != nil && sl.run == e.Run {
+		c.free(t, e.Task, sl)
+	}
+	j := c.jobs[e.Task.Job]
+	if j == nil || j.state.Final() {
+		return
+	}
+	s := j.step(e.Task)
+	if s == nil {
+		return
+	}
+	tk := &s.tasks[e.Task.Index]
+	current := tk.run == e.Run && tk.target == t
+	if tk.phase == finished || (!current && tk.phase != waiting) && e.How != w.EndedDone {
+		return
+	}
+	if s.Saves && e.Checkpoint != "" {
+		tk.saved = e.Checkpoint
+		c.dirty[j.ID] = j
+	}
+	switch e.How {
+	case w.EndedDone:
+		t.health.succeeded()
+		if s.Lasting {
+			c.settle(s, e.Task.Index)
+			return
+		}
+		if s.Gang {
+			c.gangDone(s)
+			return
+		}
+		if !current && (tk.phase == running || tk.phase == starting) {
+			c.stop(s, e.Task.Index)
+		}
+		c.taskDone(s, e.Task.Index)
+	case w.EndedFailed:
+		c.failed(t, s, e)
+	default:
+		if current {
+			c.settle(s, e.Task.Index)
+			if s.Gang {
+				c.stopGang(s)
+			}
+		}
+	}
+}
+
+// settle lets a task that no longer runs wait for its next start.
+func (c *Coordinator) settle(s *step, i int) {
+	if s.tasks[i].phase != waiting && s.tasks[i].phase != finished {
+		c.setPhase(s, i, waiting)
+	}
+}
+
+// failed counts a failed run.
+func (c *Coordinator) failed(t *target, s *step, e *w.End) {
+	c.targetFailed(t, e.Task.Job)
+	tk := &s.tasks[e.Task.Index]
+	j := s.job
+	c.settle(s, e.Task.Index)
+	tk.avoid = t
+	if s.Lasting {
+		return
+	}
+	counted := tk
+	if s.Gang {
+		if s.failedRun == e.Run {
+			return
+		}
+		s.failedRun = e.Run
+		counted = &s.tasks[0]
+		c.stopGang(s)
+	}
+	counted.failures++
+	c.dirty[j.ID] = j
+	c.Log.Info("task failed", "task", e.Task, "target", t.ID, "run", e.Run, "failures", counted.failures)
+	if counted.failures >= c.attempts(j) {
+		c.finish(j, w.Failed)
+	}
+}
+
+// gangDone ends a step whose gang has ended: one end stands for all.
+func (c *Coordinator) gangDone(s *step) {
+	for i := range s.tasks {
+		if s.tasks[i].phase != finished {
+			c.taskDone(s, i)
+		}
+	}
+}
+
+// stopGang stops the members of a gang that can no longer work.
+func (c *Coordinator) stopGang(s *step) {
+	for i := range s.tasks {
+		if p := s.tasks[i].phase; p == starting || p == running {
+			c.stop(s, i)
+		}
+	}
+}
+
+// stop orders the end of a run.
+func (c *Coordinator) stop(s *step, i int) {
+	tk := &s.tasks[i]
+	t := tk.target
+	id := s.id(i)
+	if tk.phase == stopping || t == nil {
+		return
+	}
+	c.setPhase(s, i, stopping)
+	tk.missing = 0
+	if sl := t.slots[id]; sl != nil && sl.run == tk.run && !sl.ending {
+		sl.ending = true
+		t.coming = t.coming.Add(sl.room)
+	}
+	c.sendStop(t, id, tk.run)
+}
+
+func (c *Coordinator) sendStop(t *target, id w.TaskID, run w.RunID) {
+	if t.member == nil {
+		return
+	}
+	f := t.member.due()
+	f.Stops = append(f.Stops, linker.Stop{Target: t.ID, Task: id, Run: run})
+}
+
+// Result takes over the answer to a start or a stop order.
+func (c *Coordinator) Result(r *linker.Result) {
+	t := c.targets[r.Target]
+	if t == nil {
+		return
+	}
+	sl := t.slots[r.Task]
+	if sl == nil || sl.run != r.Run {
+		return
+	}
+	if sl.step == nil {
+		if r.Outcome == linker.NotStarted {
+			c.free(t, r.Task, sl)
+		}
+		return
+	}
+	s := sl.step
+	tk := &s.tasks[sl.i]
+	current := tk.run == r.Run && tk.target == t
+	switch r.Outcome {
+	case linker.Started:
+		if current && tk.phase == starting {
+			c.setPhase(s, sl.i, running)
+			tk.percent = 0
+			tk.movedAt = c.now
+			t.health.moved = c.now
+			c.begin(s.job)
+		}
+		return
+	case linker.Unsettled:
+		t.health.unreachable = true
+		return
+	case linker.Refused:
+		c.targetFailed(t, r.Task.Job)
+	case linker.BadTicket:
+		if a := s.advice[t.ID]; a != nil {
+			a.until = time.Time{}
+		}
+	case linker.NoRoom:
+		c.Log.Warn("target had no room", "target", t.ID, "task", r.Task, "free", t.free())
+		t.health.bar(c.now, noRoomPause)
+	case linker.NotStarted, linker.Fenced, linker.OtherLife:
+	}
+	if current && tk.phase == finished {
+		c.free(t, r.Task, sl)
+		return
+	}
+	c.lose(t, r.Task, sl)
+	if current {
+		tk.avoid = t
+	}
+}
+
+// noRoomPause keeps new work from a target that rejected a start for want of
+// room, until its next list is read.
+const noRoomPause = 300 * time.Millisecond
--- /dev/null
+++ b/elector/elector.go
@@ -0,0 +1,125 @@
+// Package elector decides when an instance takes over the coordination of its
+// cell. Taking over is always safe, since targets ignore the orders of an
+// earlier epoch; the rules here avoid takeovers that serve nobody.
+package elector
+
+import (
+	"time"
+
+	"github.com/masticlead/masticlead/keeper"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+const (
+	// RenewPeriod is the time between two beats of a leader.
+	RenewPeriod = 400 * time.Millisecond
+	// beatLapse is the age of a beat after which a leader that doesn't answer
+	// counts as gone.
+	beatLapse = 1400 * time.Millisecond
+	// deadLapse applies if the leader's address refuses connections.
+	deadLapse = 700 * time.Millisecond
+	// complaintLife is the age up to which a complaint counts.
+	complaintLife = 1500 * time.Millisecond
+	// lostBeforeComplaint is the time without a connection to the leader after
+	// which an instance complains.
+	lostBeforeComplaint = 800 * time.Millisecond
+)
+
+// Reach tells what became of the last attempt to connect to the leader.
+type Reach uint8
+
+// Results of an attempt to connect.
+const (
+	NoAnswer Reach = iota
+	Refuses        // nobody listens at the leader's address
+	Replaced       // another life of the leader's instance answered
+)
+
+// Elector watches one leader. It is not safe for concurrent use.
+type Elector struct {
+	lead       keeper.Leadership
+	lost       time.Time // since when there is no connection to the leader
+	connected  bool
+	reach      Reach
+	beat       keeper.Version
+	beatAt     time.Time
+	complaints map[w.InstanceID]seenComplaint
+	members    int // connected to the leader, by its own word
+}
+
+type seenComplaint struct {
+	version keeper.Version
+	at      time.Time
+}
+
+// Watch begins to watch a leader.
+func (e *Elector) Watch(lead keeper.Leadership, now time.Time) {
+	*e = Elector{lead: lead, lost: now, beatAt: now, complaints: make(map[w.InstanceID]seenComplaint)}
+}
+
+// Leader returns the leader that is watched.
+func (e *Elector) Leader() keeper.Leadership { return e.lead }
+
+// Connected reports a connection to the leader.
+func (e *Elector) Connected() { e.connected, e.reach = true, NoAnswer }
+
+// Lost reports that a connection has ended or could not be made.
+func (e *Elector) Lost(r Reach, now time.Time) {
+	if e.connected {
+		e.connected, e.lost, e.beatAt, e.beat = false, now, now, 0
+	}
+	e.reach = r
+}
+
+// Wants reports whether the beats have to be read.
+func (e *Elector) Wants() bool { return !e.connected }
+
+// Complains reports whether the instance should write a complaint.
+func (e *Elector) Complains(now time.Time) bool {
+	return !e.connected && now.Sub(e.lost) >= lostBeforeComplaint
+}
+
+// Observe takes over the rows that were read.
+func (e *Elector) Observe(b keeper.Beat, list []keeper.Complaint, now time.Time) {
+	e.members = b.Members
+	if b.Version != e.beat {
+		if e.beat != 0 {
+			e.beatAt = now
+		}
+		e.beat = b.Version
+	}
+	for _, c := range list {
+		if c.Epoch != e.lead.Epoch {
+			continue
+		}
+		if s, ok := e.complaints[c.Instance]; !ok || s.version != c.Version {
+			e.complaints[c.Instance] = seenComplaint{c.Version, now}
+		}
+	}
+}
+
+// Due reports whether the instance should take over now, and why.
+func (e *Elector) Due(now time.Time) (string, bool) {
+	switch {
+	case e.connected:
+		return "", false
+	case e.lead.Epoch == 0:
+		return "no leader yet", true
+	case e.reach == Replaced:
+		return "the leader's process was replaced", true
+	case e.reach == Refuses && now.Sub(e.beatAt) >= deadLapse:
+		return "the leader refuses connections and has stopped renewing", true
+	case now.Sub(e.beatAt) >= beatLapse:
+		return "the leader has stopped renewing", true
+	}
+	fresh := 0
+	for _, s := range e.complaints {
+		if now.Sub(s.at) < complaintLife {
+			fresh++
+		}
+	}
+	if now.Sub(e.lost) >= lostBeforeComplaint && fresh > e.members+1 {
+		return "most instances can't reach the leader", true
+	}
+	return "", false
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,301 @@
+// Package gateway takes jobs from callers, stores them, hands them to the
+// coordinator and answers for their states.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// ErrInvalid tells that a job can never be run by anyone.
+var ErrInvalid = errors.New("gateway: the job is not valid")
+
+// RefusedError tells that a job was not accepted and never runs.
+type RefusedError struct {
+	Reason     string
+	Overload   bool // the cell is full; otherwise a dependency is missing
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "gateway: refused: " + e.Reason }
+
+const (
+	// storeRetries is the number of times that a submission is tried again
+	// when the store did nothing.
+	storeRetries = 2
+	// storePause is the time between two such attempts.
+	storePause = 40 * time.Millisecond
+	// retryAfter is told to callers while the store is unavailable.
+	retryAfter = 1 * time.Second
+	// minRest is the time that a caller must have left for another attempt.
+	minRest = 500 * time.Millisecond
+)
+
+// Gateway is the part of an instance that callers reach.
+type Gateway struct {
+	Keeper *keeper.Keeper
+	Log    *slog.Logger
+
+	cfg  atomic.Pointer[w.Config]
+	mu   sync.Mutex
+	conn *linker.Conn // to the coordinator, nil while there is none
+
+	states  map[w.JobID]w.State
+	pending map[string]int
+	own     map[string]int // jobs accepted here that the coordinator doesn't know yet, by queue
+	jobs    map[w.JobID]*w.Job
+	cancels map[w.JobID]bool
+
+	// Counters.
+	Accepted, Refused, Unclear atomic.Int64
+}
+
+// Init prepares the gateway for use.
+func (g *Gateway) Init() {
+	g.states = make(map[w.JobID]w.State)
+	g.pending = make(map[string]int)
+	g.own = make(map[string]int)
+	g.jobs = make(map[w.JobID]*w.Job)
+	g.cancels = make(map[w.JobID]bool)
+}
+
+// Config returns the configuration in force, or nil.
+func (g *Gateway) Config() *w.Config { return g.cfg.Load() }
+
+// Configure puts a newer configuration in force and reports whether it did.
+func (g *Gateway) Configure(c *w.Config) bool {
+	for {
+		old := g.cfg.Load()
+		if old != nil && old.Version >= c.Version {
+			return false
+		}
+		if g.cfg.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
+
+// Connect hands over what the coordinator behind a new connection may not know.
+func (g *Gateway) Connect(c *linker.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conn = c
+	f := new(linker.Frame)
+	for _, j := range g.jobs {
+		f.Jobs = append(f.Jobs, *j)
+	}
+	for id := range g.cancels {
+		f.Cancels = append(f.Cancels, id)
+	}
+	if len(f.Jobs) > 0 || len(f.Cancels) > 0 {
+		c.Send(f)
+	}
+}
+
+// Disconnect forgets a connection that has ended.
+func (g *Gateway) Disconnect(c *linker.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn == c {
+		g.conn = nil
+	}
+}
+
+// Receive takes over the states in a frame of the coordinator.
+func (g *Gateway) Receive(f *linker.Frame) {
+	if len(f.States) == 0 && f.Pending == nil && len(f.Received) == 0 && !f.Reset {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f.Reset {
+		// Final states never change, so those that are known stay.
+		for id, s := range g.states {
+			if !s.Final() {
+				delete(g.states, id)
+			}
+		}
+	}
+	for _, s := range f.States {
+		if !g.states[s.Job].Final() {
+			g.states[s.Job] = s.State
+		}
+	}
+	for _, id := range f.Received {
+		if j := g.jobs[id]; j != nil {
+			g.own[j.Queue]--
+			delete(g.jobs, id)
+		}
+		delete(g.cancels, id)
+	}
+	if f.Pending != nil {
+		clear(g.pending)
+		for _, p := range f.Pending.Queues {
+			g.pending[p.Queue] = p.Jobs
+		}
+	}
+}
+
+// Submit accepts a job, or returns a RefusedError if it certainly never runs.
+// After any other error the job may be stored.
+func (g *Gateway) Submit(ctx context.Context, q *w.Queue, j *w.Job) error {
+	if err := check(j); err != nil {
+		return err
+	}
+	j.Queue, j.Service, j.Attempts, j.Priority = q.Name, q.Service, q.Attempts, q.Priority
+	j.Accepted = time.Now().UnixMilli()
+	stored, err := g.accept(ctx, j)
+	if err != nil {
+		var refused *RefusedError
+		if errors.As(err, &refused) {
+			g.Refused.Add(1)
+		} else {
+			g.Unclear.Add(1)
+		}
+		g.Log.Warn("job not accepted", "job", j.ID, "queue", q.Name, "error", err)
+		return err
+	}
+	g.Accepted.Add(1)
+	g.handOver(stored)
+	return nil
+}
+
+// check rejects jobs that break the format.
+func check(j *w.Job) error {
+	if len(j.Steps) == 0 || len(j.ID) == 0 || len(j.ID) > 64 {
+		return ErrInvalid
+	}
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if s.Count <= 0 || s.Need.CPU < 0 || s.Need.Mem < 0 || s.Need.GPU < 0 {
+			return fmt.Errorf("step %d: %w", i, ErrInvalid)
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return fmt.Errorf("step %d: %w", i, ErrInvalid)
+			}
+		}
+	}
+	return nil
+}
+
+// accept stores a job. An attempt without an answer is repeated with the same
+// content, which tells whether the job is stored.
+func (g *Gateway) accept(ctx context.Context, j *w.Job) (*w.Job, error) {
+	unclear := false
+	for try := 0; ; try++ {
+		stored, err := g.Keeper.Accept(ctx, j)
+		if err == nil {
+			return stored, nil
+		}
+		if !errors.Is(err, keeper.ErrNotDone) {
+			unclear = true
+		}
+		deadline, ok := ctx.Deadline()
+		if ctx.Err() != nil || (ok && time.Until(deadline) < minRest) || (!unclear && try >= storeRetries) {
+			if unclear {
+				return nil, fmt.Errorf("gateway: accept: %w", err)
+			}
+			return nil, &RefusedError{Reason: "storeUnavailable", RetryAfter: retryAfter}
+		}
+		select {
+		case <-time.After(storePause << min(try, 4)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// handOver sends a stored job to the coordinator. Until it has confirmed the
+// job, each new coordinator gets it again.
+func (g *Gateway) handOver(j *w.Job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.states[j.ID] == w.Unknown {
+		g.states[j.ID] = w.Queued
+	}
+	if g.jobs[j.ID] != nil {
+		return
+	}
+	g.jobs[j.ID] = j
+	g.own[j.Queue]++
+	if g.conn != nil {
+		g.conn.Send(&linker.Frame{Jobs: []w.Job{*j}})
+	}
+}
+
+// State returns the state of a job, Unknown if there is no such job.
+func (g *Gateway) State(ctx context.Context, id w.JobID) (w.State, error) {
+	g.mu.Lock()
+	s := g.states[id]
+	g.mu.Unlock()
+	if s != w.Unknown {
+		return s, nil
+	}
+	s, err := g.Keeper.State(ctx, id)
+	if err != nil {
+		return w.Unknown, fmt.Errorf("gateway: state: %w", err)
+	}
+	if s != w.Unknown {
+		g.mu.Lock()
+		if g.states[id] == w.Unknown {
+			g.states[id] = s
+		}
+		s = g.states[id]
+		g.mu.Unlock()
+	}
+	return s, nil
+}
+
+// Cancel ends a job and reports whether it exists.
+func (g *Gateway) Cancel(ctx context.Context, id w.JobID) (bool, error) {
+	g.mu.Lock()
+	s := g.states[id]
+	g.mu.Unlock()
+	if s.Final() {
+		return true, nil
+	}
+	if s == w.Unknown {
+		found, err := g.Keeper.Exists(ctx, id)
+		if err != nil || !found {
+			return false, err
+		}
+	}
+	for {
+		err := g.Keeper.Cancel(ctx, id)
+		if err == nil {
+			break
+		}
+		if deadline, ok := ctx.Deadline(); ctx.Err() != nil || (ok && time.Until(deadline) < minRest) {
+			return false, fmt.Errorf("gateway: cancel: %w", err)
+		}
+		select {
+		case <-time.After(storePause):
+		case <-ctx.Done():
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.states[id] = w.Cancelled
+	g.cancels[id] = true
+	if g.conn != nil {
+		g.conn.Send(&linker.Frame{Cancels: []w.JobID{id}})
+	}
+	return true, nil
+}
+
+// Pending returns the number of jobs of a queue without a started task.
+func (g *Gateway) Pending(queue string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pending[queue] + g.own[queue]
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,466 @@
+// Package instance runs one instance of a cell on a platform: it serves callers,
+// carries out calls for the coordinator, and takes over the coordination when
+// the leader is gone.
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/masticlead/masticlead/elector"
+	"github.com/masticlead/masticlead/executor"
+	"github.com/masticlead/masticlead/gateway"
+	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// Directory reads what operators and targets write to the platform's store.
+type Directory interface {
+	Targets(ctx context.Context) ([]w.Target, error)
+	Config(ctx context.Context) (*w.Config, keeper.Version, error)
+	ConfigChange(ctx context.Context, after keeper.Version, wait time.Duration) (*w.Config, keeper.Version, error)
+}
+
+// StoreHealth tells when the store last answered.
+type StoreHealth interface {
+	Age() time.Duration
+}
+
+// Bounds are the times that the platform states.
+type Bounds struct {
+	Grace        time.Duration
+	StopTimeout  time.Duration
+	GangTimeout  time.Duration
+	Restore      time.Duration
+	MaxLease     time.Duration
+	StateKept    time.Duration
+	RemoteFactor float64
+}
+
+// Instance is one instance. Its exported fields are set before Run.
+type Instance struct {
+	Name      string
+	Zone      string
+	FrontAddr string
+	ReadyAddr string
+	LinkAddr  string
+	Bounds    Bounds
+	Keeper    *keeper.Keeper
+	Directory Directory
+	Store     StoreHealth
+	Caller    executor.Caller
+	Gateway   *gateway.Gateway
+	Front     http.Handler
+	Log       *slog.Logger
+
+	id       w.InstanceID
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	leaving  atomic.Bool
+	electing sync.Mutex
+	elector  elector.Elector
+	news     chan struct{} // signals a new leader
+	leader   atomic.Pointer[leader]
+	link     atomic.Pointer[linker.Conn]
+}
+
+// watchWait is the time that the store may hold back an answer to a watcher.
+// It bounds the time for which a silent connection goes unnoticed.
+const watchWait = 2 * time.Second
+
+// Run serves until ctx ends, and then drains.
+func (in *Instance) Run(ctx context.Context) error {
+	in.id = w.InstanceID(fmt.Sprintf("%s-%x", in.Name, time.Now().UnixNano()))
+	in.ctx, in.cancel = context.WithCancel(context.Background())
+	in.news = make(chan struct{}, 1)
+	in.Gateway.Init()
+	in.elector.Watch(keeper.Leadership{}, time.Now())
+
+	front, err := net.Listen("tcp", in.FrontAddr)
+	if err != nil {
+		return fmt.Errorf("instance: listen for callers: %w", err)
+	}
+	ready, err := net.Listen("tcp", in.ReadyAddr)
+	if err != nil {
+		return fmt.Errorf("instance: listen for readiness: %w", err)
+	}
+	links, err := net.Listen("tcp", in.LinkAddr)
+	if err != nil {
+		return fmt.Errorf("instance: listen for instances: %w", err)
+	}
+	in.Log.Info("instance started", "instance", in.id, "zone", in.Zone)
+	srv := &http.Server{Handler: in.Front, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 60 * time.Second}
+	readySrv := &http.Server{Handler: http.HandlerFunc(in.readiness), ReadHeaderTimeout: 3 * time.Second}
+	in.spawn(func() { in.serve(srv, front) })
+	in.spawn(func() { in.serve(readySrv, ready) })
+	in.spawn(func() { in.accept(links) })
+	in.spawn(in.watchConfig)
+	in.spawn(in.watchLeader)
+	in.spawn(in.follow)
+	in.spawn(in.campaign)
+
+	<-ctx.Done()
+	in.drain(srv)
+	in.cancel()
+	_ = links.Close()
+	_ = readySrv.Close()
+	if l := in.leader.Load(); l != nil {
+		l.stop("instance stops")
+	}
+	in.wg.Wait()
+	in.Log.Info("instance stopped", "instance", in.id)
+	return nil
+}
+
+func (in *Instance) spawn(f func()) {
+	in.wg.Add(1)
+	go func() {
+		defer in.wg.Done()
+		f()
+	}()
+}
+
+func (in *Instance) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		in.Log.Error("server ended", "address", l.Addr().String(), "error", err)
+	}
+}
+
+// readiness answers whether the instance should get new connections.
+func (in *Instance) readiness(rw http.ResponseWriter, _ *http.Request) {
+	if in.leaving.Load() || in.Gateway.Config() == nil {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	rw.WriteHeader(http.StatusOK)
+}
+
+const (
+	// unreadyTime is the time after which the balancer sends no new
+	// connections to an instance that says it isn't ready.
+	unreadyTime = 2200 * time.Millisecond
+	// stopReserve is the part of the grace that is left for the end.
+	stopReserve = 700 * time.Millisecond
+)
+
+// drain hands over what the instance does and lets requests in progress end.
+func (in *Instance) drain(srv *http.Server) {
+	began := time.Now()
+	in.leaving.Store(true)
+	in.Log.Info("instance drains", "instance", in.id)
+	if c := in.link.Load(); c != nil {
+		c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.Age(), Leaving: true}})
+	}
+	if l := in.leader.Load(); l != nil {
+		l.handOver()
+	}
+	time.Sleep(unreadyTime)
+	ctx, cancel := context.WithTimeout(context.Background(), in.Bounds.Grace-stopReserve-time.Since(began))
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		in.Log.Warn("requests cut at the end of the grace", "error", err)
+	}
+}
+
+// watchConfig puts each new configuration in force.
+func (in *Instance) watchConfig() {
+	var after keeper.Version
+	known := false
+	for in.ctx.Err() == nil {
+		var cfg *w.Config
+		var err error
+		if known {
+			cfg, after, err = in.Directory.ConfigChange(in.ctx, after, watchWait)
+		} else {
+			cfg, after, err = in.Directory.Config(in.ctx)
+			known = err == nil
+		}
+		if err != nil {
+			if errors.Is(err, keeper.ErrHistoryLost) {
+				known = false
+			}
+			in.pause(errorPause)
+			continue
+		}
+		if cfg == nil {
+			if in.Gateway.Config() == nil {
+				in.pause(errorPause)
+			}
+			continue
+		}
+		if in.Gateway.Configure(cfg) {
+			in.Log.Info("configuration in force", "version", cfg.Version, "queues", len(cfg.Queues))
+			if l := in.leader.Load(); l != nil {
+				l.configure(cfg)
+			}
+		}
+	}
+}
+
+// errorPause is the time between two attempts at a store that fails.
+const errorPause = 100 * time.Millisecond
+
+func (in *Instance) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-in.ctx.Done():
+	}
+}
+
+// watchLeader follows the leader row.
+func (in *Instance) watchLeader() {
+	var after keeper.Version
+	known := false
+	for in.ctx.Err() == nil {
+		if !known {
+			lead, err := in.Keeper.Leader(in.ctx)
+			if err != nil {
+				in.pause(errorPause)
+				continue
+			}
+			known, after = true, lead.Version
+			in.learn(lead)
+		}
+		lead, ver, err := in.Keeper.LeaderChanges(in.ctx, after, watchWait)
+		if err != nil {
+			known = !errors.Is(err, keeper.ErrHistoryLost)
+			in.pause(errorPause)
+			continue
+		}
+		after = ver
+		if lead != nil {
+			in.learn(*lead)
+		}
+	}
+}
+
+// learn takes note of a leader.
+func (in *Instance) learn(lead keeper.Leadership) {
+	in.electing.Lock()
+	known := in.elector.Leader()
+	if lead.Epoch < known.Epoch || lead.Version == known.Version {
+		in.electing.Unlock()
+		return
+	}
+	in.elector.Watch(lead, time.Now())
+	in.electing.Unlock()
+	in.Log.Info("leader known", "leader", lead.Instance, "epoch", lead.Epoch, "own", lead.Instance == in.id)
+	if l := in.leader.Load(); l != nil && l.lead.Epoch < lead.Epoch {
+		l.stop("another leader took over")
+	}
+	if c := in.link.Load(); c != nil {
+		c.Close()
+	}
+	select {
+	case in.news <- struct{}{}:
+	default:
+	}
+}
+
+// campaign takes over when the elector says so.
+func (in *Instance) campaign() {
+	const period = 120 * time.Millisecond
+	var complained time.Time
+	for in.ctx.Err() == nil {
+		in.pause(period)
+		in.electing.Lock()
+		wants, lead, complains := in.elector.Wants(), in.elector.Leader(), in.elector.Complains(time.Now())
+		in.electing.Unlock()
+		if !wants || lead.Version == 0 && lead.Epoch != 0 || in.leaving.Load() || in.leader.Load() != nil {
+			continue
+		}
+		if complains && time.Since(complained) > complaintPeriod {
+			complained = time.Now()
+			if err := in.Keeper.Complain(in.ctx, in.Name, lead.Epoch); err != nil {
+				in.Log.Debug("complaint not written", "error", err)
+			}
+		}
+		beat, list, err := in.Keeper.Beats(in.ctx)
+		if err != nil {
+			continue
+		}
+		now := time.Now()
+		in.electing.Lock()
+		in.elector.Observe(beat, list, now)
+		why, due := in.elector.Due(now)
+		in.electing.Unlock()
+		if due {
+			in.takeOver(lead, why)
+		}
+	}
+}
+
+// complaintPeriod is the time between two complaints about a leader.
+const complaintPeriod = 500 * time.Millisecond
+
+// takeOver makes this instance the leader if no other was faster.
+func (in *Instance) takeOver(old keeper.Leadership, why string) {
+	lead, err := in.Keeper.TakeOver(in.ctx, old, keeper.Leadership{Instance: in.id, Address: in.LinkAddr, Zone: in.Zone})
+	if err != nil {
+		in.Log.Info("did not take over", "epoch", old.Epoch, "reason", why, "error", err)
+		// Whoever was faster, or this instance if only the answer was lost, is
+		// in the row.
+		if current, err := in.Keeper.Leader(in.ctx); err == nil {
+			in.learn(current)
+		}
+		return
+	}
+	in.Log.Info("took over", "epoch", lead.Epoch, "from", old.Instance, "reason", why)
+	l, err := newLeader(in, lead)
+	if err != nil {
+		in.Log.Error("could not load the cell", "epoch", lead.Epoch, "error", err)
+		return
+	}
+	in.leader.Store(l)
+	in.spawn(l.run)
+	in.learn(lead)
+}
+
+// accept takes connections of instances.
+func (in *Instance) accept(ln net.Listener) {
+	for in.ctx.Err() == nil {
+		nc, err := ln.Accept()
+		if err != nil {
+			if in.ctx.Err() == nil {
+				in.Log.Warn("accept failed", "error", err)
+				in.pause(errorPause)
+			}
+			continue
+		}
+		in.spawn(func() { in.welcome(nc) })
+	}
+}
+
+// welcome serves a connection of an instance. The first frame in each direction
+// tells who speaks.
+func (in *Instance) welcome(nc net.Conn) {
+	c := linker.NewConn(nc)
+	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone}})
+	l := in.leader.Load()
+	if l == nil {
+		// The frame has to leave before the connection ends.
+		in.pause(linker.Heartbeat)
+		c.Close()
+		return
+	}
+	var peer w.InstanceID
+	err := c.Receive(func(f *linker.Frame) {
+		if f.Hello != nil {
+			peer = f.Hello.Instance
+			l.join(f.Hello, c)
+		}
+		if peer != "" {
+			l.receive(peer, f)
+		}
+	})
+	if peer != "" {
+		l.leave(peer, c, err)
+	}
+}
+
+// follow keeps a connection to the leader.
+func (in *Instance) follow() {
+	const pause = 60 * time.Millisecond
+	for in.ctx.Err() == nil {
+		in.electing.Lock()
+		lead := in.elector.Leader()
+		in.electing.Unlock()
+		if lead.Epoch == 0 {
+			select {
+			case <-in.news:
+			case <-in.ctx.Done():
+			}
+			continue
+		}
+		if lead.Address == in.LinkAddr && lead.Instance != in.id {
+			in.lost(lead, elector.Replaced)
+		} else {
+			in.lost(lead, in.attend(lead))
+		}
+		in.pause(pause)
+	}
+}
+
+func (in *Instance) lost(lead keeper.Leadership, r elector.Reach) {
+	in.electing.Lock()
+	defer in.electing.Unlock()
+	if in.elector.Leader().Epoch == lead.Epoch {
+		in.elector.Lost(r, time.Now())
+	}
+}
+
+// attend connects to a leader and works for it until the connection ends.
+func (in *Instance) attend(lead keeper.Leadership) elector.Reach {
+	d := net.Dialer{Timeout: linker.Silence / 2, KeepAlive: -1}
+	nc, err := d.DialContext(in.ctx, "tcp", lead.Address)
+	if err != nil {
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
+			return elector.NoAnswer
+		}
+		return elector.Refuses
+	}
+	c := linker.NewConn(nc)
+	in.link.Store(c)
+	e := &executor.Executor{Caller: in.Caller, Log: in.Log, Send: c.Send}
+	e.Run()
+	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone}})
+	reach := elector.NoAnswer
+	joined := false
+	stop := make(chan struct{})
+	go in.sendStatus(c, stop)
+	err = c.Receive(func(f *linker.Frame) {
+		if f.Hello != nil {
+			if f.Hello.Instance != lead.Instance {
+				reach = elector.Replaced
+				c.Close()
+				return
+			}
+			joined = true
+			in.electing.Lock()
+			in.elector.Connected()
+			in.electing.Unlock()
+			in.Gateway.Connect(c)
+		}
+		if !joined {
+			return
+		}
+		if f.Retire && !in.leaving.Load() {
+			in.spawn(func() { in.takeOver(lead, "the leader hands over") })
+		}
+		in.Gateway.Receive(f)
+		e.Receive(f)
+	})
+	close(stop)
+	in.Gateway.Disconnect(c)
+	in.link.CompareAndSwap(c, nil)
+	e.Close()
+	in.Log.Info("connection to the leader ended", "leader", lead.Instance, "epoch", lead.Epoch, "joined", joined, "error", err)
+	return reach
+}
+
+// sendStatus tells the leader how this instance is.
+func (in *Instance) sendStatus(c *linker.Conn, stop chan struct{}) {
+	const period = 500 * time.Millisecond
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.Age(), Leaving: in.leaving.Load()}})
+		case <-stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/instance/leader.go
@@ -0,0 +1,362 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/masticlead/masticlead/coordinator"
+	"github.com/masticlead/masticlead/elector"
+	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+const (
+	// lease is the time for which a target runs on without contact. It covers
+	// the change of a leader and a restart of all instances.
+	lease = 6 * time.Second
+	// decidePeriod is the least time between two rounds of decisions.
+	decidePeriod = 4 * time.Millisecond
+	// idlePeriod is the longest time between two rounds.
+	idlePeriod = 25 * time.Millisecond
+	// targetsPeriod is the time between two reads of the list of targets, half
+	// of the time after which a draining target must get no new work.
+	targetsPeriod = 1 * time.Second
+	// newsPeriod is the time between two searches for jobs whose gateway could
+	// not hand them over.
+	newsPeriod = 2 * time.Second
+	// outageMemory is the time after an outage of the store during which
+	// missing targets are still expected back.
+	outageMemory = 2200 * time.Millisecond
+	// saveLate is the age of an unsaved batch after which states are shown
+	// before they are stored.
+	saveLate = 400 * time.Millisecond
+	// renewLate is the age of the last renewal after which a leader asks an
+	// instance that reaches the store to take over.
+	renewLate = 1200 * time.Millisecond
+	// memberStoreAge is the age of the store's last answer up to which an
+	// instance counts as reaching it.
+	memberStoreAge = 2600 * time.Millisecond
+	// retention is added to the time for which states must be kept.
+	retention = 30 * time.Second
+)
+
+// leader coordinates the cell.
+type leader struct {
+	in     *Instance
+	lead   keeper.Leadership
+	ctx    context.Context
+	cancel context.CancelFunc
+	inbox  chan func(*coordinator.Coordinator)
+	co     *coordinator.Coordinator
+
+	mu       sync.Mutex
+	conns    map[w.InstanceID]*linker.Conn
+	storeAge map[w.InstanceID]statusAt
+	renewed  time.Time
+	retired  time.Time
+}
+
+type statusAt struct {
+	age     time.Duration
+	at      time.Time
+	leaving bool
+}
+
+// inboxSize is the number of events that may wait for a decision.
+const inboxSize = 4096
+
+// newLeader loads the cell from the store.
+func newLeader(in *Instance, lead keeper.Leadership) (*leader, error) {
+	l := &leader{
+		in: in, lead: lead, inbox: make(chan func(*coordinator.Coordinator), inboxSize),
+		conns: make(map[w.InstanceID]*linker.Conn), storeAge: make(map[w.InstanceID]statusAt), renewed: time.Now(),
+	}
+	l.ctx, l.cancel = context.WithCancel(in.ctx)
+	began := time.Now()
+	l.co = coordinator.New(coordinator.Settings{
+		Epoch: lead.Epoch, Self: in.id, Lease: min(lease, in.Bounds.MaxLease), StopTimeout: in.Bounds.StopTimeout,
+		GangTimeout: in.Bounds.GangTimeout, Restore: in.Bounds.Restore, RemoteFactor: in.Bounds.RemoteFactor,
+		Retention: in.Bounds.StateKept + retention, Log: in.Log,
+	}, began)
+	for {
+		s, err := in.Keeper.Load(l.ctx)
+		if err == nil {
+			if cfg := in.Gateway.Config(); cfg != nil {
+				l.co.Configure(cfg)
+			}
+			l.co.Load(s)
+			l.spawn(func() { l.readNews(s.Versions) })
+			in.Log.Info("cell loaded", "jobs", len(s.Jobs), "targets", len(s.Roster), "took", time.Since(began))
+			return l, nil
+		}
+		in.Log.Warn("cell not loaded yet", "error", err)
+		if current, err := in.Keeper.Leader(l.ctx); err == nil && current.Epoch > lead.Epoch {
+			l.cancel()
+			return nil, fmt.Errorf("instance: epoch %d was taken over by epoch %d", lead.Epoch, current.Epoch)
+		}
+		in.pause(errorPause)
+		if in.ctx.Err() != nil {
+			return nil, fmt.Errorf("instance: load: %w", in.ctx.Err())
+		}
+	}
+}
+
+func (l *leader) spawn(f func()) { l.in.spawn(f) }
+
+// stop ends the leadership.
+func (l *leader) stop(why string) {
+	if l.ctx.Err() != nil {
+		return
+	}
+	l.in.Log.Info("leadership ends", "epoch", l.lead.Epoch, "reason", why)
+	l.cancel()
+	l.in.leader.CompareAndSwap(l, nil)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.Close()
+	}
+}
+
+// post hands an event to the coordinator.
+func (l *leader) post(f func(*coordinator.Coordinator)) {
+	select {
+	case l.inbox <- f:
+	case <-l.ctx.Done():
+	}
+}
+
+func (l *leader) configure(cfg *w.Config) {
+	l.post(func(c *coordinator.Coordinator) { c.Configure(cfg) })
+}
+
+func (l *leader) join(h *linker.Hello, conn *linker.Conn) {
+	l.mu.Lock()
+	old := l.conns[h.Instance]
+	l.conns[h.Instance] = conn
+	l.mu.Unlock()
+	if old != nil {
+		old.Close()
+	}
+	if l.ctx.Err() != nil {
+		conn.Close()
+	}
+	l.post(func(c *coordinator.Coordinator) { c.Join(h) })
+}
+
+func (l *leader) leave(id w.InstanceID, conn *linker.Conn, err error) {
+	l.mu.Lock()
+	current := l.conns[id] == conn
+	if current {
+		delete(l.conns, id)
+		delete(l.storeAge, id)
+	}
+	l.mu.Unlock()
+	if current {
+		l.in.Log.Info("connection to an instance ended", "instance", id, "error", err)
+		l.post(func(c *coordinator.Coordinator) { c.Leave(id) })
+	}
+}
+
+func (l *leader) receive(id w.InstanceID, f *linker.Frame) {
+	if f.Status != nil {
+		l.mu.Lock()
+		l.storeAge[id] = statusAt{f.Status.StoreAge, time.Now(), f.Status.Leaving}
+		l.mu.Unlock()
+	}
+	for i := range f.Results {
+		if f.Results[i].Outcome == linker.Fenced {
+			l.stop("a target has seen a higher epoch")
+			return
+		}
+	}
+	l.post(func(c *coordinator.Coordinator) { c.Receive(id, f, time.Now()) })
+}
+
+// run decides until the leadership ends.
+func (l *leader) run() {
+	l.spawn(l.renew)
+	l.spawn(l.readTargets)
+	saved := make(chan *coordinator.Batch, 1)
+	tick := time.NewTicker(idlePeriod)
+	defer tick.Stop()
+	var pending *coordinator.Batch
+	var savingSince time.Time
+	for {
+		select {
+		case f := <-l.inbox:
+			f(l.co)
+		case <-tick.C:
+		case b := <-saved:
+			pending = nil
+			l.co.Stored(b)
+		case <-l.ctx.Done():
+			return
+		}
+		time.Sleep(decidePeriod)
+		for more := true; more; {
+			select {
+			case f := <-l.inbox:
+				f(l.co)
+			default:
+				more = false
+			}
+		}
+		l.co.SetStoreSlow(pending != nil && time.Since(savingSince) > saveLate)
+		l.co.Advance(time.Now())
+		if pending == nil {
+			if b := l.co.Flush(); b != nil {
+				if b.Empty() {
+					l.co.Stored(b)
+				} else {
+					pending, savingSince = b, time.Now()
+					l.spawn(func() { l.save(b, saved) })
+				}
+			}
+		}
+		l.sendFrames()
+	}
+}
+
+func (l *leader) sendFrames() {
+	frames := l.co.Frames()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, f := range frames {
+		if c := l.conns[id]; c != nil {
+			c.Send(f)
+		}
+	}
+}
+
+// save writes a batch until it is stored or the leadership ends.
+func (l *leader) save(b *coordinator.Batch, saved chan<- *coordinator.Batch) {
+	for l.ctx.Err() == nil {
+		err := l.in.Keeper.Save(l.ctx, &l.lead, &keeper.Change{
+			Progress: b.Progress, Remove: b.Remove, Roster: b.Roster, RosterChanged: b.RosterChanged,
+		})
+		if err == nil {
+			saved <- b
+			return
+		}
+		if l.deposed(err) {
+			return
+		}
+		l.in.Log.Debug("batch not saved", "rows", len(b.Progress), "error", err)
+		l.in.pause(errorPause)
+	}
+}
+
+// deposed ends the leadership if an error of the store shows another leader.
+func (l *leader) deposed(err error) bool {
+	var c *keeper.Conflict
+	if !errors.As(err, &c) {
+		return false
+	}
+	l.stop("another leader took over")
+	return true
+}
+
+// renew shows others that this leader is at work.
+func (l *leader) renew() {
+	for l.ctx.Err() == nil {
+		l.mu.Lock()
+		members := len(l.conns)
+		l.mu.Unlock()
+		err := l.in.Keeper.Renew(l.ctx, &l.lead, max(0, members-1))
+		if err != nil && l.deposed(err) {
+			return
+		}
+		now := time.Now()
+		l.mu.Lock()
+		if err == nil {
+			l.renewed = now
+		}
+		late := now.Sub(l.renewed) > renewLate && now.Sub(l.retired) > renewLate
+		l.mu.Unlock()
+		if late {
+			l.in.Log.Warn("leader can't renew", "epoch", l.lead.Epoch, "error", err)
+			l.handOver()
+		}
+		l.in.pause(elector.RenewPeriod)
+	}
+}
+
+// handOver asks an instance that reaches the store to take over.
+func (l *leader) handOver() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best *linker.Conn
+	var to w.InstanceID
+	least := memberStoreAge
+	for id, c := range l.conns {
+		s, ok := l.storeAge[id]
+		if id == l.in.id || !ok || s.leaving {
+			continue
+		}
+		if age := s.age + time.Since(s.at); age < least {
+			best, to, least = c, id, age
+		}
+	}
+	if best == nil {
+		return
+	}
+	l.retired = time.Now()
+	l.in.Log.Info("leader hands over", "epoch", l.lead.Epoch, "to", to, "storeAge", least)
+	best.Send(&linker.Frame{Retire: true})
+}
+
+// readTargets follows the platform's list of targets.
+func (l *leader) readTargets() {
+	var outage time.Time
+	for l.ctx.Err() == nil {
+		list, err := l.in.Directory.Targets(l.ctx)
+		now := time.Now()
+		if err != nil {
+			outage = now
+			l.in.pause(errorPause)
+			continue
+		}
+		complete := now.Sub(outage) > outageMemory
+		l.post(func(c *coordinator.Coordinator) { c.SetTargets(list, complete, time.Now()) })
+		l.in.pause(targetsPeriod)
+	}
+}
+
+// readNews finds stored jobs and cancellations that no gateway handed over.
+func (l *leader) readNews(versions map[string]keeper.Version) {
+	for l.ctx.Err() == nil {
+		l.in.pause(newsPeriod)
+		n, err := l.in.Keeper.News(l.ctx, versions)
+		if errors.Is(err, keeper.ErrHistoryLost) {
+			s, err := l.in.Keeper.Load(l.ctx)
+			if err != nil {
+				l.in.Log.Debug("cell not read again", "error", err)
+				continue
+			}
+			versions = s.Versions
+			n = &keeper.News{Jobs: s.Jobs}
+			for id := range s.Cancelled {
+				n.Cancels = append(n.Cancels, id)
+			}
+		} else if err != nil {
+			l.in.Log.Debug("news not read", "error", err)
+			continue
+		}
+		l.post(func(c *coordinator.Coordinator) {
+			for i := range n.Jobs {
+				if !c.Knows(n.Jobs[i].ID) {
+					l.in.Log.Info("stored job found", "job", n.Jobs[i].ID)
+					c.AddJob(&n.Jobs[i])
+				}
+			}
+			for _, id := range n.Cancels {
+				c.Cancel(id)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,399 @@
+// Package keeper keeps what must outlast all instances: jobs, their progress,
+// cancellations, the leader of the cell and the targets that may run something.
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// Version is the version of a row. Zero stands for a row that doesn't exist.
+type Version int64
+
+// Key names a row.
+type Key struct {
+	Table string
+	Part  string
+	Name  string
+}
+
+// Row is a row of the store.
+type Row struct {
+	Key
+	Value   []byte
+	Version Version
+	Deleted bool // only in changes
+}
+
+// Check is a condition of a transaction.
+type Check struct {
+	Key
+	Version Version
+}
+
+// Tx is an atomic change.
+type Tx struct {
+	Checks []Check
+	Writes []Row
+	Drops  []Key
+}
+
+// Conflict is returned by a transaction whose conditions don't hold.
+type Conflict struct {
+	Rows []Row // current rows of the conditions
+}
+
+// Error implements error.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("keeper: conditions of the transaction don't hold; %d rows are current", len(c.Rows))
+}
+
+// Errors of the store.
+var (
+	// ErrNotDone tells that the store certainly did nothing.
+	ErrNotDone = errors.New("keeper: the store did nothing")
+	// ErrUnknown tells that a change may have been made, now or later.
+	ErrUnknown = errors.New("keeper: the store gave no answer")
+	// ErrHistoryLost tells that changes can't be read from the given version on.
+	ErrHistoryLost = errors.New("keeper: the store no longer has that history")
+)
+
+// Store is the platform's store.
+type Store interface {
+	Commit(ctx context.Context, tx *Tx) (Version, error)
+	// Scan reads the rows of a part whose names are in [from, to). An empty to
+	// stands for the end.
+	Scan(ctx context.Context, table, part, from, to string) ([]Row, Version, error)
+	// Changes waits for changes of a table after a version.
+	Changes(ctx context.Context, table string, after Version, wait time.Duration) ([]Row, Version, error)
+}
+
+// Tables of the keeper.
+const (
+	TableJobs     = "jobs"
+	TableProgress = "progress"
+	TableCancels  = "cancels"
+	TableControl  = "control"
+)
+
+const (
+	leaderName = "leader"
+	rosterName = "roster"
+	// txRows is the number of rows that one transaction writes.
+	txRows = 90
+	// txBytes keeps a transaction well below the store's limit of 1 MB.
+	txBytes = 600 << 10
+)
+
+// Parts tells into how many parts the rows of jobs are spread, so that the rate
+// of one part doesn't bind.
+type Parts int
+
+// Of returns the part of a job.
+func (p Parts) Of(id w.JobID) string {
+	if p <= 1 {
+		return ""
+	}
+	return strconv.Itoa(int(xxhash.Sum64String(string(id)) % uint64(p)))
+}
+
+// All lists the parts.
+func (p Parts) All() []string {
+	if p <= 1 {
+		return []string{""}
+	}
+	all := make([]string, p)
+	for i := range all {
+		all[i] = strconv.Itoa(i)
+	}
+	return all
+}
+
+// Keeper reads and writes the rows of a cell.
+type Keeper struct {
+	Store Store
+	Parts Parts
+}
+
+// JobKey returns the key of a job's row.
+func (k *Keeper) JobKey(id w.JobID) Key {
+	return Key{TableJobs, k.Parts.Of(id), string(id)}
+}
+
+// Accept stores a new job. It returns the stored job, which is another one if
+// the id was in use.
+func (k *Keeper) Accept(ctx context.Context, j *w.Job) (*w.Job, error) {
+	value, err := json.Marshal(j)
+	if err != nil {
+		return nil, fmt.Errorf("keeper: encode job %s: %w", j.ID, err)
+	}
+	key := k.JobKey(j.ID)
+	_, err = k.Store.Commit(ctx, &Tx{
+		Checks: []Check{{Key: key}},
+		Writes: []Row{{Key: key, Value: value}},
+	})
+	var c *Conflict
+	if errors.As(err, &c) && len(c.Rows) > 0 {
+		return decodeJob(&c.Rows[0])
+	}
+	if err != nil {
+		return nil, fmt.Errorf("keeper: accept job %s: %w", j.ID, err)
+	}
+	return j, nil
+}
+
+func decodeJob(r *Row) (*w.Job, error) {
+	j := new(w.Job)
+	if err := json.Unmarshal(r.Value, j); err != nil {
+		return nil, fmt.Errorf("keeper: decode job %s: %w", r.Name, err)
+	}
+	j.ID = w.JobID(r.Name)
+	return j, nil
+}
+
+// get reads one row, or nil.
+func (k *Keeper) get(ctx context.Context, key Key) (*Row, error) {
+	rows, _, err := k.Store.Scan(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	if err != nil || len(rows) == 0 {
+		return nil, err
+	}
+	return &rows[0], nil
+}
+
+// State reads the state of a job. A job that doesn't exist is Unknown.
+func (k *Keeper) State(ctx context.Context, id w.JobID) (w.State, error) {
+	key := k.JobKey(id)
+	row, err := k.get(ctx, key)
+	if err != nil {
+		return w.Unknown, fmt.Errorf("keeper: read job %s: %w", id, err)
+	}
+	if row == nil {
+		return w.Unknown, nil
+	}
+	key.Table = TableProgress
+	row, err = k.get(ctx, key)
+	if err != nil {
+		return w.Unknown, fmt.Errorf("keeper: read progress of %s: %w", id, err)
+	}
+	var p Progress
+	if row != nil {
+		if p, err = decodeProgress(row); err != nil {
+			return w.Unknown, err
+		}
+		if p.State.Final() {
+			return p.State, nil
+		}
+	}
+	key.Table = TableCancels
+	row, err = k.get(ctx, key)
+	switch {
+	case err != nil:
+		return w.Unknown, fmt.Errorf("keeper: read cancellation of %s: %w", id, err)
+	case row != nil:
+		return w.Cancelled, nil
+	case p.Begun:
+		return w.Running, nil
+	default:
+		return w.Queued, nil
+	}
+}
+
+// Exists reports whether a job is stored.
+func (k *Keeper) Exists(ctx context.Context, id w.JobID) (bool, error) {
+	row, err := k.get(ctx, k.JobKey(id))
+	if err != nil {
+		return false, fmt.Errorf("keeper: read job %s: %w", id, err)
+	}
+	return row != nil, nil
+}
+
+// Cancel stores the cancellation of a job.
+func (k *Keeper) Cancel(ctx context.Context, id w.JobID) error {
+	key := k.JobKey(id)
+	key.Table = TableCancels
+	if _, err := k.Store.Commit(ctx, &Tx{Writes: []Row{{Key: key, Value: []byte("1")}}}); err != nil {
+		return fmt.Errorf("keeper: cancel job %s: %w", id, err)
+	}
+	return nil
+}
+
+// Snapshot is all that a new coordinator takes over.
+type Snapshot struct {
+	Jobs      []w.Job
+	Progress  map[w.JobID]Progress
+	Cancelled map[w.JobID]bool
+	Roster    []w.TargetID
+	Versions  map[string]Version // of each table, for reading changes
+}
+
+// Load reads everything. Cancellations and progress are read after the jobs, so
+// that each of them finds its job.
+func (k *Keeper) Load(ctx context.Context) (*Snapshot, error) {
+	s := &Snapshot{
+		Progress:  make(map[w.JobID]Progress),
+		Cancelled: make(map[w.JobID]bool),
+		Versions:  make(map[string]Version),
+	}
+	each := func(table string, take func(*Row) error) error {
+		first := true
+		for _, part := range k.Parts.All() {
+			rows, ver, err := k.Store.Scan(ctx, table, part, "", "")
+			if err != nil {
+				return fmt.Errorf("keeper: load %s: %w", table, err)
+			}
+			if first {
+				s.Versions[table] = ver
+				first = false
+			}
+			for i := range rows {
+				if err := take(&rows[i]); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
+	err := each(TableJobs, func(r *Row) error {
+		j, err := decodeJob(r)
+		if err == nil {
+			s.Jobs = append(s.Jobs, *j)
+		}
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := each(TableProgress, func(r *Row) error {
+		p, err := decodeProgress(r)
+		s.Progress[p.ID] = p
+		return err
+	}); err != nil {
+		return nil, err
+	}
+	if err := each(TableCancels, func(r *Row) error {
+		s.Cancelled[w.JobID(r.Name)] = true
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	row, err := k.get(ctx, Key{Table: TableControl, Name: rosterName})
+	if err != nil {
+		return nil, fmt.Errorf("keeper: load roster: %w", err)
+	}
+	if row != nil {
+		if err := json.Unmarshal(row.Value, &s.Roster); err != nil {
+			return nil, fmt.Errorf("keeper: decode roster: %w", err)
+		}
+	}
+	slices.SortFunc(s.Jobs, func(a, b w.Job) int {
+		if a.Accepted != b.Accepted {
+			return int(a.Accepted - b.Accepted)
+		}
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	return s, nil
+}
+
+// News are the jobs and cancellations that were stored since a version.
+type News struct {
+	Jobs    []w.Job
+	Cancels []w.JobID
+}
+
+// News reads the jobs and cancellations stored since the versions of the
+// snapshot, and moves the versions on.
+func (k *Keeper) News(ctx context.Context, versions map[string]Version) (*News, error) {
+	n := new(News)
+	for _, table := range [...]string{TableJobs, TableCancels} {
+		rows, ver, err := k.Store.Changes(ctx, table, versions[table], 0)
+		if err != nil {
+			return nil, fmt.Errorf("keeper: changes of %s: %w", table, err)
+		}
+		for i := range rows {
+			switch {
+			case rows[i].Deleted:
+			case table == TableCancels:
+				n.Cancels = append(n.Cancels, w.JobID(rows[i].Name))
+			default:
+				j, err := decodeJob(&rows[i])
+				if err != nil {
+					return nil, err
+				}
+				n.Jobs = append(n.Jobs, *j)
+			}
+		}
+		versions[table] = ver
+	}
+	return n, nil
+}
+
+// Change is a set of changes of a coordinator.
+type Change struct {
+	Progress      []Progress
+	Remove        []w.JobID
+	Roster        []w.TargetID // written if RosterChanged
+	RosterChanged bool
+}
+
+// Save writes changes under the condition that the leader row has the version
+// of the writer. It returns a Conflict if another leader took over.
+func (k *Keeper) Save(ctx context.Context, lead *Leadership, ch *Change) error {
+	var tx Tx
+	size := 0
+	flush := func() error {
+		if len(tx.Writes) == 0 && len(tx.Drops) == 0 {
+			return nil
+		}
+		tx.Checks = []Check{{Key: leaderKey, Version: lead.Version}}
+		if _, err := k.Store.Commit(ctx, &tx); err != nil {
+			return fmt.Errorf("keeper: save %d rows: %w", len(tx.Writes), err)
+		}
+		tx, size = Tx{}, 0
+		return nil
+	}
+	if ch.RosterChanged {
+		value, err := json.Marshal(ch.Roster)
+		if err != nil {
+			return fmt.Errorf("keeper: encode roster: %w", err)
+		}
+		tx.Writes = append(tx.Writes, Row{Key: Key{Table: TableControl, Name: rosterName}, Value: value})
+		size += len(value)
+	}
+	for i := range ch.Progress {
+		value, err := json.Marshal(&ch.Progress[i])
+		if err != nil {
+			return fmt.Errorf("keeper: encode progress: %w", err)
+		}
+		key := k.JobKey(ch.Progress[i].ID)
+		key.Table = TableProgress
+		tx.Writes = append(tx.Writes, Row{Key: key, Value: value})
+		if size += len(value); len(tx.Writes) >= txRows || size >= txBytes {
+			if err := flush(); err != nil {
+				return err
+			}
+		}
+	}
+	for _, id := range ch.Remove {
+		key := k.JobKey(id)
+		for _, table := range [...]string{TableJobs, TableProgress, TableCancels} {
+			key.Table = table
+			tx.Drops = append(tx.Drops, key)
+		}
+		if len(tx.Drops)+len(tx.Writes) >= txRows {
+			if err := flush(); err != nil {
+				return err
+			}
+		}
+	}
+	return flush()
+}
