coordinator, executor: count failures once, keep early cancellations, settle repeated starts

Also: a draining instance closes its connection to the leader; one process was killed at the end of its grace.

Ruled out: lost writes; all acknowledged ends were in the store.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -76,6 +76,7 @@
 	unread     map[w.TargetID]time.Time // listed by the previous coordinator and not read yet, with the time its lease ends
 	generation int64
 	ends       map[w.Ending]int64
+	early      map[w.JobID]time.Time // cancelled before they were known
 }
 
 // New returns a coordinator that knows nothing yet.
@@ -95,6 +96,7 @@
 		goodShare: make(map[string]float64),
 		unread:    make(map[w.TargetID]time.Time),
 		ends:      make(map[w.Ending]int64),
+		early:     make(map[w.JobID]time.Time),
 	}
 }
 
@@ -123,13 +125,20 @@
 
 // AddJob takes over a stored job.
 func (c *Coordinator) AddJob(j *w.Job) {
-	c.addJob(j, keeper.Progress{}, false, true)
+	_, cancelled := c.early[j.ID]
+	delete(c.early, j.ID)
+	c.addJob(j, keeper.Progress{}, cancelled, true)
 }
 
 // Cancel ends a job on request of its caller. The cancellation is stored.
 func (c *Coordinator) Cancel(id w.JobID) {
 	j := c.jobs[id]
-	if j == nil || j.state.Final() {
+	if j == nil {
+		// The job itself is still on its way from another instance.
+		c.early[id] = c.now
+		return
+	}
+	if j.state.Final() {
 		return
 	}
 	j.cancelled = true
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -20,19 +20,19 @@
 )
 
 type task struct {
-	phase    phase
-	lapsing  bool // counted in the step's moving tasks
-	run      w.RunID
-	target   *target
-	avoid    *target // the target of the last failed run
-	failures int
-	saved    string
-	since    time.Time // of the phase
-	percent  int
-	movedAt  time.Time // of the last change of percent
-	usage    int64
-	pace     int
-	missing  int // complete reports that lack the run
+	phase   phase
+	lapsing bool // counted in the step's moving tasks
+	run     w.RunID
+	target  *target
+	avoid   *target   // the target of the last failed run
+	failed  []w.RunID // counted
+	saved   string
+	since   time.Time // of the phase
+	percent int
+	movedAt time.Time // of the last change of percent
+	usage   int64
+	pace    int
+	missing int // complete reports that lack the run
 }
 
 // step is a step of one occurrence of a job.
@@ -53,7 +53,6 @@
 	asking        int
 	asked         time.Time
 	preempt       time.Time // no further preemption before
-	failedRun     w.RunID   // the last run of the gang that counted as failed
 	reserved      []*target
 	reservedUntil time.Time
 }
@@ -155,7 +154,7 @@
 		}
 		for i := range s.tasks {
 			t := &s.tasks[i]
-			t.failures = sp.Failures[i]
+			t.failed = sp.Failed[i]
 			t.saved = sp.Saved[i]
 			if sp.Done(i) {
 				t.phase = finished
@@ -180,13 +179,13 @@
 			var sp *keeper.StepProgress
 			for i := range s.tasks {
 				t := &s.tasks[i]
-				if t.phase != finished && t.failures == 0 && t.saved == "" {
+				if t.phase != finished && len(t.failed) == 0 && t.saved == "" {
 					continue
 				}
 				if sp == nil {
 					sp = p.AddStep(o.k, s.index)
 				}
-				sp.Set(i, t.phase == finished, t.failures, t.saved)
+				sp.Set(i, t.phase == finished, t.failed, t.saved)
 			}
 		}
 	}
@@ -326,6 +325,11 @@
 
 // sweep drops ended jobs whose retention is over.
 func (c *Coordinator) sweep() {
+	for id, at := range c.early {
+		if c.now.Sub(at) > c.Retention {
+			delete(c.early, id)
+		}
+	}
 	for id, j := range c.jobs {
 		if j.state.Final() && c.now.Sub(j.endedAt) > c.Retention && !j.occupies() {
 			delete(c.jobs, id)
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -387,10 +387,10 @@
 	}
 	tk := &s.tasks[e.Task.Index]
 	current := tk.run == e.Run && tk.target == t
-	if tk.phase == finished || (!current && tk.phase != waiting) && e.How != w.EndedDone {
+	if tk.phase == finished {
 		return
 	}
-	if s.Saves && e.Checkpoint != "" {
+	if s.Saves && e.Checkpoint != "" && (current || tk.phase == waiting) {
 		tk.saved = e.Checkpoint
 		c.dirty[j.ID] = j
 	}
@@ -410,7 +410,7 @@
 		}
 		c.taskDone(s, e.Task.Index)
 	case w.EndedFailed:
-		c.failed(t, s, e)
+		c.failed(t, s, e, current)
 	default:
 		if current {
 			c.settle(s, e.Task.Index)
@@ -428,29 +428,35 @@
 	}
 }
 
-// failed counts a failed run.
-func (c *Coordinator) failed(t *target, s *step, e *w.End) {
+// failed counts a failed run. A target that is read late may tell of a run
+// before the current one, which counts as well.
+func (c *Coordinator) failed(t *target, s *step, e *w.End, current bool) {
 	c.targetFailed(t, e.Task.Job)
 	tk := &s.tasks[e.Task.Index]
 	j := s.job
-	c.settle(s, e.Task.Index)
-	tk.avoid = t
+	if current {
+		c.settle(s, e.Task.Index)
+		tk.avoid = t
+		if s.Gang {
+			c.stopGang(s)
+		}
+	}
 	if s.Lasting {
 		return
 	}
 	counted := tk
 	if s.Gang {
-		if s.failedRun == e.Run {
-			return
-		}
-		s.failedRun = e.Run
 		counted = &s.tasks[0]
-		c.stopGang(s)
 	}
-	counted.failures++
+	// Each member of a gang may report the failure of a run, and a target
+	// repeats it to a new coordinator until it is acknowledged.
+	if slices.Contains(counted.failed, e.Run) {
+		return
+	}
+	counted.failed = append(counted.failed, e.Run)
 	c.dirty[j.ID] = j
-	c.Log.Info("task failed", "task", e.Task, "target", t.ID, "run", e.Run, "failures", counted.failures)
-	if counted.failures >= c.attempts(j) {
+	c.Log.Info("task failed", "task", e.Task, "target", t.ID, "run", e.Run, "failures", len(counted.failed))
+	if len(counted.failed) >= c.attempts(j) {
 		c.finish(j, w.Failed)
 	}
 }
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -252,6 +252,13 @@
 			if err == nil {
 				l.mu.Lock()
 				l.hear(r.Clock)
+				if r.Outcome == linker.Overtaken {
+					// The run of an earlier try may have ended as done: the
+					// target's lists tell.
+					l.unsettled[o.Task] = settling{run: o.Run, after: l.held}
+					l.mu.Unlock()
+					return
+				}
 				l.mu.Unlock()
 				result.Outcome = r.Outcome
 				l.e.report(func(f *linker.Frame) { f.Results = append(f.Results, result) })
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -116,6 +116,9 @@
 	if l := in.leader.Load(); l != nil {
 		l.stop("instance stops")
 	}
+	if c := in.link.Load(); c != nil {
+		c.Close()
+	}
 	in.wg.Wait()
 	in.Log.Info("instance stopped", "instance", in.id)
 	return nil
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	w "github.com/masticlead/masticlead/workload"
 )
@@ -18,11 +19,11 @@
 // StepProgress is the progress of a step of one occurrence. Tasks without an
 // entry have neither ended nor failed nor saved anything.
 type StepProgress struct {
-	Occurrence int            `json:"o,omitempty"`
-	Index      int            `json:"i,omitempty"`
-	Ended      []byte         `json:"d,omitempty"` // a bit for each task
-	Failures   map[int]int    `json:"f,omitempty"`
-	Saved      map[int]string `json:"c,omitempty"`
+	Occurrence int               `json:"o,omitempty"`
+	Index      int               `json:"i,omitempty"`
+	Ended      []byte            `json:"d,omitempty"` // a bit for each task
+	Failed     map[int][]w.RunID `json:"f,omitempty"` // failed runs of a task, each counted once
+	Saved      map[int]string    `json:"c,omitempty"`
 }
 
 // Step returns the progress of a step, or nil.
@@ -47,7 +48,7 @@
 }
 
 // Set stores the progress of a task.
-func (s *StepProgress) Set(i int, done bool, failures int, saved string) {
+func (s *StepProgress) Set(i int, done bool, failed []w.RunID, saved string) {
 	if done {
 		for i/8 >= len(s.Ended) {
 			s.Ended = append(s.Ended, 0)
@@ -55,11 +56,11 @@
 		s.Ended[i/8] |= 1 << (i % 8)
 		return
 	}
-	if failures > 0 {
-		if s.Failures == nil {
-			s.Failures = make(map[int]int)
+	if len(failed) > 0 {
+		if s.Failed == nil {
+			s.Failed = make(map[int][]w.RunID)
 		}
-		s.Failures[i] = failures
+		s.Failed[i] = slices.Clone(failed)
 	}
 	if saved != "" {
 		if s.Saved == nil {
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -73,6 +73,7 @@
 	Fenced             // a higher epoch was seen
 	Unsettled          // the target does not answer; the run may be there
 	OtherLife          // the target is another incarnation
+	Overtaken          // the run has ended or was stopped before
 )
 
 // Result answers a start order.
