--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -25,6 +28,17 @@
 	collectPercent = 400
 )
 
+// settingsPeriod is the time between two looks at the settings file, which may
+// change without a signal.
+const settingsPeriod = 2 * time.Second
+
+func bounds(s *platform.Settings) instance.Bounds {
+	return instance.Bounds{
+		Grace: s.Grace, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout, Restore: s.Restore,
+		MaxLease: s.MaxLease, StateKept: s.StateKept, RemoteFactor: s.RemoteFactor,
+	}
+}
+
 // newPlatform returns the command that runs an instance on the platform.
 func newPlatform() *cobra.Command {
 	var level string
@@ -37,7 +51,11 @@
 			if err := l.UnmarshalText([]byte(level)); err != nil {
 				return fmt.Errorf("log level %q: %w", level, err)
 			}
-			s, err := platform.ReadSettings()
+			hup := make(chan os.Signal, 1)
+			signal.Notify(hup, syscall.SIGHUP)
+			defer signal.Stop(hup)
+			path := platform.SettingsPath()
+			s, err := platform.ReadSettings(path)
 			if err != nil {
 				return err
 			}
@@ -50,16 +68,20 @@
 				parts = jobParts
 			}
 			k := &keeper.Keeper{Store: store, Parts: parts}
+			caller := platform.NewCaller(s.AdviceAddr)
 			g := &gateway.Gateway{Keeper: k, Log: log}
 			in := &instance.Instance{
 				Name: s.Node, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr,
-				Bounds: instance.Bounds{
-					Grace: s.Grace, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout, Restore: s.Restore,
-					MaxLease: s.MaxLease, StateKept: s.StateKept, RemoteFactor: s.RemoteFactor,
-				},
 				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store,
-				Caller: platform.NewCaller(s.AdviceAddr), Gateway: g, Front: &platform.Front{Gateway: g}, Log: log,
+				Caller: caller, Gateway: g, Front: &platform.Front{Gateway: g}, Log: log,
 			}
+			in.SetBounds(bounds(s))
+			go platform.Watch(cmd.Context(), path, hup, settingsPeriod, func(s *platform.Settings) {
+				log.Info("settings reloaded", "store", s.StoreAddr, "advice", s.AdviceAddr)
+				store.SetAddr(s.StoreAddr)
+				caller.SetAdviceAddr(s.AdviceAddr)
+				in.SetBounds(bounds(s))
+			}, func(err error) { log.Warn("settings not reloaded", "error", err) })
 			return in.Run(cmd.Context())
 		},
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -52,7 +52,6 @@
 	FrontAddr string
 	ReadyAddr string
 	LinkAddr  string
-	Bounds    Bounds
 	Keeper    *keeper.Keeper
 	Directory Directory
 	Store     StoreHealth
@@ -61,6 +60,7 @@
 	Front     http.Handler
 	Log       *slog.Logger
 
+	bounds   atomic.Pointer[Bounds]
 	id       w.InstanceID
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -77,6 +77,10 @@
 // It bounds the time for which a silent connection goes unnoticed.
 const watchWait = 2 * time.Second
 
+// SetBounds puts bounds in force. It is called before Run, and when the settings
+// change.
+func (in *Instance) SetBounds(b Bounds) { in.bounds.Store(&b) }
+
 // Run serves until ctx ends, and then drains.
 func (in *Instance) Run(ctx context.Context) error {
 	in.id = w.InstanceID(fmt.Sprintf("%s-%x", in.Name, time.Now().UnixNano()))
@@ -167,7 +171,7 @@
 		l.handOver()
 	}
 	time.Sleep(unreadyTime)
-	ctx, cancel := context.WithTimeout(context.Background(), in.Bounds.Grace-stopReserve-time.Since(began))
+	ctx, cancel := context.WithTimeout(context.Background(), in.bounds.Load().Grace-stopReserve-time.Since(began))
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
 		in.Log.Warn("requests cut at the end of the grace", "error", err)
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -77,10 +77,11 @@
 	}
 	l.ctx, l.cancel = context.WithCancel(in.ctx)
 	began := time.Now()
+	bounds := in.bounds.Load()
 	l.co = coordinator.New(coordinator.Settings{
-		Epoch: lead.Epoch, Self: in.id, Lease: min(lease, in.Bounds.MaxLease), StopTimeout: in.Bounds.StopTimeout,
-		GangTimeout: in.Bounds.GangTimeout, Restore: in.Bounds.Restore, RemoteFactor: in.Bounds.RemoteFactor,
-		Retention: in.Bounds.StateKept + retention, Log: in.Log,
+		Epoch: lead.Epoch, Self: in.id, Lease: min(lease, bounds.MaxLease), StopTimeout: bounds.StopTimeout,
+		GangTimeout: bounds.GangTimeout, Restore: bounds.Restore, RemoteFactor: bounds.RemoteFactor,
+		Retention: bounds.StateKept + retention, Log: in.Log,
 	}, began)
 	for {
 		s, err := in.Keeper.Load(l.ctx)
