coordinator: a member of a gang that waits at its end does not stall its target; log each job's story

Members of a gang end together, so those that are done stand at 100% until the slowest ends. Also: log lines go through a bounded recorder; a line a job tells how long it waited for what.

--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -15,6 +15,7 @@
 	"github.com/masticlead/masticlead/instance"
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/platform"
+	"github.com/masticlead/masticlead/recorder"
 )
 
 const (
@@ -61,7 +62,9 @@
 			}
 			debug.SetGCPercent(collectPercent)
 			debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
-			log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: l}))
+			rec := recorder.New(cmd.OutOrStdout())
+			defer rec.Close()
+			log := rec.Logger(l)
 			store := platform.NewStore(s.StoreAddr)
 			parts := keeper.Parts(1)
 			if s.AcrossParts {
--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -69,6 +69,7 @@
 	}
 	s.asking++
 	s.asked = c.now
+	s.job.story.asks++
 	c.nextAsk++
 	c.waiting = append(c.waiting, &ask{
 		id: c.nextAsk, step: s, targets: slices.Clone(targets),
@@ -167,6 +168,9 @@
 	if r.Failed {
 		return
 	}
+	if s.job.story.advised.IsZero() {
+		s.job.story.advised = c.now
+	}
 	q := c.queue(s.job)
 	if q == nil || q.Advice == nil {
 		return
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -18,6 +18,9 @@
 	// barredShare bounds the share of the targets that are set aside, so that
 	// a fault of the work can't empty the cell.
 	barredShare = 0.25
+	// wholePercent is the progress of a member of a gang that waits for the
+	// others to end with it.
+	wholePercent = 99
 	// stallAfter is the time without any progress of any run after which a
 	// target counts as standing still. Slow long tasks advance by a percent
 	// every 0.6 s.
@@ -100,7 +103,7 @@
 				continue
 			}
 			tk := &sl.step.tasks[sl.i]
-			if tk.phase == running && c.now.Sub(tk.movedAt) >= stallAfter && !c.gangWaits(sl.step) {
+			if tk.phase == running && tk.percent < wholePercent && c.now.Sub(tk.movedAt) >= stallAfter && !c.gangWaits(sl.step) {
 				stalled++
 			}
 		}
@@ -115,7 +118,7 @@
 			if sl.step == nil || sl.step.Lasting || sl.step.Fills {
 				continue
 			}
-			if tk := &sl.step.tasks[sl.i]; tk.phase == running && tk.target == t {
+			if tk := &sl.step.tasks[sl.i]; tk.phase == running && tk.target == t && tk.percent < wholePercent {
 				tk.avoid = t
 				c.stop(sl.step, sl.i)
 				if sl.step.Gang {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -74,9 +74,37 @@
 	begun     bool
 	fresh     bool // no earlier coordinator can have started it
 	took      time.Time
+	story     story
 	endedAt   time.Time
 }
 
+// story is what the log tells of a job when it ends.
+type story struct {
+	asks    int       // calls for advice
+	advised time.Time // first answer
+	started time.Time // first order to start
+	begun   time.Time // first start that a target confirmed
+	runs    int
+	stops   int // runs stopped for other work or a bad target
+	lost    int // runs that ended without a result
+}
+
+func (c *Coordinator) tell(j *job) {
+	if j.took.IsZero() {
+		return
+	}
+	since := func(t time.Time) time.Duration {
+		if t.IsZero() {
+			return -1
+		}
+		return t.Sub(j.took).Round(time.Millisecond)
+	}
+	c.Log.Info("job ended", "job", j.ID, "queue", j.Queue, "state", j.state, "age", c.now.UnixMilli()-j.Accepted,
+		"since", c.now.Sub(j.took).Round(time.Millisecond), "advised", since(j.story.advised), "ordered", since(j.story.started),
+		"begun", since(j.story.begun), "asks", j.story.asks, "runs", j.story.runs, "stops", j.story.stops, "lost", j.story.lost,
+		"epoch", c.Epoch)
+}
+
 func (s *step) id(i int) w.TaskID {
 	return w.TaskID{Job: s.job.ID, Occurrence: s.occ.k, Step: s.index, Index: i}
 }
@@ -255,6 +283,9 @@
 
 // begin notes that a task of a job has started.
 func (c *Coordinator) begin(j *job) {
+	if j.story.begun.IsZero() {
+		j.story.begun = c.now
+	}
 	if !j.begun {
 		j.begun = true
 		c.dirty[j.ID] = j
@@ -304,6 +335,7 @@
 	j.state = state
 	j.endedAt = c.now
 	c.dirty[j.ID] = j
+	c.tell(j)
 	change := linker.JobState{Job: j.ID, State: state}
 	if c.storeSlow || state == w.Cancelled {
 		c.publish(change)
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -165,6 +165,10 @@
 	id := s.id(i)
 	tk.run, tk.target, tk.percent, tk.missing, tk.pace = run, t, 0, 0, 0
 	c.setPhase(s, i, starting)
+	s.job.story.runs++
+	if s.job.story.started.IsZero() {
+		s.job.story.started = c.now
+	}
 	c.occupy(t, id, &slot{step: s, i: i, run: run, room: s.Room()})
 	o := linker.Start{Target: t.ID, Task: id, Run: run, Checkpoint: tk.saved}
 	if a := s.advice[t.ID]; a != nil {
@@ -322,7 +326,8 @@
 
 func (c *Coordinator) preemptSlots(s *step, t *target, stops []*slot) {
 	for _, sl := range stops {
-		c.Log.Debug("preempt", "task", sl.step.id(sl.i), "target", t.ID, "for", s.name)
+		sl.step.job.story.stops++
+		c.Log.Info("run preempted", "task", sl.step.id(sl.i), "target", t.ID, "for", s.name, "unsaved", c.unsaved(sl))
 		c.stop(sl.step, sl.i)
 	}
 }
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -149,6 +149,7 @@
 	}
 	tk := &s.tasks[sl.i]
 	if tk.target == t && tk.run == sl.run && tk.phase != finished {
+		s.job.story.lost++
 		c.setPhase(s, sl.i, waiting)
 		if s.Gang {
 			c.stopGang(s)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,6 +154,7 @@
 	}
 	j.Queue, j.Service, j.Attempts, j.Priority = q.Name, q.Service, q.Attempts, q.Priority
 	j.Accepted = time.Now().UnixMilli()
+	began := time.Now()
 	stored, err := g.accept(ctx, j)
 	if err != nil {
 		var refused *RefusedError
@@ -162,10 +163,11 @@
 		} else {
 			g.Unclear.Add(1)
 		}
-		g.Log.Warn("job not accepted", "job", j.ID, "queue", q.Name, "error", err)
+		g.Log.Warn("job not accepted", "job", j.ID, "queue", q.Name, "took", time.Since(began), "error", err)
 		return err
 	}
 	g.Accepted.Add(1)
+	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "configuration", g.Config().Version, "took", time.Since(began))
 	g.handOver(stored)
 	return nil
 }
