--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// jobParts keeps the rows of jobs below the rate of one part of the store.
-	jobParts = 8
+	// jobParts is the number of parts over which the rows of jobs are spread. A
+	// part makes one transaction after another, which takes 150 ms each while
+	// the store is slow; a crest brings 110 jobs a second.
+	jobParts = 32
 	// memoryShare is the part of the machine's memory above which garbage is
 	// collected more often.
 	memoryShare = 0.6
@@ -72,7 +74,7 @@
 			}
 			k := &keeper.Keeper{Store: store, Parts: parts}
 			caller := platform.NewCaller(s.AdviceAddr)
-			g := &gateway.Gateway{Keeper: k, Log: log}
+			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailing: store.Failing}
 			in := &instance.Instance{
 				Name: s.Node, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr,
 				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store,
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -69,6 +69,7 @@
 	roster     map[w.TargetID]bool // targets that the store lists as possibly running something
 	writing    bool
 	storeSlow  bool
+	suspended  bool
 	assignDue  bool
 	pendingDue time.Time
 	sweepDue   time.Time
@@ -108,9 +109,7 @@
 	}
 	for _, id := range s.Roster {
 		c.roster[id] = true
-		// The earlier coordinator extends leases for as long as it believes in
-		// its office, at most linker.Silence after its connections are gone.
-		c.unread[id] = c.now.Add(c.leaseBound() + linker.Silence)
+		c.unread[id] = c.now.Add(c.leaseBound() + officeSlack)
 	}
 }
 
@@ -158,6 +157,21 @@
 	}
 }
 
+// Suspend tells whether the coordinator may have been replaced without knowing.
+// While it may, it starts nothing and extends no lease.
+func (c *Coordinator) Suspend(suspended bool) {
+	if c.suspended == suspended {
+		return
+	}
+	c.suspended = suspended
+	c.Log.Warn("coordination suspended or resumed", "epoch", c.Epoch, "suspended", suspended, "members", len(c.ordered))
+	for _, m := range c.ordered {
+		m.given = ""
+	}
+	c.assignDue = true
+	c.generation++
+}
+
 // Advance makes all decisions that are due. The frames of the members can be
 // collected afterwards.
 func (c *Coordinator) Advance(now time.Time) {
@@ -251,6 +265,15 @@
 	c.publish(b.publish...)
 }
 
+// officeSlack is the time for which an earlier coordinator that does not know of
+// its successor may still extend leases: it suspends itself AuthorityTime after
+// its last renewal, and its calls take up to a long poll.
+const officeSlack = AuthorityTime + 1500*time.Millisecond
+
+// AuthorityTime is the time after its last renewal for which a leader without
+// most of its instances goes on.
+const AuthorityTime = 1500 * time.Millisecond
+
 func sameSet(a, b map[w.TargetID]bool) bool {
 	if len(a) != len(b) {
 		return false
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -134,6 +134,9 @@
 	}
 	for _, m := range c.ordered {
 		a := &linker.Assign{Epoch: c.Epoch, Lease: c.Lease}
+		if c.suspended {
+			a.Lease = 0
+		}
 		var key strings.Builder
 		for _, t := range given[m] {
 			a.Targets = append(a.Targets, linker.AssignedTarget{ID: t.ID, Address: t.Address, Incarnation: t.Incarnation, Acked: t.acked})
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -25,7 +25,7 @@
 
 // place starts what can be started, by priority and then by age.
 func (c *Coordinator) place() {
-	if c.cfg == nil || len(c.order) == 0 {
+	if c.cfg == nil || len(c.order) == 0 || c.suspended {
 		return
 	}
 	kept := c.active[:0]
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -12,12 +12,15 @@
 
 const (
 	// RenewPeriod is the time between two beats of a leader.
-	RenewPeriod = 400 * time.Millisecond
+	RenewPeriod = 300 * time.Millisecond
 	// beatLapse is the age of a beat after which a leader that doesn't answer
 	// counts as gone.
-	beatLapse = 1400 * time.Millisecond
+	beatLapse = 1000 * time.Millisecond
 	// deadLapse applies if the leader's address refuses connections.
-	deadLapse = 700 * time.Millisecond
+	deadLapse = 650 * time.Millisecond
+	// slowFactor widens both by the time that a read of the beats takes: a slow
+	// store delays renewals as well.
+	slowFactor = 3
 	// complaintLife is the age up to which a complaint counts.
 	complaintLife = 1500 * time.Millisecond
 	// lostBeforeComplaint is the time without a connection to the leader after
@@ -41,8 +44,9 @@
 	lost       time.Time // since when there is no connection to the leader
 	connected  bool
 	reach      Reach
-	beat       keeper.Version
-	beatAt     time.Time
+	age        time.Duration // of the last beat
+	slow       time.Duration // time that its reading took
+	read       bool          // a beat was read since the connection was lost
 	complaints map[w.InstanceID]seenComplaint
 	members    int // connected to the leader, by its own word
 }
@@ -54,7 +58,7 @@
 
 // Watch begins to watch a leader.
 func (e *Elector) Watch(lead keeper.Leadership, now time.Time) {
-	*e = Elector{lead: lead, lost: now, beatAt: now, complaints: make(map[w.InstanceID]seenComplaint)}
+	*e = Elector{lead: lead, lost: now, complaints: make(map[w.InstanceID]seenComplaint)}
 }
 
 // Leader returns the leader that is watched.
@@ -66,7 +70,7 @@
 // Lost reports that a connection has ended or could not be made.
 func (e *Elector) Lost(r Reach, now time.Time) {
 	if e.connected {
-		e.connected, e.lost, e.beatAt, e.beat = false, now, now, 0
+		e.connected, e.lost, e.read = false, now, false
 	}
 	e.reach = r
 }
@@ -79,14 +83,14 @@
 	return !e.connected && now.Sub(e.lost) >= lostBeforeComplaint
 }
 
-// Observe takes over the rows that were read.
-func (e *Elector) Observe(b keeper.Beat, list []keeper.Complaint, now time.Time) {
+// Observe takes over the rows that were read, the age of the beat, and the time
+// that the reading took.
+func (e *Elector) Observe(b keeper.Beat, age, took time.Duration, list []keeper.Complaint, now time.Time) {
 	e.members = b.Members
-	if b.Version != e.beat {
-		if e.beat != 0 {
-			e.beatAt = now
-		}
-		e.beat = b.Version
+	e.age, e.slow, e.read = age, took, true
+	if b.Epoch < e.lead.Epoch {
+		// The leader has not renewed yet: its takeover counts.
+		e.age = now.Sub(e.lost)
 	}
 	for _, c := range list {
 		if c.Epoch != e.lead.Epoch {
@@ -101,15 +105,15 @@
 // Due reports whether the instance should take over now, and why.
 func (e *Elector) Due(now time.Time) (string, bool) {
 	switch {
-	case e.connected:
+	case e.connected || !e.read:
 		return "", false
 	case e.lead.Epoch == 0:
 		return "no leader yet", true
 	case e.reach == Replaced:
 		return "the leader's process was replaced", true
-	case e.reach == Refuses && now.Sub(e.beatAt) >= deadLapse:
+	case e.reach == Refuses && e.age >= deadLapse+slowFactor*e.slow:
 		return "the leader refuses connections and has stopped renewing", true
-	case now.Sub(e.beatAt) >= beatLapse:
+	case e.age >= beatLapse+slowFactor*e.slow:
 		return "the leader has stopped renewing", true
 	}
 	fresh := 0
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -102,8 +102,8 @@
 		if now := l.now(); now > 0 {
 			// A target that doesn't answer gets no longer leases, so that the
 			// end of what it runs is known.
-			if l.answered {
-				l.deadline = max(l.deadline, now+l.e.currentLease().Milliseconds())
+			if lease := l.e.currentLease(); l.answered && lease > 0 {
+				l.deadline = max(l.deadline, now+lease.Milliseconds())
 			}
 			call.Deadline = l.deadline
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,16 +35,22 @@
 	storeRetries = 2
 	// storePause is the time between two such attempts.
 	storePause = 40 * time.Millisecond
-	// retryAfter is told to callers while the store is unavailable.
-	retryAfter = 1 * time.Second
+	// firstRetry and lastRetry bound the time after which callers are asked to
+	// return while the store is unavailable. An outage is expected to last as
+	// long again as it has lasted.
+	firstRetry = 1 * time.Second
+	lastRetry  = 5 * time.Second
 	// minRest is the time that a caller must have left for another attempt.
 	minRest = 500 * time.Millisecond
 )
 
 // Gateway is the part of an instance that callers reach.
 type Gateway struct {
-	Keeper *keeper.Keeper
-	Log    *slog.Logger
+	Keeper       *keeper.Keeper
+	Log          *slog.Logger
+	StoreFailing func() time.Duration
+
+	acceptor *acceptor
 
 	cfg  atomic.Pointer[w.Config]
 	mu   sync.Mutex
@@ -62,6 +68,7 @@
 
 // Init prepares the gateway for use.
 func (g *Gateway) Init() {
+	g.acceptor = newAcceptor(g.Keeper)
 	g.states = make(map[w.JobID]w.State)
 	g.pending = make(map[string]int)
 	g.own = make(map[string]int)
@@ -196,7 +203,7 @@
 func (g *Gateway) accept(ctx context.Context, j *w.Job) (*w.Job, error) {
 	unclear := false
 	for try := 0; ; try++ {
-		stored, err := g.Keeper.Accept(ctx, j)
+		stored, err := g.acceptor.accept(ctx, j)
 		if err == nil {
 			return stored, nil
 		}
@@ -208,7 +215,7 @@
 			if unclear {
 				return nil, fmt.Errorf("gateway: accept: %w", err)
 			}
-			return nil, &RefusedError{Reason: "storeUnavailable", RetryAfter: retryAfter}
+			return nil, &RefusedError{Reason: "storeUnavailable", RetryAfter: min(lastRetry, max(firstRetry, g.StoreFailing()))}
 		}
 		select {
 		case <-time.After(storePause << min(try, 4)):
@@ -225,7 +232,7 @@
 	if g.states[j.ID] == w.Unknown {
 		g.states[j.ID] = w.Queued
 	}
-	if g.jobs[j.ID] != nil {
+	if g.jobs[j.ID] != nil || g.states[j.ID].Final() {
 		return
 	}
 	g.jobs[j.ID] = j
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -29,9 +29,15 @@
 	ConfigChange(ctx context.Context, after keeper.Version, wait time.Duration) (*w.Config, keeper.Version, error)
 }
 
-// StoreHealth tells when the store last answered.
-type StoreHealth interface {
-	Age() time.Duration
+// Store is the client of the platform's store.
+type Store interface {
+	// Failing returns the time for which no call of this instance itself was
+	// answered, 0 if the last one was.
+	Failing() time.Duration
+	// Serve makes a call for another instance.
+	Serve(ctx context.Context, c *linker.Call) linker.CallReply
+	// SetRelay names who makes calls that fail here.
+	SetRelay(relay func(ctx context.Context, c *linker.Call) linker.CallReply)
 }
 
 // Bounds are the times that the platform states.
@@ -54,7 +60,7 @@
 	LinkAddr  string
 	Keeper    *keeper.Keeper
 	Directory Directory
-	Store     StoreHealth
+	Store     Store
 	Caller    executor.Caller
 	Gateway   *gateway.Gateway
 	Front     http.Handler
@@ -71,11 +77,16 @@
 	news     chan struct{} // signals a new leader
 	leader   atomic.Pointer[leader]
 	link     atomic.Pointer[linker.Conn]
+	cutSince atomic.Int64 // Unix time since which there is no connection to the leader, ns; 0 with one
+
+	callsMu sync.Mutex
+	calls   map[int64]chan linker.CallReply
+	lastID  int64
 }
 
 // watchWait is the time that the store may hold back an answer to a watcher.
 // It bounds the time for which a silent connection goes unnoticed.
-const watchWait = 2 * time.Second
+const watchWait = 1 * time.Second
 
 // SetBounds puts bounds in force. It is called before Run, and when the settings
 // change.
@@ -86,8 +97,11 @@
 	in.id = w.InstanceID(fmt.Sprintf("%s-%x", in.Name, time.Now().UnixNano()))
 	in.ctx, in.cancel = context.WithCancel(context.Background())
 	in.news = make(chan struct{}, 1)
+	in.calls = make(map[int64]chan linker.CallReply)
+	in.Store.SetRelay(in.relay)
 	in.Gateway.Init()
 	in.elector.Watch(keeper.Leadership{}, time.Now())
+	in.cutSince.Store(time.Now().UnixNano())
 
 	front, err := net.Listen("tcp", in.FrontAddr)
 	if err != nil {
@@ -102,7 +116,7 @@
 		return fmt.Errorf("instance: listen for instances: %w", err)
 	}
 	in.Log.Info("instance started", "instance", in.id, "zone", in.Zone)
-	srv := &http.Server{Handler: in.Front, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 60 * time.Second}
+	srv := &http.Server{Handler: http.HandlerFunc(in.serveFront), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 60 * time.Second}
 	readySrv := &http.Server{Handler: http.HandlerFunc(in.readiness), ReadHeaderTimeout: 3 * time.Second}
 	in.spawn(func() { in.serve(srv, front) })
 	in.spawn(func() { in.serve(readySrv, ready) })
@@ -144,13 +158,75 @@
 
 // readiness answers whether the instance should get new connections.
 func (in *Instance) readiness(rw http.ResponseWriter, _ *http.Request) {
-	if in.leaving.Load() || in.Gateway.Config() == nil {
+	if in.leaving.Load() || in.Gateway.Config() == nil || in.isolated() {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	rw.WriteHeader(http.StatusOK)
 }
 
+// isolatedAfter is the time without the leader and the store after which an
+// instance sends callers elsewhere.
+const isolatedAfter = 500 * time.Millisecond
+
+// isolated reports whether the instance reaches neither the leader nor the
+// store, so that it can't serve anybody. While only the store is away, other
+// instances could do no better.
+func (in *Instance) isolated() bool {
+	since := in.cutSince.Load()
+	return since != 0 && time.Since(time.Unix(0, since)) > isolatedAfter && in.Store.Failing() > isolatedAfter
+}
+
+// serveFront answers callers. An instance that should get no more requests
+// closes their connections.
+func (in *Instance) serveFront(rw http.ResponseWriter, r *http.Request) {
+	if in.isolated() {
+		rw.Header().Set("Connection", "close")
+	}
+	in.Front.ServeHTTP(rw, r)
+}
+
+// relay asks the leader to make a call to the store.
+func (in *Instance) relay(ctx context.Context, call *linker.Call) linker.CallReply {
+	c := in.link.Load()
+	if c == nil || in.leader.Load() != nil {
+		return linker.CallReply{Failed: true, NotDone: true}
+	}
+	ch := make(chan linker.CallReply, 1)
+	in.callsMu.Lock()
+	in.lastID++
+	id := in.lastID
+	in.calls[id] = ch
+	in.callsMu.Unlock()
+	defer func() {
+		in.callsMu.Lock()
+		delete(in.calls, id)
+		in.callsMu.Unlock()
+	}()
+	sent := *call
+	sent.ID = id
+	c.Send(&linker.Frame{Calls: []linker.Call{sent}})
+	select {
+	case r := <-ch:
+		return r
+	case <-c.Done():
+	case <-ctx.Done():
+	}
+	return linker.CallReply{Failed: true}
+}
+
+// answered hands the replies to relayed calls to those who wait for them.
+func (in *Instance) answered(list []linker.CallReply) {
+	in.callsMu.Lock()
+	defer in.callsMu.Unlock()
+	for _, r := range list {
+		if ch := in.calls[r.ID]; ch != nil {
+			ch <- r
+			delete(in.calls, r.ID)
+		}
+	}
+}
+
 const (
 	// unreadyTime is the time after which the balancer sends no new
 	// connections to an instance that says it isn't ready.
@@ -165,7 +241,7 @@
 	in.leaving.Store(true)
 	in.Log.Info("instance drains", "instance", in.id)
 	if c := in.link.Load(); c != nil {
-		c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.Age(), Leaving: true}})
+		c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.Failing(), Leaving: true}})
 	}
 	if l := in.leader.Load(); l != nil {
 		l.handOver()
@@ -289,17 +365,20 @@
 		}
 		if complains && time.Since(complained) > complaintPeriod {
 			complained = time.Now()
-			if err := in.Keeper.Complain(in.ctx, in.Name, lead.Epoch); err != nil {
-				in.Log.Debug("complaint not written", "error", err)
-			}
+			in.spawn(func() {
+				if err := in.Keeper.Complain(in.ctx, in.Name, lead.Epoch); err != nil {
+					in.Log.Debug("complaint not written", "error", err)
+				}
+			})
 		}
+		began := time.Now()
 		beat, list, err := in.Keeper.Beats(in.ctx)
 		if err != nil {
 			continue
 		}
 		now := time.Now()
 		in.electing.Lock()
-		in.elector.Observe(beat, list, now)
+		in.elector.Observe(beat, in.Keeper.Age(beat), now.Sub(began), list, now)
 		why, due := in.elector.Due(now)
 		in.electing.Unlock()
 		if due {
@@ -438,6 +517,7 @@
 			in.electing.Lock()
 			in.elector.Connected()
 			in.electing.Unlock()
+			in.cutSince.Store(0)
 			in.Gateway.Connect(c)
 		}
 		if !joined {
@@ -446,10 +526,12 @@
 		if f.Retire && !in.leaving.Load() {
 			in.spawn(func() { in.takeOver(lead, "the leader hands over") })
 		}
+		in.answered(f.Replies)
 		in.Gateway.Receive(f)
 		e.Receive(f)
 	})
 	close(stop)
+	in.cutSince.CompareAndSwap(0, time.Now().UnixNano())
 	in.Gateway.Disconnect(c)
 	in.link.CompareAndSwap(c, nil)
 	e.Close()
@@ -465,7 +547,7 @@
 	for {
 		select {
 		case <-t.C:
-			c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.Age(), Leaving: in.leaving.Load()}})
+			c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.Failing(), Leaving: in.leaving.Load()}})
 		case <-stop:
 			return
 		}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -37,9 +37,9 @@
 	// renewLate is the age of the last renewal after which a leader asks an
 	// instance that reaches the store to take over.
 	renewLate = 1200 * time.Millisecond
-	// memberStoreAge is the age of the store's last answer up to which an
-	// instance counts as reaching it.
-	memberStoreAge = 2600 * time.Millisecond
+	// memberStoreAge is the time of failing calls up to which an instance counts
+	// as reaching the store.
+	memberStoreAge = 300 * time.Millisecond
 	// retention is added to the time for which states must be kept.
 	retention = 30 * time.Second
 )
@@ -57,6 +57,7 @@
 	conns    map[w.InstanceID]*linker.Conn
 	storeAge map[w.InstanceID]statusAt
 	renewed  time.Time
+	strength int // instances connected at the last renewal
 	retired  time.Time
 }
 
@@ -169,6 +170,9 @@
 		l.storeAge[id] = statusAt{f.Status.StoreAge, time.Now(), f.Status.Leaving}
 		l.mu.Unlock()
 	}
+	if len(f.Calls) > 0 {
+		l.serve(id, f.Calls)
+	}
 	for i := range f.Results {
 		if f.Results[i].Outcome == linker.Fenced {
 			l.stop("a target has seen a higher epoch")
@@ -178,6 +182,25 @@
 	l.post(func(c *coordinator.Coordinator) { c.Receive(id, f, time.Now()) })
 }
 
+// serve makes calls to the store for an instance that can't reach it.
+func (l *leader) serve(id w.InstanceID, calls []linker.Call) {
+	l.mu.Lock()
+	conn := l.conns[id]
+	l.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	for i := range calls {
+		l.spawn(func() {
+			ctx, cancel := context.WithTimeout(l.ctx, calls[i].Timeout)
+			defer cancel()
+			r := l.in.Store.Serve(ctx, &calls[i])
+			r.ID = calls[i].ID
+			conn.Send(&linker.Frame{Replies: []linker.CallReply{r}})
+		})
+	}
+}
+
 // run decides until the leadership ends.
 func (l *leader) run() {
 	l.spawn(l.renew)
@@ -207,6 +230,7 @@
 				more = false
 			}
 		}
+		l.co.Suspend(l.doubtful())
 		l.co.SetStoreSlow(pending != nil && time.Since(savingSince) > saveLate)
 		l.co.Advance(time.Now())
 		if pending == nil {
@@ -223,6 +247,14 @@
 	}
 }
 
+// doubtful reports whether another instance may have taken over: the leader
+// can't renew and has lost most of its instances.
+func (l *leader) doubtful() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.renewed) > coordinator.AuthorityTime && 2*len(l.conns) <= l.strength
+}
+
 func (l *leader) sendFrames() {
 	frames := l.co.Frames()
 	l.mu.Lock()
@@ -268,6 +300,7 @@
 		l.mu.Lock()
 		members := len(l.conns)
 		l.mu.Unlock()
+		began := time.Now()
 		err := l.in.Keeper.Renew(l.ctx, &l.lead, max(0, members-1))
 		if err != nil && l.deposed(err) {
 			return
@@ -275,7 +308,8 @@
 		now := time.Now()
 		l.mu.Lock()
 		if err == nil {
-			l.renewed = now
+			l.renewed = began
+			l.strength = members
 		}
 		late := now.Sub(l.renewed) > renewLate && now.Sub(l.retired) > renewLate
 		l.mu.Unlock()
@@ -299,15 +333,15 @@
 		if id == l.in.id || !ok || s.leaving {
 			continue
 		}
-		if age := s.age + time.Since(s.at); age < least {
-			best, to, least = c, id, age
+		if s.age < least {
+			best, to, least = c, id, s.age
 		}
 	}
 	if best == nil {
 		return
 	}
 	l.retired = time.Now()
-	l.in.Log.Info("leader hands over", "epoch", l.lead.Epoch, "to", to, "storeAge", least)
+	l.in.Log.Info("leader hands over", "epoch", l.lead.Epoch, "to", to, "storeFailing", least)
 	best.Send(&linker.Frame{Retire: true})
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -3,6 +3,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 
 	w "github.com/masticlead/masticlead/workload"
 )
@@ -76,6 +78,9 @@
 	Scan(ctx context.Context, table, part, from, to string) ([]Row, Version, error)
 	// Changes waits for changes of a table after a version.
 	Changes(ctx context.Context, table string, after Version, wait time.Duration) ([]Row, Version, error)
+	// Clock returns the time on the store's steady clock. It may lag by the
+	// time that an answer takes.
+	Clock() time.Duration
 }
 
 // Tables of the keeper.
@@ -130,26 +135,60 @@
 	return Key{TableJobs, k.Parts.Of(id), string(id)}
 }
 
-// Accept stores a new job. It returns the stored job, which is another one if
-// the id was in use.
-func (k *Keeper) Accept(ctx context.Context, j *w.Job) (*w.Job, error) {
-	value, err := json.Marshal(j)
-	if err != nil {
-		return nil, fmt.Errorf("keeper: encode job %s: %w", j.ID, err)
-	}
-	key := k.JobKey(j.ID)
-	_, err = k.Store.Commit(ctx, &Tx{
-		Checks: []Check{{Key: key}},
-		Writes: []Row{{Key: key, Value: value}},
-	})
-	var c *Conflict
-	if errors.As(err, &c) && len(c.Rows) > 0 {
-		return decodeJob(&c.Rows[0])
-	}
-	if err != nil {
-		return nil, fmt.Errorf("keeper: accept job %s: %w", j.ID, err)
+// Accept stores new jobs of one part. It returns the stored jobs, which differ
+// from the given ones where an id was in use.
+func (k *Keeper) Accept(ctx context.Context, jobs []*w.Job) ([]*w.Job, error) {
+	stored := make([]*w.Job, len(jobs))
+	for {
+		var tx Tx
+		index := make(map[Key][]int, len(jobs))
+		for i, j := range jobs {
+			if stored[i] != nil {
+				continue
+			}
+			key := k.JobKey(j.ID)
+			if index[key] = append(index[key], i); len(index[key]) > 1 {
+				continue
+			}
+			value, err := json.Marshal(j)
+			if err != nil {
+				return nil, fmt.Errorf("keeper: encode job %s: %w", j.ID, err)
+			}
+			tx.Checks = append(tx.Checks, Check{Key: key})
+			tx.Writes = append(tx.Writes, Row{Key: key, Value: value})
+		}
+		if len(tx.Writes) == 0 {
+			return stored, nil
+		}
+		_, err := k.Store.Commit(ctx, &tx)
+		var c *Conflict
+		switch {
+		case err == nil:
+			for _, same := range index {
+				for _, i := range same {
+					stored[i] = jobs[same[0]]
+				}
+			}
+		case errors.As(err, &c):
+			found := 0
+			for i := range c.Rows {
+				for _, n := range index[c.Rows[i].Key] {
+					if c.Rows[i].Version == 0 {
+						continue
+					}
+					if stored[n], err = decodeJob(&c.Rows[i]); err != nil {
+						return nil, err
+					}
+					found++
+				}
+			}
+			if found == 0 {
+				return nil, fmt.Errorf("keeper: accept %d jobs: conflict without a row: %w", len(jobs), ErrUnknown)
+			}
+		default:
+			return nil, fmt.Errorf("keeper: accept %d jobs: %w", len(jobs), err)
+		}
 	}
-	return j, nil
 }
 
 func decodeJob(r *Row) (*w.Job, error) {
@@ -236,74 +275,113 @@
 	Versions  map[string]Version // of each table, for reading changes
 }
 
-// Load reads everything. Cancellations and progress are read after the jobs, so
-// that each of them finds its job.
+// Load reads everything. Nobody but the loading leader writes progress, so it is
+// read first, and the content of jobs that have ended is left out.
 func (k *Keeper) Load(ctx context.Context) (*Snapshot, error) {
 	s := &Snapshot{
 		Progress:  make(map[w.JobID]Progress),
 		Cancelled: make(map[w.JobID]bool),
 		Versions:  make(map[string]Version),
 	}
-	each := func(table string, take func(*Row) error) error {
-		first := true
-		for _, part := range k.Parts.All() {
-			rows, ver, err := k.Store.Scan(ctx, table, part, "", "")
-			if err != nil {
-				return fmt.Errorf("keeper: load %s: %w", table, err)
-			}
-			if first {
-				s.Versions[table] = ver
-				first = false
+	var roster *Row
+	scanned, err := k.scanAll(ctx, &roster, TableProgress, TableJobs, TableCancels)
+	if err != nil {
+		return nil, err
+	}
+	for table, parts := range scanned {
+		for _, p := range parts {
+			if v, ok := s.Versions[table]; !ok || p.version < v {
+				s.Versions[table] = p.version
 			}
-			for i := range rows {
-				if err := take(&rows[i]); err != nil {
-					return err
+		}
+	}
+	each := func(table string, take func(*Row) error) {
+		for _, p := range scanned[table] {
+			for i := range p.rows {
+				if err == nil {
+					err = take(&p.rows[i])
 				}
 			}
 		}
-		return nil
 	}
-	err := each(TableJobs, func(r *Row) error {
+	each(TableProgress, func(r *Row) error {
+		p, err := decodeProgress(r)
+		s.Progress[p.ID] = p
+		return err
+	})
+	each(TableJobs, func(r *Row) error {
+		id := w.JobID(r.Name)
+		if s.Progress[id].State.Final() {
+			s.Jobs = append(s.Jobs, w.Job{ID: id})
+			return nil
+		}
 		j, err := decodeJob(r)
 		if err == nil {
 			s.Jobs = append(s.Jobs, *j)
 		}
 		return err
 	})
-	if err != nil {
-		return nil, err
-	}
-	if err := each(TableProgress, func(r *Row) error {
-		p, err := decodeProgress(r)
-		s.Progress[p.ID] = p
-		return err
-	}); err != nil {
-		return nil, err
-	}
-	if err := each(TableCancels, func(r *Row) error {
+	each(TableCancels, func(r *Row) error {
 		s.Cancelled[w.JobID(r.Name)] = true
 		return nil
-	}); err != nil {
-		return nil, err
-	}
-	row, err := k.get(ctx, Key{Table: TableControl, Name: rosterName})
+	})
 	if err != nil {
-		return nil, fmt.Errorf("keeper: load roster: %w", err)
+		return nil, err
 	}
-	if row != nil {
-		if err := json.Unmarshal(row.Value, &s.Roster); err != nil {
+	if roster != nil {
+		if err := json.Unmarshal(roster.Value, &s.Roster); err != nil {
 			return nil, fmt.Errorf("keeper: decode roster: %w", err)
 		}
 	}
 	slices.SortFunc(s.Jobs, func(a, b w.Job) int {
-		if a.Accepted != b.Accepted {
-			return int(a.Accepted - b.Accepted)
-		}
-		return strings.Compare(string(a.ID), string(b.ID))
+		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), strings.Compare(string(a.ID), string(b.ID)))
 	})
 	return s, nil
 }
 
+// scanned is a part of a table as of a version.
+type scanned struct {
+	rows    []Row
+	version Version
+}
+
+// loadCalls is the number of scans that a load makes at the same time.
+const loadCalls = 16
+
+// scanAll reads all parts of the tables, and the roster.
+func (k *Keeper) scanAll(ctx context.Context, roster **Row, tables ...string) (map[string][]scanned, error) {
+	out := make(map[string][]scanned, len(tables))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(loadCalls)
+	parts := k.Parts.All()
+	for _, table := range tables {
+		list := make([]scanned, len(parts))
+		out[table] = list
+		for i, part := range parts {
+			g.Go(func() error {
+				rows, ver, err := k.Store.Scan(ctx, table, part, "", "")
+				if err != nil {
+					return fmt.Errorf("keeper: load %s: %w", table, err)
+				}
+				list[i] = scanned{rows, ver}
+				return nil
+			})
+		}
+	}
+	g.Go(func() error {
+		row, err := k.get(ctx, Key{Table: TableControl, Name: rosterName})
+		if err != nil {
+			return fmt.Errorf("keeper: load roster: %w", err)
+		}
+		*roster = row
+		return nil
+	})
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
 // News are the jobs and cancellations that were stored since a version.
 type News struct {
 	Jobs    []w.Job
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -87,6 +87,7 @@
 type Beat struct {
 	Epoch   w.Epoch `json:"epoch"`
 	Members int     `json:"members"` // other instances connected to the leader
+	At      int64   `json:"at"`      // time of the store's clock when the beat was sent, ms
 	Version Version `json:"-"`
 }
 
@@ -100,7 +101,7 @@
 // Renew writes the beat of a leader. It returns a Conflict if another leader
 // took over.
 func (k *Keeper) Renew(ctx context.Context, lead *Leadership, members int) error {
-	value, err := json.Marshal(&Beat{Epoch: lead.Epoch, Members: members})
+	value, err := json.Marshal(&Beat{Epoch: lead.Epoch, Members: members, At: k.Store.Clock().Milliseconds()})
 	if err != nil {
 		return fmt.Errorf("keeper: encode beat: %w", err)
 	}
@@ -126,6 +127,11 @@
 	return nil
 }
 
+// Age returns the time since the beat was sent.
+func (k *Keeper) Age(b Beat) time.Duration {
+	return k.Store.Clock() - time.Duration(b.At)*time.Millisecond
+}
+
 // Beats reads the beat and the complaints.
 func (k *Keeper) Beats(ctx context.Context) (Beat, []Complaint, error) {
 	var beat Beat
--- a/linker/conn.go
+++ b/linker/conn.go
@@ -11,9 +11,9 @@
 
 const (
 	// Heartbeat is the longest pause between two frames on a connection.
-	Heartbeat = 200 * time.Millisecond
+	Heartbeat = 150 * time.Millisecond
 	// Silence is the time without a frame after which a connection is closed.
-	Silence = 900 * time.Millisecond
+	Silence = 600 * time.Millisecond
 	// sendQueue is the number of frames that may wait for a slow peer before
 	// the connection is closed.
 	sendQueue = 1024
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -20,6 +20,7 @@
 	Results []Result
 	Advice  []Advice
 	Status  *Status
+	Calls   []Call
 
 	// From the coordinator.
 	Assign   *Assign
@@ -33,7 +34,8 @@
 	Pending  *PendingCounts
 	Received []w.JobID // jobs and cancels that the coordinator has taken over
 	Reset    bool      // States is complete; what was known before is dropped
-	Retire   bool      // the coordinator has lost the store; the receiver may take over
+	Replies  []CallReply
+	Retire   bool // the coordinator has lost the store; the receiver may take over
 }
 
 // Hello opens a connection.
@@ -60,6 +62,24 @@
 	Latency     time.Duration
 }
 
+// Call is a call to the store that an instance can't make itself.
+type Call struct {
+	ID      int64
+	Method  string
+	Path    string
+	Body    []byte
+	Timeout time.Duration
+}
+
+// CallReply answers a Call.
+type CallReply struct {
+	ID      int64
+	Status  int
+	Body    []byte
+	Failed  bool // no answer
+	NotDone bool // with Failed: the store certainly did nothing
+}
+
 // Outcome tells what became of a start order.
 type Outcome uint8
 
