--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -122,11 +122,13 @@
 	c.generation++
 }
 
-// AddJob takes over a stored job.
-func (c *Coordinator) AddJob(j *w.Job) {
+// AddJob takes over a stored job. A fresh one was never handed to an earlier
+// coordinator.
+func (c *Coordinator) AddJob(j *w.Job, fresh bool) {
 	_, cancelled := c.early[j.ID]
 	delete(c.early, j.ID)
-	c.addJob(j, keeper.Progress{}, cancelled, true)
+	c.addJob(j, keeper.Progress{}, cancelled, fresh)
+	c.adoptOrphans(j.ID)
 }
 
 // Cancel ends a job on request of its caller. The cancellation is stored.
@@ -253,7 +255,10 @@
 	}
 	for id, seq := range b.seen {
 		t := c.targets[id]
-		if t == nil || seq <= t.acked {
+		if t == nil {
+			continue
+		}
+		if seq = t.ackable(seq); seq <= t.acked {
 			continue
 		}
 		t.acked = seq
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -157,3 +157,18 @@
 	x.step(2 * time.Second)
 	require.NotEqual(t, waiting, x.c.jobs["j"].occs[0].steps[0].tasks[0].phase, "the lease has surely ended")
 }
+
+// TestEndBeforeItsJob guards against a second run after 'done': a job that the
+// earlier coordinator ran is found in the store only after its end was listed.
+func TestEndBeforeItsJob(t *testing.T) {
+	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: []w.TargetID{"a"}})
+	x.end("a", linker.Start{Task: w.TaskID{Job: "j"}, Run: 5}, w.EndedDone)
+	x.list("a")
+	require.Empty(t, x.step(0).Acks, "the end would be forgotten before it is stored")
+	j := oneTask("j")
+	x.c.AddJob(&j, false)
+	f := x.step(0)
+	require.Empty(t, f.Starts)
+	require.NotEmpty(t, f.Acks)
+	require.Equal(t, w.Completed, x.state("j"))
+}
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -162,7 +162,7 @@
 		c.assignDue = true
 	}
 	for i := range f.Jobs {
-		c.AddJob(&f.Jobs[i])
+		c.AddJob(&f.Jobs[i], !f.Again)
 		m.due().Received = append(m.due().Received, f.Jobs[i].ID)
 	}
 	for _, id := range f.Cancels {
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -32,7 +32,8 @@
 	seen     int64 // highest end
 	acked    int64
 	health   health
-	held     *step // room is reserved for this step
+	orphans  []orphan // ends of jobs that are not known yet
+	held     *step    // room is reserved for this step
 	heldTill time.Time
 	coming   w.Resources // room of runs that are being stopped
 }
@@ -119,7 +120,7 @@
 	delete(c.unread, t.ID)
 	c.generation++
 	t.Incarnation = incarnation
-	t.seen, t.acked = 0, 0
+	t.seen, t.acked, t.orphans = 0, 0, nil
 	delete(c.endsSeen, t.ID)
 	t.read = false
 	t.health = health{}
@@ -378,8 +379,57 @@
 	if sl != nil && sl.run == e.Run {
 		c.free(t, e.Task, sl)
 	}
+	if c.jobs[e.Task.Job] == nil {
+		c.Log.Warn("end of an unknown job", "task", e.Task, "target", t.ID, "run", e.Run, "how", e.How)
+		t.orphans = append(t.orphans, orphan{end: *e, at: c.now})
+		return
+	}
+	c.apply(t, e)
+}
+
+// orphan is an end of a job that an earlier coordinator started and that has not
+// been found in the store yet. It must not be acknowledged until then.
+type orphan struct {
+	end w.End
+	at  time.Time
+}
+
+// orphanLife is the time after which a job that no search has found counts as
+// removed from the store.
+const orphanLife = 15 * time.Second
+
+// ackable returns the highest end up to seq that the target may forget.
+func (t *target) ackable(seq int64) int64 {
+	for i := range t.orphans {
+		seq = min(seq, t.orphans[i].end.Seq-1)
+	}
+	return seq
+}
+
+// adoptOrphans applies the ends that arrived before their job.
+func (c *Coordinator) adoptOrphans(id w.JobID) {
+	for _, t := range c.order {
+		if len(t.orphans) == 0 {
+			continue
+		}
+		kept := t.orphans[:0]
+		for _, o := range t.orphans {
+			switch {
+			case o.end.Task.Job == id:
+				c.apply(t, &o.end)
+			case c.now.Sub(o.at) < orphanLife:
+				kept = append(kept, o)
+			}
+		}
+		t.orphans = kept
+		c.endsSeen[t.ID] = t.seen
+	}
+}
+
+// apply lets the end of a run change its job.
+func (c *Coordinator) apply(t *target, e *w.End) {
 	j := c.jobs[e.Task.Job]
-	if j == nil || j.state.Final() {
+	if j.state.Final() {
 		return
 	}
 	s := j.step(e.Task)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,7 +97,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.conn = c
-	f := new(linker.Frame)
+	f := &linker.Frame{Again: true}
 	for _, j := range g.jobs {
 		f.Jobs = append(f.Jobs, *j)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -74,6 +74,7 @@
 	leaving  atomic.Bool
 	electing sync.Mutex
 	elector  elector.Elector
+	begun    w.Epoch       // the last epoch in which this instance began to lead
 	news     chan struct{} // signals a new leader
 	leader   atomic.Pointer[leader]
 	link     atomic.Pointer[linker.Conn]
@@ -243,12 +244,18 @@
 	if c := in.link.Load(); c != nil {
 		c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.Failing(), Leaving: true}})
 	}
-	if l := in.leader.Load(); l != nil {
-		l.handOver()
-	}
+	end := began.Add(in.bounds.Load().Grace - stopReserve)
+	resigned := make(chan struct{})
+	go func() {
+		defer close(resigned)
+		if l := in.leader.Load(); l != nil {
+			l.resign(end)
+		}
+	}()
 	time.Sleep(unreadyTime)
-	ctx, cancel := context.WithTimeout(context.Background(), in.bounds.Load().Grace-stopReserve-time.Since(began))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	defer func() { <-resigned }()
 	if err := srv.Shutdown(ctx); err != nil {
 		in.Log.Warn("requests cut at the end of the grace", "error", err)
 	}
@@ -337,11 +344,18 @@
 		return
 	}
 	in.elector.Watch(lead, time.Now())
+	own := lead.Instance == in.id && lead.Epoch > in.begun
+	if own {
+		in.begun = lead.Epoch
+	}
 	in.electing.Unlock()
 	in.Log.Info("leader known", "leader", lead.Instance, "epoch", lead.Epoch, "own", lead.Instance == in.id)
 	if l := in.leader.Load(); l != nil && l.lead.Epoch < lead.Epoch {
 		l.stop("another leader took over")
 	}
+	if own {
+		in.spawn(func() { in.begin(lead) })
+	}
 	if c := in.link.Load(); c != nil {
 		c.Close()
 	}
@@ -393,24 +407,36 @@
 // takeOver makes this instance the leader if no other was faster.
 func (in *Instance) takeOver(old keeper.Leadership, why string) {
 	lead, err := in.Keeper.TakeOver(in.ctx, old, keeper.Leadership{Instance: in.id, Address: in.LinkAddr, Zone: in.Zone})
-	if err != nil {
-		in.Log.Info("did not take over", "epoch", old.Epoch, "reason", why, "error", err)
-		// Whoever was faster, or this instance if only the answer was lost, is
-		// in the row.
-		if current, err := in.Keeper.Leader(in.ctx); err == nil {
-			in.learn(current)
-		}
+	if err == nil {
+		in.Log.Info("took over", "epoch", lead.Epoch, "from", old.Instance, "reason", why)
+		in.learn(lead)
 		return
 	}
-	in.Log.Info("took over", "epoch", lead.Epoch, "from", old.Instance, "reason", why)
+	in.Log.Info("did not take over", "epoch", old.Epoch, "reason", why, "error", err)
+	// Whoever was faster, or this instance if only the answer was lost, is in
+	// the row.
+	if current, err := in.Keeper.Leader(in.ctx); err == nil {
+		in.learn(current)
+	}
+}
+
+// begin coordinates the cell. The row may name this instance long after it asked
+// for it, so whoever learns of it begins.
+func (in *Instance) begin(lead keeper.Leadership) {
 	l, err := newLeader(in, lead)
 	if err != nil {
 		in.Log.Error("could not load the cell", "epoch", lead.Epoch, "error", err)
 		return
 	}
 	in.leader.Store(l)
+	in.electing.Lock()
+	known := in.elector.Leader()
+	in.electing.Unlock()
+	if known.Epoch > lead.Epoch {
+		l.stop("another leader took over")
+		return
+	}
 	in.spawn(l.run)
-	in.learn(lead)
 }
 
 // accept takes connections of instances.
@@ -432,8 +458,8 @@
 // tells who speaks.
 func (in *Instance) welcome(nc net.Conn) {
 	c := linker.NewConn(nc)
-	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone}})
 	l := in.leader.Load()
+	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Leads: l != nil}})
 	if l == nil {
 		// The frame has to leave before the connection ends.
 		in.pause(linker.Heartbeat)
@@ -513,6 +539,9 @@
 				c.Close()
 				return
 			}
+			if !f.Hello.Leads {
+				return
+			}
 			joined = true
 			in.electing.Lock()
 			in.elector.Connected()
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -55,16 +55,16 @@
 
 	mu       sync.Mutex
 	conns    map[w.InstanceID]*linker.Conn
-	storeAge map[w.InstanceID]statusAt
+	status   map[w.InstanceID]memberStatus
 	renewed  time.Time
 	strength int // instances connected at the last renewal
 	retired  time.Time
 }
 
-type statusAt struct {
-	age     time.Duration
-	at      time.Time
+type memberStatus struct {
+	age     time.Duration // time for which the store has failed it
 	leaving bool
+	asked   bool // to take over
 }
 
 // inboxSize is the number of events that may wait for a decision.
@@ -74,7 +74,7 @@
 func newLeader(in *Instance, lead keeper.Leadership) (*leader, error) {
 	l := &leader{
 		in: in, lead: lead, inbox: make(chan func(*coordinator.Coordinator), inboxSize),
-		conns: make(map[w.InstanceID]*linker.Conn), storeAge: make(map[w.InstanceID]statusAt), renewed: time.Now(),
+		conns: make(map[w.InstanceID]*linker.Conn), status: make(map[w.InstanceID]memberStatus), renewed: time.Now(),
 	}
 	l.ctx, l.cancel = context.WithCancel(in.ctx)
 	began := time.Now()
@@ -84,6 +84,7 @@
 		GangTimeout: bounds.GangTimeout, Restore: bounds.Restore, RemoteFactor: bounds.RemoteFactor,
 		Retention: bounds.StateKept + retention, Log: in.Log,
 	}, began)
+	l.spawn(l.renew)
 	for {
 		s, err := in.Keeper.Load(l.ctx)
 		if err == nil {
@@ -101,8 +102,8 @@
 			return nil, fmt.Errorf("instance: epoch %d was taken over by epoch %d", lead.Epoch, current.Epoch)
 		}
 		in.pause(errorPause)
-		if in.ctx.Err() != nil {
-			return nil, fmt.Errorf("instance: load: %w", in.ctx.Err())
+		if l.ctx.Err() != nil {
+			return nil, fmt.Errorf("instance: load: %w", l.ctx.Err())
 		}
 	}
 }
@@ -155,7 +156,7 @@
 	current := l.conns[id] == conn
 	if current {
 		delete(l.conns, id)
-		delete(l.storeAge, id)
+		delete(l.status, id)
 	}
 	l.mu.Unlock()
 	if current {
@@ -167,7 +168,7 @@
 func (l *leader) receive(id w.InstanceID, f *linker.Frame) {
 	if f.Status != nil {
 		l.mu.Lock()
-		l.storeAge[id] = statusAt{f.Status.StoreAge, time.Now(), f.Status.Leaving}
+		l.status[id] = memberStatus{age: f.Status.StoreAge, leaving: f.Status.Leaving, asked: l.status[id].asked}
 		l.mu.Unlock()
 	}
 	if len(f.Calls) > 0 {
@@ -203,7 +204,6 @@
 
 // run decides until the leadership ends.
 func (l *leader) run() {
-	l.spawn(l.renew)
 	l.spawn(l.readTargets)
 	saved := make(chan *coordinator.Batch, 1)
 	tick := time.NewTicker(idlePeriod)
@@ -311,7 +311,7 @@
 			l.renewed = began
 			l.strength = members
 		}
-		late := now.Sub(l.renewed) > renewLate && now.Sub(l.retired) > renewLate
+		late := err != nil && now.Sub(l.renewed) > renewLate && now.Sub(l.retired) > renewLate
 		l.mu.Unlock()
 		if late {
 			l.in.Log.Warn("leader can't renew", "epoch", l.lead.Epoch, "error", err)
@@ -321,26 +321,47 @@
 	}
 }
 
+// resign hands the coordination over before this instance stops. An instance
+// that was asked may itself be stopping or dead, so others are asked in turn.
+func (l *leader) resign(until time.Time) {
+	const period = 500 * time.Millisecond
+	for l.ctx.Err() == nil && time.Now().Before(until) {
+		l.handOver()
+		select {
+		case <-l.ctx.Done():
+		case <-time.After(period):
+		}
+	}
+}
+
 // handOver asks an instance that reaches the store to take over.
 func (l *leader) handOver() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best *linker.Conn
 	var to w.InstanceID
-	least := memberStoreAge
+	var least time.Duration
 	for id, c := range l.conns {
-		s, ok := l.storeAge[id]
-		if id == l.in.id || !ok || s.leaving {
+		s, ok := l.status[id]
+		if id == l.in.id || !ok || s.leaving || s.asked || s.age >= memberStoreAge {
 			continue
 		}
-		if s.age < least {
+		if best == nil || s.age < least {
 			best, to, least = c, id, s.age
 		}
 	}
 	if best == nil {
+		// All were asked; the next time they are asked again.
+		for id, s := range l.status {
+			s.asked = false
+			l.status[id] = s
+		}
 		return
 	}
 	l.retired = time.Now()
+	asked := l.status[to]
+	asked.asked = true
+	l.status[to] = asked
 	l.in.Log.Info("leader hands over", "epoch", l.lead.Epoch, "to", to, "storeFailing", least)
 	best.Send(&linker.Frame{Retire: true})
 }
@@ -386,7 +407,7 @@
 			for i := range n.Jobs {
 				if !c.Knows(n.Jobs[i].ID) {
 					l.in.Log.Info("stored job found", "job", n.Jobs[i].ID)
-					c.AddJob(&n.Jobs[i])
+					c.AddJob(&n.Jobs[i], false)
 				}
 			}
 			for _, id := range n.Cancels {
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -15,6 +15,7 @@
 	// From the instance.
 	Hello   *Hello
 	Jobs    []w.Job   // stored
+	Again   bool      // Jobs may have been handed to an earlier coordinator
 	Cancels []w.JobID // stored
 	Reports []Report
 	Results []Result
@@ -42,6 +43,7 @@
 type Hello struct {
 	Instance w.InstanceID
 	Zone     string
+	Leads    bool // the sender coordinates the cell
 }
 
 // Status is sent by an instance every heartbeat.
