--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -67,7 +67,7 @@
 	publishing []linker.JobState
 	expired    []w.JobID
 	roster     map[w.TargetID]bool // targets that the store lists as possibly running something
-	writing    bool
+	inFlight   *Batch              // the batch that is being stored
 	storeSlow  bool
 	suspended  bool
 	assignDue  bool
@@ -153,10 +153,15 @@
 // are published before they are stored.
 func (c *Coordinator) SetStoreSlow(slow bool) {
 	c.storeSlow = slow
-	if slow {
-		c.publish(c.publishing...)
-		c.publishing = nil
+	if !slow {
+		return
+	}
+	if c.inFlight != nil {
+		c.publish(c.inFlight.publish...)
+		c.inFlight.publish = nil
 	}
+	c.publish(c.publishing...)
+	c.publishing = nil
 }
 
 // Suspend tells whether the coordinator may have been replaced without knowing.
@@ -223,7 +228,7 @@
 // Flush returns what has to be stored next, or nil if nothing has or the last
 // batch is not yet reported as stored.
 func (c *Coordinator) Flush() *Batch {
-	if c.writing {
+	if c.inFlight != nil {
 		return nil
 	}
 	b := &Batch{seen: c.endsSeen, publish: c.publishing, Remove: c.expired}
@@ -242,13 +247,13 @@
 	c.endsSeen = make(map[w.TargetID]int64)
 	c.publishing = nil
 	c.expired = nil
-	c.writing = true
+	c.inFlight = b
 	return b
 }
 
 // Stored reports that a batch is in the store.
 func (c *Coordinator) Stored(b *Batch) {
-	c.writing = false
+	c.inFlight = nil
 	if b.RosterChanged {
 		c.roster = b.roster
 		c.generation++
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -172,3 +172,100 @@
 	require.NotEmpty(t, f.Acks)
 	require.Equal(t, w.Completed, x.state("j"))
 }
+
+// TestSlowStoreShowsEnds guards against ready answers that are held back: an end
+// whose write is on its way is shown once the store counts as slow.
+func TestSlowStoreShowsEnds(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.list("a")
+	x.submit(oneTask("j"))
+	f := x.step(0)
+	x.end("a", f.Starts[0], w.EndedDone)
+	x.c.Advance(x.now)
+	require.NotNil(t, x.c.Flush())
+	x.c.Frames()
+	x.c.SetStoreSlow(true)
+	require.Contains(t, x.c.Frames()["other"].States, linker.JobState{Job: "j", State: w.Completed})
+}
+
+// TestFillsKeepsAway guards against work that fills unused room and disturbs
+// tasks that serve on the same target.
+func TestFillsKeepsAway(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.list("a")
+	x.list("b")
+	serve := oneTask("serve")
+	serve.Steps[0].Lasting, serve.Steps[0].TailMs = true, 50
+	x.submit(serve)
+	first := x.step(0).Starts
+	require.Len(t, first, 1)
+	fill := oneTask("fill")
+	fill.Steps[0].Count, fill.Steps[0].Fills, fill.Steps[0].Lasting = 3, true, true
+	x.submit(fill)
+	for _, s := range x.step(0).Starts {
+		require.NotEqual(t, first[0].Target, s.Target)
+	}
+}
+
+// TestGangStartsWhole guards against members of a gang that wait for others: all
+// start with one run, or none does.
+func TestGangStartsWhole(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.list("a")
+	x.list("b")
+	gang := oneTask("gang")
+	gang.Steps[0].Count, gang.Steps[0].Gang, gang.Steps[0].Need.CPU = 5, true, 4000
+	x.submit(gang)
+	require.Empty(t, x.step(0).Starts, "only four members fit")
+	gang.ID, gang.Steps = "fits", []w.Step{gang.Steps[0]}
+	gang.Steps[0].Count = 4
+	x.submit(gang)
+	f := x.step(0)
+	require.Len(t, f.Starts, 4)
+	for _, s := range f.Starts {
+		require.Equal(t, f.Starts[0].Run, s.Run)
+	}
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: f.Starts[0].Target, Task: f.Starts[0].Task, Run: f.Starts[0].Run, Outcome: linker.NoRoom}}})
+	require.Len(t, x.step(0).Stops, 3, "the others would wait for the one that was rejected")
+}
+
+// TestPreemptsForUrgent guards against urgent work that waits for batch work.
+func TestPreemptsForUrgent(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.list("a")
+	batch := oneTask("batch")
+	batch.Steps[0].Count = 8
+	x.submit(batch)
+	f := x.step(0)
+	require.Len(t, f.Starts, 8)
+	for _, s := range f.Starts {
+		x.started(s)
+	}
+	urgent := oneTask("urgent")
+	urgent.Queue = "urgent"
+	x.submit(urgent)
+	f = x.step(10 * time.Millisecond)
+	require.Len(t, f.Stops, 1)
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: 1, Ends: []w.End{{Seq: 1, Task: f.Stops[0].Task, Run: f.Stops[0].Run, How: w.EndedStopped}}}}})
+	f = x.step(10 * time.Millisecond)
+	require.Len(t, f.Starts, 1)
+	require.Equal(t, w.JobID("urgent"), f.Starts[0].Task.Job)
+}
+
+// TestStalledTargetIsEmptied guards against work that stands still on a target
+// while its heartbeats are good.
+func TestStalledTargetIsEmptied(t *testing.T) {
+	x := newCell(t, 1, 5, nil)
+	for _, id := range []w.TargetID{"a", "b", "c", "d", "e"} {
+		x.list(id)
+	}
+	x.submit(oneTask("j"))
+	s := x.step(0).Starts[0]
+	x.started(s)
+	stops := 0
+	for range 6 {
+		x.list(s.Target, w.Run{Task: s.Task, Run: s.Run, Percent: 7})
+		stops += len(x.step(400 * time.Millisecond).Stops)
+	}
+	require.Equal(t, 1, stops)
+}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -88,6 +88,11 @@
 
 // allowed reports whether a target may run a task of the step at all.
 func (c *Coordinator) allowed(s *step, t *target) bool {
+	if (s.Fills && t.serving > 0) || (s.TailMs > 0 && t.fills > 0) {
+		// Work that fills disturbs tasks that serve by amounts that change within
+		// seconds, so the two don't share a target.
+		return false
+	}
 	return c.usable(t) && t.Service == c.service(s.job) &&
 		(s.Label == "" || slices.Contains(t.Labels, s.Label)) && !c.blocked(s, t)
 }
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -24,6 +24,8 @@
 	used     w.Resources
 	slots    map[w.TaskID]*slot
 	foreign  int // slots of unknown jobs
+	fills    int // slots of tasks that use unused capacity
+	serving  int // slots of tasks with a goal for their response times
 	member   *member
 	listed   bool // by the platform
 	read     bool // a complete list was read by this coordinator
@@ -162,8 +164,18 @@
 func (c *Coordinator) occupy(t *target, id w.TaskID, sl *slot) {
 	t.slots[id] = sl
 	t.used = t.used.Add(sl.room)
-	if sl.step == nil {
-		t.foreign++
+	t.count(sl, 1)
+}
+
+// count notes that a slot of its kind comes or goes.
+func (t *target) count(sl *slot, n int) {
+	switch {
+	case sl.step == nil:
+		t.foreign += n
+	case sl.step.Fills:
+		t.fills += n
+	case sl.step.TailMs > 0:
+		t.serving += n
 	}
 }
 
@@ -173,9 +185,7 @@
 	}
 	delete(t.slots, id)
 	t.used = t.used.Sub(sl.room)
-	if sl.step == nil {
-		t.foreign--
-	}
+	t.count(sl, -1)
 	if sl.ending {
 		t.coming = t.coming.Sub(sl.room)
 	}
