meter, cmd: counters and waits on the metrics address, explain a request from logs

Cause: on-call engineers have only logs and metrics. Each instance shows events by kind and reason and waits as histograms on the port that the deploy file names; masticlead explain prints a request's lines of several logs in order.

--- a/cmd/masticlead/main.go
+++ b/cmd/masticlead/main.go
@@ -73,7 +73,7 @@
 		SilenceUsage:  true,
 	}
 	root.AddCommand(
-		newServe(), newDev(), newPlatform(),
+		newServe(), newDev(), newPlatform(), newExplain(),
 		newJobs(o), newRules(o), newInstances(o), newTargets(o),
 		newVersion(o),
 	)
--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -14,6 +14,7 @@
 	"github.com/masticlead/masticlead/gateway"
 	"github.com/masticlead/masticlead/instance"
 	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/meter"
 	"github.com/masticlead/masticlead/platform"
 	"github.com/masticlead/masticlead/recorder"
 )
@@ -67,18 +68,21 @@
 			rec := recorder.New(cmd.OutOrStdout())
 			defer rec.Close()
 			log := rec.Logger(l)
+			m := meter.New()
 			store := platform.NewStore(s.StoreAddr)
+			store.Meter = m
 			parts := keeper.Parts(1)
 			if s.AcrossParts {
 				parts = jobParts
 			}
 			k := &keeper.Keeper{Store: store, Parts: parts}
 			caller := platform.NewCaller(s.AdviceAddr)
-			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailing: store.Failing}
+			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailing: store.Failing, Meter: m}
 			in := &instance.Instance{
 				Name: s.Node, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr,
 				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store,
 				Caller: caller, Gateway: g, Front: &platform.Front{Gateway: g}, Log: log,
+				Meter: m, MetricsAddr: s.MetricsAddr,
 			}
 			in.SetBounds(bounds(s))
 			go platform.Watch(cmd.Context(), path, hup, settingsPeriod, func(s *platform.Settings) {
--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -165,6 +165,7 @@
 	s := a.step
 	s.asking--
 	s.tried = -1
+	c.Meter.Wait("advice", c.now.Sub(s.asked))
 	if r.Failed {
 		return
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
+	"github.com/masticlead/masticlead/meter"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -24,6 +25,7 @@
 	RemoteFactor float64       // slow-down away from the data or over several racks
 	Retention    time.Duration // time for which the state of an ended job is kept
 	Log          *slog.Logger
+	Meter        *meter.Meter
 }
 
 // Batch is a set of changes for the store.
@@ -76,7 +78,6 @@
 	goodShare  map[string]float64
 	unread     map[w.TargetID]time.Time // listed by the previous coordinator and not read yet, with the time its lease ends
 	generation int64
-	ends       map[w.Ending]int64
 	early      map[w.JobID]time.Time // cancelled before they were known
 }
 
@@ -96,7 +97,6 @@
 		roster:    make(map[w.TargetID]bool),
 		goodShare: make(map[string]float64),
 		unread:    make(map[w.TargetID]time.Time),
-		ends:      make(map[w.Ending]int64),
 		early:     make(map[w.JobID]time.Time),
 	}
 }
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -85,6 +85,7 @@
 	d := min(longestBar, firstBar<<t.health.bars)
 	t.health.bars++
 	t.health.bar(c.now, d)
+	c.Meter.Count("setAside", reason)
 	c.Log.Warn("target set aside", "target", t.ID, "reason", reason, "for", d, "failures", t.health.streak)
 }
 
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -99,6 +99,7 @@
 		}
 		return t.Sub(j.took).Round(time.Millisecond)
 	}
+	c.Meter.Count("job", j.state.String())
 	c.Log.Info("job ended", "job", j.ID, "queue", j.Queue, "state", j.state, "age", c.now.UnixMilli()-j.Accepted,
 		"since", c.now.Sub(j.took).Round(time.Millisecond), "advised", since(j.story.advised), "ordered", since(j.story.started),
 		"begun", since(j.story.begun), "asks", j.story.asks, "runs", j.story.runs, "stops", j.story.stops, "lost", j.story.lost,
@@ -355,8 +356,27 @@
 	}
 }
 
+// levels shows what is believed of the cell.
+func (c *Coordinator) levels() {
+	var room, used, usable float64
+	for _, t := range c.order {
+		if c.usable(t) {
+			usable++
+			room += float64(t.Capacity.CPU)
+			used += float64(t.used.CPU)
+		}
+	}
+	c.Meter.Level("targets", float64(len(c.order)))
+	c.Meter.Level("targetsUsable", usable)
+	c.Meter.Level("cpuUsable", room)
+	c.Meter.Level("cpuUsed", used)
+	c.Meter.Level("stepsWaiting", float64(len(c.active)))
+	c.Meter.Level("members", float64(len(c.ordered)))
+}
+
 // sweep drops ended jobs whose retention is over.
 func (c *Coordinator) sweep() {
+	c.levels()
 	for id, at := range c.early {
 		if c.now.Sub(at) > c.Retention {
 			delete(c.early, id)
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -173,6 +173,7 @@
 	s.job.story.runs++
 	if s.job.story.started.IsZero() {
 		s.job.story.started = c.now
+		c.Meter.Wait("placement", c.now.Sub(s.openAt))
 	}
 	c.occupy(t, id, &slot{step: s, i: i, run: run, room: s.Room()})
 	o := linker.Start{Target: t.ID, Task: id, Run: run, Checkpoint: tk.saved}
@@ -332,6 +333,7 @@
 func (c *Coordinator) preemptSlots(s *step, t *target, stops []*slot) {
 	for _, sl := range stops {
 		sl.step.job.story.stops++
+		c.Meter.Count("stop", "preempted")
 		c.Log.Info("run preempted", "task", sl.step.id(sl.i), "target", t.ID, "for", s.name, "unsaved", c.unsaved(sl))
 		c.stop(sl.step, sl.i)
 	}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -384,7 +384,7 @@
 	}
 	t.seen = e.Seq
 	c.endsSeen[t.ID] = e.Seq
-	c.ends[e.How]++
+	c.Meter.Count("end", e.How.String())
 	sl := t.slots[e.Task]
 	if sl != nil && sl.run == e.Run {
 		c.free(t, e.Task, sl)
@@ -584,6 +584,8 @@
 	s := sl.step
 	tk := &s.tasks[sl.i]
 	current := tk.run == r.Run && tk.target == t
+	c.Meter.Count("start", r.Outcome.String())
+	c.Meter.Wait("start", c.now.Sub(tk.since))
 	switch r.Outcome {
 	case linker.Started:
 		if current && tk.phase == starting {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
+	"github.com/masticlead/masticlead/meter"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -49,6 +50,7 @@
 	Keeper       *keeper.Keeper
 	Log          *slog.Logger
 	StoreFailing func() time.Duration
+	Meter        *meter.Meter
 
 	acceptor *acceptor
 
@@ -61,9 +63,6 @@
 	own     map[string]int // jobs accepted here that the coordinator doesn't know yet, by queue
 	jobs    map[w.JobID]*w.Job
 	cancels map[w.JobID]bool
-
-	// Counters.
-	Accepted, Refused, Unclear atomic.Int64
 }
 
 // Init prepares the gateway for use.
@@ -166,14 +165,15 @@
 	if err != nil {
 		var refused *RefusedError
 		if errors.As(err, &refused) {
-			g.Refused.Add(1)
+			g.Meter.Count("request", refused.Reason)
 		} else {
-			g.Unclear.Add(1)
+			g.Meter.Count("request", "unclear")
 		}
 		g.Log.Warn("job not accepted", "job", j.ID, "queue", q.Name, "took", time.Since(began), "error", err)
 		return err
 	}
-	g.Accepted.Add(1)
+	g.Meter.Count("request", "accepted")
+	g.Meter.Wait("accept", time.Since(began))
 	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "configuration", g.Config().Version, "took", time.Since(began))
 	g.handOver(stored)
 	return nil
@@ -217,6 +217,7 @@
 			}
 			return nil, &RefusedError{Reason: "storeUnavailable", RetryAfter: min(lastRetry, max(firstRetry, g.StoreFailing()))}
 		}
+		g.Meter.Count("retry", "storeNotDone")
 		select {
 		case <-time.After(storePause << min(try, 4)):
 		case <-ctx.Done():
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/masticlead/masticlead/gateway"
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
+	"github.com/masticlead/masticlead/meter"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -65,6 +66,9 @@
 	Gateway   *gateway.Gateway
 	Front     http.Handler
 	Log       *slog.Logger
+	Meter     *meter.Meter
+	// MetricsAddr is where the meter is shown, empty for nowhere.
+	MetricsAddr string
 
 	bounds   atomic.Pointer[Bounds]
 	id       w.InstanceID
@@ -122,6 +126,17 @@
 	in.spawn(func() { in.serve(srv, front) })
 	in.spawn(func() { in.serve(readySrv, ready) })
 	in.spawn(func() { in.accept(links) })
+	var metricsSrv *http.Server
+	if in.MetricsAddr != "" && in.Meter != nil {
+		metrics, err := net.Listen("tcp", in.MetricsAddr)
+		if err != nil {
+			return fmt.Errorf("instance: listen for metrics: %w", err)
+		}
+		mux := http.NewServeMux()
+		mux.Handle("/metrics", in.Meter.Handler())
+		metricsSrv = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
+		in.spawn(func() { in.serve(metricsSrv, metrics) })
+	}
 	in.spawn(in.watchConfig)
 	in.spawn(in.watchLeader)
 	in.spawn(in.follow)
@@ -132,6 +147,9 @@
 	in.cancel()
 	_ = links.Close()
 	_ = readySrv.Close()
+	if metricsSrv != nil {
+		_ = metricsSrv.Close()
+	}
 	if l := in.leader.Load(); l != nil {
 		l.stop("instance stops")
 	}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -82,7 +82,7 @@
 	l.co = coordinator.New(coordinator.Settings{
 		Epoch: lead.Epoch, Self: in.id, Lease: min(lease, bounds.MaxLease), StopTimeout: bounds.StopTimeout,
 		GangTimeout: bounds.GangTimeout, Restore: bounds.Restore, RemoteFactor: bounds.RemoteFactor,
-		Retention: bounds.StateKept + retention, Log: in.Log,
+		Retention: bounds.StateKept + retention, Log: in.Log, Meter: in.Meter,
 	}, began)
 	l.spawn(l.renew)
 	for {
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -83,6 +83,8 @@
 }
 
 // Outcome tells what became of a start order.
+//
+//go:generate go tool stringer -type=Outcome
 type Outcome uint8
 
 // Outcomes of a start order.
