--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -79,7 +79,7 @@
 			caller := platform.NewCaller(s.AdviceAddr)
 			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailing: store.Failing, Meter: m}
 			in := &instance.Instance{
-				Name: s.Node, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr,
+				Name: s.Node, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Strength: s.Cores,
 				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store,
 				Caller: caller, Gateway: g, Front: &platform.Front{Gateway: g}, Log: log,
 				Meter: m, MetricsAddr: s.MetricsAddr,
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -38,8 +38,18 @@
 	Replaced       // another life of the leader's instance answered
 )
 
+// weakDelay is the time for which an instance leaves a takeover to stronger ones,
+// if there are any.
+const weakDelay = 600 * time.Millisecond
+
+// MuchStronger is the ratio of cores from which an instance should lead instead
+// of another.
+const MuchStronger = 1.4
+
 // Elector watches one leader. It is not safe for concurrent use.
 type Elector struct {
+	Strength float64 // cores of this instance
+
 	lead       keeper.Leadership
 	lost       time.Time // since when there is no connection to the leader
 	connected  bool
@@ -48,7 +58,8 @@
 	slow       time.Duration // time that its reading took
 	read       bool          // a beat was read since the connection was lost
 	complaints map[w.InstanceID]seenComplaint
-	members    int // connected to the leader, by its own word
+	best       float64 // most cores of any instance, as the leader saw them last
+	members    int     // connected to the leader, by its own word
 }
 
 type seenComplaint struct {
@@ -58,7 +69,7 @@
 
 // Watch begins to watch a leader.
 func (e *Elector) Watch(lead keeper.Leadership, now time.Time) {
-	*e = Elector{lead: lead, lost: now, complaints: make(map[w.InstanceID]seenComplaint)}
+	*e = Elector{Strength: e.Strength, best: e.best, lead: lead, lost: now, complaints: make(map[w.InstanceID]seenComplaint)}
 }
 
 // Leader returns the leader that is watched.
@@ -86,7 +97,7 @@
 // Observe takes over the rows that were read, the age of the beat, and the time
 // that the reading took.
 func (e *Elector) Observe(b keeper.Beat, age, took time.Duration, list []keeper.Complaint, now time.Time) {
-	e.members = b.Members
+	e.members, e.best = b.Members, b.Best
 	e.age, e.slow, e.read = age, took, true
 	if b.Epoch < e.lead.Epoch {
 		// The leader has not renewed yet: its takeover counts.
@@ -104,6 +115,17 @@
 
 // Due reports whether the instance should take over now, and why.
 func (e *Elector) Due(now time.Time) (string, bool) {
+	if e.best > MuchStronger*e.Strength {
+		now = now.Add(-weakDelay)
+		if !e.connected && now.Before(e.lost) {
+			return "", false
+		}
+		return e.due(e.age-weakDelay, now)
+	}
+	return e.due(e.age, now)
+}
+
+func (e *Elector) due(age time.Duration, now time.Time) (string, bool) {
 	switch {
 	case e.connected || !e.read:
 		return "", false
@@ -111,9 +133,9 @@
 		return "no leader yet", true
 	case e.reach == Replaced:
 		return "the leader's process was replaced", true
-	case e.reach == Refuses && e.age >= deadLapse+slowFactor*e.slow:
+	case e.reach == Refuses && age >= deadLapse+slowFactor*e.slow:
 		return "the leader refuses connections and has stopped renewing", true
-	case e.age >= beatLapse+slowFactor*e.slow:
+	case age >= beatLapse+slowFactor*e.slow:
 		return "the leader has stopped renewing", true
 	}
 	fresh := 0
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -52,6 +52,14 @@
 		"complaints of another epoch": {lead, func(e *Elector) {
 			e.Observe(keeper.Beat{Epoch: 3, Members: 1}, 0, quick, complaints(2, "a", "b", "c"), now.Add(900*time.Millisecond))
 		}, 900 * time.Millisecond, false},
+		"weak, leaves it to others": {lead, func(e *Elector) {
+			e.Strength = 0.2
+			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 1100*time.Millisecond, quick, nil, now)
+		}, time.Second, false},
+		"weak, nobody else came": {lead, func(e *Elector) {
+			e.Strength = 0.2
+			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 1700*time.Millisecond, quick, nil, now)
+		}, time.Second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var e Elector
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -59,6 +59,7 @@
 	FrontAddr string
 	ReadyAddr string
 	LinkAddr  string
+	Strength  float64 // cores
 	Keeper    *keeper.Keeper
 	Directory Directory
 	Store     Store
@@ -105,6 +106,7 @@
 	in.calls = make(map[int64]chan linker.CallReply)
 	in.Store.SetRelay(in.relay)
 	in.Gateway.Init()
+	in.elector.Strength = in.Strength
 	in.elector.Watch(keeper.Leadership{}, time.Now())
 	in.cutSince.Store(time.Now().UnixNano())
 
@@ -477,7 +479,7 @@
 func (in *Instance) welcome(nc net.Conn) {
 	c := linker.NewConn(nc)
 	l := in.leader.Load()
-	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Leads: l != nil}})
+	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Strength, Leads: l != nil}})
 	if l == nil {
 		// The frame has to leave before the connection ends.
 		in.pause(linker.Heartbeat)
@@ -545,7 +547,7 @@
 	in.link.Store(c)
 	e := &executor.Executor{Caller: in.Caller, Log: in.Log, Send: c.Send}
 	e.Run()
-	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone}})
+	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Strength}})
 	reach := elector.NoAnswer
 	joined := false
 	stop := make(chan struct{})
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -62,9 +62,11 @@
 }
 
 type memberStatus struct {
-	age     time.Duration // time for which the store has failed it
-	leaving bool
-	asked   bool // to take over
+	age      time.Duration // time for which the store has failed it
+	strength float64
+	leaving  bool
+	asked    bool // to take over
+	known    bool // it has sent its status
 }
 
 // inboxSize is the number of events that may wait for a decision.
@@ -141,6 +143,7 @@
 	l.mu.Lock()
 	old := l.conns[h.Instance]
 	l.conns[h.Instance] = conn
+	l.status[h.Instance] = memberStatus{strength: h.Strength}
 	l.mu.Unlock()
 	if old != nil {
 		old.Close()
@@ -168,7 +171,8 @@
 func (l *leader) receive(id w.InstanceID, f *linker.Frame) {
 	if f.Status != nil {
 		l.mu.Lock()
-		l.status[id] = memberStatus{age: f.Status.StoreAge, leaving: f.Status.Leaving, asked: l.status[id].asked}
+		old := l.status[id]
+		l.status[id] = memberStatus{age: f.Status.StoreAge, leaving: f.Status.Leaving, asked: old.asked, strength: old.strength, known: true}
 		l.mu.Unlock()
 	}
 	if len(f.Calls) > 0 {
@@ -299,9 +303,15 @@
 	for l.ctx.Err() == nil {
 		l.mu.Lock()
 		members := len(l.conns)
+		best := l.in.Strength
+		for _, s := range l.status {
+			if s.known && !s.leaving {
+				best = max(best, s.strength)
+			}
+		}
 		l.mu.Unlock()
 		began := time.Now()
-		err := l.in.Keeper.Renew(l.ctx, &l.lead, max(0, members-1))
+		err := l.in.Keeper.Renew(l.ctx, &l.lead, max(0, members-1), best)
 		if err != nil && l.deposed(err) {
 			return
 		}
@@ -313,9 +323,13 @@
 		}
 		late := err != nil && now.Sub(l.renewed) > renewLate && now.Sub(l.retired) > renewLate
 		l.mu.Unlock()
-		if late {
+		switch {
+		case late:
 			l.in.Log.Warn("leader can't renew", "epoch", l.lead.Epoch, "error", err)
 			l.handOver()
+		case best > elector.MuchStronger*l.in.Strength && now.Sub(l.retired) > renewLate:
+			l.in.Log.Info("a stronger instance should lead", "epoch", l.lead.Epoch, "cores", l.in.Strength, "best", best)
+			l.handOver()
 		}
 		l.in.pause(elector.RenewPeriod)
 	}
@@ -341,13 +355,14 @@
 	var best *linker.Conn
 	var to w.InstanceID
 	var least time.Duration
+	var most float64
 	for id, c := range l.conns {
 		s, ok := l.status[id]
-		if id == l.in.id || !ok || s.leaving || s.asked || s.age >= memberStoreAge {
+		if id == l.in.id || !ok || !s.known || s.leaving || s.asked || s.age >= memberStoreAge {
 			continue
 		}
-		if best == nil || s.age < least {
-			best, to, least = c, id, s.age
+		if best == nil || s.strength > most || (s.strength == most && s.age < least) {
+			best, to, least, most = c, id, s.age, s.strength
 		}
 	}
 	if best == nil {
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -87,6 +87,7 @@
 type Beat struct {
 	Epoch   w.Epoch `json:"epoch"`
 	Members int     `json:"members"` // other instances connected to the leader
+	Best    float64 `json:"best"`    // most cores of an instance that is connected, or of the leader
 	At      int64   `json:"at"`      // time of the store's clock when the beat was sent, ms
 	Version Version `json:"-"`
 }
@@ -100,8 +101,8 @@
 
 // Renew writes the beat of a leader. It returns a Conflict if another leader
 // took over.
-func (k *Keeper) Renew(ctx context.Context, lead *Leadership, members int) error {
-	value, err := json.Marshal(&Beat{Epoch: lead.Epoch, Members: members, At: k.Store.Clock().Milliseconds()})
+func (k *Keeper) Renew(ctx context.Context, lead *Leadership, members int, best float64) error {
+	value, err := json.Marshal(&Beat{Epoch: lead.Epoch, Members: members, Best: best, At: k.Store.Clock().Milliseconds()})
 	if err != nil {
 		return fmt.Errorf("keeper: encode beat: %w", err)
 	}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -43,7 +43,8 @@
 type Hello struct {
 	Instance w.InstanceID
 	Zone     string
-	Leads    bool // the sender coordinates the cell
+	Strength float64 // cores of the instance
+	Leads    bool    // the sender coordinates the cell
 }
 
 // Status is sent by an instance every heartbeat.
