--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -49,12 +49,14 @@
 	return a != nil && a.good && a.life == t.Incarnation && a.until.After(c.now.Add(ticketMargin+spare))
 }
 
+// good reports whether the policy permits a target.
 func (s *step) good(t *target) bool {
 	a := s.advice[t.ID]
 	return a != nil && a.good && a.life == t.Incarnation
 }
 
-func (s *step) asked4(t *target) bool {
+// knows reports whether the policy's word on a target is known.
+func (s *step) knows(t *target) bool {
 	a := s.advice[t.ID]
 	return a != nil && a.life == t.Incarnation
 }
@@ -180,7 +182,7 @@
 		s.advice = make(map[w.TargetID]*advised, len(a.targets))
 	}
 	for _, t := range a.targets {
-		if !s.asked4(t) {
+		if !s.knows(t) {
 			s.advice[t.ID] = &advised{life: t.Incarnation}
 		}
 	}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -356,6 +356,43 @@
 	}
 }
 
+// longWait is the time after which the log tells why a step waits.
+const longWait = 10 * time.Second
+
+// tellWaiting logs the steps that wait for long.
+func (c *Coordinator) tellWaiting() {
+	for _, j := range c.jobs {
+		if j.state.Final() {
+			continue
+		}
+		for _, o := range j.occs {
+			for _, s := range o.steps {
+				if !s.open || s.done == s.Count || s.Lasting || c.now.Sub(s.openAt) < longWait {
+					continue
+				}
+				var phases [finished + 1]int
+				var at []w.TargetID
+				for i := range s.tasks {
+					p := s.tasks[i].phase
+					phases[p]++
+					if t := s.tasks[i].target; t != nil && (p == starting || p == stopping) && !slices.Contains(at, t.ID) {
+						at = append(at, t.ID)
+					}
+				}
+				good := 0
+				for _, a := range s.advice {
+					if a.good {
+						good++
+					}
+				}
+				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "open", c.now.Sub(s.openAt), "gang", s.Gang,
+					"waiting", phases[waiting], "starting", phases[starting], "running", phases[running], "stopping", phases[stopping],
+					"unclear", at, "asking", s.asking, "advised", len(s.advice), "good", good, "fresh", j.fresh, "unread", len(c.unread))
+			}
+		}
+	}
+}
+
 // levels shows what is believed of the cell.
 func (c *Coordinator) levels() {
 	var room, used, usable float64
@@ -377,6 +414,7 @@
 // sweep drops ended jobs whose retention is over.
 func (c *Coordinator) sweep() {
 	c.levels()
+	c.tellWaiting()
 	for id, at := range c.early {
 		if c.now.Sub(at) > c.Retention {
 			delete(c.early, id)
@@ -387,6 +425,7 @@
 			delete(c.jobs, id)
 			delete(c.dirty, id)
 			c.expired = append(c.expired, id)
+			c.publish(linker.JobState{Job: id})
 			if len(c.expired) >= maxRemovals {
 				return
 			}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -202,7 +202,7 @@
 		if !c.allowed(s, t) || !s.Room().Fits(t.Capacity) {
 			continue
 		}
-		if !s.asked4(t) {
+		if !s.knows(t) {
 			fresh = append(fresh, t)
 			continue
 		}
@@ -476,7 +476,7 @@
 	}
 	var fresh []*target
 	for _, t := range c.order {
-		if !s.asked4(t) && c.allowed(s, t) && s.Room().Fits(t.Capacity) {
+		if !s.knows(t) && c.allowed(s, t) && s.Room().Fits(t.Capacity) {
 			fresh = append(fresh, t)
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,11 @@
 		}
 	}
 	for _, s := range f.States {
+		if s.State == w.Unknown {
+			// Its retention is over, and its rows are removed.
+			delete(g.states, s.Job)
+			continue
+		}
 		if !g.states[s.Job].Final() {
 			g.states[s.Job] = s.State
 		}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -176,7 +176,7 @@
 	Failed  bool
 }
 
-// JobState is a change of a job's state.
+// JobState is a change of a job's state. Unknown ends its retention.
 type JobState struct {
 	Job   w.JobID
 	State w.State
