keeper: number the saves of a leader, so that a late one undoes nothing

Ruled out: ends acknowledged before they were stored. Change: a row numbers the saves of a leader and is part of their conditions. TestLateSaveUndoesNothing fails without it.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -93,6 +93,7 @@
 			if cfg := in.Gateway.Config(); cfg != nil {
 				l.co.Configure(cfg)
 			}
+			l.lead.Resume(s)
 			l.co.Load(s)
 			l.spawn(func() { l.readNews(s.Versions) })
 			in.Log.Info("cell loaded", "jobs", len(s.Jobs), "targets", len(s.Roster), "took", time.Since(began))
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -273,6 +273,8 @@
 	Cancelled map[w.JobID]bool
 	Roster    []w.TargetID
 	Versions  map[string]Version // of each table, for reading changes
+
+	saved Version // of the row that numbers the saves
 }
 
 // Load reads everything. Nobody but the loading leader writes progress, so it is
@@ -283,8 +285,8 @@
 		Cancelled: make(map[w.JobID]bool),
 		Versions:  make(map[string]Version),
 	}
-	var roster *Row
-	scanned, err := k.scanAll(ctx, &roster, TableProgress, TableJobs, TableCancels)
+	var roster, save *Row
+	scanned, err := k.scanAll(ctx, &roster, &save, TableProgress, TableJobs, TableCancels)
 	if err != nil {
 		return nil, err
 	}
@@ -328,6 +330,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if save != nil {
+		s.saved = save.Version
+	}
 	if roster != nil {
 		if err := json.Unmarshal(roster.Value, &s.Roster); err != nil {
 			return nil, fmt.Errorf("keeper: decode roster: %w", err)
@@ -349,7 +354,7 @@
 const loadCalls = 16
 
 // scanAll reads all parts of the tables, and the roster.
-func (k *Keeper) scanAll(ctx context.Context, roster **Row, tables ...string) (map[string][]scanned, error) {
+func (k *Keeper) scanAll(ctx context.Context, roster, save **Row, tables ...string) (map[string][]scanned, error) {
 	out := make(map[string][]scanned, len(tables))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(loadCalls)
@@ -376,6 +381,14 @@
 		*roster = row
 		return nil
 	})
+	g.Go(func() error {
+		row, err := k.get(ctx, saveKey)
+		if err != nil {
+			return fmt.Errorf("keeper: load the last save: %w", err)
+		}
+		*save = row
+		return nil
+	})
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
@@ -423,6 +436,45 @@
 	RosterChanged bool
 }
 
+// saveNext commits the next transaction of a leader. Its answer may be lost, and
+// the store may carry it out seconds later: the row that numbers the
+// transactions keeps a late one from undoing those that were repeated or came
+// after it.
+func (k *Keeper) saveNext(ctx context.Context, lead *Leadership, tx *Tx) error {
+	if !lead.unsure {
+		lead.number++
+	}
+	value := fmt.Sprintf("%d/%d", lead.Epoch, lead.number)
+	full := Tx{
+		Checks: []Check{{Key: leaderKey, Version: lead.Version}, {Key: saveKey, Version: lead.saved}},
+		Writes: append(slices.Clip(tx.Writes), Row{Key: saveKey, Value: []byte(value)}),
+		Drops:  tx.Drops,
+	}
+	ver, err := k.Store.Commit(ctx, &full)
+	var c *Conflict
+	if errors.As(err, &c) {
+		led := false
+		for i := range c.Rows {
+			led = led || (c.Rows[i].Key == leaderKey && c.Rows[i].Version == lead.Version)
+		}
+		for i := range c.Rows {
+			if led && c.Rows[i].Key == saveKey && c.Rows[i].Version != lead.saved {
+				// An attempt without an answer was carried out after all. The
+				// content may have grown since, so it is written once more.
+				lead.saved, lead.unsure = c.Rows[i].Version, false
+				return fmt.Errorf("an earlier attempt was carried out: %w", ErrNotDone)
+			}
+		}
+		return err
+	}
+	if err != nil {
+		lead.unsure = lead.unsure || !errors.Is(err, ErrNotDone)
+		return err
+	}
+	lead.saved, lead.unsure = ver, false
+	return nil
+}
+
 // Save writes changes under the condition that the leader row has the version
 // of the writer. It returns a Conflict if another leader took over.
 func (k *Keeper) Save(ctx context.Context, lead *Leadership, ch *Change) error {
@@ -432,8 +484,7 @@
 		if len(tx.Writes) == 0 && len(tx.Drops) == 0 {
 			return nil
 		}
-		tx.Checks = []Check{{Key: leaderKey, Version: lead.Version}}
-		if _, err := k.Store.Commit(ctx, &tx); err != nil {
+		if err := k.saveNext(ctx, lead, &tx); err != nil {
 			return fmt.Errorf("keeper: save %d rows: %w", len(tx.Writes), err)
 		}
 		tx, size = Tx{}, 0
--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,142 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// table is a store that can hold transactions back.
+type table struct {
+	rows map[Key]Row
+	ver  Version
+	lose bool
+	late []*Tx
+}
+
+func (s *table) Commit(_ context.Context, tx *Tx) (Version, error) {
+	if s.lose {
+		s.late = append(s.late, &Tx{Checks: tx.Checks, Writes: tx.Writes, Drops: tx.Drops})
+		return 0, ErrUnknown
+	}
+	return s.apply(tx)
+}
+
+func (s *table) apply(tx *Tx) (Version, error) {
+	c := &Conflict{}
+	ok := true
+	for _, k := range tx.Checks {
+		r := s.rows[k.Key]
+		if r.Version > 0 {
+			c.Rows = append(c.Rows, r)
+		}
+		ok = ok && r.Version == k.Version
+	}
+	if !ok {
+		return 0, c
+	}
+	s.ver++
+	for _, r := range tx.Writes {
+		r.Version = s.ver
+		s.rows[r.Key] = r
+	}
+	for _, k := range tx.Drops {
+		delete(s.rows, k)
+	}
+	return s.ver, nil
+}
+
+func (s *table) Scan(_ context.Context, name, part, from, to string) ([]Row, Version, error) {
+	var out []Row
+	for k, r := range s.rows {
+		if k.Table == name && k.Part == part && k.Name >= from && (to == "" || k.Name < to) {
+			out = append(out, r)
+		}
+	}
+	return out, s.ver, nil
+}
+
+func (s *table) Changes(context.Context, string, Version, time.Duration) ([]Row, Version, error) {
+	return nil, s.ver, nil
+}
+
+func (s *table) Clock() time.Duration { return 0 }
+
+func leading(t *testing.T) (*table, *Keeper, *Leadership) {
+	t.Helper()
+	s := &table{rows: make(map[Key]Row)}
+	k := &Keeper{Store: s, Parts: 2}
+	lead, err := k.TakeOver(t.Context(), Leadership{}, Leadership{Instance: "a"})
+	require.NoError(t, err)
+	snap, err := k.Load(t.Context())
+	require.NoError(t, err)
+	lead.Resume(snap)
+	return s, k, &lead
+}
+
+// TestLateSaveUndoesNothing guards against a second run after 'done': a save
+// without an answer that the store carries out after later ones must not bring
+// back old progress.
+func TestLateSaveUndoesNothing(t *testing.T) {
+	s, k, lead := leading(t)
+	s.lose = true
+	begun := &Change{Progress: []Progress{{ID: "j", Begun: true}}}
+	require.ErrorIs(t, k.Save(t.Context(), lead, begun), ErrUnknown)
+	s.lose = false
+	require.NoError(t, k.Save(t.Context(), lead, begun))
+	require.NoError(t, k.Save(t.Context(), lead, &Change{Progress: []Progress{{ID: "j", State: w.Completed}}}))
+	for _, tx := range s.late {
+		_, err := s.apply(tx)
+		require.Error(t, err)
+	}
+	snap, err := k.Load(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, w.Completed, snap.Progress["j"].State)
+}
+
+// TestSaveGoesOnAfterLateOne guards against a leader that gives up although it
+// leads: its own save without an answer was carried out before the repeat.
+func TestSaveGoesOnAfterLateOne(t *testing.T) {
+	s, k, lead := leading(t)
+	s.lose = true
+	ch := &Change{Progress: []Progress{{ID: "j", State: w.Completed}}}
+	require.ErrorIs(t, k.Save(t.Context(), lead, ch), ErrUnknown)
+	s.lose = false
+	_, err := s.apply(s.late[0])
+	require.NoError(t, err)
+	err = k.Save(t.Context(), lead, ch)
+	require.ErrorIs(t, err, ErrNotDone)
+	var c *Conflict
+	require.False(t, errors.As(err, &c))
+	require.NoError(t, k.Save(t.Context(), lead, ch))
+}
+
+// TestDeposedLeaderSavesNothing guards against writes of a leader that was
+// replaced.
+func TestDeposedLeaderSavesNothing(t *testing.T) {
+	_, k, lead := leading(t)
+	_, err := k.TakeOver(t.Context(), *lead, Leadership{Instance: "b"})
+	require.NoError(t, err)
+	var c *Conflict
+	require.ErrorAs(t, k.Save(t.Context(), lead, &Change{Progress: []Progress{{ID: "j"}}}), &c)
+}
+
+// TestAcceptKeepsTheFirst guards against a job that is replaced by a second
+// submission with its id, alone or in one write with others.
+func TestAcceptKeepsTheFirst(t *testing.T) {
+	_, k, _ := leading(t)
+	k.Parts = 1
+	first := &w.Job{ID: "x", Spec: "first"}
+	_, err := k.Accept(t.Context(), []*w.Job{first})
+	require.NoError(t, err)
+	got, err := k.Accept(t.Context(), []*w.Job{{ID: "y", Spec: "new"}, {ID: "x", Spec: "second"}, {ID: "y", Spec: "again"}})
+	require.NoError(t, err)
+	require.Equal(t, "new", got[0].Spec)
+	require.Equal(t, "first", got[1].Spec)
+	require.Equal(t, "new", got[2].Spec)
+}
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -9,7 +9,13 @@
 	w "github.com/masticlead/masticlead/workload"
 )
 
-var leaderKey = Key{Table: TableControl, Name: leaderName}
+var (
+	leaderKey = Key{Table: TableControl, Name: leaderName}
+	saveKey   = Key{Table: tableSaves, Name: leaderName}
+)
+
+// tableSaves is apart from the table that all instances watch.
+const tableSaves = "saves"
 
 // Leadership is the row that names the coordinator of the cell.
 type Leadership struct {
@@ -18,8 +24,15 @@
 	Address  string       `json:"address"`
 	Zone     string       `json:"zone"`
 	Version  Version      `json:"-"`
+
+	saved  Version // of the row that numbers the saves
+	number int64   // of the last save
+	unsure bool    // the last save got no answer
 }
 
+// Resume lets a leader save after it has loaded the cell.
+func (l *Leadership) Resume(s *Snapshot) { l.saved = s.saved }
+
 // Leader reads the row. The leadership is empty if there was none yet.
 func (k *Keeper) Leader(ctx context.Context) (Leadership, error) {
 	row, err := k.get(ctx, leaderKey)
