--- a/loader/docs_test.go
+++ b/loader/docs_test.go
@@ -10,7 +10,7 @@
 // TestOperationsPageListsEveryKey guards against a setting, or a default, that
 // the operations page does not tell.
 func TestOperationsPageListsEveryKey(t *testing.T) {
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	d := Default()
 	for _, k := range keys {
