--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -106,6 +106,19 @@
 	require.NotEmpty(t, f.Acks)
 }
 
+// TestNewInstanceKnowsEnds guards against an instance that starts later and shows
+// ended jobs as running for ever.
+func TestNewInstanceKnowsEnds(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.list("a")
+	x.submit(oneTask("j"))
+	f := x.step(0)
+	x.end("a", f.Starts[0], w.EndedDone)
+	x.step(0)
+	x.c.Join(&linker.Hello{Instance: "late"})
+	require.Contains(t, x.c.Frames()["late"].States, linker.JobState{Job: "j", State: w.Completed})
+}
+
 // TestCancelBeforeJob guards against the loss of a cancellation that another
 // instance hands over before the job itself arrives.
 func TestCancelBeforeJob(t *testing.T) {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -72,6 +72,7 @@
 	state     w.State
 	cancelled bool
 	begun     bool
+	published bool // its end was shown to callers
 	fresh     bool // no earlier coordinator can have started it
 	took      time.Time
 	story     story
@@ -454,6 +455,11 @@
 	if len(states) == 0 {
 		return
 	}
+	for _, s := range states {
+		if j := c.jobs[s.Job]; j != nil && s.State.Final() {
+			j.published = true
+		}
+	}
 	for _, m := range c.ordered {
 		f := m.due()
 		f.States = append(f.States, states...)
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -52,7 +52,7 @@
 // shown returns the state that callers may see: an end that is not stored yet
 // is not shown.
 func (j *job) shown() w.State {
-	if j.state == w.Completed || j.state == w.Failed {
+	if j.state.Final() && !j.published {
 		return w.Running
 	}
 	return j.state
