coordinator: take over runs that were listed before their job was found

Its run was listed as of an unknown job; when the job was found in the store, the run was not taken over, and the task started again elsewhere. TestRunBeforeItsJob fails without the change.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -186,6 +186,20 @@
 	require.Equal(t, w.Completed, x.state("j"))
 }
 
+// TestRunBeforeItsJob guards against two runs of a task: the run of a job that the
+// earlier coordinator started is listed before the job is found in the store.
+func TestRunBeforeItsJob(t *testing.T) {
+	x := newCell(t, 2, 2, &keeper.Snapshot{Roster: []w.TargetID{"a", "b"}})
+	x.list("a", w.Run{Task: w.TaskID{Job: "j"}, Run: 5})
+	x.list("b")
+	j := oneTask("j")
+	x.c.AddJob(&j, false)
+	require.Empty(t, x.step(0).Starts)
+	x.end("a", linker.Start{Task: w.TaskID{Job: "j"}, Run: 5}, w.EndedDone)
+	require.Empty(t, x.step(0).Starts)
+	require.Equal(t, w.Completed, x.state("j"))
+}
+
 // TestSlowStoreShowsEnds guards against ready answers that are held back: an end
 // whose write is on its way is shown once the store counts as slow.
 func TestSlowStoreShowsEnds(t *testing.T) {
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -416,9 +416,21 @@
 	return seq
 }
 
-// adoptOrphans applies the ends that arrived before their job.
+// adoptOrphans takes over the runs and ends that were listed before their job was
+// known.
 func (c *Coordinator) adoptOrphans(id w.JobID) {
 	for _, t := range c.order {
+		if t.foreign > 0 {
+			var runs []w.Run
+			for task, sl := range t.slots {
+				if sl.step == nil && task.Job == id {
+					runs = append(runs, w.Run{Task: task, Run: sl.run})
+				}
+			}
+			for i := range runs {
+				c.adopt(t, &runs[i])
+			}
+		}
 		if len(t.orphans) == 0 {
 			continue
 		}
