--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -38,8 +38,8 @@
 
 func bounds(s *platform.Settings) instance.Bounds {
 	return instance.Bounds{
-		Grace: s.Grace, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout, Restore: s.Restore,
-		MaxLease: s.MaxLease, StateKept: s.StateKept, RemoteFactor: s.RemoteFactor,
+		Grace: s.Grace, StopTimeout: s.StopTimeout, Restore: s.Restore,
+		MaxLease: s.MaxLease, StateKept: s.StateKept,
 	}
 }
 
@@ -77,7 +77,7 @@
 			}
 			k := &keeper.Keeper{Store: store, Parts: parts}
 			caller := platform.NewCaller(s.AdviceAddr)
-			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailing: store.Failing, Meter: m}
+			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailing: store.Failing, StoreAway: store.Away, Meter: m}
 			in := &instance.Instance{
 				Name: s.Node, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Strength: s.Cores,
 				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store,
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -16,16 +16,14 @@
 // Settings are the bounds that the platform states and the limits of the
 // coordinator.
 type Settings struct {
-	Epoch        w.Epoch
-	Self         w.InstanceID
-	Lease        time.Duration // time for which a target may run without contact
-	StopTimeout  time.Duration // longest time that a stop takes
-	GangTimeout  time.Duration // time for which a member of a gang waits for the others
-	Restore      time.Duration // time that a start from a checkpoint takes
-	RemoteFactor float64       // slow-down away from the data or over several racks
-	Retention    time.Duration // time for which the state of an ended job is kept
-	Log          *slog.Logger
-	Meter        *meter.Meter
+	Epoch       w.Epoch
+	Self        w.InstanceID
+	Lease       time.Duration // time for which a target may run without contact
+	StopTimeout time.Duration // longest time that a stop takes
+	Restore     time.Duration // time that a start from a checkpoint takes
+	Retention   time.Duration // time for which the state of an ended job is kept
+	Log         *slog.Logger
+	Meter       *meter.Meter
 }
 
 // Batch is a set of changes for the store.
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -21,7 +21,6 @@
 
 type task struct {
 	phase   phase
-	lapsing bool // counted in the step's moving tasks
 	run     w.RunID
 	target  *target
 	avoid   *target   // the target of the last failed run
@@ -30,9 +29,7 @@
 	since   time.Time // of the phase
 	percent int
 	movedAt time.Time // of the last change of percent
-	usage   int64
-	pace    int
-	missing int // complete reports that lack the run
+	missing int       // complete reports that lack the run
 }
 
 // step is a step of one occurrence of a job.
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -168,7 +168,7 @@
 func (c *Coordinator) startRun(s *step, i int, t *target, run w.RunID) {
 	tk := &s.tasks[i]
 	id := s.id(i)
-	tk.run, tk.target, tk.percent, tk.missing, tk.pace = run, t, 0, 0, 0
+	tk.run, tk.target, tk.percent, tk.missing = run, t, 0, 0
 	c.setPhase(s, i, starting)
 	s.job.story.runs++
 	if s.job.story.started.IsZero() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,11 @@
 	// long again as it has lasted.
 	firstRetry = 1 * time.Second
 	lastRetry  = 5 * time.Second
+	// knownAway is the time without any answer of the store after which
+	// submissions are refused without being tried.
+	knownAway = 300 * time.Millisecond
+	// probePause is the time between two that are tried nevertheless.
+	probePause = 250 * time.Millisecond
 	// minRest is the time that a caller must have left for another attempt.
 	minRest = 500 * time.Millisecond
 )
@@ -50,9 +55,11 @@
 	Keeper       *keeper.Keeper
 	Log          *slog.Logger
 	StoreFailing func() time.Duration
+	StoreAway    func() time.Duration
 	Meter        *meter.Meter
 
 	acceptor *acceptor
+	probed   atomic.Int64 // Unix time of the last submission that tried a store that is away, ns
 
 	cfg  atomic.Pointer[w.Config]
 	mu   sync.Mutex
@@ -206,6 +213,12 @@
 // accept stores a job. An attempt without an answer is repeated with the same
 // content, which tells whether the job is stored.
 func (g *Gateway) accept(ctx context.Context, j *w.Job) (*w.Job, error) {
+	if g.StoreAway() > knownAway {
+		last, now := g.probed.Load(), time.Now().UnixNano()
+		if now-last < int64(probePause) || !g.probed.CompareAndSwap(last, now) {
+			return nil, &RefusedError{Reason: "storeAway", RetryAfter: min(lastRetry, max(firstRetry, g.StoreAway()))}
+		}
+	}
 	unclear := false
 	for try := 0; ; try++ {
 		stored, err := g.acceptor.accept(ctx, j)
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -83,7 +83,7 @@
 	bounds := in.bounds.Load()
 	l.co = coordinator.New(coordinator.Settings{
 		Epoch: lead.Epoch, Self: in.id, Lease: min(lease, bounds.MaxLease), StopTimeout: bounds.StopTimeout,
-		GangTimeout: bounds.GangTimeout, Restore: bounds.Restore, RemoteFactor: bounds.RemoteFactor,
+		Restore:   bounds.Restore,
 		Retention: bounds.StateKept + retention, Log: in.Log, Meter: in.Meter,
 	}, began)
 	l.spawn(l.renew)
--- /dev/null
+++ b/keeper/load.go
@@ -0,0 +1,176 @@
+package keeper
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// Snapshot is all that a new coordinator takes over.
+type Snapshot struct {
+	Jobs      []w.Job
+	Progress  map[w.JobID]Progress
+	Cancelled map[w.JobID]bool
+	Roster    []w.TargetID
+	Versions  map[string]Version // of each table, for reading changes
+
+	saved Version // of the row that numbers the saves
+}
+
+// Load reads everything. Nobody but the loading leader writes progress, so it is
+// read first, and the content of jobs that have ended is left out.
+func (k *Keeper) Load(ctx context.Context) (*Snapshot, error) {
+	s := &Snapshot{
+		Progress:  make(map[w.JobID]Progress),
+		Cancelled: make(map[w.JobID]bool),
+		Versions:  make(map[string]Version),
+	}
+	var roster, save *Row
+	scanned, err := k.scanAll(ctx, &roster, &save, TableProgress, TableJobs, TableCancels)
+	if err != nil {
+		return nil, err
+	}
+	for table, parts := range scanned {
+		for _, p := range parts {
+			if v, ok := s.Versions[table]; !ok || p.version < v {
+				s.Versions[table] = p.version
+			}
+		}
+	}
+	each := func(table string, take func(*Row) error) {
+		for _, p := range scanned[table] {
+			for i := range p.rows {
+				if err == nil {
+					err = take(&p.rows[i])
+				}
+			}
+		}
+	}
+	each(TableProgress, func(r *Row) error {
+		p, err := decodeProgress(r)
+		s.Progress[p.ID] = p
+		return err
+	})
+	each(TableJobs, func(r *Row) error {
+		id := w.JobID(r.Name)
+		if s.Progress[id].State.Final() {
+			s.Jobs = append(s.Jobs, w.Job{ID: id})
+			return nil
+		}
+		j, err := decodeJob(r)
+		if err == nil {
+			s.Jobs = append(s.Jobs, *j)
+		}
+		return err
+	})
+	each(TableCancels, func(r *Row) error {
+		s.Cancelled[w.JobID(r.Name)] = true
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if save != nil {
+		s.saved = save.Version
+	}
+	if roster != nil {
+		if err := json.Unmarshal(roster.Value, &s.Roster); err != nil {
+			return nil, fmt.Errorf("keeper: decode roster: %w", err)
+		}
+	}
+	slices.SortFunc(s.Jobs, func(a, b w.Job) int {
+		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), strings.Compare(string(a.ID), string(b.ID)))
+	})
+	return s, nil
+}
+
+// scanned is a part of a table as of a version.
+type scanned struct {
+	rows    []Row
+	version Version
+}
+
+// loadCalls is the number of scans that a load makes at the same time.
+const loadCalls = 16
+
+// scanAll reads all parts of the tables, and the roster.
+func (k *Keeper) scanAll(ctx context.Context, roster, save **Row, tables ...string) (map[string][]scanned, error) {
+	out := make(map[string][]scanned, len(tables))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(loadCalls)
+	parts := k.Parts.All()
+	for _, table := range tables {
+		list := make([]scanned, len(parts))
+		out[table] = list
+		for i, part := range parts {
+			g.Go(func() error {
+				rows, ver, err := k.Store.Scan(ctx, table, part, "", "")
+				if err != nil {
+					return fmt.Errorf("keeper: load %s: %w", table, err)
+				}
+				list[i] = scanned{rows, ver}
+				return nil
+			})
+		}
+	}
+	g.Go(func() error {
+		row, err := k.get(ctx, Key{Table: TableControl, Name: rosterName})
+		if err != nil {
+			return fmt.Errorf("keeper: load roster: %w", err)
+		}
+		*roster = row
+		return nil
+	})
+	g.Go(func() error {
+		row, err := k.get(ctx, saveKey)
+		if err != nil {
+			return fmt.Errorf("keeper: load the last save: %w", err)
+		}
+		*save = row
+		return nil
+	})
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// News are the jobs and cancellations that were stored since a version.
+type News struct {
+	Jobs    []w.Job
+	Cancels []w.JobID
+}
+
+// News reads the jobs and cancellations stored since the versions of the
+// snapshot, and moves the versions on.
+func (k *Keeper) News(ctx context.Context, versions map[string]Version) (*News, error) {
+	n := new(News)
+	for _, table := range [...]string{TableJobs, TableCancels} {
+		rows, ver, err := k.Store.Changes(ctx, table, versions[table], 0)
+		if err != nil {
+			return nil, fmt.Errorf("keeper: changes of %s: %w", table, err)
+		}
+		for i := range rows {
+			switch {
+			case rows[i].Deleted:
+			case table == TableCancels:
+				n.Cancels = append(n.Cancels, w.JobID(rows[i].Name))
+			default:
+				j, err := decodeJob(&rows[i])
+				if err != nil {
+					return nil, err
+				}
+				n.Jobs = append(n.Jobs, *j)
+			}
+		}
+		versions[table] = ver
+	}
+	return n, nil
+}
