messenger: give calls of a test time to be written beside load

What is checked is unchanged: calls that can't be written keep their places until the peer counts as busy, and heartbeats pass.

--- a/messenger/fault_test.go
+++ b/messenger/fault_test.go
@@ -257,14 +257,14 @@
 	large := note{strings.Repeat("x", MaxFrame-100)}
 	busy := false
 	for i := 0; i < 100 && !busy; i++ {
-		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 		_, err := Call[note, note](ctx, p, address, echo, large)
 		cancel()
 		require.Error(t, err)
 		busy = errors.Is(err, ErrPeerBusy)
 	}
 	require.True(t, busy, "calls that can't be written keep their place")
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 	defer cancel()
 	_, err := CallControl[note, note](ctx, p, address, beat, note{})
 	require.ErrorIs(t, err, ErrPeerTimeout, "heartbeats have a connection of their own")
