coordinator: expire ends whose job is never found; executor, platform: remove pacing that nothing orders

Cause of the first: ends of jobs that are not in the store were dropped only when another job arrived, so in a quiet cell their target never got an acknowledgement. Second: no decision orders a pace, so the order, its call and its frame go. Ruled out for change now: the doubled harnesses of distributor and heartbeater, which stood before.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -186,6 +186,21 @@
 	require.Equal(t, w.Completed, x.state("j"))
 }
 
+// TestUnfoundEndExpires guards against a target that keeps its ends for ever since
+// one of them belongs to a job whose rows are removed.
+func TestUnfoundEndExpires(t *testing.T) {
+	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: []w.TargetID{"a"}})
+	x.end("a", linker.Start{Task: w.TaskID{Job: "removed"}, Run: 5}, w.EndedDone)
+	x.list("a")
+	require.Empty(t, x.step(0).Acks)
+	acks := 0
+	for range 6 {
+		x.list("a")
+		acks += len(x.step(5 * time.Second).Acks)
+	}
+	require.Positive(t, acks)
+}
+
 // TestRunBeforeItsJob guards against two runs of a task: the run of a job that the
 // earlier coordinator started is listed before the job is found in the store.
 func TestRunBeforeItsJob(t *testing.T) {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -413,6 +413,7 @@
 func (c *Coordinator) sweep() {
 	c.levels()
 	c.tellWaiting()
+	c.expireOrphans()
 	for id, at := range c.early {
 		if c.now.Sub(at) > c.Retention {
 			delete(c.early, id)
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -167,19 +167,30 @@
 				c.adopt(t, &runs[i])
 			}
 		}
-		if len(t.orphans) == 0 {
-			continue
-		}
-		kept := t.orphans[:0]
-		for _, o := range t.orphans {
-			switch {
-			case o.end.Task.Job == id:
-				c.apply(t, &o.end)
-			case c.now.Sub(o.at) < orphanLife:
-				kept = append(kept, o)
+		c.filterOrphans(t, func(o *orphan) bool {
+			if o.end.Task.Job != id {
+				return true
 			}
-		}
-		t.orphans = kept
+			c.apply(t, &o.end)
+			return false
+		})
+	}
+}
+
+// expireOrphans drops the ends of jobs that no search has found, so that their
+// targets can forget them.
+func (c *Coordinator) expireOrphans() {
+	for _, t := range c.order {
+		c.filterOrphans(t, func(o *orphan) bool { return c.now.Sub(o.at) < orphanLife })
+	}
+}
+
+// filterOrphans keeps the orphans for which keep returns true; the others can be
+// acknowledged.
+func (c *Coordinator) filterOrphans(t *target, keep func(*orphan) bool) {
+	before := len(t.orphans)
+	t.orphans = slices.DeleteFunc(t.orphans, func(o orphan) bool { return !keep(&o) })
+	if len(t.orphans) < before {
 		c.endsSeen[t.ID] = t.seen
 	}
 }
--- a/executor/caller.go
+++ b/executor/caller.go
@@ -28,7 +28,7 @@
 	Deadline   int64 // on the target's clock, ms
 }
 
-// Reply is a target's answer to a start, stop or pace order.
+// Reply is a target's answer to a start or stop order.
 type Reply struct {
 	Outcome linker.Outcome
 	Clock   int64 // of the target, ms; 0 if it said none
@@ -60,7 +60,6 @@
 type Caller interface {
 	Start(ctx context.Context, t Target, c *StartCall) (Reply, error)
 	Stop(ctx context.Context, t Target, task w.TaskID, run w.RunID, epoch w.Epoch) (Reply, error)
-	Pace(ctx context.Context, t Target, task w.TaskID, run w.RunID, percent int, epoch w.Epoch) (Reply, error)
 	Hold(ctx context.Context, t Target, c *HoldCall) (HoldReply, error)
 	Advise(ctx context.Context, step string, targets []w.TargetID) ([]Ticket, error)
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -78,12 +78,6 @@
 			})
 		}
 	}
-	for _, p := range f.Paces {
-		if l := e.loops[p.Target]; l != nil {
-			e.wg.Add(1)
-			go l.pace(p)
-		}
-	}
 	for _, a := range f.Asks {
 		select {
 		case e.asks <- a:
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -37,10 +37,6 @@
 	return Reply{}, nil
 }
 
-func (s *scripted) Pace(context.Context, Target, w.TaskID, w.RunID, int, w.Epoch) (Reply, error) {
-	return Reply{}, nil
-}
-
 func (s *scripted) Hold(ctx context.Context, _ Target, c *HoldCall) (HoldReply, error) {
 	select {
 	case <-time.After(min(c.Wait, 20*time.Millisecond)):
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -298,17 +298,6 @@
 	}
 }
 
-// pace carries out a pace order. It is not repeated: the coordinator paces by
-// what the target reports.
-func (l *loop) pace(o linker.Pace) {
-	defer l.e.wg.Done()
-	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-	defer cancel()
-	if _, err := l.e.Caller.Pace(ctx, l.target, o.Task, o.Run, o.Percent, l.e.currentEpoch()); err != nil {
-		l.e.Log.Debug("pace got no answer", "task", o.Task, "target", o.Target, "error", err)
-	}
-}
-
 func (e *Executor) currentEpoch() w.Epoch { return w.Epoch(e.epoch.Load()) }
 
 func (e *Executor) currentLease() time.Duration { return time.Duration(e.lease.Load()) }
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -28,7 +28,6 @@
 	Specs    []Spec // of the jobs in Starts
 	Starts   []Start
 	Stops    []Stop
-	Paces    []Pace
 	Acks     []Ack
 	Asks     []Ask
 	States   []JobState
@@ -131,14 +130,6 @@
 	Run    w.RunID
 }
 
-// Pace limits the share of time that a run works.
-type Pace struct {
-	Target  w.TargetID
-	Task    w.TaskID
-	Run     w.RunID
-	Percent int
-}
-
 // Ack lets a target forget the ends up to Seq.
 type Ack struct {
 	Target      w.TargetID
