gateway: one time to return for both refusals of a missing store

Cause: a job refused untried was asked back by the time since any answer, which is 1.3 s short of the outage, a job refused after a try by the whole outage. TestRefusedUntried fails with the former.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,8 +37,7 @@
 	// storePause is the time between two such attempts.
 	storePause = 40 * time.Millisecond
 	// firstRetry and lastRetry bound the time after which callers are asked to
-	// return while the store is unavailable. An outage is expected to last as
-	// long again as it has lasted.
+	// return while the store is unavailable.
 	firstRetry = 1 * time.Second
 	lastRetry  = 5 * time.Second
 	// knownAway is the time without any answer of the store after which
@@ -216,7 +215,7 @@
 	if g.StoreAway() > knownAway {
 		last, now := g.probed.Load(), time.Now().UnixNano()
 		if now-last < int64(probePause) || !g.probed.CompareAndSwap(last, now) {
-			return nil, &RefusedError{Reason: "storeAway", RetryAfter: min(lastRetry, max(firstRetry, g.StoreAway()))}
+			return nil, &RefusedError{Reason: "storeAway", RetryAfter: g.retryAfter()}
 		}
 	}
 	unclear := false
@@ -233,7 +232,7 @@
 			if unclear {
 				return nil, fmt.Errorf("gateway: accept: %w", err)
 			}
-			return nil, &RefusedError{Reason: "storeUnavailable", RetryAfter: min(lastRetry, max(firstRetry, g.StoreFailing()))}
+			return nil, &RefusedError{Reason: "storeUnavailable", RetryAfter: g.retryAfter()}
 		}
 		g.Meter.Count("retry", "storeNotDone")
 		select {
@@ -243,6 +242,12 @@
 	}
 }
 
+// retryAfter returns the time after which a caller should return: an outage is
+// expected to last as long again as it has lasted.
+func (g *Gateway) retryAfter() time.Duration {
+	return min(lastRetry, max(firstRetry, g.StoreFailing()))
+}
+
 // handOver sends a stored job to the coordinator. Until it has confirmed the
 // job, each new coordinator gets it again.
 func (g *Gateway) handOver(j *w.Job) {
