platform/standin, soak: addresses of tests that no other process takes

Cause: the test asked the system for a free port and closed it, and a listener or a connection of a package tested at the same time took it before the instance listened. Ruled out: two instances of the test with one address (their ports were chosen one after the other, and the second one found the port taken while the first served).

Addresses now lie on a loopback address derived from the process id, below the range of outgoing connections, and are given once.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,17 +31,20 @@
 	// finish is the users' bound for the end of the traffic (14 s) after the
 	// last fault, and the lease of runs that nobody knows of (8 s).
 	finish = 25 * time.Second
+	// Each instance has a range of ports for the connections of others.
+	firstLinkPort = 20_000
+	linkPorts     = 16
 )
 
 // process is an instance as a process of its own.
 type process struct {
-	t    *testing.T
-	bin  string
-	conf string
-	log  *os.File
-	ip   string
-	mu   sync.Mutex
-	cmd  *exec.Cmd
+	t     *testing.T
+	bin   string
+	conf  string
+	log   *os.File
+	front string
+	mu    sync.Mutex
+	cmd   *exec.Cmd
 }
 
 func (p *process) start() {
@@ -107,15 +110,15 @@
 
 	var nodes []*process
 	for i := range instances {
-		ip := fmt.Sprintf("127.0.1.%d", i+1)
+		front, link := standin.FreeAddr(), firstLinkPort+linkPorts*i
 		conf := filepath.Join(dir, fmt.Sprintf("node%d.conf", i))
-		text := fmt.Sprintf("nodeName=n%d\nzone=z1\nip=%s\nlistenAddrs.front=%s:18161\nlistenAddrs.readyAddr=%s:18167\nportRange=17720,17735\n"+
+		text := fmt.Sprintf("nodeName=n%d\nzone=z1\nip=%s\nlistenAddrs.front=%s\nlistenAddrs.readyAddr=%s\nportRange=%d,%d\n"+
 			"platform.address=%s\nadvice=%s\nplatform.across=true\nlimits.memoryMb=284\nbounds.graceS=4\nbounds.maxHoldMs=10000\nbounds.stopTimeoutMs=200\n",
-			i, ip, ip, ip, c.StoreAddr, c.AdviceAddr)
+			i, standin.HostIP(), front, standin.FreeAddr(), link, link+linkPorts-1, c.StoreAddr, c.AdviceAddr)
 		require.NoError(t, os.WriteFile(conf, []byte(text), 0o600))
 		log, err := os.Create(filepath.Join(dir, fmt.Sprintf("node%d.log", i)))
 		require.NoError(t, err)
-		n := &process{t: t, bin: bin, conf: conf, log: log, ip: ip}
+		n := &process{t: t, bin: bin, conf: conf, log: log, front: front}
 		n.start()
 		nodes = append(nodes, n)
 	}
@@ -231,7 +234,7 @@
 
 func request(method string, n *process, id string, body []byte) (int, []byte) {
 	client := http.Client{Timeout: 3 * time.Second}
-	req, err := http.NewRequest(method, "http://"+n.ip+":18161"+standin.Prefix+id, bytes.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+n.front+standin.Prefix+id, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
