--- a/elector/elector.go
+++ b/elector/elector.go
@@ -26,6 +26,9 @@
 	// lostBeforeComplaint is the time without a connection to the leader after
 	// which an instance complains.
 	lostBeforeComplaint = 800 * time.Millisecond
+	// lostBeforeFirst is the same for a leader that takes its first connections
+	// only after it has read the cell from the store, which may be slow.
+	lostBeforeFirst = 3 * time.Second
 )
 
 // Reach tells what became of the last attempt to connect to the leader.
@@ -57,6 +60,7 @@
 	age        time.Duration // of the last beat
 	slow       time.Duration // time that its reading took
 	read       bool          // a beat was read since the connection was lost
+	met        bool          // it was connected to this leader
 	complaints map[w.InstanceID]seenComplaint
 	best       float64 // most cores of any instance, as the leader saw them last
 	members    int     // connected to the leader, by its own word
@@ -76,7 +80,7 @@
 func (e *Elector) Leader() keeper.Leadership { return e.lead }
 
 // Connected reports a connection to the leader.
-func (e *Elector) Connected() { e.connected, e.reach = true, NoAnswer }
+func (e *Elector) Connected() { e.connected, e.met, e.reach = true, true, NoAnswer }
 
 // Lost reports that a connection has ended or could not be made.
 func (e *Elector) Lost(r Reach, now time.Time) {
@@ -144,7 +148,11 @@
 			fresh++
 		}
 	}
-	if now.Sub(e.lost) >= lostBeforeComplaint && fresh > e.members+1 {
+	patience := lostBeforeComplaint
+	if !e.met && e.members == 0 {
+		patience = lostBeforeFirst
+	}
+	if now.Sub(e.lost) >= patience && fresh > e.members+1 {
 		return "most instances can't reach the leader", true
 	}
 	return "", false
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -52,6 +52,17 @@
 		"complaints of another epoch": {lead, func(e *Elector) {
 			e.Observe(keeper.Beat{Epoch: 3, Members: 1}, 0, quick, complaints(2, "a", "b", "c"), now.Add(900*time.Millisecond))
 		}, 900 * time.Millisecond, false},
+		"most complain of a leader that still loads": {lead, func(e *Elector) {
+			e.Observe(keeper.Beat{Epoch: 3}, 0, quick, complaints(3, "a", "b", "c"), now.Add(2*time.Second))
+		}, 2 * time.Second, false},
+		"most complain of a leader that nobody reached": {lead, func(e *Elector) {
+			e.Observe(keeper.Beat{Epoch: 3}, 0, quick, complaints(3, "a", "b", "c"), now.Add(3*time.Second))
+		}, 3 * time.Second, true},
+		"most complain of a leader that lost them": {lead, func(e *Elector) {
+			e.Connected()
+			e.Lost(NoAnswer, now)
+			e.Observe(keeper.Beat{Epoch: 3}, 0, quick, complaints(3, "a", "b", "c"), now.Add(900*time.Millisecond))
+		}, 900 * time.Millisecond, true},
 		"weak, leaves it to others": {lead, func(e *Elector) {
 			e.Strength = 0.2
 			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 1100*time.Millisecond, quick, nil, now)
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -98,7 +98,7 @@
 }
 
 // loadCalls is the number of scans that a load makes at the same time.
-const loadCalls = 16
+const loadCalls = 48
 
 // scanAll reads all parts of the tables, and the roster.
 func (k *Keeper) scanAll(ctx context.Context, roster, save **Row, tables ...string) (map[string][]scanned, error) {
