coordinator: gangs renew spare tickets; the log tells the places of a step that waits

Each had places enough on permitted targets (47 for 28 tasks), but tickets for a part of them only (21): during the second that a call takes, other gangs use a part of the plan's places, and the next plan needs other tickets. Ruled out: lack of lanes (each waiting gang has a call under way), holds, unread targets.

A renewal names as many permitted targets as cost half of the call. The log line of a step that waits tells the places on permitted targets and those with valid tickets.

The test fails without the change.

--- a/coordinator/advice_test.go
+++ b/coordinator/advice_test.go
@@ -153,3 +153,31 @@
 	require.Len(t, x.c.jobs["gang"].occs[0].steps[0].tasks, 2)
 	require.Zero(t, x.c.jobs["gang"].occs[0].steps[0].waiting)
 }
+
+// TestGangRenewsSpareTickets guards against gangs that never start although room
+// is free: while a call for the tickets of one plan is made, other gangs take a
+// part of its places.
+func TestGangRenewsSpareTickets(t *testing.T) {
+	x := advisedCell(t, 8)
+	gang := func(id w.JobID, n int) w.Job {
+		return w.Job{ID: id, Queue: testQueue, Attempts: 4, Steps: []w.Step{{Count: n, Gang: true, Need: w.Resources{CPU: 8000}}}}
+	}
+	x.submit(gang("first", 8))
+	list, _ := x.asks(0)
+	x.permit(list[0])
+	_, runs := x.asks(0)
+	require.Len(t, runs, 8)
+	for _, s := range runs {
+		x.started(s)
+	}
+	x.submit(gang("second", 2))
+	list, _ = x.asks(0)
+	x.permit(list[0])
+	x.asks(validity)
+	for _, s := range runs {
+		x.end(s.Target, s, w.EndedDone)
+	}
+	list, _ = x.asks(0)
+	require.Len(t, list, 1)
+	require.Len(t, list[0].Targets, 5, "two places would do")
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -386,15 +386,23 @@
 						at = append(at, t.ID)
 					}
 				}
-				good := 0
-				for _, a := range s.advice {
-					if a.good {
-						good++
+				good, places, ticketed := 0, 0, 0
+				for _, t := range s.permitted {
+					if !s.good(t) {
+						continue
+					}
+					good++
+					if n := s.times(t, t.free()); c.allowed(s, t) && n > 0 {
+						places += n
+						if c.holds(s, t, 0) {
+							ticketed += n
+						}
 					}
 				}
 				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "open", c.now.Sub(s.openAt), "gang", s.Gang,
 					"waiting", phases[waiting], "starting", phases[starting], "running", phases[running], "stopping", phases[stopping],
-					"unclear", at, "asking", s.asking, "advised", len(s.advice), "good", good, "fresh", j.fresh, "unread", len(c.unread))
+					"unclear", at, "asking", s.asking, "advised", len(s.advice), "good", good,
+					"places", places, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unread))
 			}
 		}
 	}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -533,7 +533,7 @@
 			in[sh.t] = true
 		}
 		for _, t := range s.permitted {
-			if len(ts) >= len(p)*3/2+1 {
+			if len(ts) >= max(len(p)*3/2+1, namedAtOnce(cost)) {
 				break
 			}
 			if !in[t] && s.good(t) && c.allowed(s, t) && s.times(t, withStops(t)) > 0 {
