dispatcher: orders to the earlier address of a target are followed to their end

Ruled out: the listing not being read (the worker of the new address was placeable 90 ms later).

The worker of the new address takes over orders and tasks whose ends are not known. What the target does not list until their leases have surely ended was lost; an idempotent request is tried again and does not avoid the target.

TestTargetMovesDuringStart fails without the change (no outcome in 20 s).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -222,7 +222,7 @@
 		d.cfg.Scheduler.Cancel(key)
 	}
 	d.shards[c.Slice].gain(c.Epoch, c.SafeFrom)
-	d.startWorkers()
+	d.startWorkers(nil)
 	d.wakeRecovery()
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -280,3 +280,35 @@
 	require.Equal(t, descriptor.Completed, c.submit(d, s).Kind())
 	require.Len(t, moved.Targets["t0"].History().Runs, 1)
 }
+
+// TestTargetMovesDuringStart guards against a request without an outcome: an
+// order to the old address that got no answer was forgotten with that address.
+func TestTargetMovesDuringStart(t *testing.T) {
+	c := newTestCell(t, 1)
+	d := c.add("a", nil)
+	c.give("a", all)
+	c.submit(d, c.submission("before", "plan", emulator.Work{RunMs: 1}))
+
+	moved := &emulator.Cell{Listing: c.cell.Listing}
+	moved.Listing.Targets = slices.Clone(moved.Listing.Targets)
+	moved.Listing.Targets[0].Address = "127.0.0.1:0"
+	require.NoError(t, moved.Start())
+	t.Cleanup(func() { require.NoError(t, moved.Close()) })
+	c.cell.Targets["t0"].Set(emulator.Faults{DelayMs: 3000})
+	s := c.submission("after", "plan", emulator.Work{RunMs: 1})
+	var outcome descriptor.Outcome
+	var err error
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+		defer cancel()
+		outcome, err = d.Submit(ctx, s)
+	}()
+	c.eventually(func() bool { return len(c.runs(s.Key)) == 1 })
+	c.cell.Platform.SetListing(moved.Listing)
+	<-ended
+	require.NoError(t, err)
+	require.Equal(t, descriptor.Completed, outcome.Kind())
+	require.Len(t, moved.Targets["t0"].History().Runs, 1)
+}
--- a/dispatcher/judge.go
+++ b/dispatcher/judge.go
@@ -91,7 +91,7 @@
 	}
 	if r.request.Idempotent && !r.recovered && r.failures < d.cfg.MaxAttempts {
 		for _, t := range r.tasks {
-			if t.lost || t.listed.State == descriptor.TaskFailed {
+			if (t.lost && !t.moved) || t.listed.State == descriptor.TaskFailed {
 				r.avoid = append(r.avoid, t.target)
 			}
 		}
--- a/dispatcher/record.go
+++ b/dispatcher/record.go
@@ -30,7 +30,8 @@
 	listed connector.ListedTask // as last seen at the target
 	// lost says that the task ended without a result, because its target could
 	// not be reached or forgot it.
-	lost bool
+	lost  bool
+	moved bool // its target moved before its end was known
 }
 
 // claimState is the durable claim of a non-idempotent request.
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -47,6 +47,10 @@
 	state    placer.TargetState
 	pending  map[descriptor.TaskID]*pendingStart
 	tasks    map[descriptor.TaskID]connector.ListedTask // as listed, running and ended
+	// inherited orders went to the target at an earlier address. They have ended
+	// or never started at inheritedEnd, unless the target lists them until then.
+	inherited    map[descriptor.TaskID]*pendingStart
+	inheritedEnd time.Time
 	// placed holds the scheduler's attempt numbers of the tasks that it placed.
 	placed  map[descriptor.TaskID]descriptor.Attempt
 	running int
@@ -57,12 +61,14 @@
 	nextForget connector.TargetClock
 }
 
-func newTargetWorker(d *Dispatcher, t descriptor.Target, e descriptor.Epoch, safeFrom time.Time) *targetWorker {
+func newTargetWorker(d *Dispatcher, t descriptor.Target, e descriptor.Epoch, safeFrom time.Time, inherited map[descriptor.TaskID]*pendingStart) *targetWorker {
 	w := &targetWorker{
 		d: d, target: t, epoch: e, safeFrom: safeFrom, conn: d.cfg.Dialer.Dial(t),
 		pending: map[descriptor.TaskID]*pendingStart{}, tasks: map[descriptor.TaskID]connector.ListedTask{},
 		placed: map[descriptor.TaskID]descriptor.Attempt{},
 		state:  placer.Unreachable, done: make(chan struct{}),
+		inherited:    inherited,
+		inheritedEnd: d.cfg.Clock.Now().Add(time.Duration(float64(d.cfg.StartWindow+d.cfg.TaskLease)/driftMargin) + time.Second),
 	}
 	w.ctx, w.cancel = context.WithCancel(d.ctx)
 	return w
@@ -136,6 +142,7 @@
 			break
 		}
 		w.d.cfg.Scope.Counter("target_errors").Inc(1)
+		w.expireInherited(now)
 		if (w.epoch == 1 || now.After(certain)) && w.markSynced() {
 			w.d.cfg.Log.Warn("dispatcher: target not reached; its tasks have expired", "target", w.target.ID, "error", err)
 			w.d.wakeRecovery()
@@ -214,6 +221,10 @@
 			w.placed[t.Task] = p.placed
 			delete(w.pending, t.Task)
 		}
+		if p, ok := w.inherited[t.Task]; ok {
+			w.placed[t.Task] = p.placed
+			delete(w.inherited, t.Task)
+		}
 		switch {
 		case !t.State.Ended():
 			running = append(running, t)
@@ -247,6 +258,7 @@
 		w.d.cfg.Scope.Tagged(map[string]string{"result": result}).Counter("starts_resolved").Inc(1)
 		w.settlePending(p, state)
 	}
+	w.expireInherited(now)
 	w.updateState(now)
 }
 
--- a/dispatcher/target_lost.go
+++ b/dispatcher/target_lost.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"time"
 
 	"github.com/masticlead/masticlead/connector"
@@ -69,6 +70,67 @@
 	}
 }
 
+// unresolved returns the orders and tasks whose ends are not known. The worker must
+// have stopped.
+func (w *targetWorker) unresolved() map[descriptor.TaskID]*pendingStart {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := maps.Clone(w.inherited)
+	if all == nil {
+		all = make(map[descriptor.TaskID]*pendingStart)
+	}
+	maps.Copy(all, w.pending)
+	for id, t := range w.tasks {
+		if t.State.Ended() {
+			continue
+		}
+		placed, ok := w.placed[id]
+		if !ok {
+			placed = t.Attempt
+		}
+		all[id] = &pendingStart{placed: placed, order: connector.StartOrder{
+			Task: id, Key: t.Key, Epoch: t.Epoch, Attempt: t.Attempt, Index: t.Index, Of: t.Of,
+			Idempotent: t.Idempotent, Kind: t.Kind, Resources: t.Resources,
+		}}
+	}
+	return all
+}
+
+// expireInherited ends the orders of an earlier address that the target does not
+// list once their leases have surely ended. They may have run.
+func (w *targetWorker) expireInherited(now time.Time) {
+	w.mu.Lock()
+	if len(w.inherited) == 0 || now.Before(w.inheritedEnd) {
+		w.mu.Unlock()
+		return
+	}
+	lost := w.inherited
+	w.inherited = nil
+	for _, p := range lost {
+		w.expire(p, w.listedMs)
+	}
+	w.mu.Unlock()
+	w.d.cfg.Log.Warn("dispatcher: orders to the earlier address of a target have ended", "target", w.target.ID, "tasks", len(lost))
+	for _, p := range lost {
+		w.d.noteMoved(p.order.Key, p.order.Task)
+		w.settlePending(p, runEnded)
+	}
+}
+
+// noteMoved notes that a task was lost since its target moved, which is no reason
+// to avoid that target.
+func (d *Dispatcher) noteMoved(key descriptor.Key, id descriptor.TaskID) {
+	r := d.record(key)
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := r.find(id); i >= 0 {
+		r.tasks[i].moved = true
+	}
+}
+
 // settleLost releases tasks that ended without a result.
 func (w *targetWorker) settleLost(lost []connector.ListedTask) {
 	for _, t := range lost {
--- a/dispatcher/targets.go
+++ b/dispatcher/targets.go
@@ -57,15 +57,19 @@
 	}
 	d.listed = current
 	d.mu.Unlock()
+	inherited := make(map[descriptor.TargetID]map[descriptor.TaskID]*pendingStart)
 	if len(moved) > 0 {
-		d.stopWorkers(func(id descriptor.TargetID) bool { return slices.Contains(moved, id) })
+		for _, w := range d.stopWorkers(func(id descriptor.TargetID) bool { return slices.Contains(moved, id) }) {
+			inherited[w.target.ID] = w.unresolved()
+		}
 	}
-	d.startWorkers()
+	d.startWorkers(inherited)
 	d.wakeRecovery()
 }
 
-// startWorkers follows each listed target whose slice this instance owns.
-func (d *Dispatcher) startWorkers() {
+// startWorkers follows each listed target whose slice this instance owns. The
+// inherited orders went to targets at earlier addresses.
+func (d *Dispatcher) startWorkers(inherited map[descriptor.TargetID]map[descriptor.TaskID]*pendingStart) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.ctx.Err() != nil {
@@ -80,7 +84,7 @@
 		if !owned {
 			continue
 		}
-		w := newTargetWorker(d, t, epoch, safeFrom)
+		w := newTargetWorker(d, t, epoch, safeFrom, inherited[id])
 		d.workers[id] = w
 		d.wg.Go(func() {
 			defer close(w.done)
@@ -90,8 +94,8 @@
 }
 
 // stopWorkers stops the workers of the chosen targets and forgets what is in
-// use on them.
-func (d *Dispatcher) stopWorkers(choose func(descriptor.TargetID) bool) {
+// use on them. It returns the stopped workers.
+func (d *Dispatcher) stopWorkers(choose func(descriptor.TargetID) bool) []*targetWorker {
 	d.mu.Lock()
 	var stopped []*targetWorker
 	for id, w := range d.workers {
@@ -106,6 +110,7 @@
 		w.abandon()
 		d.cfg.Scheduler.RemoveTarget(w.target.ID)
 	}
+	return stopped
 }
 
 // worker returns the worker of a target that this instance owns, or nil.
