detector: failures after a quarantine count, too

Cause of most failures of TestTargetFailsEverything (KNOWN-RED): a bad target came back into service 2 s after its quarantine without a probe. Tasks that run when a target is quarantined fail as well. They were remembered with their gain but not added to the score, so one of them that failed again elsewhere took 2.9 from a score of 12 to 15, and the quarantine ended as a fault of the work. Ruled out: probes (the first is due after 5 s), a new owner (no slice moved in the traced run), the limit (one target was set aside).

Their gain is now part of the score. TestLateFailuresCount fails without the change.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -220,7 +220,11 @@
 	switch h.state {
 	case placer.Placeable:
 		d.move(h, gain)
+	case placer.Quarantined:
+		// It may be taken back like the failures before the quarantine.
+		h.score += gain
 	case placer.Probing:
+		h.score += gain
 		if gain > math.Log(badRate/0.5) {
 			h.interval = min(2*h.interval, d.cfg.MaxProbe)
 			d.isolate(h, reasonProbeFailed, now)
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -222,3 +222,29 @@
 		require.Equal(t, []Change{{"t00", placer.Probing, reasonProbe}}, c.d.Changes(c.now))
 	}
 }
+
+// TestLateFailuresCount guards against a bad target that returns to service while
+// it still fails everything: tasks that were running when it was quarantined fail
+// as well, and one such request that failed again elsewhere took back more than
+// it had added.
+func TestLateFailuresCount(t *testing.T) {
+	c := newCell(t, 10, Config{})
+	c.rounds(20, func(int) bool { return true })
+	var failed []descriptor.Key
+	for c.state["t03"] == placer.Placeable {
+		k := c.key("caller")
+		failed = append(failed, k)
+		c.observe(3, k, "routeBuild", false)
+		c.apply()
+	}
+	for range 8 {
+		k := c.key("caller")
+		failed = append(failed, k)
+		c.observe(3, k, "routeBuild", false)
+	}
+	for _, k := range failed[len(failed)-4:] {
+		c.observe(5, k, "routeBuild", false)
+	}
+	c.apply()
+	require.Equal(t, placer.Quarantined, c.state["t03"])
+}
