--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -65,6 +65,10 @@
 	return a != nil && a.life == t.Incarnation
 }
 
+// forgetAdvice drops what the policy said once no task of the step starts any
+// more. Jobs stay in memory for minutes after their end.
+func (s *step) forgetAdvice() { s.advice, s.permitted = nil, nil }
+
 // request asks for advice on targets for a step.
 func (c *Coordinator) request(s *step, cost *w.AdviceCost, targets []*target) {
 	if len(targets) == 0 {
@@ -209,7 +213,7 @@
 	s.asking--
 	s.tried = -1
 	c.Meter.Wait("advice", c.now.Sub(s.asked))
-	if r.Failed {
+	if r.Failed || s.job.state.Final() || s.done == s.Count {
 		return
 	}
 	if s.job.story.advised.IsZero() {
--- a/coordinator/advice_test.go
+++ b/coordinator/advice_test.go
@@ -64,6 +64,28 @@
 	require.Len(t, list[0].Targets, 5, "as many as cost half of the call")
 }
 
+// TestAdviceForgotten guards against a leader whose memory grows with the advice
+// for jobs that have ended, also if an answer comes late.
+func TestAdviceForgotten(t *testing.T) {
+	x := advisedCell(t, 8)
+	x.submit(oneTask("a"))
+	list, _ := x.asks(0)
+	x.permit(list[0])
+	_, starts := x.asks(0)
+	x.started(starts[0])
+	s := x.c.jobs["a"].occs[0].steps[0]
+	require.NotEmpty(t, s.advice)
+	x.end(starts[0].Target, starts[0], w.EndedDone)
+	require.Empty(t, s.advice)
+	require.Empty(t, s.permitted)
+
+	x.submit(oneTask("b"))
+	list, _ = x.asks(0)
+	x.c.Cancel("b")
+	x.permit(list[0])
+	require.Empty(t, x.c.jobs["b"].occs[0].steps[0].advice)
+}
+
 // TestNoAdviceWithoutRoom guards against calls that cannot help: in a full cell
 // each waiting step asked about one target after another, and the calls of other
 // steps waited behind these.
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -319,6 +319,7 @@
 
 // closeStep follows the end of the last task of a step.
 func (c *Coordinator) closeStep(s *step) {
+	s.forgetAdvice()
 	o := s.occ
 	o.left--
 	if o.left == 0 {
@@ -353,6 +354,7 @@
 	for _, o := range j.occs {
 		for _, s := range o.steps {
 			c.release(s)
+			s.forgetAdvice()
 			for i := range s.tasks {
 				switch s.tasks[i].phase {
 				case starting, running:
