--- /dev/null
+++ b/coordinator/gang.go
@@ -0,0 +1,178 @@
+package coordinator
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// gangMargin is the share of targets named for a gang beyond those expected to be
+// needed. A single missing place holds a gang up.
+const gangMargin = 2.5
+
+// share is a part of a gang on one target.
+type share struct {
+	t *target
+	n int
+}
+
+// plan spreads a gang over targets with the given room, or returns nil.
+func (c *Coordinator) plan(s *step, among []*target, fits func(*target) bool, room func(*target) w.Resources) []share {
+	var list []share
+	sum := 0
+	for _, t := range among {
+		if !fits(t) || !c.allowed(s, t) {
+			continue
+		}
+		if n := s.times(t, room(t)); n > 0 {
+			list = append(list, share{t, n})
+			sum += n
+		}
+	}
+	if sum < s.Count {
+		return nil
+	}
+	if s.OneRack {
+		if one := oneRack(list, s.Count); one != nil {
+			list = one
+		}
+	}
+	slices.SortStableFunc(list, func(a, b share) int {
+		return cmp.Or(cmp.Compare(a.t.health.streak, b.t.health.streak), cmp.Compare(b.n, a.n))
+	})
+	left := s.Count
+	for i := range list {
+		list[i].n = min(list[i].n, left)
+		left -= list[i].n
+		if left == 0 {
+			return list[:i+1]
+		}
+	}
+	return nil
+}
+
+// oneRack returns the targets of the rack with the most room, if it holds n.
+func oneRack(list []share, n int) []share {
+	sums := make(map[string]int)
+	best := ""
+	for _, sh := range list {
+		r := sh.t.rack()
+		sums[r] += sh.n
+		if sums[r] > sums[best] || best == "" {
+			best = r
+		}
+	}
+	if sums[best] < n {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(sh share) bool { return sh.t.rack() != best })
+}
+
+// placeGang starts all tasks of a step at once, or none.
+func (c *Coordinator) placeGang(s *step, cost *w.AdviceCost) {
+	if s.waiting < s.Count {
+		return
+	}
+	free := (*target).free
+	among := c.candidates(s, cost != nil)
+	valid := func(spare time.Duration) func(*target) bool {
+		return func(t *target) bool { return cost == nil || c.holds(s, t, spare) }
+	}
+	permitted := func(t *target) bool { return cost == nil || s.good(t) }
+	if p := c.plan(s, among, valid(0), free); p != nil {
+		c.startGang(s, p)
+		return
+	}
+	withStops := func(t *target) w.Resources { return t.free().Add(t.coming).Add(c.preemptible(s, t)) }
+	if c.now.Before(s.preempt) {
+		return
+	}
+	if p := c.plan(s, among, valid(c.StopTimeout+ticketMargin), withStops); p != nil {
+		c.release(s)
+		for _, sh := range p {
+			if ids, lost := c.victims(s, sh.t, sh.n); !math.IsInf(lost, 1) {
+				c.preemptSlots(s, sh.t, ids)
+			}
+			c.hold(s, sh.t, c.StopTimeout+holdSlack)
+		}
+		s.preempt = c.now.Add(c.StopTimeout + holdSlack/2)
+		return
+	}
+	if cost == nil || s.asking > 0 {
+		return
+	}
+	if p := c.plan(s, among, permitted, withStops); p != nil {
+		// New tickets for the plan, and for some more targets in case the room
+		// is gone when they arrive.
+		var ts []*target
+		in := make(map[*target]bool)
+		for _, sh := range p {
+			ts = append(ts, sh.t)
+			in[sh.t] = true
+		}
+		for _, t := range s.permitted {
+			if len(ts) >= max(len(p)*3/2+1, namedAtOnce(cost)) {
+				break
+			}
+			if !in[t] && s.good(t) && c.allowed(s, t) && s.times(t, withStops(t)) > 0 {
+				ts = append(ts, t)
+			}
+		}
+		c.request(s, cost, ts)
+		return
+	}
+	c.request(s, cost, c.gangNames(s, cost, withStops))
+}
+
+// gangNames returns the targets to ask about for a gang: as many as are expected
+// to hold it, those with most room first.
+func (c *Coordinator) gangNames(s *step, cost *w.AdviceCost, room func(*target) w.Resources) []*target {
+	type fit struct {
+		t     *target
+		times int
+	}
+	var list []fit
+	for _, t := range c.fresh(s) {
+		list = append(list, fit{t, s.times(t, room(t))})
+	}
+	slices.SortStableFunc(list, func(a, b fit) int { return cmp.Compare(b.times, a.times) })
+	want := float64(s.Count) * gangMargin / c.shareGood(s.job.Queue)
+	for _, t := range s.permitted {
+		if c.allowed(s, t) {
+			want -= gangMargin * float64(s.times(t, room(t)))
+		}
+	}
+	var names []*target
+	for _, f := range list {
+		if want <= 0 && len(names) >= namedAtOnce(cost) {
+			break
+		}
+		want -= float64(f.times)
+		names = append(names, f.t)
+	}
+	return names
+}
+
+// startGang starts all tasks with one run id.
+func (c *Coordinator) startGang(s *step, p []share) {
+	c.release(s)
+	c.nextRun++
+	// All members carry the same checkpoint.
+	saved := ""
+	for i := range s.tasks {
+		if s.tasks[i].saved > saved {
+			saved = s.tasks[i].saved
+		}
+	}
+	i := 0
+	for _, sh := range p {
+		for range sh.n {
+			s.tasks[i].saved = saved
+			c.startRun(s, i, sh.t, c.nextRun)
+			i++
+		}
+	}
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -35,24 +35,23 @@
 // step is a step of one occurrence of a job.
 type step struct {
 	*w.Step
-	job           *job
-	occ           *occurrence
-	index         int
-	name          string
-	tasks         []task
-	done          int
-	waiting       int
-	open          bool // the steps before it are done
-	openAt        time.Time
-	active        bool
-	tried         int64 // generation of the last attempt to place it
-	advice        map[w.TargetID]*advised
-	permitted     []*target // by the queue's policy
-	asking        int
-	asked         time.Time
-	preempt       time.Time // no further preemption before
-	reserved      []*target
-	reservedUntil time.Time
+	job       *job
+	occ       *occurrence
+	index     int
+	name      string
+	tasks     []task
+	done      int
+	waiting   int
+	open      bool // the steps before it are done
+	openAt    time.Time
+	active    bool
+	tried     int64 // generation of the last attempt to place it
+	advice    map[w.TargetID]*advised
+	permitted []*target // by the queue's policy
+	asking    int
+	asked     time.Time
+	preempt   time.Time // no further preemption before
+	reserved  []*target
 }
 
 type occurrence struct {
--- /dev/null
+++ b/coordinator/preemption.go
@@ -0,0 +1,126 @@
+package coordinator
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// holdSlack is added to the time of a stop for which room is reserved.
+const holdSlack = 300 * time.Millisecond
+
+// victims returns runs of less important work on a target that free enough room
+// for k tasks of the step, cheapest first, and the work that is lost.
+func (c *Coordinator) victims(s *step, t *target, k int) (ids []*slot, lost float64) {
+	own := c.priority(s.job)
+	room := t.free().Add(t.coming)
+	if s.times(t, room) >= k {
+		return nil, 0
+	}
+	var list []*slot
+	for _, sl := range t.slots {
+		if sl.step == nil || sl.ending || sl.step.Gang || sl.step.Lasting || c.priority(sl.step.job) <= own {
+			continue
+		}
+		if sl.step.tasks[sl.i].phase == running {
+			list = append(list, sl)
+		}
+	}
+	slices.SortFunc(list, func(a, b *slot) int {
+		return cmp.Or(cmp.Compare(c.unsaved(a), c.unsaved(b)), cmp.Compare(a.run, b.run))
+	})
+	for _, sl := range list {
+		ids = append(ids, sl)
+		lost += c.unsaved(sl)
+		room = room.Add(sl.room)
+		if s.times(t, room) >= k {
+			return ids, lost
+		}
+	}
+	return nil, math.Inf(1)
+}
+
+// unsaved estimates the work that a stop of a run throws away, in core-seconds.
+func (c *Coordinator) unsaved(sl *slot) float64 {
+	age := c.now.Sub(sl.step.tasks[sl.i].since)
+	if sl.step.Saves {
+		age = min(age, c.Restore)
+	}
+	return age.Seconds() * float64(sl.room.CPU) / 1000
+}
+
+// preemptible returns the room that less important work takes on a target.
+func (c *Coordinator) preemptible(s *step, t *target) w.Resources {
+	own := c.priority(s.job)
+	var r w.Resources
+	for _, sl := range t.slots {
+		if sl.step != nil && !sl.ending && !sl.step.Gang && !sl.step.Lasting &&
+			c.priority(sl.step.job) > own && sl.step.tasks[sl.i].phase == running {
+			r = r.Add(sl.room)
+		}
+	}
+	return r
+}
+
+// canPreempt reports whether any target may run less urgent work.
+func (c *Coordinator) canPreempt(s *step) bool { return c.priority(s.job) < c.leastUrgent }
+
+// preemptFor frees room for the waiting tasks of a step by stopping less
+// important work.
+func (c *Coordinator) preemptFor(s *step, advice bool) {
+	if c.now.Before(s.preempt) || !c.canPreempt(s) {
+		return
+	}
+	n := s.waiting
+	for n > 0 {
+		var best *target
+		var stops []*slot
+		bestLost := math.Inf(1)
+		for _, t := range c.candidates(s, advice) {
+			if (t.held == s && c.now.Before(t.heldTill)) || !c.allowed(s, t) ||
+				(advice && !c.holds(s, t, c.StopTimeout)) || (s.Spread > 0 && s.count(t) >= s.Spread) {
+				continue
+			}
+			ids, lost := c.victims(s, t, 1)
+			if lost < bestLost {
+				best, stops, bestLost = t, ids, lost
+			}
+		}
+		if best == nil {
+			return
+		}
+		c.hold(s, best, c.StopTimeout+holdSlack)
+		c.preemptSlots(s, best, stops)
+		s.preempt = c.now.Add(c.StopTimeout / 2)
+		n -= max(1, s.times(best, best.free().Add(best.coming)))
+	}
+}
+
+func (c *Coordinator) preemptSlots(s *step, t *target, stops []*slot) {
+	for _, sl := range stops {
+		sl.step.job.story.stops++
+		c.Meter.Count("stop", "preempted")
+		c.Log.Info("run preempted", "task", sl.step.id(sl.i), "target", t.ID, "for", s.name, "unsaved", c.unsaved(sl))
+		c.stop(sl.step, sl.i)
+	}
+}
+
+// hold reserves the room of a target for a step.
+func (c *Coordinator) hold(s *step, t *target, d time.Duration) {
+	t.held, t.heldTill = s, c.now.Add(d)
+	s.reserved = append(s.reserved, t)
+}
+
+// release gives up the reservations of a step.
+func (c *Coordinator) release(s *step) {
+	for _, t := range s.reserved {
+		if t.held == s {
+			t.held = nil
+			c.generation++
+		}
+	}
+	s.reserved = nil
+}
