coordinator: lanes for long calls; a step searches for targets to ask about every 40 ms

Long calls need an idle lane, and the backlog of shorter calls kept every lane filled. Ruled out: room (places are free once advice comes), tickets. Calls of medium length now leave the first quarter of the instances to long ones, and a class without a lane does not hold up the others.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -96,9 +95,7 @@
 	return min(maxNamed, int(cost.Base/(2*cost.PerName)))
 }
 
-// dispatchAsks hands the waiting calls to instances. Long calls use at most half
-// of the instances and all but short ones three quarters, so that short ones
-// never wait behind them.
+// dispatchAsks hands the waiting calls to instances.
 func (c *Coordinator) dispatchAsks() {
 	for id, a := range c.asks {
 		if c.now.After(a.due) {
@@ -114,21 +111,21 @@
 	slices.SortStableFunc(c.waiting, func(a, b *ask) int {
 		return cmp.Compare(c.priority(a.step.job), c.priority(b.step.job))
 	})
-	// A call for which there is no lane leaves none to as long ones either.
-	limit := time.Duration(math.MaxInt64)
+	full := make(map[time.Duration]bool) // classes without a lane
 	rest := c.waiting[:0]
 	for _, a := range c.waiting {
 		if a.step.job.state.Final() {
 			a.step.asking--
 			continue
 		}
-		if a.cost >= limit {
+		class := laneClass(a.cost)
+		if full[class] {
 			rest = append(rest, a)
 			continue
 		}
-		m := c.lane(a)
+		m := c.lane(class)
 		if m == nil {
-			limit = laneClass(a.cost)
+			full[class] = true
 			rest = append(rest, a)
 			continue
 		}
@@ -162,30 +159,34 @@
 	return 0
 }
 
-// lane returns the instance that can answer a call first, or nil if the call
-// should wait.
-func (c *Coordinator) lane(a *ask) *member {
-	lanes := len(c.ordered)
-	long := false
-	switch laneClass(a.cost) {
+// lanes returns the instances that may make calls of a class. Each class has some
+// that the longer or shorter ones leave free.
+func (c *Coordinator) lanes(class time.Duration) []*member {
+	n := len(c.ordered)
+	switch class {
 	case longAdvice:
-		long = true
-		lanes = (lanes + 1) / 2
+		return c.ordered[:(n+1)/2]
 	case shortAdvice:
-		lanes = (3*lanes + 3) / 4
+		return c.ordered[n/4 : (3*n+3)/4]
 	}
+	return c.ordered
+}
+
+// lane returns the instance that can answer a call of a class first, or nil if
+// the call should wait.
+func (c *Coordinator) lane(class time.Duration) *member {
 	var best *member
-	for _, m := range c.ordered[:lanes] {
+	for _, m := range c.lanes(class) {
 		if m.asks >= laneDepth {
 			continue
 		}
 		if best == nil || later(m.free, c.now).Before(later(best.free, c.now)) ||
 			// Among free lanes short calls prefer those that no long call uses.
-			(!long && !later(m.free, c.now).After(later(best.free, c.now))) {
+			(class != longAdvice && !later(m.free, c.now).After(later(best.free, c.now))) {
 			best = m
 		}
 	}
-	if best != nil && long && best.asks > 0 {
+	if best != nil && class == longAdvice && best.free.Sub(c.now) > shortAdvice {
 		return nil
 	}
 	return best
@@ -212,6 +213,7 @@
 	s := a.step
 	s.asking--
 	s.tried = -1
+	s.searched = time.Time{}
 	c.Meter.Wait("advice", c.now.Sub(s.asked))
 	if r.Failed || s.job.state.Final() || s.done == s.Count {
 		return
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -81,6 +81,7 @@
 	// What survey notes for one round of placement.
 	most        w.Resources
 	leastUrgent int
+	roomy       []roomOf // usable targets by free CPU, once a step has asked
 
 	early      map[w.JobID]time.Time // cancelled before they were known
 	reserves   map[string]*reserve   // by service
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -50,6 +50,7 @@
 	permitted []*target // by the queue's policy
 	asking    int
 	asked     time.Time
+	searched  time.Time // for targets to ask about
 	preempt   time.Time // no further preemption before
 	reserved  []*target
 }
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -16,6 +16,9 @@
 	// askMargin is the share of targets named beyond those expected to be
 	// needed.
 	askMargin = 1.4
+	// searchPeriod is the time between two searches for targets to ask about. An
+	// answer brings the next one forward.
+	searchPeriod = 40 * time.Millisecond
 	// leastKnownGood is the number of permitted targets that a waiting step
 	// wants to know.
 	leastKnownGood = 3
@@ -66,7 +69,7 @@
 // any of them has free, and how urgent the least urgent of their runs is. What
 // the round itself starts only lowers the room.
 func (c *Coordinator) survey() {
-	c.most, c.leastUrgent = w.Resources{}, math.MinInt
+	c.most, c.leastUrgent, c.roomy = w.Resources{}, math.MinInt, c.roomy[:0]
 	for _, t := range c.order {
 		t.open = c.usable(t)
 		if !t.open {
@@ -248,9 +251,10 @@
 // askFor requests advice for n waiting tasks: new tickets once a permitted target
 // has room or less urgent work, or else advice on further targets.
 func (c *Coordinator) askFor(s *step, cost *w.AdviceCost, n int) {
-	if s.asking > 0 {
+	if s.asking > 0 || c.now.Sub(s.searched) < searchPeriod {
 		return
 	}
+	s.searched = c.now
 	room := s.Room()
 	var stale []*target
 	covered, known, valid, renew := 0, 0, 0, false
@@ -274,7 +278,7 @@
 		c.request(s, cost, stale[:min(len(stale), max(n, namedAtOnce(cost)))])
 		return
 	}
-	if covered >= n || (known >= leastKnownGood && !room.Fits(c.most)) {
+	if covered >= n || (known >= leastKnownGood && !c.freshRoom(s)) {
 		return
 	}
 	fresh := c.fresh(s)
@@ -295,6 +299,38 @@
 	c.request(s, cost, fresh[:min(len(fresh), max(named, namedAtOnce(cost)))])
 }
 
+// freshRoom reports whether a target on which the policy of the step is not known
+// has room for one of its tasks.
+func (c *Coordinator) freshRoom(s *step) bool {
+	room := s.Room()
+	if !room.Fits(c.most) {
+		return false
+	}
+	if len(c.roomy) == 0 {
+		for _, t := range c.order {
+			if t.open {
+				c.roomy = append(c.roomy, roomOf{t, t.free().CPU})
+			}
+		}
+		slices.SortFunc(c.roomy, func(a, b roomOf) int { return cmp.Compare(b.cpu, a.cpu) })
+	}
+	for _, r := range c.roomy {
+		if r.cpu < room.CPU {
+			return false
+		}
+		if room.Fits(r.t.free()) && !s.knows(r.t) && c.allowed(s, r.t) {
+			return true
+		}
+	}
+	return false
+}
+
+// roomOf is a target and what it had free when a round of placement first asked.
+type roomOf struct {
+	t   *target
+	cpu int64
+}
+
 // fresh returns the targets that could run a task of the step and on which its
 // policy is not known.
 func (c *Coordinator) fresh(s *step) []*target {
