coordinator, dispatcher: mend what the read of the whole change found

Cause, change: - Orders to the earlier address of a target were kept beside the pending ones, so owners that recover slices did not learn of them, and two workers shared their records. They are pending orders with a time now, and copies. The new assertion of TestTargetMovesDuringStart fails without this (no task found). The start of a target at another address stood twice in the tests. - The filter of runs that may be stopped stood twice; the end of a call for advice three times, of which one let the step search again at once. - Lanes were chosen by a duration that stood for a class; it is an enum, and the map made in each round is an array. - The check of room was made for each task although it holds for the step; reserves looked for usable targets that the survey had found.

No bound, check or assertion is loosened.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -10,11 +10,10 @@
 )
 
 const (
-	// longAdvice separates calls that would hold up short ones on the same
-	// instance.
+	// longAdvice is the least expected time of a long call.
 	longAdvice = 250 * time.Millisecond
-	// shortAdvice separates calls for work that has to start at once from those
-	// that would hold it up.
+	// shortAdvice is the time below which a call is short, and may delay another
+	// one on the same instance.
 	shortAdvice = 50 * time.Millisecond
 	// laneDepth is the number of calls that may wait at an instance, so that a
 	// more urgent one is not far behind.
@@ -99,10 +98,8 @@
 func (c *Coordinator) dispatchAsks() {
 	for id, a := range c.asks {
 		if c.now.After(a.due) {
-			delete(c.asks, id)
 			a.member.asks--
-			a.step.asking--
-			a.step.tried = -1
+			c.closeAsk(id, a)
 		}
 	}
 	if len(c.waiting) == 0 || len(c.ordered) == 0 {
@@ -111,14 +108,14 @@
 	slices.SortStableFunc(c.waiting, func(a, b *ask) int {
 		return cmp.Compare(c.priority(a.step.job), c.priority(b.step.job))
 	})
-	full := make(map[time.Duration]bool) // classes without a lane
+	var full [callClasses]bool // classes without a lane
 	rest := c.waiting[:0]
 	for _, a := range c.waiting {
 		if a.step.job.state.Final() {
 			a.step.asking--
 			continue
 		}
-		class := laneClass(a.cost)
+		class := classOf(a.cost)
 		if full[class] {
 			rest = append(rest, a)
 			continue
@@ -147,26 +144,43 @@
 	c.waiting = rest
 }
 
-// laneClass returns the least cost of the calls that share lanes with one of the
-// given cost.
-func laneClass(cost time.Duration) time.Duration {
+// closeAsk notes that a call has ended, with or without an answer. Its step may ask
+// again at once.
+func (c *Coordinator) closeAsk(id int64, a *ask) {
+	delete(c.asks, id)
+	a.step.asking--
+	a.step.tried = -1
+	a.step.searched = time.Time{}
+}
+
+// callClass tells how long calls for advice take.
+type callClass int
+
+const (
+	shortCall callClass = iota
+	mediumCall
+	longCall
+	callClasses // number of classes
+)
+
+func classOf(cost time.Duration) callClass {
 	switch {
 	case cost >= longAdvice:
-		return longAdvice
+		return longCall
 	case cost >= shortAdvice:
-		return shortAdvice
+		return mediumCall
 	}
-	return 0
+	return shortCall
 }
 
 // lanes returns the instances that may make calls of a class. Each class has some
 // that the longer or shorter ones leave free.
-func (c *Coordinator) lanes(class time.Duration) []*member {
+func (c *Coordinator) lanes(class callClass) []*member {
 	n := len(c.ordered)
 	switch class {
-	case longAdvice:
+	case longCall:
 		return c.ordered[:(n+1)/2]
-	case shortAdvice:
+	case mediumCall:
 		return c.ordered[n/4 : (3*n+3)/4]
 	}
 	return c.ordered
@@ -174,7 +188,7 @@
 
 // lane returns the instance that can answer a call of a class first, or nil if
 // the call should wait.
-func (c *Coordinator) lane(class time.Duration) *member {
+func (c *Coordinator) lane(class callClass) *member {
 	var best *member
 	for _, m := range c.lanes(class) {
 		if m.asks >= laneDepth {
@@ -182,11 +196,11 @@
 		}
 		if best == nil || later(m.free, c.now).Before(later(best.free, c.now)) ||
 			// Among free lanes short calls prefer those that no long call uses.
-			(class != longAdvice && !later(m.free, c.now).After(later(best.free, c.now))) {
+			(class != longCall && !later(m.free, c.now).After(later(best.free, c.now))) {
 			best = m
 		}
 	}
-	if best != nil && class == longAdvice && best.free.Sub(c.now) > shortAdvice {
+	if best != nil && class == longCall && best.free.Sub(c.now) > shortAdvice {
 		return nil
 	}
 	return best
@@ -205,15 +219,12 @@
 	if a == nil || a.member != m {
 		return
 	}
-	delete(c.asks, r.ID)
 	m.asks--
 	if m.asks == 0 {
 		m.free = c.now
 	}
+	c.closeAsk(r.ID, a)
 	s := a.step
-	s.asking--
-	s.tried = -1
-	s.searched = time.Time{}
 	c.Meter.Wait("advice", c.now.Sub(s.asked))
 	if r.Failed || s.job.state.Final() || s.done == s.Count {
 		return
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -198,7 +198,6 @@
 		c.assign()
 	}
 	c.checkHealth()
-	c.updateReserves()
 	c.place()
 	c.dispatchAsks()
 	if !now.Before(c.pendingDue) {
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -76,9 +76,7 @@
 	}
 	for id, a := range c.asks {
 		if a.member == m {
-			delete(c.asks, id)
-			a.step.asking--
-			a.step.tried = -1
+			c.closeAsk(id, a)
 		}
 	}
 	c.assignDue = true
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -55,6 +55,7 @@
 		})
 	}
 	c.survey()
+	c.updateReserves()
 	round := c.generation + int64(c.now.Sub(c.began)/retryPeriod)
 	for _, s := range c.active {
 		if s.tried == round || (!s.job.fresh && len(c.unread) > 0) {
@@ -100,18 +101,8 @@
 		c.placeGang(s, cost)
 		return
 	}
-	for i := range s.tasks {
-		if s.tasks[i].phase != waiting {
-			continue
-		}
-		if !s.Room().Fits(c.most) {
-			break
-		}
-		t := c.best(s, i, cost != nil)
-		if t == nil {
-			break
-		}
-		c.start(s, i, t)
+	if s.Room().Fits(c.most) {
+		c.placeTasks(s, cost != nil)
 	}
 	if s.waiting == 0 {
 		return
@@ -122,6 +113,20 @@
 	c.preemptFor(s, cost != nil)
 }
 
+// placeTasks starts waiting tasks of a step until there is no target for one.
+func (c *Coordinator) placeTasks(s *step, advice bool) {
+	for i := range s.tasks {
+		if s.tasks[i].phase != waiting {
+			continue
+		}
+		t := c.best(s, i, advice)
+		if t == nil {
+			return
+		}
+		c.start(s, i, t)
+	}
+}
+
 // allowed reports whether a target may run a task of the step at all.
 func (c *Coordinator) allowed(s *step, t *target) bool {
 	if (s.Fills && t.serving > 0) || (s.TailMs > 0 && t.fills > 0) {
--- a/coordinator/preemption.go
+++ b/coordinator/preemption.go
@@ -12,20 +12,22 @@
 // holdSlack is added to the time of a stop for which room is reserved.
 const holdSlack = 300 * time.Millisecond
 
+// stoppable reports whether a run may be stopped for the step.
+func (c *Coordinator) stoppable(s *step, sl *slot) bool {
+	return sl.step != nil && !sl.ending && !sl.step.Gang && !sl.step.Lasting &&
+		c.priority(sl.step.job) > c.priority(s.job) && sl.step.tasks[sl.i].phase == running
+}
+
 // victims returns runs of less important work on a target that free enough room
 // for k tasks of the step, cheapest first, and the work that is lost.
 func (c *Coordinator) victims(s *step, t *target, k int) (ids []*slot, lost float64) {
-	own := c.priority(s.job)
 	room := t.free().Add(t.coming)
 	if s.times(t, room) >= k {
 		return nil, 0
 	}
 	var list []*slot
 	for _, sl := range t.slots {
-		if sl.step == nil || sl.ending || sl.step.Gang || sl.step.Lasting || c.priority(sl.step.job) <= own {
-			continue
-		}
-		if sl.step.tasks[sl.i].phase == running {
+		if c.stoppable(s, sl) {
 			list = append(list, sl)
 		}
 	}
@@ -54,11 +56,9 @@
 
 // preemptible returns the room that less important work takes on a target.
 func (c *Coordinator) preemptible(s *step, t *target) w.Resources {
-	own := c.priority(s.job)
 	var r w.Resources
 	for _, sl := range t.slots {
-		if sl.step != nil && !sl.ending && !sl.step.Gang && !sl.step.Lasting &&
-			c.priority(sl.step.job) > own && sl.step.tasks[sl.i].phase == running {
+		if c.stoppable(s, sl) {
 			r = r.Add(sl.room)
 		}
 	}
--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -42,8 +42,9 @@
 // without it, room that urgent work leaves is taken at once and has to be won
 // back by stopping runs, which takes longer than the goal of urgent work allows.
 type reserve struct {
-	level   int // priority of the most urgent queues
-	levels  int // number of different priorities
+	queues  int
+	level   int  // priority of the most urgent queues
+	mixed   bool // there are less urgent ones
 	demand  demand
 	use     int64 // CPU of urgent runs and waiting tasks
 	busy    int64 // CPU of all runs
@@ -53,12 +54,12 @@
 
 // updateReserves chooses the reserved targets of each service.
 func (c *Coordinator) updateReserves() {
-	if c.cfg == nil || c.now.Before(c.reserveDue) {
+	if c.now.Before(c.reserveDue) {
 		return
 	}
 	c.reserveDue = c.now.Add(reservePeriod)
 	for _, r := range c.reserves {
-		r.levels, r.use, r.busy, r.total, r.targets = 0, 0, 0, 0, r.targets[:0]
+		r.queues, r.mixed, r.use, r.busy, r.total, r.targets = 0, false, 0, 0, 0, r.targets[:0]
 	}
 	for i := range c.cfg.Queues {
 		q := &c.cfg.Queues[i]
@@ -67,17 +68,17 @@
 			r = new(reserve)
 			c.reserves[q.Service] = r
 		}
-		switch {
-		case r.levels == 0:
-			r.level, r.levels = q.Priority, 1
-		case q.Priority != r.level:
-			r.level, r.levels = min(r.level, q.Priority), 2
+		if r.queues == 0 {
+			r.level = q.Priority
 		}
+		r.queues++
+		r.mixed = r.mixed || q.Priority != r.level
+		r.level = min(r.level, q.Priority)
 	}
 	for _, t := range c.order {
 		t.reserved = false
 		r := c.reserves[t.Service]
-		if r == nil || !c.usable(t) {
+		if r == nil || !t.open {
 			continue
 		}
 		r.targets = append(r.targets, t)
@@ -102,7 +103,7 @@
 // choose reserves targets that can hold the demand. It takes whole racks, so
 // that the others can hold work that needs one rack.
 func (r *reserve) choose(peak int64) {
-	if r.levels < 2 || float64(r.busy) < scarceShare*float64(r.total) {
+	if !r.mixed || float64(r.busy) < scarceShare*float64(r.total) {
 		return
 	}
 	slices.SortFunc(r.targets, func(a, b *target) int {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -268,11 +268,7 @@
 	c.give("a", all)
 	c.submit(d, c.submission("before", "plan", emulator.Work{RunMs: 1}))
 
-	moved := &emulator.Cell{Listing: c.cell.Listing}
-	moved.Listing.Targets = slices.Clone(moved.Listing.Targets)
-	moved.Listing.Targets[0].Address = "127.0.0.1:0"
-	require.NoError(t, moved.Start())
-	t.Cleanup(func() { require.NoError(t, moved.Close()) })
+	moved := c.startMoved()
 	c.cell.Targets["t0"].Set(emulator.Faults{Down: true})
 	c.cell.Platform.SetListing(moved.Listing)
 
@@ -281,19 +277,28 @@
 	require.Len(t, moved.Targets["t0"].History().Runs, 1)
 }
 
-// TestTargetMovesDuringStart guards against a request without an outcome: an
-// order to the old address that got no answer was forgotten with that address.
+// startMoved starts the first target at another address. The platform's list does
+// not show it yet.
+func (c *testCell) startMoved() *emulator.Cell {
+	c.t.Helper()
+	moved := &emulator.Cell{Listing: c.cell.Listing}
+	moved.Listing.Targets = slices.Clone(moved.Listing.Targets)
+	moved.Listing.Targets[0].Address = "127.0.0.1:0"
+	require.NoError(c.t, moved.Start())
+	c.t.Cleanup(func() { require.NoError(c.t, moved.Close()) })
+	return moved
+}
+
+// TestTargetMovesDuringStart guards against a request without an outcome, and one
+// that counts as not run: an order to the old address that got no answer was
+// forgotten with that address.
 func TestTargetMovesDuringStart(t *testing.T) {
 	c := newTestCell(t, 1)
 	d := c.add("a", nil)
 	c.give("a", all)
 	c.submit(d, c.submission("before", "plan", emulator.Work{RunMs: 1}))
 
-	moved := &emulator.Cell{Listing: c.cell.Listing}
-	moved.Listing.Targets = slices.Clone(moved.Listing.Targets)
-	moved.Listing.Targets[0].Address = "127.0.0.1:0"
-	require.NoError(t, moved.Start())
-	t.Cleanup(func() { require.NoError(t, moved.Close()) })
+	moved := c.startMoved()
 	c.cell.Targets["t0"].Set(emulator.Faults{DelayMs: 3000})
 	s := c.submission("after", "plan", emulator.Work{RunMs: 1})
 	var outcome descriptor.Outcome
@@ -307,6 +312,13 @@
 	}()
 	c.eventually(func() bool { return len(c.runs(s.Key)) == 1 })
 	c.cell.Platform.SetListing(moved.Listing)
+	c.eventually(func() bool {
+		w := d.worker("t0")
+		return w != nil && w.target.Address == moved.Listing.Targets[0].Address && w.info().Synced
+	})
+	found := d.HandleSliceTasks(SliceTasksRequest{Slices: []descriptor.SliceID{s.Key.Slice()}}).Tasks
+	require.Len(t, found, 1, "owners that recover learn of the order to the old address")
+	require.True(t, found[0].Pending)
 	<-ended
 	require.NoError(t, err)
 	require.Equal(t, descriptor.Completed, outcome.Kind())
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -19,8 +19,13 @@
 	// lost says that the target has restarted since, so that the task may have
 	// run without being listed.
 	lost bool
+	// movedUntil is set if the order went to the target at an earlier address. By
+	// that time it has ended or never started, unless the target lists it.
+	movedUntil time.Time
 }
 
+func (p *pendingStart) moved() bool { return !p.movedUntil.IsZero() }
+
 // expiredPending removes the orders that the target can't start any more and did
 // not list. The list and the clock of one answer belong together, and each start
 // is an event, so an order that is missing after its start deadline never
@@ -28,7 +33,7 @@
 func (w *targetWorker) expiredPending(now connector.TargetClock) []*pendingStart {
 	var expired []*pendingStart
 	for id, p := range w.pending {
-		if p.startBefore != 0 && now > p.startBefore {
+		if !p.moved() && p.startBefore != 0 && now > p.startBefore {
 			delete(w.pending, id)
 			expired = append(expired, p)
 			if p.lost {
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -47,10 +47,6 @@
 	state    placer.TargetState
 	pending  map[descriptor.TaskID]*pendingStart
 	tasks    map[descriptor.TaskID]connector.ListedTask // as listed, running and ended
-	// inherited orders went to the target at an earlier address. They have ended
-	// or never started at inheritedEnd, unless the target lists them until then.
-	inherited    map[descriptor.TaskID]*pendingStart
-	inheritedEnd time.Time
 	// placed holds the scheduler's attempt numbers of the tasks that it placed.
 	placed  map[descriptor.TaskID]descriptor.Attempt
 	running int
@@ -61,14 +57,15 @@
 	nextForget connector.TargetClock
 }
 
-func newTargetWorker(d *Dispatcher, t descriptor.Target, e descriptor.Epoch, safeFrom time.Time, inherited map[descriptor.TaskID]*pendingStart) *targetWorker {
+func newTargetWorker(d *Dispatcher, t descriptor.Target, e descriptor.Epoch, safeFrom time.Time, pending map[descriptor.TaskID]*pendingStart) *targetWorker {
+	if pending == nil {
+		pending = make(map[descriptor.TaskID]*pendingStart)
+	}
 	w := &targetWorker{
 		d: d, target: t, epoch: e, safeFrom: safeFrom, conn: d.cfg.Dialer.Dial(t),
-		pending: map[descriptor.TaskID]*pendingStart{}, tasks: map[descriptor.TaskID]connector.ListedTask{},
+		pending: pending, tasks: map[descriptor.TaskID]connector.ListedTask{},
 		placed: map[descriptor.TaskID]descriptor.Attempt{},
 		state:  placer.Unreachable, done: make(chan struct{}),
-		inherited:    inherited,
-		inheritedEnd: d.cfg.Clock.Now().Add(time.Duration(float64(d.cfg.StartWindow+d.cfg.TaskLease)/driftMargin) + time.Second),
 	}
 	w.ctx, w.cancel = context.WithCancel(d.ctx)
 	return w
@@ -142,7 +139,7 @@
 			break
 		}
 		w.d.cfg.Scope.Counter("target_errors").Inc(1)
-		w.expireInherited(now)
+		w.expireMoved(now)
 		if (w.epoch == 1 || now.After(certain)) && w.markSynced() {
 			w.d.cfg.Log.Warn("dispatcher: target not reached; its tasks have expired", "target", w.target.ID, "error", err)
 			w.d.wakeRecovery()
@@ -221,10 +218,6 @@
 			w.placed[t.Task] = p.placed
 			delete(w.pending, t.Task)
 		}
-		if p, ok := w.inherited[t.Task]; ok {
-			w.placed[t.Task] = p.placed
-			delete(w.inherited, t.Task)
-		}
 		switch {
 		case !t.State.Ended():
 			running = append(running, t)
@@ -258,7 +251,7 @@
 		w.d.cfg.Scope.Tagged(map[string]string{"result": result}).Counter("starts_resolved").Inc(1)
 		w.settlePending(p, state)
 	}
-	w.expireInherited(now)
+	w.expireMoved(now)
 	w.updateState(now)
 }
 
--- a/dispatcher/target_lost.go
+++ b/dispatcher/target_lost.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"maps"
 	"time"
 
 	"github.com/masticlead/masticlead/connector"
@@ -34,6 +33,9 @@
 	w.sequence, w.listedMs = 0, 0
 	lost := w.expireRunning(0)
 	for _, p := range w.pending {
+		if p.moved() {
+			continue
+		}
 		p.lost = true
 		p.startBefore = list.NowMs + connector.TargetClock((w.d.cfg.StartWindow + time.Second).Milliseconds())
 	}
@@ -70,16 +72,19 @@
 	}
 }
 
-// unresolved returns the orders and tasks whose ends are not known. The worker must
-// have stopped.
+// unresolved returns the orders and tasks whose ends are not known, for the worker
+// of the target's new address. The worker must have stopped.
 func (w *targetWorker) unresolved() map[descriptor.TaskID]*pendingStart {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	all := maps.Clone(w.inherited)
-	if all == nil {
-		all = make(map[descriptor.TaskID]*pendingStart)
+	until := w.d.cfg.Clock.Now().Add(time.Duration(float64(w.d.cfg.StartWindow+w.d.cfg.TaskLease)/driftMargin) + time.Second)
+	all := make(map[descriptor.TaskID]*pendingStart)
+	for id, p := range w.pending {
+		all[id] = &pendingStart{order: p.order, placed: p.placed, movedUntil: until}
+		if p.moved() {
+			all[id].movedUntil = p.movedUntil
+		}
 	}
-	maps.Copy(all, w.pending)
 	for id, t := range w.tasks {
 		if t.State.Ended() {
 			continue
@@ -88,7 +93,7 @@
 		if !ok {
 			placed = t.Attempt
 		}
-		all[id] = &pendingStart{placed: placed, order: connector.StartOrder{
+		all[id] = &pendingStart{placed: placed, movedUntil: until, order: connector.StartOrder{
 			Task: id, Key: t.Key, Epoch: t.Epoch, Attempt: t.Attempt, Index: t.Index, Of: t.Of,
 			Idempotent: t.Idempotent, Kind: t.Kind, Resources: t.Resources,
 		}}
@@ -96,22 +101,21 @@
 	return all
 }
 
-// expireInherited ends the orders of an earlier address that the target does not
-// list once their leases have surely ended. They may have run.
-func (w *targetWorker) expireInherited(now time.Time) {
+// expireMoved ends the orders to an earlier address that the target does not list
+// once their leases have surely ended. They may have run.
+func (w *targetWorker) expireMoved(now time.Time) {
+	var lost []*pendingStart
 	w.mu.Lock()
-	if len(w.inherited) == 0 || now.Before(w.inheritedEnd) {
-		w.mu.Unlock()
-		return
-	}
-	lost := w.inherited
-	w.inherited = nil
-	for _, p := range lost {
-		w.expire(p, w.listedMs)
+	for id, p := range w.pending {
+		if p.moved() && now.After(p.movedUntil) {
+			delete(w.pending, id)
+			w.expire(p, w.listedMs)
+			lost = append(lost, p)
+		}
 	}
 	w.mu.Unlock()
-	w.d.cfg.Log.Warn("dispatcher: orders to the earlier address of a target have ended", "target", w.target.ID, "tasks", len(lost))
 	for _, p := range lost {
+		w.d.cfg.Log.Warn("dispatcher: order to the earlier address of a target has ended", "target", w.target.ID, "task", p.order.Task)
 		w.d.noteMoved(p.order.Key, p.order.Task)
 		w.settlePending(p, runEnded)
 	}
@@ -148,6 +152,7 @@
 // unreached notes a failed poll. When all leases have surely ended, the tasks
 // have ended too.
 func (w *targetWorker) unreached(now time.Time) {
+	w.expireMoved(now)
 	w.updateState(now)
 	w.mu.Lock()
 	if w.anchor.IsZero() {
@@ -161,10 +166,14 @@
 		return
 	}
 	lost := w.expireRunning(w.leaseEnd)
-	pending := w.pending
-	w.pending = map[descriptor.TaskID]*pendingStart{}
-	for _, p := range pending {
+	var pending []*pendingStart
+	for id, p := range w.pending {
+		if p.moved() {
+			continue // its lease is not part of leaseEnd
+		}
+		delete(w.pending, id)
 		w.expire(p, w.leaseEnd)
+		pending = append(pending, p)
 	}
 	w.mu.Unlock()
 	w.d.cfg.Log.Warn("dispatcher: target unreachable until its leases expired", "target", w.target.ID, "tasks", len(lost))
