elector, instance, platform: leaders that have just loaded are left at work

(1) The patience with a loading leader ended with its first beat that named members, while the complaints of its load still counted. (2) A weak leader's first beat named itself as the strongest, so weak instances took over from it. (4) Each instance reconnected to the loading leader five times a second. Ruled out: the store (it answered in 12 ms by then).

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -62,10 +62,17 @@
 	read       bool          // a beat was read since the connection was lost
 	met        bool          // it was connected to this leader
 	complaints map[w.InstanceID]seenComplaint
-	best       float64 // most cores of any instance, as the leader saw them last
-	members    int     // connected to the leader, by its own word
+	best       float64 // most cores of any instance, as leaders saw them lately
+	bestAt     time.Time
+	members    int       // connected to the leader, by its own word
+	loading    bool      // the leader had no member when its beat was first read
+	served     time.Time // since when the leader has had members, as far as known, or zero
 }
 
+// bestLife is the time for which the most cores that a leader saw count. A leader
+// that has just begun has seen few instances yet.
+const bestLife = 10 * time.Second
+
 type seenComplaint struct {
 	version keeper.Version
 	at      time.Time
@@ -73,7 +80,7 @@
 
 // Watch begins to watch a leader.
 func (e *Elector) Watch(lead keeper.Leadership, now time.Time) {
-	*e = Elector{Strength: e.Strength, best: e.best, lead: lead, lost: now, complaints: make(map[w.InstanceID]seenComplaint)}
+	*e = Elector{Strength: e.Strength, best: e.best, bestAt: e.bestAt, lead: lead, lost: now, complaints: make(map[w.InstanceID]seenComplaint)}
 }
 
 // Leader returns the leader that is watched.
@@ -101,7 +108,19 @@
 // Observe takes over the rows that were read, the age of the beat, and the time
 // that the reading took.
 func (e *Elector) Observe(b keeper.Beat, age, took time.Duration, list []keeper.Complaint, now time.Time) {
-	e.members, e.best = b.Members, b.Best
+	e.members = b.Members
+	switch {
+	case !e.served.IsZero():
+	case e.members == 0 || b.Epoch < e.lead.Epoch:
+		e.loading = true
+	case e.loading:
+		e.served = now
+	default:
+		e.served = e.lost
+	}
+	if b.Best >= e.best || now.Sub(e.bestAt) > bestLife {
+		e.best, e.bestAt = b.Best, now
+	}
 	e.age, e.slow, e.read = age, took, true
 	if b.Epoch < e.lead.Epoch {
 		// The leader has not renewed yet: its takeover counts.
@@ -148,11 +167,15 @@
 			fresh++
 		}
 	}
-	patience := lostBeforeComplaint
-	if !e.met && e.members == 0 {
+	since, patience := e.lost, lostBeforeComplaint
+	switch {
+	case e.met:
+	case e.served.IsZero():
 		patience = lostBeforeFirst
+	case e.served.After(since):
+		since = e.served
 	}
-	if now.Sub(e.lost) >= patience && fresh > e.members+1 {
+	if now.Sub(since) >= patience && fresh > e.members+1 {
 		return "most instances can't reach the leader", true
 	}
 	return "", false
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -55,6 +55,16 @@
 		"most complain of a leader that still loads": {lead, func(e *Elector) {
 			e.Observe(keeper.Beat{Epoch: 3}, 0, quick, complaints(3, "a", "b", "c"), now.Add(2*time.Second))
 		}, 2 * time.Second, false},
+		"most complain of a leader that has just loaded": {lead, func(e *Elector) {
+			e.Observe(keeper.Beat{Epoch: 3}, 0, quick, complaints(3, "a", "b", "c"), now.Add(2*time.Second))
+			e.Observe(keeper.Beat{Epoch: 3, Members: 1}, 0, quick, complaints(3, "a", "b", "c"), now.Add(2200*time.Millisecond))
+		}, 2200 * time.Millisecond, false},
+		"most complain of a leader that others reached": {lead, func(e *Elector) {
+			e.Observe(keeper.Beat{Epoch: 3, Members: 1}, 0, quick, complaints(3, "a", "b", "c"), now.Add(2*time.Second))
+			e.Observe(keeper.Beat{Epoch: 3, Members: 1}, 0, quick, []keeper.Complaint{
+				{Instance: "a", Epoch: 3, Version: 11}, {Instance: "b", Epoch: 3, Version: 12}, {Instance: "c", Epoch: 3, Version: 13},
+			}, now.Add(2800*time.Millisecond))
+		}, 2800 * time.Millisecond, true},
 		"most complain of a leader that nobody reached": {lead, func(e *Elector) {
 			e.Observe(keeper.Beat{Epoch: 3}, 0, quick, complaints(3, "a", "b", "c"), now.Add(3*time.Second))
 		}, 3 * time.Second, true},
@@ -67,6 +77,17 @@
 			e.Strength = 0.2
 			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 1100*time.Millisecond, quick, nil, now)
 		}, time.Second, false},
+		"weak, the leader is weak, too": {lead, func(e *Elector) {
+			e.Strength = 0.2
+			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 0, quick, nil, now)
+			e.Watch(keeper.Leadership{Epoch: 4, Instance: "m"}, now)
+			e.Observe(keeper.Beat{Epoch: 4, Best: 0.2}, 1100*time.Millisecond, quick, nil, now)
+		}, 1100 * time.Millisecond, false},
+		"weak, no strong instance was seen for long": {lead, func(e *Elector) {
+			e.Strength = 0.2
+			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 0, quick, nil, now.Add(-11*time.Second))
+			e.Observe(keeper.Beat{Epoch: 3, Best: 0.2}, 1100*time.Millisecond, quick, nil, now)
+		}, time.Second, true},
 		"weak, nobody else came": {lead, func(e *Elector) {
 			e.Strength = 0.2
 			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 1700*time.Millisecond, quick, nil, now)
--- a/instance/link.go
+++ b/instance/link.go
@@ -73,7 +73,7 @@
 // tells who speaks.
 func (in *Instance) welcome(nc net.Conn) {
 	c := linker.NewConn(nc)
-	l := in.leader.Load()
+	l := in.loadedLeader(c)
 	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Strength, Leads: l != nil}})
 	if l == nil {
 		// The frame has to leave before the connection ends.
@@ -96,6 +96,29 @@
 	}
 }
 
+// loadedLeader returns the leader that this instance is, or nil. While it still
+// loads the cell, the connection waits: each new one costs both sides more than
+// many frames.
+func (in *Instance) loadedLeader(c *linker.Conn) *leader {
+	const period = 20 * time.Millisecond
+	for {
+		l := in.leader.Load()
+		in.electing.Lock()
+		loading := l == nil && in.elector.Leader().Instance == in.id
+		in.electing.Unlock()
+		if !loading {
+			return l
+		}
+		select {
+		case <-c.Done():
+			return nil
+		case <-in.ctx.Done():
+			return nil
+		case <-time.After(period):
+		}
+	}
+}
+
 // follow keeps a connection to the leader.
 func (in *Instance) follow() {
 	const pause = 60 * time.Millisecond
