--- a/instance/instance.go
+++ b/instance/instance.go
@@ -81,7 +81,8 @@
 	news     chan struct{} // signals a new leader
 	leader   atomic.Pointer[leader]
 	link     atomic.Pointer[linker.Conn]
-	cutSince atomic.Int64 // Unix time since which there is no connection to the leader, ns; 0 with one
+	joined   atomic.Pointer[linker.Conn] // the link once the leader has answered on it
+	cutSince atomic.Int64                // Unix time since which there is no connection to the leader, ns; 0 with one
 
 	callsMu sync.Mutex
 	calls   map[int64]chan linker.CallReply
--- a/instance/link.go
+++ b/instance/link.go
@@ -15,7 +15,7 @@
 
 // relay asks the leader to make a call to the store.
 func (in *Instance) relay(ctx context.Context, call *linker.Call) linker.CallReply {
-	c := in.link.Load()
+	c := in.joined.Load()
 	if c == nil || in.leader.Load() != nil {
 		return linker.CallReply{Failed: true, NotDone: true}
 	}
@@ -181,6 +181,7 @@
 				return
 			}
 			joined = true
+			in.joined.Store(c)
 			in.electing.Lock()
 			in.elector.Connected()
 			in.electing.Unlock()
@@ -201,6 +202,7 @@
 	in.cutSince.CompareAndSwap(0, time.Now().UnixNano())
 	in.Gateway.Disconnect(c)
 	in.link.CompareAndSwap(c, nil)
+	in.joined.CompareAndSwap(c, nil)
 	e.Close()
 	in.Log.Info("connection to the leader ended", "leader", lead.Instance, "epoch", lead.Epoch, "joined", joined, "error", err)
 	return reach
