--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,8 +46,18 @@
 	knownAway = 300 * time.Millisecond
 	// probePause is the time between two that are tried nevertheless.
 	probePause = 250 * time.Millisecond
-	// minRest is the time that a caller must have left for another attempt.
+	// minRest is the time that a caller must have left for another attempt at a
+	// cancellation.
 	minRest = 500 * time.Millisecond
+	// answerShare is the share of a caller's time after which it is told that
+	// nothing is known of its job, so that it can ask another instance. While
+	// the store answers others, only slowly, waiting serves the caller better.
+	answerShare = 0.4
+	// silentPeriod is the time between two looks at whether the store answers.
+	silentPeriod = 100 * time.Millisecond
+	// returns is the number of times that a refused caller should be able to
+	// return within its time.
+	returns = 3
 )
 
 // Gateway is the part of an instance that callers reach.
@@ -212,10 +223,19 @@
 // accept stores a job. An attempt without an answer is repeated with the same
 // content, which tells whether the job is stored.
 func (g *Gateway) accept(ctx context.Context, j *w.Job) (*w.Job, error) {
+	rest := time.Duration(math.MaxInt64)
+	if deadline, ok := ctx.Deadline(); ok {
+		rest = time.Until(deadline)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		stop := time.AfterFunc(time.Duration(answerShare*float64(rest)), func() { g.endIfSilent(ctx, cancel) })
+		defer stop.Stop()
+	}
 	if g.StoreAway() > knownAway {
 		last, now := g.probed.Load(), time.Now().UnixNano()
 		if now-last < int64(probePause) || !g.probed.CompareAndSwap(last, now) {
-			return nil, &RefusedError{Reason: "storeAway", RetryAfter: g.retryAfter()}
+			return nil, &RefusedError{Reason: "storeAway", RetryAfter: g.retryAfter(rest)}
 		}
 	}
 	unclear := false
@@ -227,12 +247,11 @@
 		if !errors.Is(err, keeper.ErrNotDone) {
 			unclear = true
 		}
-		deadline, ok := ctx.Deadline()
-		if ctx.Err() != nil || (ok && time.Until(deadline) < minRest) || (!unclear && try >= storeRetries) {
+		if ctx.Err() != nil || (!unclear && try >= storeRetries) {
 			if unclear {
 				return nil, fmt.Errorf("gateway: accept: %w", err)
 			}
-			return nil, &RefusedError{Reason: "storeUnavailable", RetryAfter: g.retryAfter()}
+			return nil, &RefusedError{Reason: "storeUnavailable", RetryAfter: g.retryAfter(rest)}
 		}
 		g.Meter.Count("retry", "storeNotDone")
 		select {
@@ -242,10 +261,27 @@
 	}
 }
 
+// endIfSilent ends a submission as soon as the store answers nobody.
+func (g *Gateway) endIfSilent(ctx context.Context, cancel context.CancelFunc) {
+	tick := time.NewTicker(silentPeriod)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		if g.StoreAway() > 0 {
+			cancel()
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // retryAfter returns the time after which a caller should return: an outage is
-// expected to last as long again as it has lasted.
-func (g *Gateway) retryAfter() time.Duration {
-	return min(lastRetry, max(firstRetry, g.StoreFailing()))
+// expected to last as long again as it has lasted, but a caller that still waits
+// is given some returns within its time.
+func (g *Gateway) retryAfter(rest time.Duration) time.Duration {
+	return max(firstRetry, min(lastRetry, g.StoreFailing(), rest/returns))
 }
 
 // handOver sends a stored job to the coordinator. Until it has confirmed the
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -26,4 +27,49 @@
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, "storeAway", refused.Reason)
 	require.Equal(t, 3*time.Second, refused.RetryAfter)
+
+	// A caller whose time would be over by then may return within it.
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	err = g.Submit(ctx, &w.Queue{Name: "q"}, &w.Job{ID: "j", Steps: []w.Step{{Count: 1}}})
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, firstRetry, refused.RetryAfter)
+}
+
+// silentStore never answers.
+type silentStore struct{ keeper.Store }
+
+func (silentStore) Commit(ctx context.Context, _ *keeper.Tx) (keeper.Version, error) {
+	<-ctx.Done()
+	return 0, keeper.ErrUnknown
+}
+
+// TestUnclearIsToldEarly guards against callers who wait until their deadline for
+// a store that does not answer: they had no time left to ask another instance.
+func TestUnclearIsToldEarly(t *testing.T) {
+	for name, c := range map[string]struct {
+		away        time.Duration
+		least, most time.Duration
+	}{
+		"silent":           {100 * time.Millisecond, 350 * time.Millisecond, 600 * time.Millisecond},
+		"only slow":        {0, 900 * time.Millisecond, 1300 * time.Millisecond},
+		"known to be away": {time.Second, 350 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &Gateway{
+				Keeper: &keeper.Keeper{Store: silentStore{}}, Log: slog.New(slog.DiscardHandler),
+				StoreFailing: func() time.Duration { return c.away }, StoreAway: func() time.Duration { return c.away },
+			}
+			g.Init()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			began := time.Now()
+			err := g.Submit(ctx, &w.Queue{Name: "q"}, &w.Job{ID: "j", Steps: []w.Step{{Count: 1}}})
+			require.Error(t, err)
+			var refused *RefusedError
+			require.NotErrorAs(t, err, &refused, "the job may be stored")
+			require.Greater(t, time.Since(began), c.least)
+			require.Less(t, time.Since(began), c.most)
+		})
+	}
 }
