coordinator, instance, gateway: late jobs give way, gangs ask when a lane is free, quick handover

Late jobs: at a crest all jobs of a queue waited for the whole backlog. Among jobs of one priority those that can still meet their goal go first (declared run times corrected by what was learned for the queue).

Gangs: calls for advice named targets long before a lane was free, and gangs without room held the lanes with searches. They ask only with a free lane, and search only while two fifths of the lanes are free.

Callers refused by an instance that is cut off alone are asked back when the balancer sends them elsewhere.

The room of the cell is logged each second.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -186,12 +186,33 @@
 	return c.ordered
 }
 
+// freeLanes returns how many further calls of a class can be made at once.
+func (c *Coordinator) freeLanes(class callClass) int {
+	n := 0
+	for _, m := range c.lanes(class) {
+		if c.takes(m, class) {
+			n++
+		}
+	}
+	for _, a := range c.waiting {
+		if classOf(a.cost) == class {
+			n--
+		}
+	}
+	return n
+}
+
+// takes reports whether an instance may get one more call of a class.
+func (c *Coordinator) takes(m *member, class callClass) bool {
+	return m.asks < laneDepth && (class != longCall || m.free.Sub(c.now) <= shortAdvice)
+}
+
 // lane returns the instance that can answer a call of a class first, or nil if
 // the call should wait.
 func (c *Coordinator) lane(class callClass) *member {
 	var best *member
 	for _, m := range c.lanes(class) {
-		if m.asks >= laneDepth {
+		if !c.takes(m, class) {
 			continue
 		}
 		if best == nil || later(m.free, c.now).Before(later(best.free, c.now)) ||
@@ -200,9 +221,6 @@
 			best = m
 		}
 	}
-	if best != nil && class == longCall && best.free.Sub(c.now) > shortAdvice {
-		return nil
-	}
 	return best
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -72,6 +72,7 @@
 	suspended  bool
 	assignDue  bool
 	pendingDue time.Time
+	levelsDue  time.Time
 	sweepDue   time.Time
 	goodShare  map[string]float64
 	unread     map[w.TargetID]time.Time // listed by the previous coordinator and not read yet, with the time its lease ends
@@ -85,6 +86,8 @@
 
 	early      map[w.JobID]time.Time // cancelled before they were known
 	reserves   map[string]*reserve   // by service
+	ratios     map[string]float64    // of run times to their declarations, by queue
+	orderDue   time.Time
 	reserveDue time.Time
 }
 
@@ -106,6 +109,7 @@
 		unread:    make(map[w.TargetID]time.Time),
 		early:     make(map[w.JobID]time.Time),
 		reserves:  make(map[string]*reserve),
+		ratios:    make(map[string]float64),
 	}
 }
 
@@ -204,6 +208,10 @@
 		c.pendingDue = now.Add(pendingPeriod)
 		c.publishPending()
 	}
+	if !now.Before(c.levelsDue) {
+		c.levelsDue = now.Add(levelsPeriod)
+		c.levels()
+	}
 	if !now.Before(c.sweepDue) {
 		c.sweepDue = now.Add(sweepPeriod)
 		c.sweep()
@@ -213,6 +221,8 @@
 const (
 	// pendingPeriod is well inside the 2 s that a count may be old.
 	pendingPeriod = 300 * time.Millisecond
+	// levelsPeriod is the time between two looks at the room of the cell.
+	levelsPeriod = 1 * time.Second
 	// sweepPeriod is the time between two searches for jobs whose states need
 	// not be kept any longer.
 	sweepPeriod = 5 * time.Second
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -13,6 +13,10 @@
 // needed. A single missing place holds a gang up.
 const gangMargin = 2.5
 
+// exploringShare is the share of the lanes for long calls that gangs without
+// enough room leave to those that ask for the first time or can start.
+const exploringShare = 0.4
+
 // share is a part of a gang on one target.
 type share struct {
 	t *target
@@ -104,6 +108,12 @@
 	if cost == nil || s.asking > 0 {
 		return
 	}
+	// A call names targets as they are when a lane is free, not when the gang
+	// began to wait for one: their room changes faster than calls take.
+	lanes := c.freeLanes(classOf(cost.Base))
+	if lanes <= 0 {
+		return
+	}
 	if p := c.plan(s, among, permitted, withStops); p != nil {
 		// New tickets for the plan, and for some more targets in case the room
 		// is gone when they arrive.
@@ -124,7 +134,9 @@
 		c.request(s, cost, ts)
 		return
 	}
-	c.request(s, cost, c.gangNames(s, cost, withStops))
+	if len(s.advice) == 0 || float64(lanes) > exploringShare*float64(len(c.lanes(classOf(cost.Base)))) {
+		c.request(s, cost, c.gangNames(s, cost, withStops))
+	}
 }
 
 // gangNames returns the targets to ask about for a gang: as many as are expected
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -26,6 +26,7 @@
 	avoid   *target   // the target of the last failed run
 	failed  []w.RunID // counted
 	saved   string
+	whole   bool      // the run began here and without a checkpoint
 	since   time.Time // of the phase
 	percent int
 	movedAt time.Time // of the last change of percent
@@ -50,8 +51,11 @@
 	permitted []*target // by the queue's policy
 	asking    int
 	asked     time.Time
-	searched  time.Time // for targets to ask about
-	preempt   time.Time // no further preemption before
+	searched  time.Time     // for targets to ask about
+	preempt   time.Time     // no further preemption before
+	rest      time.Duration // declared for it and what follows it
+	depth     int           // steps of that chain
+	lateness  lateness
 	reserved  []*target
 }
 
@@ -60,7 +64,9 @@
 	k     int
 	due   time.Time
 	steps []*step
-	left  int // steps that are not done
+	left  int           // steps that are not done
+	chain time.Duration // declared for its longest chain
+	depth int           // steps of that chain
 }
 
 type job struct {
@@ -73,6 +79,7 @@
 	published bool // its end was shown to callers
 	fresh     bool // no earlier coordinator can have started it
 	took      time.Time
+	arrived   time.Time // at the cell
 	story     story
 	endedAt   time.Time
 	queue     *w.Queue  // its queue, or nil
@@ -136,7 +143,7 @@
 	if c.jobs[rec.ID] != nil {
 		return
 	}
-	j := &job{Job: *rec, cancelled: cancelled, fresh: fresh, took: c.now, state: w.Queued, begun: p.Begun}
+	j := &job{Job: *rec, cancelled: cancelled, fresh: fresh, took: c.now, arrived: c.arrival(rec, fresh), state: w.Queued, begun: p.Begun}
 	c.jobs[j.ID] = j
 	switch {
 	case p.State.Final():
@@ -165,6 +172,7 @@
 			s.name = s.id(0).StepName()
 			o.steps = append(o.steps, s)
 		}
+		o.chains()
 		c.restore(o, &p)
 		if j.state.Final() {
 			return
@@ -412,14 +420,25 @@
 
 // levels shows what is believed of the cell.
 func (c *Coordinator) levels() {
-	var room, used, usable float64
+	var room, used, coming, reserved, usable float64
 	for _, t := range c.order {
 		if c.usable(t) {
 			usable++
 			room += float64(t.Capacity.CPU)
 			used += float64(t.used.CPU)
+			coming += float64(t.coming.CPU)
+			if t.reserved {
+				reserved += float64(t.Capacity.CPU)
+			}
 		}
 	}
+	var waits [tooLate + 1]int64
+	for _, s := range c.active {
+		waits[s.lateness] += int64(s.waiting) * s.Need.CPU
+	}
+	c.Log.Info("room of the cell", "targets", len(c.order), "usable", usable, "cpu", room, "used", used, "stopping", coming,
+		"reserved", reserved, "steps", len(c.active), "waitingInTime", waits[inTime], "waitingLate", waits[late], "waitingTooLate", waits[tooLate],
+		"asks", len(c.asks), "asksWaiting", len(c.waiting))
 	c.Meter.Level("targets", float64(len(c.order)))
 	c.Meter.Level("targetsUsable", usable)
 	c.Meter.Level("cpuUsable", room)
@@ -430,7 +449,6 @@
 
 // sweep drops ended jobs whose retention is over.
 func (c *Coordinator) sweep() {
-	c.levels()
 	c.tellWaiting()
 	c.expireOrphans()
 	for id, at := range c.early {
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -45,15 +45,7 @@
 		c.active[i] = nil
 	}
 	c.active = kept
-	if c.unsorted {
-		c.unsorted = false
-		slices.SortStableFunc(c.active, func(a, b *step) int {
-			return cmp.Or(
-				cmp.Compare(c.priority(a.job), c.priority(b.job)),
-				a.openAt.Compare(b.openAt),
-			)
-		})
-	}
+	c.sortActive()
 	c.survey()
 	c.updateReserves()
 	round := c.generation + int64(c.now.Sub(c.began)/retryPeriod)
@@ -231,7 +223,7 @@
 func (c *Coordinator) startRun(s *step, i int, t *target, run w.RunID) {
 	tk := &s.tasks[i]
 	id := s.id(i)
-	tk.run, tk.target, tk.percent, tk.missing = run, t, 0, 0
+	tk.run, tk.target, tk.percent, tk.missing, tk.whole = run, t, 0, 0, tk.saved == ""
 	c.setPhase(s, i, starting)
 	s.job.story.runs++
 	if s.job.story.started.IsZero() {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -94,7 +94,7 @@
 		c.sendStop(t, r.Task, r.Run)
 		return
 	}
-	tk.run, tk.target, tk.percent, tk.movedAt = r.Run, t, r.Percent, c.now
+	tk.run, tk.target, tk.percent, tk.movedAt, tk.whole = r.Run, t, r.Percent, c.now, false
 	if r.Checkpoint != "" {
 		tk.saved = r.Checkpoint
 	}
@@ -217,6 +217,9 @@
 	switch e.How {
 	case w.EndedDone:
 		t.health.succeeded()
+		if current && tk.phase == running && tk.whole {
+			c.learnRun(s, c.now.Sub(tk.since))
+		}
 		if s.Lasting {
 			c.settle(s, e.Task.Index)
 			return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,10 @@
 	Log          *slog.Logger
 	StoreFailing func() time.Duration
 	StoreAway    func() time.Duration
-	Meter        *meter.Meter
+	// Unrouted returns the time after which callers that return reach other
+	// instances, 0 while this one serves.
+	Unrouted func() time.Duration
+	Meter    *meter.Meter
 
 	acceptor *acceptor
 	probed   atomic.Int64 // Unix time of the last submission that tried a store that is away, ns
@@ -279,8 +282,14 @@
 
 // retryAfter returns the time after which a caller should return: an outage is
 // expected to last as long again as it has lasted, but a caller that still waits
-// is given some returns within its time.
+// is given some returns within its time. Callers of an instance that is cut off
+// alone return when the balancer sends them elsewhere.
 func (g *Gateway) retryAfter(rest time.Duration) time.Duration {
+	if g.Unrouted != nil {
+		if d := g.Unrouted(); d > 0 {
+			return max(firstRetry, d)
+		}
+	}
 	return max(firstRetry, min(lastRetry, g.StoreFailing(), rest/returns))
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -34,6 +34,12 @@
 	err = g.Submit(ctx, &w.Queue{Name: "q"}, &w.Job{ID: "j", Steps: []w.Step{{Count: 1}}})
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, firstRetry, refused.RetryAfter)
+
+	// Sooner, a caller of an instance that is cut off alone would reach it again.
+	g.Unrouted = func() time.Duration { return 2200 * time.Millisecond }
+	err = g.Submit(ctx, &w.Queue{Name: "q"}, &w.Job{ID: "j", Steps: []w.Step{{Count: 1}}})
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, 2200*time.Millisecond, refused.RetryAfter)
 }
 
 // silentStore never answers.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -104,6 +104,7 @@
 	in.news = make(chan struct{}, 1)
 	in.calls = make(map[int64]chan linker.CallReply)
 	in.Store.SetRelay(in.relay)
+	in.Gateway.Unrouted = in.unrouted
 	in.Gateway.Init()
 	in.elector.Strength = in.Strength
 	in.elector.Watch(keeper.Leadership{}, time.Now())
@@ -197,6 +198,15 @@
 	return since != 0 && time.Since(time.Unix(0, since)) > isolatedAfter && in.Store.Failing() > isolatedAfter
 }
 
+// unrouted returns the time until the balancer sends callers of an isolated
+// instance to others.
+func (in *Instance) unrouted() time.Duration {
+	if !in.isolated() {
+		return 0
+	}
+	return isolatedAfter + unreadyTime - time.Since(time.Unix(0, in.cutSince.Load()))
+}
+
 // serveFront answers callers. An instance that should get no more requests
 // closes their connections.
 func (in *Instance) serveFront(rw http.ResponseWriter, r *http.Request) {
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -35,8 +35,10 @@
 	// before they are stored.
 	saveLate = 400 * time.Millisecond
 	// renewLate is the age of the last renewal after which a leader asks an
-	// instance that reaches the store to take over.
-	renewLate = 1200 * time.Millisecond
+	// instance that reaches the store to take over, besides slowRenewals times
+	// what that renewal took.
+	renewLate    = 1200 * time.Millisecond
+	slowRenewals = 2
 	// memberStoreAge is the time of failing calls up to which an instance counts
 	// as reaching the store.
 	memberStoreAge = 300 * time.Millisecond
@@ -57,7 +59,8 @@
 	conns    map[w.InstanceID]*linker.Conn
 	status   map[w.InstanceID]memberStatus
 	renewed  time.Time
-	strength int // instances connected at the last renewal
+	took     time.Duration // time of the last renewal
+	strength int           // instances connected at the last renewal
 	retired  time.Time
 }
 
@@ -87,6 +90,7 @@
 		Retention: bounds.StateKept + retention, Log: in.Log, Meter: in.Meter,
 	}, began)
 	l.spawn(l.renew)
+	l.spawn(l.watchRenewals)
 	for {
 		s, err := in.Keeper.Load(l.ctx)
 		if err == nil {
@@ -319,16 +323,15 @@
 		now := time.Now()
 		l.mu.Lock()
 		if err == nil {
-			l.renewed = began
+			l.renewed, l.took = began, now.Sub(began)
 			l.strength = members
 		}
-		late := err != nil && now.Sub(l.renewed) > renewLate && now.Sub(l.retired) > renewLate
+		retired := now.Sub(l.retired) <= renewLate
 		l.mu.Unlock()
 		switch {
-		case late:
-			l.in.Log.Warn("leader can't renew", "epoch", l.lead.Epoch, "error", err)
-			l.handOver()
-		case best > elector.MuchStronger*l.in.Strength && now.Sub(l.retired) > renewLate:
+		case err != nil:
+			l.in.Log.Debug("leader not renewed", "epoch", l.lead.Epoch, "error", err)
+		case best > elector.MuchStronger*l.in.Strength && !retired:
 			l.in.Log.Info("a stronger instance should lead", "epoch", l.lead.Epoch, "cores", l.in.Strength, "best", best)
 			l.handOver()
 		}
@@ -336,6 +339,29 @@
 	}
 }
 
+// watchRenewals hands the coordination over once renewals are late. The call of
+// one that gets no answer lasts longer than that.
+func (l *leader) watchRenewals() {
+	const period = 100 * time.Millisecond
+	warned := false
+	for l.ctx.Err() == nil {
+		l.in.pause(period)
+		now := time.Now()
+		l.mu.Lock()
+		age := now.Sub(l.renewed)
+		late := age > renewLate+slowRenewals*l.took
+		retired := now.Sub(l.retired) <= renewLate
+		l.mu.Unlock()
+		if late && !warned {
+			l.in.Log.Warn("leader can't renew", "epoch", l.lead.Epoch, "age", age)
+		}
+		warned = late
+		if late && !retired {
+			l.handOver()
+		}
+	}
+}
+
 // resign hands the coordination over before this instance stops. An instance
 // that was asked may itself be stopping or dead, so others are asked in turn.
 func (l *leader) resign(until time.Time) {
