detector: one work fault does not end a quarantine

Cause of the last failures of TestTargetFailsEverything, traced with the starts that the test logs since: the target was quarantined with a score of 13.1 and returned 21 ms later with 10.9, since one of its requests failed elsewhere, too. It then drew seven more starts. Ruled out: slow recognition (3.1 s here with four starts in 3 s at the target).

A quarantine ends as a fault of the work below half of the threshold. TestOneWorkFaultKeepsQuarantine fails without the change.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -64,6 +64,9 @@
 	// work that succeeds elsewhere. If 2% of all tasks fail by chance, a good
 	// target gets there once in 3e8 tasks.
 	threshold = 12
+	// releaseScore is the score below which a quarantine ends when failures turn out
+	// to be those of the work: one of five is left to chance.
+	releaseScore = threshold / 2
 	// maxScore lets a target that was good for long be recognised as fast as a
 	// new one, and bounds how long a full quarantine keeps old evidence.
 	maxScore = 3 * threshold
@@ -280,7 +283,7 @@
 		d.move(h, -f.score)
 		return
 	}
-	if h.score -= f.score; h.score < threshold && h.interval == d.cfg.FirstProbe {
+	if h.score -= f.score; h.score < releaseScore && h.interval == d.cfg.FirstProbe {
 		d.release(h, reasonWorkFault, now)
 	}
 }
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -264,3 +264,21 @@
 		require.LessOrEqual(t, failures, 8, "failures before the quarantine")
 	}
 }
+
+// TestOneWorkFaultKeepsQuarantine guards against a bad target that returns to
+// service at once since one of the requests that it failed fails elsewhere, too.
+func TestOneWorkFaultKeepsQuarantine(t *testing.T) {
+	c := newCell(t, 10, Config{})
+	c.rounds(20, good)
+	var keys []descriptor.Key
+	for c.state["t00"] != placer.Quarantined {
+		keys = append(keys, c.key("caller"))
+		c.observe(0, keys[len(keys)-1], "routeBuild", false)
+	}
+	c.observe(1, keys[0], "routeBuild", false)
+	require.Equal(t, placer.Quarantined, c.state["t00"])
+	for _, key := range keys[1:] {
+		c.observe(2, key, "routeBuild", false)
+	}
+	require.Equal(t, placer.Placeable, c.state["t00"], "all failures were those of the work")
+}
