keeper, coordinator: the roster lists what targets that left may run

Ruled out: a refused connection as proof that a target is gone (cuts may refuse as well), a shorter lease (it covers a restart of all instances).

Targets that the platform no longer lists get no more starts, and the roster lists the steps whose tasks they may still run; only these wait. A target that is listed again gets work once the roster in the store, and the one on its way there, say so; the latter closes a gap that stood before.

--- a/coordinator/advice_test.go
+++ b/coordinator/advice_test.go
@@ -286,7 +286,7 @@
 // only when the last silent target of the earlier coordinator has lapsed, 9 s
 // after a loss of power: their calls then kept the lanes busy for 10 s more.
 func TestAdviceBeforeOldJobsStart(t *testing.T) {
-	x := newCell(t, 2, 4, &keeper.Snapshot{Jobs: []w.Job{oneTask("old")}, Roster: []w.TargetID{"a", "gone"}})
+	x := newCell(t, 2, 4, &keeper.Snapshot{Jobs: []w.Job{oneTask("old")}, Roster: keeper.Roster{Open: []w.TargetID{"a", "gone"}}})
 	x.c.Configure(&w.Config{Version: 2, Queues: []w.Queue{{
 		Name: testQueue, Service: "s", Attempts: 4,
 		Advice: &w.AdviceCost{Base: 100 * time.Millisecond, PerName: 10 * time.Millisecond, Validity: validity},
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/masticlead/masticlead/keeper"
@@ -30,12 +31,12 @@
 type Batch struct {
 	Progress      []keeper.Progress
 	Remove        []w.JobID
-	Roster        []w.TargetID // written if RosterChanged
+	Roster        keeper.Roster // written if RosterChanged
 	RosterChanged bool
 
 	seen    map[w.TargetID]int64 // highest end included, by target
 	publish []linker.JobState    // states to publish once stored
-	roster  map[w.TargetID]bool
+	roster  roster
 }
 
 // Empty reports whether nothing is to be written.
@@ -66,8 +67,8 @@
 	endsSeen   map[w.TargetID]int64
 	publishing []linker.JobState
 	expired    []w.JobID
-	roster     map[w.TargetID]bool // targets that the store lists as possibly running something
-	inFlight   *Batch              // the batch that is being stored
+	roster     roster // targets that the store lists as possibly running something
+	inFlight   *Batch // the batch that is being stored
 	storeSlow  bool
 	suspended  bool
 	assignDue  bool
@@ -75,7 +76,7 @@
 	levelsDue  time.Time
 	sweepDue   time.Time
 	goodShare  map[string]float64
-	unread     map[w.TargetID]time.Time // listed by the previous coordinator and not read yet, with the time its lease ends
+	unread     map[w.TargetID]unread
 	generation int64
 	unsorted   bool // steps became active since they were sorted
 
@@ -104,9 +105,9 @@
 		asks:      make(map[int64]*ask),
 		dirty:     make(map[w.JobID]*job),
 		endsSeen:  make(map[w.TargetID]int64),
-		roster:    make(map[w.TargetID]bool),
+		roster:    make(roster),
 		goodShare: make(map[string]float64),
-		unread:    make(map[w.TargetID]time.Time),
+		unread:    make(map[w.TargetID]unread),
 		early:     make(map[w.JobID]time.Time),
 		reserves:  make(map[string]*reserve),
 		ratios:    make(map[string]float64),
@@ -119,10 +120,7 @@
 	for i := range s.Jobs {
 		c.addJob(&s.Jobs[i], s.Progress[s.Jobs[i].ID], s.Cancelled[s.Jobs[i].ID], false)
 	}
-	for _, id := range s.Roster {
-		c.roster[id] = true
-		c.unread[id] = c.now.Add(c.leaseBound() + officeSlack)
-	}
+	c.loadRoster(&s.Roster)
 }
 
 // Configure puts a configuration in force.
@@ -255,13 +253,11 @@
 		b.Progress = append(b.Progress, j.progress())
 	}
 	b.roster = c.neededRoster()
-	b.RosterChanged = !sameSet(b.roster, c.roster)
+	b.RosterChanged = !maps.Equal(b.roster, c.roster)
 	if b.Empty() && len(b.seen) == 0 && len(b.publish) == 0 {
 		return nil
 	}
-	for id := range b.roster {
-		b.Roster = append(b.Roster, id)
-	}
+	b.Roster = b.roster.stored()
 	c.dirty = make(map[w.JobID]*job)
 	c.endsSeen = make(map[w.TargetID]int64)
 	c.publishing = nil
@@ -303,18 +299,6 @@
 // most of its instances goes on.
 const AuthorityTime = 1500 * time.Millisecond
 
-func sameSet(a, b map[w.TargetID]bool) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k := range a {
-		if !b[k] {
-			return false
-		}
-	}
-	return true
-}
-
 // leaseBound is the time after which a lease has surely ended on a target whose
 // clock is up to 2% slow.
 func (c *Coordinator) leaseBound() time.Duration { return c.Lease * 103 / 100 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -135,7 +135,7 @@
 func TestFailureCountsOnce(t *testing.T) {
 	p := keeper.Progress{ID: "j", Begun: true}
 	p.AddStep(0, 0).Set(0, false, []w.RunID{7, 8, 9}, "")
-	x := newCell(t, 2, 1, &keeper.Snapshot{Jobs: []w.Job{oneTask("j")}, Progress: map[w.JobID]keeper.Progress{"j": p}, Roster: []w.TargetID{"a"}})
+	x := newCell(t, 2, 1, &keeper.Snapshot{Jobs: []w.Job{oneTask("j")}, Progress: map[w.JobID]keeper.Progress{"j": p}, Roster: keeper.Roster{Open: []w.TargetID{"a"}}})
 	x.end("a", linker.Start{Task: w.TaskID{Job: "j"}, Run: 9}, w.EndedFailed)
 	x.list("a")
 	require.Equal(t, w.Running, x.state("j"))
@@ -147,7 +147,7 @@
 func TestEarlierFailureCounts(t *testing.T) {
 	p := keeper.Progress{ID: "j", Begun: true}
 	p.AddStep(0, 0).Set(0, false, []w.RunID{6, 7, 8}, "")
-	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{oneTask("j")}, Progress: map[w.JobID]keeper.Progress{"j": p}, Roster: []w.TargetID{"a", "b"}})
+	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{oneTask("j")}, Progress: map[w.JobID]keeper.Progress{"j": p}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
 	x.list("b", w.Run{Task: w.TaskID{Job: "j"}, Run: 10})
 	x.end("a", linker.Start{Task: w.TaskID{Job: "j"}, Run: 9}, w.EndedFailed)
 	require.Equal(t, w.Failed, x.state("j"))
@@ -157,7 +157,7 @@
 // TestOldTaskWaitsForUnreadTarget guards against two runs of a task: a target
 // that the earlier coordinator used and that has not been read may run it.
 func TestOldTaskWaitsForUnreadTarget(t *testing.T) {
-	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{oneTask("j")}, Progress: map[w.JobID]keeper.Progress{}, Roster: []w.TargetID{"a", "b"}})
+	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{oneTask("j")}, Progress: map[w.JobID]keeper.Progress{}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
 	x.list("a")
 	require.Empty(t, x.step(time.Second).Starts)
 	x.submit(oneTask("new"))
@@ -174,7 +174,7 @@
 // TestEndBeforeItsJob guards against a second run after 'done': a job that the
 // earlier coordinator ran is found in the store only after its end was listed.
 func TestEndBeforeItsJob(t *testing.T) {
-	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: []w.TargetID{"a"}})
+	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: keeper.Roster{Open: []w.TargetID{"a"}}})
 	x.end("a", linker.Start{Task: w.TaskID{Job: "j"}, Run: 5}, w.EndedDone)
 	x.list("a")
 	require.Empty(t, x.step(0).Acks, "the end would be forgotten before it is stored")
@@ -189,7 +189,7 @@
 // TestUnfoundEndExpires guards against a target that keeps its ends for ever since
 // one of them belongs to a job whose rows are removed.
 func TestUnfoundEndExpires(t *testing.T) {
-	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: []w.TargetID{"a"}})
+	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: keeper.Roster{Open: []w.TargetID{"a"}}})
 	x.end("a", linker.Start{Task: w.TaskID{Job: "removed"}, Run: 5}, w.EndedDone)
 	x.list("a")
 	require.Empty(t, x.step(0).Acks)
@@ -204,7 +204,7 @@
 // TestRunBeforeItsJob guards against two runs of a task: the run of a job that the
 // earlier coordinator started is listed before the job is found in the store.
 func TestRunBeforeItsJob(t *testing.T) {
-	x := newCell(t, 2, 2, &keeper.Snapshot{Roster: []w.TargetID{"a", "b"}})
+	x := newCell(t, 2, 2, &keeper.Snapshot{Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
 	x.list("a", w.Run{Task: w.TaskID{Job: "j"}, Run: 5})
 	x.list("b")
 	j := oneTask("j")
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		s.tried = round
-		if !s.job.fresh && len(c.unread) > 0 {
+		if c.mayRunElsewhere(s) {
 			c.prepare(s)
 			continue
 		}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -55,7 +55,7 @@
 // usable reports whether a target may be given new work.
 func (c *Coordinator) usable(t *target) bool {
 	return t.listed && t.State == w.TargetReady && t.read && t.member != nil && t.foreign == 0 &&
-		!t.health.unreachable && c.roster[t.ID] && !c.now.Before(t.health.barred)
+		!t.health.unreachable && c.covered(t.ID) && !c.now.Before(t.health.barred)
 }
 
 // SetTargets takes over the platform's list of targets. Targets that are missing
@@ -101,21 +101,6 @@
 	slices.SortFunc(c.order, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
 
-// neededRoster returns the targets that the store must list: those that may be
-// given work and those that may still run something.
-func (c *Coordinator) neededRoster() map[w.TargetID]bool {
-	r := make(map[w.TargetID]bool, len(c.order))
-	for _, t := range c.order {
-		if t.listed || len(t.slots) > 0 {
-			r[t.ID] = true
-		}
-	}
-	for id := range c.unread {
-		r[id] = true
-	}
-	return r
-}
-
 // reborn drops all that an earlier incarnation of a target held.
 func (c *Coordinator) reborn(t *target, incarnation w.Incarnation) {
 	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
@@ -209,8 +194,8 @@
 
 // expireTargets gives up targets whose leases have surely ended.
 func (c *Coordinator) expireTargets() {
-	for id, end := range c.unread {
-		if c.now.After(end) {
+	for id, u := range c.unread {
+		if c.now.After(u.until) {
 			delete(c.unread, id)
 			c.generation++
 			c.Log.Warn("unread target of the earlier coordinator lapsed", "target", id)
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -100,7 +100,7 @@
 			l.lead.Resume(s)
 			l.co.Load(s)
 			l.spawn(func() { l.readNews(s.Versions) })
-			in.Log.Info("cell loaded", "jobs", len(s.Jobs), "targets", len(s.Roster), "took", time.Since(began))
+			in.Log.Info("cell loaded", "jobs", len(s.Jobs), "targets", len(s.Roster.Open)+len(s.Roster.Closed), "took", time.Since(began))
 			return l, nil
 		}
 		in.Log.Warn("cell not loaded yet", "error", err)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -140,3 +140,18 @@
 	require.Equal(t, "first", got[1].Spec)
 	require.Equal(t, "new", got[2].Spec)
 }
+
+// TestRosterOfEarlierVersion guards against an instance that can't load a cell
+// whose leader had an earlier version.
+func TestRosterOfEarlierVersion(t *testing.T) {
+	for text, want := range map[string]Roster{
+		`["a","b"]`: {Open: []w.TargetID{"a", "b"}},
+		`{"open":["a"],"closed":{"b":["j.0.0"]}}`: {Open: []w.TargetID{"a"}, Closed: map[w.TargetID][]string{"b": {"j.0.0"}}},
+	} {
+		r, err := decodeRoster(&Row{Value: []byte(text)})
+		require.NoError(t, err)
+		require.Equal(t, want, r)
+	}
+	_, err := decodeRoster(&Row{Value: []byte(`{"open":1}`)})
+	require.Error(t, err)
+}
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -18,7 +17,7 @@
 	Jobs      []w.Job
 	Progress  map[w.JobID]Progress
 	Cancelled map[w.JobID]bool
-	Roster    []w.TargetID
+	Roster    Roster
 	Versions  map[string]Version // of each table, for reading changes
 
 	saved Version // of the row that numbers the saves
@@ -80,10 +79,8 @@
 	if save != nil {
 		s.saved = save.Version
 	}
-	if roster != nil {
-		if err := json.Unmarshal(roster.Value, &s.Roster); err != nil {
-			return nil, fmt.Errorf("keeper: decode roster: %w", err)
-		}
+	if s.Roster, err = decodeRoster(roster); err != nil {
+		return nil, err
 	}
 	slices.SortFunc(s.Jobs, func(a, b w.Job) int {
 		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), strings.Compare(string(a.ID), string(b.ID)))
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -14,7 +14,7 @@
 type Change struct {
 	Progress      []Progress
 	Remove        []w.JobID
-	Roster        []w.TargetID // written if RosterChanged
+	Roster        Roster // written if RosterChanged
 	RosterChanged bool
 }
 
