detector: tasks begun before a fault say nothing of a target; coordinator: gangs stop what costs least

Tasks that began before the fault still ended well and took back what the failures had added, and a kind that was seen little elsewhere counted as one that always fails. Successes of tasks begun before the first failure count no more; an unseen kind is assumed to fail like all kinds, thrice as often. TestEarlierTasksSayNothing and TestRareKindsCount fail without.

Targets where room for a task costs least of other work come first (TestGangStopsCheapWork).

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -311,3 +312,30 @@
 	}
 	require.Equal(t, 1, stops)
 }
+
+// TestGangStopsCheapWork guards against a gang that stops runs whose work is lost
+// although others can go on from a checkpoint.
+func TestGangStopsCheapWork(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.list("a")
+	x.list("b")
+	x.c.Configure(&w.Config{Version: 2, Queues: []w.Queue{
+		{Name: "gang", Service: "s", Attempts: 4, Priority: 1},
+		{Name: "low", Service: "s", Attempts: 4, Priority: 2},
+	}})
+	for _, saves := range []bool{false, true} {
+		x.submit(w.Job{ID: w.JobID(fmt.Sprint("saves-", saves)), Queue: "low", Attempts: 4, Steps: []w.Step{{Count: 2, Saves: saves, Need: w.Resources{CPU: 4000}}}})
+		for _, s := range x.step(0).Starts {
+			x.started(s)
+		}
+	}
+	x.now = x.now.Add(2 * time.Second)
+	x.list("a", w.Run{Task: w.TaskID{Job: "saves-false"}, Run: x.c.jobs["saves-false"].occs[0].steps[0].tasks[0].run, Percent: 40},
+		w.Run{Task: w.TaskID{Job: "saves-false", Index: 1}, Run: x.c.jobs["saves-false"].occs[0].steps[0].tasks[1].run, Percent: 40})
+	x.submit(w.Job{ID: "gang", Queue: "gang", Attempts: 4, Steps: []w.Step{{Count: 2, Gang: true, Need: w.Resources{CPU: 4000}}}})
+	stops := x.step(0).Stops
+	require.Len(t, stops, 2)
+	for _, s := range stops {
+		require.Equal(t, w.JobID("saves-true"), s.Task.Job)
+	}
+}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -15,11 +15,13 @@
 
 // share is a part of a gang on one target.
 type share struct {
-	t *target
-	n int
+	t    *target
+	n    int
+	lost float64 // work that stops for it throw away, in core-seconds for each task
 }
 
-// plan spreads a gang over targets with the given room, or returns nil.
+// plan spreads a gang over targets with the given room, or returns nil. It takes
+// targets first where room for a task costs least of other work.
 func (c *Coordinator) plan(s *step, among []*target, fits func(*target) bool, room func(*target) w.Resources) []share {
 	var list []share
 	sum := 0
@@ -28,7 +30,7 @@
 			continue
 		}
 		if n := s.times(t, room(t)); n > 0 {
-			list = append(list, share{t, n})
+			list = append(list, share{t: t, n: n})
 			sum += n
 		}
 	}
@@ -40,8 +42,14 @@
 			list = one
 		}
 	}
+	for i := range list {
+		if sh := &list[i]; s.times(sh.t, sh.t.free()) < sh.n {
+			_, lost := c.victims(s, sh.t, sh.n)
+			sh.lost = lost / float64(sh.n)
+		}
+	}
 	slices.SortStableFunc(list, func(a, b share) int {
-		return cmp.Or(cmp.Compare(a.t.health.streak, b.t.health.streak), cmp.Compare(b.n, a.n))
+		return cmp.Or(cmp.Compare(a.t.health.streak, b.t.health.streak), cmp.Compare(a.lost, b.lost), cmp.Compare(b.n, a.n))
 	})
 	left := s.Count
 	for i := range list {
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -60,6 +60,10 @@
 	// leastRate is the lowest failure rate assumed of good targets. With it, a
 	// failure of work that succeeds elsewhere counts ln(0.95/0.05) = 2.9.
 	leastRate = 0.05
+	// unseenRate and unseenFactor bound the failure rate assumed of a kind that was
+	// not seen elsewhere, the latter as a multiple of the rate of all kinds.
+	unseenRate   = 0.3
+	unseenFactor = 3
 	// threshold is the score at which a target is quarantined: five failures of
 	// work that succeeds elsewhere. If 2% of all tasks fail by chance, a good
 	// target gets there once in 3e8 tasks.
@@ -87,7 +91,9 @@
 	// interval is the time between a quarantine and its probes.
 	interval   time.Duration
 	releasedAt time.Time
-	succeeded  int // probes
+	// failingSince is the start of the first failed task of the score.
+	failingSince time.Time
+	succeeded    int // probes
 }
 
 // fault is the first failure of a request.
@@ -102,8 +108,8 @@
 //
 // Each result moves the target's score by a log likelihood ratio. The failure
 // rate of a good target is taken from the same kind and the same caller on other
-// targets, so work that fails everywhere moves no score, nor does a kind that has
-// not been seen elsewhere. A request that fails on
+// targets, so work that fails everywhere moves no score, and a kind that has not
+// been seen elsewhere moves it little. A request that fails on
 // a second target takes back what its first failure had added.
 type Detector struct {
 	cfg Config
@@ -117,6 +123,7 @@
 	suspects map[descriptor.TargetID]*health
 	kinds    table[descriptor.KindName]
 	callers  table[descriptor.CallerID]
+	all      peers // the results of all kinds
 	faults   map[descriptor.Key]*fault
 	order    []descriptor.Key // of faults, as a ring
 	oldest   int
@@ -173,11 +180,12 @@
 }
 
 // Observe implements Policy.
-func (d *Detector) Observe(target descriptor.TargetID, key descriptor.Key, kind descriptor.KindName, succeeded bool, _ time.Duration, now time.Time) {
+func (d *Detector) Observe(target descriptor.TargetID, key descriptor.Key, kind descriptor.KindName, succeeded bool, ran time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	kinds, callers := d.kinds.at(kind, now), d.callers.at(key.Caller, now)
-	normal := max(leastRate, kinds.rateElsewhere(target, badRate, now), callers.rateElsewhere(target, leastRate, now))
+	unseen := min(badRate, max(unseenRate, unseenFactor*d.all.rateElsewhere(target, badRate, now)))
+	normal := max(leastRate, kinds.rateElsewhere(target, unseen, now), callers.rateElsewhere(target, leastRate, now))
 	normal = min(normal, badRate)
 	failed := 1.0
 	if succeeded {
@@ -185,10 +193,11 @@
 	}
 	kinds.observe(target, failed, now)
 	callers.observe(target, failed, now)
+	d.all.observe(target, failed, now)
 	h := d.targets[target]
 	if succeeded {
 		d.confirm(key, target)
-		d.succeed(h, normal, now)
+		d.succeed(h, normal, now.Add(-ran), now)
 		return
 	}
 	if d.failedBefore(key, target, now) {
@@ -196,16 +205,20 @@
 	}
 	gain := math.Log(badRate / normal)
 	d.remember(key, target, gain)
-	d.fail(h, gain, now)
+	d.fail(h, gain, now.Add(-ran), now)
 }
 
-// succeed takes a success into account; h may be nil.
-func (d *Detector) succeed(h *health, normal float64, now time.Time) {
+// succeed takes a success into account; h may be nil. A task that began before
+// those that fail says nothing of the target since.
+func (d *Detector) succeed(h *health, normal float64, began, now time.Time) {
 	if h == nil {
 		return
 	}
 	switch h.state {
 	case placer.Placeable:
+		if h.score > 0 && began.Before(h.failingSince) {
+			return
+		}
 		d.move(h, math.Log((1-badRate)/(1-normal)))
 	case placer.Probing:
 		if h.succeeded++; h.succeeded >= placer.ProbeTasks {
@@ -216,10 +229,13 @@
 
 // fail takes a failure into account; h may be nil. While probing, a failure of
 // work that mostly fails elsewhere says nothing.
-func (d *Detector) fail(h *health, gain float64, now time.Time) {
+func (d *Detector) fail(h *health, gain float64, began, now time.Time) {
 	if h == nil {
 		return
 	}
+	if h.score == 0 {
+		h.failingSince = began
+	}
 	switch h.state {
 	case placer.Placeable:
 		d.move(h, gain)
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -282,3 +282,50 @@
 	}
 	require.Equal(t, placer.Placeable, c.state["t00"], "all failures were those of the work")
 }
+
+// TestRareKindsCount guards against a bad target that fails a few tasks a second
+// of many kinds and draws work for 5.7 s: each kind had been seen too rarely
+// elsewhere to say much.
+func TestRareKindsCount(t *testing.T) {
+	c := newCell(t, 2, Config{})
+	kinds := []string{"routeBuild", "weekPlan", "wiringPlan", "commissionSettlement", "callList", "doorCodeCheck"}
+	for _, kind := range kinds {
+		for target := range 2 {
+			c.observe(target, c.key("caller"), kind, true)
+		}
+	}
+	failures := 0
+	for c.state["t00"] != placer.Quarantined {
+		c.observe(0, c.key("caller"), kinds[failures%len(kinds)], false)
+		failures++
+		require.LessOrEqual(t, failures, 8, "failures before the quarantine")
+	}
+}
+
+// TestNewKindThatFailsEverywhere guards against good targets that are set aside
+// for a kind of work that fails on all of them.
+func TestNewKindThatFailsEverywhere(t *testing.T) {
+	c := newCell(t, 4, Config{})
+	c.rounds(20, good)
+	for range 20 {
+		for target := range 4 {
+			c.observe(target, c.key("caller"), "new", false)
+		}
+	}
+	require.Zero(t, c.most)
+}
+
+// TestEarlierTasksSayNothing guards against a target that turned bad and draws
+// work for seconds more, since tasks that began before still end well.
+func TestEarlierTasksSayNothing(t *testing.T) {
+	c := newCell(t, 10, Config{})
+	c.rounds(20, good)
+	failures := 0
+	for c.state["t00"] != placer.Quarantined {
+		c.observe(0, c.key("caller"), "routeBuild", false)
+		failures++
+		c.d.Observe("t00", c.key("caller"), "routeBuild", true, time.Minute, c.now)
+		c.apply()
+		require.LessOrEqual(t, failures, 6, "failures before the quarantine")
+	}
+}
