--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -17,9 +18,20 @@
 	ver  Version
 	lose bool
 	late []*Tx
+	// dieAfter is the number of further transactions that are carried out, 0 for
+	// any number.
+	dieAfter int
+	dead     bool
 }
 
 func (s *table) Commit(_ context.Context, tx *Tx) (Version, error) {
+	if s.dead {
+		return 0, ErrUnknown
+	}
+	if s.dieAfter > 0 {
+		s.dieAfter--
+		s.dead = s.dieAfter == 0
+	}
 	if s.lose {
 		s.late = append(s.late, &Tx{Checks: tx.Checks, Writes: tx.Writes, Drops: tx.Drops})
 		return 0, ErrUnknown
@@ -183,3 +195,19 @@
 	require.NoError(t, err)
 	require.Empty(t, snap.Progress)
 }
+
+// TestRosterAfterProgress guards against a roster that leaves out a run whose end
+// is lost: a leader died between the two transactions of a large batch.
+func TestRosterAfterProgress(t *testing.T) {
+	s, k, lead := leading(t)
+	ch := &Change{Roster: Roster{Open: []w.TargetID{"a"}}, RosterChanged: true}
+	for i := range txRows + 1 {
+		ch.Progress = append(ch.Progress, Progress{ID: w.JobID(strconv.Itoa(i)), Begun: true})
+	}
+	s.dieAfter = 1
+	require.Error(t, k.Save(t.Context(), lead, ch))
+	snap, err := k.Load(t.Context())
+	require.NoError(t, err)
+	require.Len(t, snap.Progress, txRows)
+	require.Empty(t, snap.Roster.Open)
+}
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -72,14 +72,6 @@
 		tx, size = Tx{}, 0
 		return nil
 	}
-	if ch.RosterChanged {
-		value, err := json.Marshal(ch.Roster)
-		if err != nil {
-			return fmt.Errorf("keeper: encode roster: %w", err)
-		}
-		tx.Writes = append(tx.Writes, Row{Key: Key{Table: TableControl, Name: rosterName}, Value: value})
-		size += len(value)
-	}
 	for i := range ch.Progress {
 		value, err := json.Marshal(&ch.Progress[i])
 		if err != nil {
@@ -92,6 +84,14 @@
 			}
 		}
 	}
+	// The roster leaves out runs whose ends are in the progress, so it comes after.
+	if ch.RosterChanged {
+		value, err := json.Marshal(ch.Roster)
+		if err != nil {
+			return fmt.Errorf("keeper: encode roster: %w", err)
+		}
+		tx.Writes = append(tx.Writes, Row{Key: Key{Table: TableControl, Name: rosterName}, Value: value})
+	}
 	// Removals reach into other parts, so they are apart.
 	if err := flush(); err != nil {
 		return err
