--- a/coordinator/advice_test.go
+++ b/coordinator/advice_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// fill runs a task on each of four targets of an advised cell.
+func (x *cell) fill() []linker.Start {
+	x.t.Helper()
+	x.submit(w.Job{ID: "first", Queue: testQueue, Attempts: 4, Steps: []w.Step{{Count: 4, Need: w.Resources{CPU: 8000}}}})
+	list, _ := x.asks(0)
+	x.permit(list[0])
+	_, runs := x.asks(0)
+	require.Len(x.t, runs, 4)
+	for _, s := range runs {
+		x.started(s)
+	}
+	return runs
+}
+
 // TestAdviceNamesSeveral guards against many short calls: a second call costs
 // more than the names of a few further targets.
 func TestAdviceNamesSeveral(t *testing.T) {
@@ -121,16 +135,9 @@
 // free: one call renews the tickets of all permitted targets.
 func TestTicketsRenewedTogether(t *testing.T) {
 	x := advisedCell(t, 4)
-	x.submit(w.Job{ID: "first", Queue: testQueue, Attempts: 4, Steps: []w.Step{{Count: 4, Need: w.Resources{CPU: 8000}}}})
-	list, _ := x.asks(0)
-	x.permit(list[0])
-	_, runs := x.asks(0)
-	require.Len(t, runs, 4)
-	for _, s := range runs {
-		x.started(s)
-	}
+	runs := x.fill()
 	x.submit(w.Job{ID: "second", Queue: testQueue, Attempts: 4, Steps: []w.Step{{Count: 4, Need: w.Resources{CPU: 8000}}}})
-	list, _ = x.asks(0)
+	list, _ := x.asks(0)
 	require.Len(t, list, 1)
 	x.permit(list[0])
 	x.asks(validity)
@@ -257,17 +264,10 @@
 	for _, id := range []w.InstanceID{"i", "j", "k", "l", "m", "n", "o", "p"} {
 		x.c.Join(&linker.Hello{Instance: id, Zone: "another"})
 	}
-	x.submit(w.Job{ID: "first", Queue: testQueue, Attempts: 4, Steps: []w.Step{{Count: 4, Need: w.Resources{CPU: 8000}}}})
-	list, _ := x.asks(0)
-	x.permit(list[0])
-	_, runs := x.asks(0)
-	require.Len(t, runs, 4)
-	for _, s := range runs {
-		x.started(s)
-	}
+	runs := x.fill()
 	for _, id := range []w.JobID{"a", "b", "c", "d", "e", "f"} {
 		x.submit(w.Job{ID: id, Queue: testQueue, Attempts: 4, Steps: []w.Step{{Count: 1, Need: w.Resources{CPU: 8000}}}})
-		list, _ = x.asks(searchPeriod)
+		list, _ := x.asks(searchPeriod)
 		for _, a := range list {
 			x.permit(a)
 		}
@@ -276,7 +276,7 @@
 	x.end(runs[0].Target, runs[0], w.EndedDone)
 	calls := 0
 	for range 5 {
-		list, _ = x.asks(searchPeriod)
+		list, _ := x.asks(searchPeriod)
 		calls += len(list)
 	}
 	require.Equal(t, 1, calls)
