--- a/instance/leader.go
+++ b/instance/leader.go
@@ -54,6 +54,8 @@
 	cancel context.CancelFunc
 	inbox  chan func(*coordinator.Coordinator)
 	co     *coordinator.Coordinator
+	// stopped does not follow from ctx, which ends with the instance as well.
+	stopped sync.Once
 
 	mu       sync.Mutex
 	conns    map[w.InstanceID]*linker.Conn
@@ -119,17 +121,16 @@
 
 // stop ends the leadership.
 func (l *leader) stop(why string) {
-	if l.ctx.Err() != nil {
-		return
-	}
-	l.in.Log.Info("leadership ends", "epoch", l.lead.Epoch, "reason", why)
-	l.cancel()
-	l.in.leader.CompareAndSwap(l, nil)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.conns {
-		c.Close()
-	}
+	l.stopped.Do(func() {
+		l.in.Log.Info("leadership ends", "epoch", l.lead.Epoch, "reason", why)
+		l.cancel()
+		l.in.leader.CompareAndSwap(l, nil)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, c := range l.conns {
+			c.Close()
+		}
+	})
 }
 
 // post hands an event to the coordinator.
--- a/instance/link.go
+++ b/instance/link.go
@@ -163,6 +163,10 @@
 	}
 	c := linker.NewConn(nc)
 	in.link.Store(c)
+	if in.ctx.Err() != nil {
+		// The stop of the instance may have looked for a link just before.
+		c.Close()
+	}
 	e := &executor.Executor{Caller: in.Caller, Log: in.Log, Send: c.Send}
 	e.Run()
 	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Strength}})
