elector: weak instances leave a restarted leader's place to strong ones

It loads for 3 s, cannot renew meanwhile, and the next weak one follows: five leaders in 8 s.

A weak instance waits 0.6 s after it first sees the restart, too. Two new cases of TestDue, the first fails without.

A weak leader that does take over can still be deposed while it loads.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -57,6 +57,7 @@
 	lost       time.Time // since when there is no connection to the leader
 	connected  bool
 	reach      Reach
+	replaced   time.Time     // when another life of the leader's instance first answered
 	age        time.Duration // of the last beat
 	slow       time.Duration // time that its reading took
 	read       bool          // a beat was read since the connection was lost
@@ -94,6 +95,9 @@
 	if e.connected {
 		e.connected, e.lost, e.read = false, now, false
 	}
+	if r == Replaced && e.reach != Replaced {
+		e.replaced = now
+	}
 	e.reach = r
 }
 
@@ -140,7 +144,8 @@
 func (e *Elector) Due(now time.Time) (string, bool) {
 	if e.best > MuchStronger*e.Strength {
 		now = now.Add(-weakDelay)
-		if !e.connected && now.Before(e.lost) {
+		// Strong instances may be starting again as well as the leader's.
+		if !e.connected && (now.Before(e.lost) || (e.reach == Replaced && now.Before(e.replaced))) {
 			return "", false
 		}
 		return e.due(e.age-weakDelay, now)
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -88,6 +88,16 @@
 			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 0, quick, nil, now.Add(-11*time.Second))
 			e.Observe(keeper.Beat{Epoch: 3, Best: 0.2}, 1100*time.Millisecond, quick, nil, now)
 		}, time.Second, true},
+		"weak, the leader has just started again": {lead, func(e *Elector) {
+			e.Strength = 0.2
+			e.Lost(Replaced, now.Add(700*time.Millisecond))
+			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 0, quick, nil, now)
+		}, time.Second, false},
+		"weak, the leader started again a while ago": {lead, func(e *Elector) {
+			e.Strength = 0.2
+			e.Lost(Replaced, now.Add(300*time.Millisecond))
+			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 0, quick, nil, now)
+		}, time.Second, true},
 		"weak, nobody else came": {lead, func(e *Elector) {
 			e.Strength = 0.2
 			e.Observe(keeper.Beat{Epoch: 3, Best: 0.8}, 1700*time.Millisecond, quick, nil, now)
