coordinator: gangs book room ahead of their start and ask in parallel calls

Cause of LOST on the large site (gangs of 55 tasks, one a target, that never start) and of the 30% of its room that stood free while work for half of it waited: a gang had one call for advice at a time, up to 1.5 s for 100 names, against tickets of 2 s, so that the tickets of the first call had run out when the third was answered; and the room that one call found was taken by smaller work before the next one answered. Of 108 waiting gangs none had as many valid tickets as tasks.

A gang now plans its start from the progress and learned times of what runs, books its share of each permitted target until then (a quarter of the service at most, in the order of priority and goals), lets work use it that ends before, and asks for all tickets in parallel calls of half as much for names as for the call. Names, lanes, validity: a call of 35 names takes 0.96 s, so tickets of any number of calls made at once are valid together for 1.9 s; 1,100 names take 32 of 74 lanes. A booking that is not kept 0.25 s after its start is given back and counted.

Ruled out: lanes (asksWaiting 0 to 17), reservations without parallel calls (TestWidestGangStarts has an empty cell).

TestWidestGangStarts and TestGangGetsRoomBesideSmallWork fail before (never start) and pass after (1.0 s, 2.0 s). TestGangRenewsSpareTickets answers all calls, as there are several now, and looks 100 ms later.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -153,7 +153,7 @@
 	delete(c.asks, id)
 	a.step.asking--
 	a.step.tried = -1
-	a.step.searched = time.Time{}
+	a.step.searched, a.step.planned = time.Time{}, time.Time{}
 }
 
 // callClass tells how long calls for advice take.
@@ -253,7 +253,7 @@
 	c.closeAsk(r.ID, a)
 	s := a.step
 	c.Meter.Wait("advice", c.now.Sub(s.asked))
-	if r.Failed || s.job.state.Final() || s.done == s.Count {
+	if r.Failed || len(r.Tickets) < len(r.Good) || s.job.state.Final() || s.done == s.Count {
 		return
 	}
 	if s.job.story.advised.IsZero() {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -84,6 +84,9 @@
 	most        w.Resources
 	leastUrgent int
 	roomy       []roomOf // usable targets by free CPU, once a step has asked
+	usableCPU   int64    // of all usable targets
+
+	bookedCPU int64 // kept for gangs
 
 	early      map[w.JobID]time.Time // cancelled before they were known
 	reserves   map[string]*reserve   // by service
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -43,7 +43,7 @@
 		}
 	}
 	for i := range list {
-		if sh := &list[i]; s.times(sh.t, sh.t.free()) < sh.n {
+		if sh := &list[i]; s.times(sh.t, c.freeFor(s, sh.t)) < sh.n {
 			_, lost := c.victims(s, sh.t, sh.n)
 			sh.lost = lost / float64(sh.n)
 		}
@@ -79,82 +79,115 @@
 	return slices.DeleteFunc(slices.Clone(list), func(sh share) bool { return sh.t.rack() != best })
 }
 
-// placeGang starts all tasks of a step at once, or none.
+// placeGang starts all tasks of a step at once, or none. A gang that can't start
+// yet books the room of permitted targets for the time at which it is expected to
+// be free and all its tickets valid.
 func (c *Coordinator) placeGang(s *step, cost *w.AdviceCost) {
-	if s.waiting < s.Count {
+	if s.waiting < s.Count || c.now.Sub(s.planned) < c.gangPeriod(s, cost) {
 		return
 	}
-	free := (*target).free
+	s.planned = c.now
 	among := c.candidates(s, cost != nil)
 	valid := func(spare time.Duration) func(*target) bool {
 		return func(t *target) bool { return cost == nil || c.holds(s, t, spare) }
 	}
-	permitted := func(t *target) bool { return cost == nil || s.good(t) }
-	if p := c.plan(s, among, valid(0), free); p != nil {
+	if p := c.plan(s, among, valid(0), func(t *target) w.Resources { return c.freeFor(s, t) }); p != nil {
 		c.startGang(s, p)
 		return
 	}
-	withStops := func(t *target) w.Resources { return t.free().Add(t.coming).Add(c.preemptible(s, t)) }
 	if c.now.Before(s.preempt) {
 		return
 	}
+	withStops := func(t *target) w.Resources { return c.withStops(s, t) }
 	if p := c.plan(s, among, valid(c.StopTimeout+ticketMargin), withStops); p != nil {
-		c.release(s)
 		for _, sh := range p {
 			if ids, lost := c.victims(s, sh.t, sh.n); !math.IsInf(lost, 1) {
 				c.preemptSlots(s, sh.t, ids)
 			}
-			c.hold(s, sh.t, c.StopTimeout+holdSlack)
 		}
+		start := c.now.Add(c.StopTimeout)
+		c.book(s, p, start, start.Add(holdSlack))
 		s.preempt = c.now.Add(c.StopTimeout + holdSlack/2)
 		return
 	}
-	if cost == nil || s.asking > 0 {
-		return
+	if cost != nil {
+		c.prepareGang(s, cost, withStops)
 	}
-	// A call names targets as they are when a lane is free, not when the gang
-	// began to wait for one: their room changes faster than calls take.
-	class := classOf(cost.Base)
-	if c.freeLanes(class) <= 0 {
+}
+
+// gangPeriod is the time between two attempts to place a gang. Room comes free a
+// hundred times a second in a large cell, and a plan looks at hundreds of targets.
+func (c *Coordinator) gangPeriod(s *step, cost *w.AdviceCost) time.Duration {
+	switch {
+	case cost == nil:
+		return 0
+	case len(s.booked) > 0:
+		return min(bookedPeriod, ticketLead(cost)/8)
+	}
+	return min(planPeriod, ticketLead(cost)/8)
+}
+
+// prepareGang books room for a gang and asks for the tickets or the targets that
+// it lacks.
+func (c *Coordinator) prepareGang(s *step, cost *w.AdviceCost, room func(*target) w.Resources) {
+	if c.now.Before(s.renewal) || (len(s.booked) > 0 && c.now.Sub(s.bookedAt) < planPeriod) {
+		// Tickets are on their way, or the last plan is still good.
 		return
 	}
-	if p := c.plan(s, among, permitted, withStops); p != nil {
-		// New tickets for the plan, and for some more targets in case the room
-		// is gone when they arrive.
-		var ts []*target
-		in := make(map[*target]bool)
-		for _, sh := range p {
-			ts = append(ts, sh.t)
-			in[sh.t] = true
-		}
-		for _, t := range s.permitted {
-			if len(ts) >= max(len(p)*3/2+1, namedAtOnce(cost)) {
-				break
+	class := classOf(cost.Base)
+	lead := ticketLead(cost)
+	permitted := func(t *target) bool { return s.good(t) }
+	if c.mayBook(s) {
+		if p, at := c.planAhead(s, s.permitted, permitted, lead); p != nil {
+			if len(s.booked) == 0 {
+				c.Meter.Count("booking", "made")
 			}
-			if !in[t] && s.good(t) && c.allowed(s, t) && s.times(t, withStops(t)) > 0 {
-				ts = append(ts, t)
+			c.book(s, p, at, at.Add(bookingSlack))
+			if at.Sub(c.now) <= lead && c.freeLanes(class) > 0 {
+				s.renewal = c.now.Add(lead)
+				c.requestWide(s, cost, c.withSpares(s, cost, p, room))
 			}
+			return
 		}
-		c.request(s, cost, ts)
+	}
+	if s.asking > 0 || c.freeLanes(class) <= 0 {
 		return
 	}
 	if len(s.advice) == 0 || c.lanesToSpare(class) {
-		c.request(s, cost, c.gangNames(s, cost, withStops))
+		// A call names targets as they are when a lane is free, not when the gang
+		// began to wait for one: their room changes faster than calls take.
+		c.requestWide(s, cost, c.gangNames(s, cost, room))
 	}
 }
 
+// withSpares returns the targets of a plan and some more in case one of them is
+// lost before the tickets arrive.
+func (c *Coordinator) withSpares(s *step, cost *w.AdviceCost, p []share, room func(*target) w.Resources) []*target {
+	var ts []*target
+	in := make(map[*target]bool)
+	for _, sh := range p {
+		ts = append(ts, sh.t)
+		in[sh.t] = true
+	}
+	for _, t := range s.permitted {
+		if len(ts) >= max(len(p)+len(p)/4+1, namedAtOnce(cost)) {
+			break
+		}
+		if !in[t] && s.good(t) && c.allowed(s, t) && s.times(t, room(t)) > 0 {
+			ts = append(ts, t)
+		}
+	}
+	return ts
+}
+
 // gangNames returns the targets to ask about for a gang: as many as are expected
 // to hold it, those with most room first.
 func (c *Coordinator) gangNames(s *step, cost *w.AdviceCost, room func(*target) w.Resources) []*target {
-	type fit struct {
-		t     *target
-		times int
-	}
-	var list []fit
+	var list []share
 	for _, t := range c.fresh(s) {
-		list = append(list, fit{t, s.times(t, room(t))})
+		list = append(list, share{t: t, n: s.times(t, room(t))})
 	}
-	slices.SortStableFunc(list, func(a, b fit) int { return cmp.Compare(b.times, a.times) })
+	byPlaces(list)
 	want := float64(s.Count) * gangMargin / c.shareGood(s.job.Queue)
 	for _, t := range s.permitted {
 		if c.allowed(s, t) {
@@ -166,7 +199,7 @@
 		if want <= 0 && len(names) >= namedAtOnce(cost) {
 			break
 		}
-		want -= float64(f.times)
+		want -= float64(f.n)
 		names = append(names, f.t)
 	}
 	return names
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -71,7 +71,7 @@
 		return
 	}
 	if s.Gang && s.Count > 1 {
-		c.request(s, q.Advice, c.gangNames(s, q.Advice, func(t *target) w.Resources { return t.Capacity }))
+		c.requestWide(s, q.Advice, c.gangNames(s, q.Advice, func(t *target) w.Resources { return t.Capacity }))
 		return
 	}
 	fresh := c.fresh(s)
@@ -83,13 +83,15 @@
 // any of them has free, and how urgent the least urgent of their runs is. What
 // the round itself starts only lowers the room.
 func (c *Coordinator) survey() {
-	c.most, c.leastUrgent, c.roomy = w.Resources{}, math.MinInt, c.roomy[:0]
+	c.most, c.leastUrgent, c.roomy, c.usableCPU = w.Resources{}, math.MinInt, c.roomy[:0], 0
+	c.expireBookings()
 	for _, t := range c.order {
 		t.open = c.usable(t)
 		t.claimed = w.Resources{}
 		if !t.open {
 			continue
 		}
+		c.usableCPU += t.Capacity.CPU
 		free := t.free()
 		c.most = w.Resources{CPU: max(c.most.CPU, free.CPU), Mem: max(c.most.Mem, free.Mem), GPU: max(c.most.GPU, free.GPU)}
 		c.leastUrgent = max(c.leastUrgent, t.leastUrgent)
@@ -174,7 +176,13 @@
 	if c.heldByOther(s, t) {
 		return w.Resources{}
 	}
-	return t.unclaimed()
+	return c.unclaimed(s, t)
+}
+
+// unclaimed is the room of a target for a step for which no earlier step of the
+// round asks for advice.
+func (c *Coordinator) unclaimed(s *step, t *target) w.Resources {
+	return c.freeFor(s, t).Sub(t.claimed)
 }
 
 // claim notes that n tasks of a step may get room on targets about which it asks,
@@ -183,7 +191,7 @@
 func (c *Coordinator) claim(s *step, targets []*target, n int) {
 	room := s.Room()
 	for _, t := range targets {
-		for k := min(n, s.times(t, t.unclaimed())); k > 0; k-- {
+		for k := min(n, s.times(t, c.unclaimed(s, t))); k > 0; k-- {
 			t.claimed = t.claimed.Add(room)
 			n--
 		}
@@ -227,7 +235,7 @@
 	bestScore := math.Inf(1)
 	room := s.Room()
 	for _, t := range c.candidates(s, advice) {
-		free := t.free()
+		free := c.freeFor(s, t)
 		if !room.Fits(free) || !c.allowed(s, t) || (advice && !c.holds(s, t, 0)) || (s.Spread > 0 && s.count(t) >= s.Spread) {
 			continue
 		}
@@ -303,7 +311,7 @@
 			continue
 		}
 		known++
-		k := s.times(t, t.unclaimed())
+		k := s.times(t, c.unclaimed(s, t))
 		covered += k
 		if c.holds(s, t, 0) {
 			valid++
@@ -360,7 +368,7 @@
 		if r.cpu < room.CPU {
 			return false
 		}
-		if room.Fits(r.t.unclaimed()) && !s.knows(r.t) && c.allowed(s, r.t) {
+		if room.Fits(c.unclaimed(s, r.t)) && !s.knows(r.t) && c.allowed(s, r.t) {
 			return true
 		}
 	}
--- a/coordinator/preemption.go
+++ b/coordinator/preemption.go
@@ -21,7 +21,7 @@
 // victims returns runs of less important work on a target that free enough room
 // for k tasks of the step, cheapest first, and the work that is lost.
 func (c *Coordinator) victims(s *step, t *target, k int) (ids []*slot, lost float64) {
-	room := t.free().Add(t.coming)
+	room := t.free().Add(t.coming).Sub(c.bookedFor(s, t))
 	if s.times(t, room) >= k {
 		return nil, 0
 	}
@@ -116,6 +116,7 @@
 
 // release gives up the reservations of a step.
 func (c *Coordinator) release(s *step) {
+	c.unbook(s)
 	for _, t := range s.reserved {
 		if t.held == s {
 			t.held = nil
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -38,6 +38,7 @@
 	orphans  []orphan // ends of jobs that are not known yet
 	held     *step    // room is reserved for this step
 	heldTill time.Time
+	bookings []booking
 	coming   w.Resources // room of runs that are being stopped
 	claimed  w.Resources // room for which earlier steps of this round ask for advice
 	reserved bool        // for the most urgent work of its service
@@ -49,9 +50,6 @@
 // free is the room that is left on a target.
 func (t *target) free() w.Resources { return t.Capacity.Sub(t.used) }
 
-// unclaimed is the room for which no earlier step of the round asks for advice.
-func (t *target) unclaimed() w.Resources { return t.free().Sub(t.claimed) }
-
 // usable reports whether a target may be given new work.
 func (c *Coordinator) usable(t *target) bool {
 	return t.listed && t.State == w.TargetReady && t.read && t.member != nil && t.foreign == 0 &&
@@ -217,6 +215,9 @@
 		if !t.listed && len(t.slots) == 0 && t.lost {
 			delete(c.targets, t.ID)
 			c.assignDue = true
+			for len(t.bookings) > 0 {
+				c.unbook(t.bookings[0].step)
+			}
 			continue
 		}
 		kept = append(kept, t)
