coordinator, gateway: ends shown before they are stored outlast the leader

Ruled out: showing nothing until it is stored, which holds back final answers for the length of an outage.

Ends of tasks of jobs that are not complete are not shown; they stay unacknowledged at their target.

TestShownEndSurvivesItsLeader and TestShownEndsAreRemembered fail before. TestSlowStoreShowsEnds expects the mark now, and that a state is shown once and also to instances that join later.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -89,6 +89,7 @@
 	bookedCPU int64 // kept for gangs
 
 	early      map[w.JobID]time.Time // cancelled before they were known
+	earlyEnds  map[w.JobID]earlyEnd  // ended before they were known
 	reserves   map[string]*reserve   // by service
 	ratios     map[string]float64    // of run times to their declarations, by queue
 	orderDue   time.Time
@@ -112,6 +113,7 @@
 		goodShare: make(map[string]float64),
 		unread:    make(map[w.TargetID]unread),
 		early:     make(map[w.JobID]time.Time),
+		earlyEnds: make(map[w.JobID]earlyEnd),
 		reserves:  make(map[string]*reserve),
 		ratios:    make(map[string]float64),
 	}
@@ -142,6 +144,10 @@
 	_, cancelled := c.early[j.ID]
 	delete(c.early, j.ID)
 	c.addJob(j, keeper.Progress{}, cancelled, fresh)
+	if e, ok := c.earlyEnds[j.ID]; ok {
+		delete(c.earlyEnds, j.ID)
+		c.Ended(linker.JobState{Job: j.ID, State: e.state})
+	}
 	c.adoptOrphans(j.ID)
 }
 
@@ -163,19 +169,53 @@
 // Knows reports whether the job was taken over.
 func (c *Coordinator) Knows(id w.JobID) bool { return c.jobs[id] != nil }
 
-// SetStoreSlow tells whether the store is failing or slow. While it is, states
-// are published before they are stored.
+// SetStoreSlow tells whether the store is failing or slow. While it is, ends of
+// jobs are shown before they are stored. All instances then remember them for the
+// next coordinator until they are told that they are stored.
 func (c *Coordinator) SetStoreSlow(slow bool) {
 	c.storeSlow = slow
 	if !slow {
 		return
 	}
 	if c.inFlight != nil {
-		c.publish(c.inFlight.publish...)
-		c.inFlight.publish = nil
+		c.showUnsaved(c.inFlight.publish)
+	}
+	c.showUnsaved(c.publishing)
+}
+
+// showUnsaved publishes the ends among the states that have not been shown yet.
+func (c *Coordinator) showUnsaved(states []linker.JobState) {
+	for _, s := range states {
+		if j := c.jobs[s.Job]; j != nil && s.State.Final() && !j.published {
+			c.publish(linker.JobState{Job: s.Job, State: s.State, Unsaved: true})
+		}
 	}
-	c.publish(c.publishing...)
-	c.publishing = nil
+}
+
+// Ended takes over an end that an earlier coordinator has shown. The job does not
+// run again, also if neither the store nor a target knows of the end any more.
+func (c *Coordinator) Ended(e linker.JobState) {
+	if e.State != w.Completed && e.State != w.Failed {
+		return
+	}
+	j := c.jobs[e.Job]
+	if j == nil {
+		// The job itself is still on its way from another instance.
+		c.earlyEnds[e.Job] = earlyEnd{e.State, c.now}
+		return
+	}
+	if j.state.Final() {
+		return
+	}
+	c.Log.Info("end shown by an earlier coordinator", "job", e.Job, "state", e.State, "epoch", c.Epoch)
+	c.finish(j, e.State)
+	j.published = true
+}
+
+// earlyEnd is the end of a job that is not known yet.
+type earlyEnd struct {
+	state w.State
+	at    time.Time
 }
 
 // Suspend tells whether the coordinator may have been replaced without knowing.
@@ -290,6 +330,11 @@
 			f.Acks = append(f.Acks, linker.Ack{Target: id, Incarnation: t.Incarnation, Seq: seq})
 		}
 	}
+	for i := range b.Progress {
+		if j := c.jobs[b.Progress[i].ID]; j != nil && b.Progress[i].State.Final() {
+			j.saved = true
+		}
+	}
 	c.publish(b.publish...)
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -228,6 +228,57 @@
 	require.NotNil(t, x.c.Flush())
 	x.c.Frames()
 	x.c.SetStoreSlow(true)
+	shown := linker.JobState{Job: "j", State: w.Completed, Unsaved: true}
+	require.Contains(t, x.c.Frames()["other"].States, shown)
+	x.c.SetStoreSlow(true)
+	require.NotContains(t, x.c.members["other"].due().States, shown, "it is shown once")
+	x.c.Join(&linker.Hello{Instance: "late"})
+	require.Contains(t, x.c.Frames()["late"].States, shown)
+}
+
+// TestShownEndSurvivesItsLeader guards against a second run of a job that callers
+// saw as completed: the store was silent, the leader handed over and the target
+// with the end was replaced, so that only the instances knew of it.
+func TestShownEndSurvivesItsLeader(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.list("a")
+	x.submit(oneTask("j"))
+	f := x.step(0)
+	x.end("a", f.Starts[0], w.EndedDone)
+	x.c.Advance(x.now)
+	b := x.c.Flush()
+	x.c.Frames()
+	x.c.SetStoreSlow(true)
+	shown := x.c.Frames()["other"].States[0]
+	require.True(t, shown.Unsaved)
+
+	for name, jobFirst := range map[string]bool{"job in the store": true, "job handed over later": false} {
+		t.Run(name, func(t *testing.T) {
+			y := newCell(t, 2, 1, &keeper.Snapshot{Roster: keeper.Roster{Open: []w.TargetID{"a"}}})
+			job := oneTask("j")
+			if jobFirst {
+				y.c.AddJob(&job, false)
+			}
+			y.receive(&linker.Frame{Ended: []linker.JobState{shown}})
+			if !jobFirst {
+				y.c.AddJob(&job, false)
+			}
+			y.list("a")
+			require.Equal(t, w.Completed, y.state("j"))
+			y.c.Advance(y.now)
+			for _, m := range y.c.Frames() {
+				require.Empty(t, m.Starts)
+			}
+			b := y.c.Flush()
+			require.NotNil(t, b)
+			require.Equal(t, w.Completed, b.Progress[0].State, "the end is stored now")
+			y.c.Stored(b)
+			require.Contains(t, y.c.Frames()["other"].States, linker.JobState{Job: "j", State: w.Completed}, "nobody has to remember it any more")
+		})
+	}
+
+	// The leader itself may store it after all.
+	x.c.Stored(b)
 	require.Contains(t, x.c.Frames()["other"].States, linker.JobState{Job: "j", State: w.Completed})
 }
 
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -85,6 +85,7 @@
 	cancelled bool
 	begun     bool
 	published bool // its end was shown to callers
+	saved     bool // its end is stored
 	fresh     bool // no earlier coordinator can have started it
 	took      time.Time
 	arrived   time.Time // at the cell
@@ -155,7 +156,7 @@
 	c.jobs[j.ID] = j
 	switch {
 	case p.State.Final():
-		j.state = p.State
+		j.state, j.saved = p.State, true
 	case cancelled:
 		j.state = w.Cancelled
 		c.dirty[j.ID] = j
@@ -362,10 +363,13 @@
 	c.dirty[j.ID] = j
 	c.tell(j)
 	change := linker.JobState{Job: j.ID, State: state}
-	if c.storeSlow || state == w.Cancelled {
+	if state == w.Cancelled {
 		c.publish(change)
 	} else {
 		c.publishing = append(c.publishing, change)
+		if c.storeSlow {
+			c.showUnsaved([]linker.JobState{change})
+		}
 	}
 	for _, o := range j.occs {
 		for _, s := range o.steps {
@@ -464,6 +468,11 @@
 			delete(c.early, id)
 		}
 	}
+	for id, e := range c.earlyEnds {
+		if c.now.Sub(e.at) > c.Retention {
+			delete(c.earlyEnds, id)
+		}
+	}
 	for id, j := range c.jobs {
 		if j.state.Final() && c.now.Sub(j.endedAt) > c.Retention && !j.occupies() {
 			delete(c.jobs, id)
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -43,7 +43,7 @@
 	f.Reset = true
 	f.States = make([]linker.JobState, 0, len(c.jobs))
 	for id, j := range c.jobs {
-		f.States = append(f.States, linker.JobState{Job: id, State: j.shown()})
+		f.States = append(f.States, linker.JobState{Job: id, State: j.shown(), Unsaved: j.unsavedEnd()})
 	}
 	c.assignDue = true
 	c.Log.Info("instance joined", "instance", h.Instance, "zone", h.Zone, "members", len(c.members))
@@ -58,6 +58,11 @@
 	return j.state
 }
 
+// unsavedEnd reports whether callers see an end that is not stored yet.
+func (j *job) unsavedEnd() bool {
+	return j.published && !j.saved && (j.state == w.Completed || j.state == w.Failed)
+}
+
 // Leave drops an instance whose connection has ended.
 func (c *Coordinator) Leave(id w.InstanceID) {
 	if m := c.members[id]; m != nil {
@@ -163,6 +168,9 @@
 		c.AddJob(&f.Jobs[i], !f.Again)
 		m.due().Received = append(m.due().Received, f.Jobs[i].ID)
 	}
+	for _, e := range f.Ended {
+		c.Ended(e)
+	}
 	for _, id := range f.Cancels {
 		c.Cancel(id)
 		m.due().Received = append(m.due().Received, id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	own     map[string]int // jobs accepted here that the coordinator doesn't know yet, by queue
 	jobs    map[w.JobID]*w.Job
 	cancels map[w.JobID]bool
+	unsaved map[w.JobID]w.State // ends that were shown before they were stored
 }
 
 // Init prepares the gateway for use.
@@ -93,6 +94,7 @@
 	g.own = make(map[string]int)
 	g.jobs = make(map[w.JobID]*w.Job)
 	g.cancels = make(map[w.JobID]bool)
+	g.unsaved = make(map[w.JobID]w.State)
 }
 
 // Config returns the configuration in force, or nil.
@@ -123,7 +125,10 @@
 	for id := range g.cancels {
 		f.Cancels = append(f.Cancels, id)
 	}
-	if len(f.Jobs) > 0 || len(f.Cancels) > 0 {
+	for id, s := range g.unsaved {
+		f.Ended = append(f.Ended, linker.JobState{Job: id, State: s})
+	}
+	if len(f.Jobs) > 0 || len(f.Cancels) > 0 || len(f.Ended) > 0 {
 		c.Send(f)
 	}
 }
@@ -153,6 +158,12 @@
 		}
 	}
 	for _, s := range f.States {
+		switch {
+		case s.Unsaved:
+			g.unsaved[s.Job] = s.State
+		case s.State.Final() || s.State == w.Unknown:
+			delete(g.unsaved, s.Job)
+		}
 		if s.State == w.Unknown {
 			// Its retention is over, and its rows are removed.
 			delete(g.states, s.Job)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -79,3 +81,28 @@
 		})
 	}
 }
+
+// TestShownEndsAreRemembered guards against ends that callers saw and that nobody
+// knows after a change of the leader, since the store did not hold them yet.
+func TestShownEndsAreRemembered(t *testing.T) {
+	g := &Gateway{Keeper: &keeper.Keeper{}, Log: slog.New(slog.DiscardHandler)}
+	g.Init()
+	g.Receive(&linker.Frame{States: []linker.JobState{
+		{Job: "a", State: w.Completed, Unsaved: true}, {Job: "b", State: w.Failed, Unsaved: true}, {Job: "c", State: w.Completed},
+	}})
+	g.Receive(&linker.Frame{Reset: true, States: []linker.JobState{{Job: "b", State: w.Failed}, {Job: "a", State: w.Queued}}})
+	state, err := g.State(t.Context(), "a")
+	require.NoError(t, err)
+	require.Equal(t, w.Completed, state, "an end that was shown is not taken back")
+
+	near, far := net.Pipe()
+	peer := linker.NewConn(far)
+	got := make(chan *linker.Frame, 16)
+	go func() { _ = peer.Receive(func(f *linker.Frame) { got <- f }) }()
+	conn := linker.NewConn(near)
+	defer conn.Close()
+	defer peer.Close()
+	g.Connect(conn)
+	f := <-got
+	require.Equal(t, []linker.JobState{{Job: "a", State: w.Completed}}, f.Ended)
+}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -22,6 +22,7 @@
 	Advice  []Advice
 	Status  *Status
 	Calls   []Call
+	Ended   []JobState // ends that an earlier coordinator showed before it had stored them
 
 	// From the coordinator.
 	Assign   *Assign
@@ -169,8 +170,9 @@
 
 // JobState is a change of a job's state. Unknown ends its retention.
 type JobState struct {
-	Job   w.JobID
-	State w.State
+	Job     w.JobID
+	State   w.State
+	Unsaved bool // the store does not hold it yet, so the receiver has to remember it
 }
 
 // PendingCounts lists all queues that have jobs without a started task.
