keeper, instance, linker, workload: one bad row, job or frame ends no process

A row of jobs or progress that can't be decoded kept every instance from loading the cell, and from reading news. A panic while a frame was handled or a decision made ended the process.

Jobs are checked by one function, at the gateway (400) and when rows are read: at most 20,000 tasks over all occurrences, amounts that can't overflow the sums of a cell. Bad rows are left out, logged and counted; a job whose progress can't be read is not started. A frame that can't be handled ends its connection, a failed decision ends the leadership in order, and loops of an instance begin again; each is counted and logged with its stack.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,9 +18,6 @@
 	w "github.com/masticlead/masticlead/workload"
 )
 
-// ErrInvalid tells that a job can never be run by anyone.
-var ErrInvalid = errors.New("gateway: the job is not valid")
-
 // RefusedError tells that a job was not accepted and never runs.
 type RefusedError struct {
 	Reason     string
@@ -191,8 +188,8 @@
 // Submit accepts a job, or returns a RefusedError if it certainly never runs.
 // After any other error the job may be stored.
 func (g *Gateway) Submit(ctx context.Context, q *w.Queue, j *w.Job) error {
-	if err := check(j); err != nil {
-		return err
+	if err := j.Check(); err != nil {
+		return fmt.Errorf("gateway: %w", err)
 	}
 	j.Queue, j.Service, j.Attempts, j.Priority = q.Name, q.Service, q.Attempts, q.Priority
 	j.Accepted = time.Now().UnixMilli()
@@ -215,25 +212,6 @@
 	return nil
 }
 
-// check rejects jobs that break the format.
-func check(j *w.Job) error {
-	if len(j.Steps) == 0 || len(j.ID) == 0 || len(j.ID) > 64 {
-		return ErrInvalid
-	}
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		if s.Count <= 0 || s.Need.CPU < 0 || s.Need.Mem < 0 || s.Need.GPU < 0 {
-			return fmt.Errorf("step %d: %w", i, ErrInvalid)
-		}
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return fmt.Errorf("step %d: %w", i, ErrInvalid)
-			}
-		}
-	}
-	return nil
-}
-
 // accept stores a job. An attempt without an answer is repeated with the same
 // content, which tells whether the job is stored.
 func (g *Gateway) accept(ctx context.Context, j *w.Job) (*w.Job, error) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,10 +140,9 @@
 		metricsSrv = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
 		in.spawn(func() { in.serve(metricsSrv, metrics) })
 	}
-	in.spawn(in.watchConfig)
-	in.spawn(in.watchLeader)
-	in.spawn(in.follow)
-	in.spawn(in.campaign)
+	for _, loop := range []func(){in.watchConfig, in.watchLeader, in.follow, in.campaign} {
+		in.spawn(func() { in.repeat(loop) })
+	}
 
 	<-ctx.Done()
 	in.drain(srv)
@@ -163,12 +163,32 @@
 	return nil
 }
 
+// spawn runs f beside the caller. An unexpected error in it ends only f.
 func (in *Instance) spawn(f func()) {
 	in.wg.Add(1)
 	go func() {
 		defer in.wg.Done()
-		f()
+		in.guard(f)
+	}()
+}
+
+// guard runs f and reports whether it returned without a panic.
+func (in *Instance) guard(f func()) (ok bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			in.Meter.Count("panic", "instance")
+			in.Log.Error("unexpected error", "instance", in.id, "panic", r, "stack", string(debug.Stack()))
+		}
 	}()
+	f()
+	return true
+}
+
+// repeat runs a loop of the instance again if an unexpected error ended it.
+func (in *Instance) repeat(loop func()) {
+	for !in.guard(loop) && in.ctx.Err() == nil {
+		in.pause(errorPause)
+	}
 }
 
 func (in *Instance) serve(s *http.Server, l net.Listener) {
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -100,8 +100,12 @@
 				l.co.Configure(cfg)
 			}
 			l.lead.Resume(s)
-			l.co.Load(s)
+			if !in.guard(func() { l.co.Load(s) }) {
+				l.stop("the cell could not be taken over")
+				return nil, fmt.Errorf("instance: epoch %d: %d jobs could not be taken over", lead.Epoch, len(s.Jobs))
+			}
 			l.spawn(func() { l.readNews(s.Versions) })
+			l.tellUnread(s.Unread)
 			in.Log.Info("cell loaded", "jobs", len(s.Jobs), "targets", len(s.Roster.Open)+len(s.Roster.Closed), "took", time.Since(began))
 			return l, nil
 		}
@@ -212,8 +216,17 @@
 	}
 }
 
-// run decides until the leadership ends.
+// run decides until the leadership ends. An unexpected error in a decision ends it
+// in order: another instance takes over from what is stored and what targets list.
+// Ends that are not stored yet are not acknowledged, so none is lost.
 func (l *leader) run() {
+	if !l.in.guard(l.decide) {
+		l.handOver()
+		l.stop("a decision failed")
+	}
+}
+
+func (l *leader) decide() {
 	l.spawn(l.readTargets)
 	saved := make(chan *coordinator.Batch, 1)
 	tick := time.NewTicker(idlePeriod)
@@ -426,6 +439,14 @@
 	}
 }
 
+// tellUnread logs and counts rows of the store that could not be decoded.
+func (l *leader) tellUnread(rows []error) {
+	for _, err := range rows {
+		l.in.Meter.Count("unread", "row")
+		l.in.Log.Error("row of the store not read", "epoch", l.lead.Epoch, "error", err)
+	}
+}
+
 // readNews finds stored jobs and cancellations that no gateway handed over.
 func (l *leader) readNews(versions map[string]keeper.Version) {
 	for l.ctx.Err() == nil {
@@ -438,7 +459,7 @@
 				continue
 			}
 			versions = s.Versions
-			n = &keeper.News{Jobs: s.Jobs}
+			n = &keeper.News{Jobs: s.Jobs, Unread: s.Unread}
 			for id := range s.Cancelled {
 				n.Cancels = append(n.Cancels, id)
 			}
@@ -446,6 +467,7 @@
 			l.in.Log.Debug("news not read", "error", err)
 			continue
 		}
+		l.tellUnread(n.Unread)
 		l.post(func(c *coordinator.Coordinator) {
 			for i := range n.Jobs {
 				if !c.Knows(n.Jobs[i].ID) {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -143,16 +143,42 @@
 func TestAcceptKeepsTheFirst(t *testing.T) {
 	_, k, _ := leading(t)
 	k.Parts = 1
-	first := &w.Job{ID: "x", Spec: "first"}
+	steps := []w.Step{{Count: 1}}
+	first := &w.Job{ID: "x", Spec: "first", Steps: steps}
 	_, err := k.Accept(t.Context(), []*w.Job{first})
 	require.NoError(t, err)
-	got, err := k.Accept(t.Context(), []*w.Job{{ID: "y", Spec: "new"}, {ID: "x", Spec: "second"}, {ID: "y", Spec: "again"}})
+	got, err := k.Accept(t.Context(), []*w.Job{{ID: "y", Spec: "new", Steps: steps}, {ID: "x", Spec: "second", Steps: steps}, {ID: "y", Spec: "again", Steps: steps}})
 	require.NoError(t, err)
 	require.Equal(t, "new", got[0].Spec)
 	require.Equal(t, "first", got[1].Spec)
 	require.Equal(t, "new", got[2].Spec)
 }
 
+// TestBadRowsKeepNobodyFromLeading guards against a cell that no instance can lead:
+// a row that can't be decoded, or a job whose size ends the process that loads it.
+// A job whose progress is not known must not be loaded, since it would run again.
+func TestBadRowsKeepNobodyFromLeading(t *testing.T) {
+	s, k, _ := leading(t)
+	_, err := k.Accept(t.Context(), []*w.Job{{ID: "good", Steps: []w.Step{{Count: 1}}}})
+	require.NoError(t, err)
+	put := func(key Key, value string) {
+		s.ver++
+		s.rows[key] = Row{Key: key, Value: []byte(value), Version: s.ver}
+	}
+	put(k.JobKey("cut"), `{"t":[{"n":`)
+	put(k.JobKey("empty"), ``)
+	put(k.JobKey("huge"), `{"t":[{"n":2000000000}]}`)
+	put(k.JobKey("often"), `{"n":2000000000,"t":[{"n":1}]}`)
+	put(k.JobKey("cycle"), `{"t":[{"n":1,"a":[0]}]}`)
+	put(k.JobKey("unknownProgress"), `{"t":[{"n":1}]}`)
+	put(progressKey("unknownProgress"), `{"t":7}`)
+	snap, err := k.Load(t.Context())
+	require.NoError(t, err)
+	require.Len(t, snap.Jobs, 1)
+	require.Equal(t, w.JobID("good"), snap.Jobs[0].ID)
+	require.Len(t, snap.Unread, 6)
+}
+
 // TestRosterOfEarlierVersion guards against an instance that can't load a cell
 // whose leader had an earlier version.
 func TestRosterOfEarlierVersion(t *testing.T) {
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -19,6 +19,7 @@
 	Cancelled map[w.JobID]bool
 	Roster    Roster
 	Versions  map[string]Version // of each table, for reading changes
+	Unread    []error            // rows that could not be decoded; their jobs are left out
 
 	saved Version // of the row that numbers the saves
 }
@@ -43,22 +44,32 @@
 			}
 		}
 	}
+	// One row that can't be decoded must not keep the cell from being led.
 	each := func(table string, take func(*Row) error) {
 		for _, p := range scanned[table] {
 			for i := range p.rows {
-				if err == nil {
-					err = take(&p.rows[i])
+				if err := take(&p.rows[i]); err != nil {
+					s.Unread = append(s.Unread, err)
 				}
 			}
 		}
 	}
+	unread := make(map[w.JobID]bool)
 	each(TableProgress, func(r *Row) error {
 		p, err := decodeProgress(r)
+		if err != nil {
+			unread[w.JobID(r.Name)] = true
+			return err
+		}
 		s.Progress[p.ID] = p
-		return err
+		return nil
 	})
 	each(TableJobs, func(r *Row) error {
 		id := w.JobID(r.Name)
+		if unread[id] {
+			// What has run of it is not known, so nothing of it may start.
+			return nil
+		}
 		if s.Progress[id].State.Final() {
 			s.Jobs = append(s.Jobs, w.Job{ID: id})
 			return nil
@@ -73,9 +84,6 @@
 		s.Cancelled[w.JobID(r.Name)] = true
 		return nil
 	})
-	if err != nil {
-		return nil, err
-	}
 	if save != nil {
 		s.saved = save.Version
 	}
@@ -167,6 +175,7 @@
 type News struct {
 	Jobs    []w.Job
 	Cancels []w.JobID
+	Unread  []error // rows that could not be decoded
 }
 
 // News reads the jobs and cancellations stored since the versions of the
@@ -186,7 +195,8 @@
 			default:
 				j, err := decodeJob(&rows[i])
 				if err != nil {
-					return nil, err
+					n.Unread = append(n.Unread, err)
+					continue
 				}
 				n.Jobs = append(n.Jobs, *j)
 			}
--- a/linker/conn.go
+++ b/linker/conn.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 )
@@ -45,9 +46,15 @@
 	}
 }
 
-// Receive calls handle for each frame until the connection ends.
-func (c *Conn) Receive(handle func(*Frame)) error {
+// Receive calls handle for each frame until the connection ends. A frame that
+// handle can't cope with ends the connection, not the process.
+func (c *Conn) Receive(handle func(*Frame)) (err error) {
 	defer c.Close()
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("linker: handle frame: panic: %v\n%s", r, debug.Stack())
+		}
+	}()
 	dec := gob.NewDecoder(bufio.NewReaderSize(c.nc, 32<<10))
 	for {
 		if err := c.nc.SetReadDeadline(time.Now().Add(Silence)); err != nil {
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -3,6 +3,7 @@
 package workload
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -57,6 +58,19 @@
 	return Resources{r.CPU - o.CPU, r.Mem - o.Mem, r.GPU - o.GPU}
 }
 
+// maxNeed bounds what one task can ask for, so that sums over all tasks of a cell
+// stay within 64 bits.
+const maxNeed = 1 << 32
+
+func (r Resources) valid() bool {
+	for _, v := range [...]int64{r.CPU, r.Mem, r.GPU} {
+		if v < 0 || v > maxNeed {
+			return false
+		}
+	}
+	return true
+}
+
 // Times returns how often r fits into free, at most limit.
 func (r Resources) Times(free Resources, limit int) int {
 	n := int64(limit)
@@ -115,6 +129,40 @@
 // Occurrences returns how often the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repeat) }
 
+// MaxTasks is the largest number of tasks of a job over all its occurrences. A
+// coordinator keeps about 200 bytes for each.
+const MaxTasks = 20_000
+
+// Check reports why a job can never be run by anyone.
+func (j *Job) Check() error {
+	if len(j.Steps) == 0 || len(j.ID) == 0 || len(j.ID) > maxJobID {
+		return fmt.Errorf("workload: job %.80q has %d steps: %w", string(j.ID), len(j.Steps), ErrInvalid)
+	}
+	if j.Repeat < 0 || j.Repeat > MaxTasks {
+		return fmt.Errorf("workload: job %s runs %d times: %w", j.ID, j.Repeat, ErrInvalid)
+	}
+	left := MaxTasks / j.Occurrences()
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if s.Count <= 0 || s.Count > left || !s.Need.valid() || s.Estimate < 0 {
+			return fmt.Errorf("workload: job %s, step %d: %d tasks of %v: %w", j.ID, i, s.Count, s.Need, ErrInvalid)
+		}
+		left -= s.Count
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return fmt.Errorf("workload: job %s, step %d is after step %d: %w", j.ID, i, a, ErrInvalid)
+			}
+		}
+	}
+	return nil
+}
+
+// maxJobID bounds the identifiers that are part of a row's name.
+const maxJobID = 64
+
+// ErrInvalid tells that a job can never be run by anyone.
+var ErrInvalid = errors.New("the job is not valid")
+
 // Lasting reports whether the job ends only by being cancelled.
 func (j *Job) Lasting() bool {
 	for i := range j.Steps {
