gateway: a job that another submission stored is not fresh

A new leader starts a job that its gateway calls fresh at once, without waiting for targets that it can't read yet. A repeated submission of a job, whose row the store already held, was handed over as fresh as well. If the leader did not know the job (stored after it had read that part), and the earlier leader had started it on a target that is cut off from the new one, it ran twice at the same time. Ruled out: the target's fence, since that target has not seen the new epoch.

Only the submission that made the row is fresh now. TestRepeatedSubmissionIsNotFresh fails before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -208,7 +208,7 @@
 	g.Meter.Count("request", "accepted")
 	g.Meter.Wait("accept", time.Since(began))
 	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "configuration", g.Config().Version, "took", time.Since(began))
-	g.handOver(stored)
+	g.handOver(stored, stored != j)
 	return nil
 }
 
@@ -283,8 +283,9 @@
 }
 
 // handOver sends a stored job to the coordinator. Until it has confirmed the
-// job, each new coordinator gets it again.
-func (g *Gateway) handOver(j *w.Job) {
+// job, each new coordinator gets it again. An earlier coordinator may have started
+// a job that another submission stored.
+func (g *Gateway) handOver(j *w.Job, again bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.states[j.ID] == w.Unknown {
@@ -296,7 +297,7 @@
 	g.jobs[j.ID] = j
 	g.own[j.Queue]++
 	if g.conn != nil {
-		g.conn.Send(&linker.Frame{Jobs: []w.Job{*j}})
+		g.conn.Send(&linker.Frame{Jobs: []w.Job{*j}, Again: again})
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -106,3 +106,45 @@
 	f := <-got
 	require.Equal(t, []linker.JobState{{Job: "a", State: w.Completed}}, f.Ended)
 }
+
+// rowStore holds the row of one job.
+type rowStore struct {
+	keeper.Store
+	row keeper.Row
+}
+
+func (s *rowStore) Commit(_ context.Context, tx *keeper.Tx) (keeper.Version, error) {
+	if s.row.Version == 0 {
+		s.row = tx.Writes[0]
+		s.row.Version = 7
+		return 7, nil
+	}
+	return 0, &keeper.Conflict{Rows: []keeper.Row{s.row}}
+}
+
+// TestRepeatedSubmissionIsNotFresh guards against two runs at a time: a new leader
+// that had not read the job from the store, while a target that it could not reach
+// ran it already, took a repeated submission for a job that nobody has started.
+func TestRepeatedSubmissionIsNotFresh(t *testing.T) {
+	s := &rowStore{}
+	frames := func() *linker.Frame {
+		g := &Gateway{Keeper: &keeper.Keeper{Store: s}, Log: slog.New(slog.DiscardHandler), StoreAway: func() time.Duration { return 0 }}
+		g.Init()
+		g.Configure(&w.Config{Version: 1})
+		near, far := net.Pipe()
+		peer, conn := linker.NewConn(far), linker.NewConn(near)
+		defer peer.Close()
+		defer conn.Close()
+		got := make(chan *linker.Frame, 16)
+		go func() { _ = peer.Receive(func(f *linker.Frame) { got <- f }) }()
+		g.Connect(conn)
+		require.NoError(t, g.Submit(t.Context(), &w.Queue{Name: "q"}, &w.Job{ID: "j", Steps: []w.Step{{Count: 1}}}))
+		for {
+			if f := <-got; len(f.Jobs) > 0 {
+				return f
+			}
+		}
+	}
+	require.False(t, frames().Again, "nobody has seen the job before")
+	require.True(t, frames().Again, "the first submission may have been started")
+}
