executor: no orders and leases on an old reading of the target's clock

An instance that was paused with an order in its hands sent it when it went on, with a deadline of two more seconds, and extended the leases of its targets once, although these had been given to another instance meanwhile. The epoch stops that on a target that a new leader has read, the run id on one where the leader has had the run stopped; a target that no other instance reaches is left. An order is now answered as not started, and leases are left as they are, if the target was last heard over two seconds ago.

TestPausedInstanceSendsNoOldOrders fails before (started).

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -132,3 +132,26 @@
 		return len(o) == 2 && o[0] == linker.Unsettled && o[1] == linker.NotStarted
 	}, 3*time.Second, 10*time.Millisecond)
 }
+
+// TestPausedInstanceSendsNoOldOrders guards against an instance that acts on a
+// permission that has run out: it was paused with an order in its hands, its targets
+// were given to another instance, and it starts the run or extends the leases when
+// it goes on.
+func TestPausedInstanceSendsNoOldOrders(t *testing.T) {
+	s := &scripted{lists: HoldReply{Clock: 1000, Incarnation: 1}}
+	s.start = func(int) (Reply, error) { return Reply{Outcome: linker.Started}, nil }
+	e, c := run(t, s)
+	e.mu.Lock()
+	l := e.loops["a"]
+	e.mu.Unlock()
+	l.cancel() // as if the process stood still
+	l.mu.Lock()
+	l.heard = l.heard.Add(-startLife - time.Second)
+	l.mu.Unlock()
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+	require.Eventually(t, func() bool { return len(c.outcomes()) == 1 }, time.Second, 5*time.Millisecond)
+	require.Equal(t, []linker.Outcome{linker.NotStarted}, c.outcomes())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Zero(t, s.tries)
+}
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -83,6 +83,11 @@
 	return l.clock + time.Since(l.heard).Milliseconds()
 }
 
+// outdated reports whether the target was heard so long ago that another instance
+// may have taken over its leases. A process that was paused finds that when it goes
+// on, before it has read anything.
+func (l *loop) outdated() bool { return time.Since(l.heard) > startLife }
+
 // hear takes over the clock of an answer to a call sent at the given time.
 func (l *loop) hear(clock int64) {
 	l.answered = true
@@ -102,7 +107,7 @@
 		if now := l.now(); now > 0 {
 			// A target that doesn't answer gets no longer leases, so that the
 			// end of what it runs is known.
-			if lease := l.e.currentLease(); l.answered && lease > 0 {
+			if lease := l.e.currentLease(); l.answered && lease > 0 && !l.outdated() {
 				l.deadline = max(l.deadline, now+lease.Milliseconds())
 			}
 			call.Deadline = l.deadline
@@ -237,6 +242,9 @@
 	defer l.e.wg.Done()
 	l.mu.Lock()
 	now := l.now()
+	if l.outdated() {
+		now = 0
+	}
 	l.mu.Unlock()
 	call := StartCall{
 		Task: o.Task, Run: o.Run, Spec: spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
