instance: a leader that was paused starts nothing until it is sure to lead

A leader counted its authority on the steady clock, which stands still while the machine is suspended, and took connections that its members had long closed for members at work. It now measures its pauses with the time since boot. Ruled out as sufficient: the epoch, which a target that the next leader can't reach has not seen.

A new leader began with the configuration that it had watched, which could be older than the one its predecessor acted on (a silent connection to the store). It reads the newest one when it loads the cell.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -61,8 +61,10 @@
 	conns    map[w.InstanceID]*linker.Conn
 	status   map[w.InstanceID]memberStatus
 	renewed  time.Time
-	took     time.Duration // time of the last renewal
-	strength int           // instances connected at the last renewal
+	took     time.Duration              // time of the last renewal
+	strength int                        // instances connected at the last renewal
+	woke     time.Time                  // when the leader went on after its last long pause
+	met      map[w.InstanceID]time.Time // when its instances connected
 	retired  time.Time
 }
 
@@ -81,6 +83,7 @@
 func newLeader(in *Instance, lead keeper.Leadership) (*leader, error) {
 	l := &leader{
 		in: in, lead: lead, inbox: make(chan func(*coordinator.Coordinator), inboxSize),
+		met:   make(map[w.InstanceID]time.Time),
 		conns: make(map[w.InstanceID]*linker.Conn), status: make(map[w.InstanceID]memberStatus), renewed: time.Now(),
 	}
 	l.ctx, l.cancel = context.WithCancel(in.ctx)
@@ -96,6 +99,13 @@
 	for {
 		s, err := in.Keeper.Load(l.ctx)
 		if err == nil {
+			// What this instance has watched may be older than what its predecessor
+			// acted on.
+			if cfg, _, err := in.Directory.Config(l.ctx); err != nil {
+				in.Log.Warn("configuration not read at the takeover", "epoch", lead.Epoch, "error", err)
+			} else if cfg != nil {
+				in.Gateway.Configure(cfg)
+			}
 			if cfg := in.Gateway.Config(); cfg != nil {
 				l.co.Configure(cfg)
 			}
@@ -153,6 +163,7 @@
 	l.mu.Lock()
 	old := l.conns[h.Instance]
 	l.conns[h.Instance] = conn
+	l.met[h.Instance] = time.Now()
 	l.status[h.Instance] = memberStatus{strength: h.Strength}
 	l.mu.Unlock()
 	if old != nil {
@@ -170,6 +181,7 @@
 	if current {
 		delete(l.conns, id)
 		delete(l.status, id)
+		delete(l.met, id)
 	}
 	l.mu.Unlock()
 	if current {
@@ -233,6 +245,7 @@
 	defer tick.Stop()
 	var pending *coordinator.Batch
 	var savingSince time.Time
+	watch := pauseWatch{now: sinceBoot}
 	for {
 		select {
 		case f := <-l.inbox:
@@ -245,6 +258,9 @@
 			return
 		}
 		time.Sleep(decidePeriod)
+		if d := watch.look(); d > coordinator.AuthorityTime {
+			l.wake(d)
+		}
 		for more := true; more; {
 			select {
 			case f := <-l.inbox:
@@ -270,12 +286,30 @@
 	}
 }
 
+// wake notes that the leader went on after a pause. Connections that were made
+// before it may have ended without its knowledge.
+func (l *leader) wake(paused time.Duration) {
+	l.in.Meter.Count("pause", "leader")
+	l.in.Log.Warn("leader was paused", "epoch", l.lead.Epoch, "for", paused)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.woke = time.Now()
+}
+
 // doubtful reports whether another instance may have taken over: the leader
-// can't renew and has lost most of its instances.
+// can't renew and has lost most of its instances, or it was paused and has neither
+// renewed since nor been joined by most of them again.
 func (l *leader) doubtful() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Since(l.renewed) > coordinator.AuthorityTime && 2*len(l.conns) <= l.strength
+	connected := 0
+	for id := range l.conns {
+		if l.met[id].After(l.woke) {
+			connected++
+		}
+	}
+	old := time.Since(l.renewed) > coordinator.AuthorityTime || l.renewed.Before(l.woke)
+	return old && 2*connected <= l.strength
 }
 
 func (l *leader) sendFrames() {
