coordinator: work on a slow target is not taken for work that stands still

A percent of a task of 56 s takes 0.6 s, and 3 s on a target that is five times slower, so that long work on slow targets was stopped every few seconds. The time now follows the declared run time and the pace that the run has shown. Ruled out: reports that are late, which were left out already.

TestSlowRunIsNotStopped fails before (stopped after 2.8 s); a run that does stand still is still moved.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -390,3 +390,31 @@
 		require.Equal(t, w.JobID("saves-true"), s.Task.Job)
 	}
 }
+
+// TestSlowRunIsNotStopped guards against work that is stopped and begun again since
+// its target is slow: a percent of a long task takes longer there than the time
+// after which a target counts as standing still.
+func TestSlowRunIsNotStopped(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.list("a")
+	j := oneTask("j")
+	j.Steps[0].Estimate = 100 * time.Second
+	x.submit(j)
+	s := x.step(0).Starts[0]
+	x.started(s)
+	percent := 0
+	for at := time.Duration(0); at < 30*time.Second; at += 400 * time.Millisecond {
+		if at%(4*time.Second) == 0 {
+			percent++
+		}
+		x.list("a", w.Run{Task: s.Task, Run: s.Run, Percent: percent})
+		require.Empty(t, x.step(400*time.Millisecond).Stops, "after %v", at)
+	}
+	// A run that does stand still is moved.
+	stops := 0
+	for at := time.Duration(0); at < 30*time.Second; at += 400 * time.Millisecond {
+		x.list("a", w.Run{Task: s.Task, Run: s.Run, Percent: percent})
+		stops += len(x.step(400 * time.Millisecond).Stops)
+	}
+	require.Equal(t, 1, stops)
+}
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -25,6 +25,9 @@
 	// target counts as standing still. Slow long tasks advance by a percent
 	// every 0.6 s.
 	stallAfter = 1600 * time.Millisecond
+	// stallPercents is the number of percents for which a run must have had time,
+	// at the pace that it has shown, to count as standing still.
+	stallPercents = 6
 )
 
 // health is what is believed of a target's ability to work.
@@ -104,7 +107,7 @@
 				continue
 			}
 			tk := &sl.step.tasks[sl.i]
-			if tk.phase == running && tk.percent < wholePercent && c.now.Sub(tk.movedAt) >= stallAfter && !c.gangWaits(sl.step) {
+			if tk.phase == running && tk.percent < wholePercent && c.now.Sub(tk.movedAt) >= c.stallTime(sl) && !c.gangWaits(sl.step) {
 				stalled++
 			}
 		}
@@ -130,6 +133,16 @@
 	}
 }
 
+// stallTime is the time without progress after which a run counts as standing still.
+func (c *Coordinator) stallTime(sl *slot) time.Duration {
+	tk := &sl.step.tasks[sl.i]
+	percent := time.Duration(c.runRatio(sl.step.job.Queue)*float64(sl.step.Estimate)) / 100
+	if tk.percent > 0 && tk.movedAt.After(tk.since) {
+		percent = max(percent, tk.movedAt.Sub(tk.since)/time.Duration(tk.percent))
+	}
+	return max(stallAfter, stallPercents*percent)
+}
+
 // gangWaits reports whether a member of a gang has not started yet.
 func (c *Coordinator) gangWaits(s *step) bool {
 	if !s.Gang {
