--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -418,3 +418,14 @@
 	}
 	require.Equal(t, 1, stops)
 }
+
+// TestOversizedJobIsDropped guards against a job of an instance of another version
+// that ends every leader to which it is handed (found by FuzzFrame).
+func TestOversizedJobIsDropped(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.list("a")
+	x.receive(&linker.Frame{Jobs: []w.Job{{ID: "huge", Queue: testQueue, Steps: []w.Step{{Count: 1 << 60}}}}})
+	require.Empty(t, x.c.jobs)
+	x.submit(oneTask("j"))
+	require.Len(t, x.step(0).Starts, 1)
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -166,6 +166,13 @@
 		c.publish(linker.JobState{Job: j.ID, State: j.state})
 		return
 	}
+	if err := j.Check(); err != nil {
+		// An instance of another version accepted it.
+		delete(c.jobs, j.ID)
+		c.Meter.Count("unread", "job")
+		c.Log.Error("job not taken over", "job", j.ID, "error", err, "epoch", c.Epoch)
+		return
+	}
 	j.left = j.Occurrences()
 	j.occs = make([]*occurrence, j.left)
 	for k := range j.occs {
