coordinator: states of jobs share frames to instances that did not accept them

With 147 instances each change of a job's state made 147 frames: at 250 changes a second some 36,000 writes a second, on a leader that has 0.8 of a core. The instance that accepted a job hears of it at once, the others with what else is due or after 60 ms.

TestStatesShareFrames: 60 frames in 0.3 s before, 5 after.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -73,6 +73,7 @@
 	suspended  bool
 	assignDue  bool
 	pendingDue time.Time
+	statesDue  time.Time
 	levelsDue  time.Time
 	sweepDue   time.Time
 	goodShare  map[string]float64
@@ -262,6 +263,9 @@
 const (
 	// pendingPeriod is well inside the 2 s that a count may be old.
 	pendingPeriod = 300 * time.Millisecond
+	// statesPeriod is the longest time for which a change of a job's state waits
+	// for other news to an instance that did not accept the job.
+	statesPeriod = 60 * time.Millisecond
 	// levelsPeriod is the time between two looks at the room of the cell.
 	levelsPeriod = 1 * time.Second
 	// sweepPeriod is the time between two searches for jobs whose states need
@@ -269,10 +273,22 @@
 	sweepPeriod = 5 * time.Second
 )
 
-// Frames returns the frames that are due, by member.
+// Frames returns the frames that are due, by member. States go at once to the
+// instance that accepted the job; the others get them with what else is due, or
+// after statesPeriod. One frame for each change to each instance took most of a
+// leader's time with 147 of them.
 func (c *Coordinator) Frames() map[w.InstanceID]*linker.Frame {
 	var out map[w.InstanceID]*linker.Frame
+	all := !c.now.Before(c.statesDue)
+	if all {
+		c.statesDue = c.now.Add(statesPeriod)
+	}
 	for id, m := range c.members {
+		if len(m.states) > 0 && (all || m.hurry || m.frame != nil) {
+			f := m.due()
+			f.States = append(f.States, m.states...)
+			m.states, m.hurry = nil, false
+		}
 		if m.frame == nil {
 			continue
 		}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -273,6 +273,7 @@
 			require.NotNil(t, b)
 			require.Equal(t, w.Completed, b.Progress[0].State, "the end is stored now")
 			y.c.Stored(b)
+			y.c.Advance(y.now.Add(statesPeriod))
 			require.Contains(t, y.c.Frames()["other"].States, linker.JobState{Job: "j", State: w.Completed}, "nobody has to remember it any more")
 		})
 	}
@@ -429,3 +430,27 @@
 	x.submit(oneTask("j"))
 	require.Len(t, x.step(0).Starts, 1)
 }
+
+// TestStatesShareFrames guards against a leader that sends a frame to every instance
+// for each change of a job: the instance that accepted the job hears of it at once, the
+// others in batches.
+func TestStatesShareFrames(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.c.Join(&linker.Hello{Instance: "third"})
+	x.c.Advance(x.now)
+	x.c.Frames()
+	x.list("a")
+	frames := 0
+	for i := range 60 {
+		x.now = x.now.Add(5 * time.Millisecond)
+		x.submit(oneTask(w.JobID(fmt.Sprint("j", i))))
+		x.c.Advance(x.now)
+		out := x.c.Frames()
+		require.NotNil(t, out["other"])
+		require.NotEmpty(t, out["other"].States, "its caller waits")
+		if out["third"] != nil {
+			frames++
+		}
+	}
+	require.InDelta(t, 300*time.Millisecond/statesPeriod, frames, 2)
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -88,7 +88,8 @@
 	saved     bool // its end is stored
 	fresh     bool // no earlier coordinator can have started it
 	took      time.Time
-	arrived   time.Time // at the cell
+	arrived   time.Time    // at the cell
+	gateway   w.InstanceID // whose callers ask for it first, if known
 	story     story
 	endedAt   time.Time
 	queue     *w.Queue  // its queue, or nil
@@ -519,9 +520,15 @@
 			j.published = true
 		}
 	}
-	for _, m := range c.ordered {
-		f := m.due()
-		f.States = append(f.States, states...)
+	for _, s := range states {
+		var gateway w.InstanceID
+		if j := c.jobs[s.Job]; j != nil {
+			gateway = j.gateway
+		}
+		for _, m := range c.ordered {
+			m.states = append(m.states, s)
+			m.hurry = m.hurry || m.id == gateway
+		}
 	}
 }
 
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -16,6 +16,8 @@
 	id      w.InstanceID
 	zone    string
 	frame   *linker.Frame
+	states  []linker.JobState // to be sent with the next frame
+	hurry   bool              // its callers wait for one of them
 	pending []linker.Pending
 	asks    int
 	free    time.Time // when its lane to the advice service is expected to be free
@@ -166,6 +168,9 @@
 	}
 	for i := range f.Jobs {
 		c.AddJob(&f.Jobs[i], !f.Again)
+		if j := c.jobs[f.Jobs[i].ID]; j != nil {
+			j.gateway = id
+		}
 		m.due().Received = append(m.due().Received, f.Jobs[i].ID)
 	}
 	for _, e := range f.Ended {
