--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -74,6 +74,7 @@
 	assignDue  bool
 	pendingDue time.Time
 	statesDue  time.Time
+	rosterDue  time.Time
 	levelsDue  time.Time
 	sweepDue   time.Time
 	goodShare  map[string]float64
@@ -266,6 +267,8 @@
 	// statesPeriod is the longest time for which a change of a job's state waits
 	// for other news to an instance that did not accept the job.
 	statesPeriod = 60 * time.Millisecond
+	// rosterPeriod is the time between two looks at whether the roster has changed.
+	rosterPeriod = 40 * time.Millisecond
 	// levelsPeriod is the time between two looks at the room of the cell.
 	levelsPeriod = 1 * time.Second
 	// sweepPeriod is the time between two searches for jobs whose states need
@@ -311,12 +314,18 @@
 	for _, j := range c.dirty {
 		b.Progress = append(b.Progress, j.progress())
 	}
-	b.roster = c.neededRoster()
-	b.RosterChanged = !maps.Equal(b.roster, c.roster)
+	if !c.now.Before(c.rosterDue) {
+		// A roster that is late lists more than it needs to, which is safe.
+		c.rosterDue = c.now.Add(rosterPeriod)
+		b.roster = c.neededRoster()
+		b.RosterChanged = !maps.Equal(b.roster, c.roster)
+	}
 	if b.Empty() && len(b.seen) == 0 && len(b.publish) == 0 {
 		return nil
 	}
-	b.Roster = b.roster.stored()
+	if b.RosterChanged {
+		b.Roster = b.roster.stored()
+	}
 	c.dirty = make(map[w.JobID]*job)
 	c.endsSeen = make(map[w.TargetID]int64)
 	c.publishing = nil
--- a/coordinator/crowded_test.go
+++ b/coordinator/crowded_test.go
@@ -69,6 +69,9 @@
 		now = now.Add(5 * time.Millisecond)
 		c.generation++
 		c.Advance(now)
+		if f := c.Flush(); f != nil {
+			c.Stored(f)
+		}
 		c.Frames()
 	}
 }
