coordinator: a new leader asks for no advice for work that probably still runs

Steps that had begun are now left alone for 1.5 s. TestNoAdviceForRunningWork does not build before for want of the constant; without the condition it sees two calls.

--- a/coordinator/advice_test.go
+++ b/coordinator/advice_test.go
@@ -308,3 +308,26 @@
 		require.Empty(t, list, "the policy is known, and tickets would run out")
 	}
 }
+
+// TestNoAdviceForRunningWork guards against calls for work that still runs: a new
+// leader asked for every old step before it had read the targets, and the calls of
+// work that did wait came seconds later.
+func TestNoAdviceForRunningWork(t *testing.T) {
+	begun, waits := oneTask("begun"), oneTask("waits")
+	x := newCell(t, 2, 0, &keeper.Snapshot{
+		Jobs: []w.Job{begun, waits}, Progress: map[w.JobID]keeper.Progress{"begun": {ID: "begun", Begun: true}},
+		Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}},
+	})
+	x.c.Configure(&w.Config{Version: 3, Queues: []w.Queue{{
+		Name: testQueue, Service: "s", Attempts: 4, Advice: &w.AdviceCost{Base: 100 * time.Millisecond, Validity: validity},
+	}}})
+	x.c.SetTargets([]w.Target{{ID: "a", Service: "s", Address: "x", Incarnation: 1, Capacity: w.Resources{CPU: 8000, Mem: 8000}}}, true, x.now)
+	x.asks(0)
+	x.list("a")
+	list, _ := x.asks(retryPeriod)
+	require.Len(t, list, 1)
+	require.Equal(t, "waits.0.0", list[0].Step)
+	list, _ = x.asks(readPeriod)
+	require.Len(t, list, 1, "it did not run")
+	require.Equal(t, "begun.0.0", list[0].Step)
+}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -22,6 +22,8 @@
 	// leastKnownGood is the number of permitted targets that a waiting step
 	// wants to know.
 	leastKnownGood = 3
+	// readPeriod is the time within which a new coordinator has read most targets.
+	readPeriod = 1500 * time.Millisecond
 	// heldPenalty makes more urgent work take the room that a stopped run leaves
 	// to another step only if there is no other.
 	heldPenalty = 4
@@ -66,6 +68,10 @@
 // has not been read may still run its tasks. What is known of the policy then
 // saves the longer part of the calls when it may.
 func (c *Coordinator) prepare(s *step) {
+	if s.job.begun && c.now.Sub(c.began) < readPeriod {
+		// Its tasks probably run on targets that are about to be read.
+		return
+	}
 	q := c.queue(s.job)
 	if q == nil || q.Advice == nil || s.asking > 0 || len(s.advice) > 0 || !c.lanesToSpare(classOf(q.Advice.Base)) {
 		return
