coordinator, instance: two orders around a handover, found by a model of it

A model plays real coordinators, saving and loading with the real keeper, in random orders of takeover, freeze, silent store, late write, lost answer, late order and replaced target (pgregory.net/rapid). It found two sequences in which a task ran twice at a time:

- A job that the new leader starts as fresh is found in the store, or handed over again, by the old leader, which does not know yet that it was replaced and starts it on a target that the new one has not read.
Jobs that a leader learns of after it has loaded the cell now wait until its leadership is confirmed by a renewal sent later (0.3 s at most in a sound store).
If it is, a later leader loads the job.
- A target is replaced just after the takeover.
Its new incarnation has seen no epoch and takes orders of the old leader, while the new one did not wait for it.

TestFoundJobNeedsConfirmedLeader and TestRebornTargetIsReadFirst are the shrunk ones.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -50,6 +50,7 @@
 
 	now     time.Time
 	began   time.Time
+	renewed time.Time // when the last call was sent that confirmed the leadership
 	cfg     *w.Config
 	jobs    map[w.JobID]*job
 	targets map[w.TargetID]*target
@@ -145,14 +146,27 @@
 func (c *Coordinator) AddJob(j *w.Job, fresh bool) {
 	_, cancelled := c.early[j.ID]
 	delete(c.early, j.ID)
+	known := c.jobs[j.ID] != nil
 	c.addJob(j, keeper.Progress{}, cancelled, fresh)
 	if e, ok := c.earlyEnds[j.ID]; ok {
 		delete(c.earlyEnds, j.ID)
 		c.Ended(linker.JobState{Job: j.ID, State: e.state})
 	}
+	if added := c.jobs[j.ID]; added != nil && !known {
+		added.found = !fresh
+	}
 	c.adoptOrphans(j.ID)
 }
 
+// Renewed reports that the store confirmed the leadership by a call that was sent at
+// the given time.
+func (c *Coordinator) Renewed(sent time.Time) {
+	if sent.After(c.renewed) {
+		c.renewed = sent
+		c.generation++
+	}
+}
+
 // Cancel ends a job on request of its caller. The cancellation is stored.
 func (c *Coordinator) Cancel(id w.JobID) {
 	j := c.jobs[id]
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -87,6 +87,7 @@
 	published bool // its end was shown to callers
 	saved     bool // its end is stored
 	fresh     bool // no earlier coordinator can have started it
+	found     bool // it was stored before, but not known when the cell was loaded
 	took      time.Time
 	arrived   time.Time    // at the cell
 	gateway   w.InstanceID // whose callers ask for it first, if known
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -132,12 +132,18 @@
 	}
 }
 
-// mayRunElsewhere reports whether a target that has not been read yet may run
-// tasks of a step.
+// mayRunElsewhere reports whether a target that has not been read yet, or a later
+// coordinator, may run tasks of a step.
 func (c *Coordinator) mayRunElsewhere(s *step) bool {
 	if s.job.fresh {
 		return false
 	}
+	if s.job.found && !c.renewed.After(s.job.took) {
+		// A later coordinator may have got it first. If the leadership is confirmed
+		// now, that coordinator will load the job and read all targets before it
+		// starts it.
+		return true
+	}
 	for _, u := range c.unread {
 		if !u.closed || u.names(s.name) {
 			return true
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -80,3 +81,34 @@
 		x.c.Stored(b)
 	}
 }
+
+// TestFoundJobNeedsConfirmedLeader guards against two runs at a time around a
+// handover (found by TestModelKeepsRules): the new leader starts a job that was handed
+// to it, and the old one, which does not know of it yet, finds the same job in the
+// store and starts it on a target that the new one has not read.
+func TestFoundJobNeedsConfirmedLeader(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.list("a")
+	x.c.Renewed(x.now)
+	x.now = x.now.Add(time.Millisecond)
+	x.c.Advance(x.now)
+	j := oneTask("j")
+	x.c.AddJob(&j, false)
+	require.Empty(t, x.step(100*time.Millisecond).Starts)
+	x.c.Renewed(x.now)
+	require.Len(t, x.step(0).Starts, 1)
+}
+
+// TestRebornTargetIsReadFirst guards against the same with a target that was replaced
+// after the handover (found by TestModelKeepsRules): its new incarnation has seen no
+// epoch, and takes the orders of the old leader.
+func TestRebornTargetIsReadFirst(t *testing.T) {
+	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{oneTask("j")}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
+	x.list("b")
+	reborn := x.c.targets["a"].Target
+	reborn.Incarnation++
+	x.c.SetTargets([]w.Target{reborn, x.c.targets["b"].Target}, true, x.now)
+	require.Empty(t, x.step(0).Starts, "the old leader may have started it on the new incarnation")
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: reborn.Incarnation, Complete: true, Runs: []w.Run{{Task: w.TaskID{Job: "j"}, Run: 5}}}}})
+	require.Empty(t, x.step(0).Starts, "it runs there")
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -111,7 +111,13 @@
 		}
 		c.lose(t, id, sl)
 	}
-	delete(c.unread, t.ID)
+	if c.Epoch > 1 && c.now.Sub(c.began) < officeSlack {
+		// The new incarnation has seen no epoch, and an earlier coordinator that does
+		// not know of this one may start something there before it is read.
+		c.unread[t.ID] = unread{until: c.now.Add(c.leaseBound() + officeSlack)}
+	} else {
+		delete(c.unread, t.ID)
+	}
 	c.generation++
 	t.Incarnation = incarnation
 	t.seen, t.acked, t.orphans = 0, 0, nil
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -376,6 +376,9 @@
 		}
 		retired := now.Sub(l.retired) <= renewLate
 		l.mu.Unlock()
+		if err == nil {
+			l.post(func(c *coordinator.Coordinator) { c.Renewed(began) })
+		}
 		switch {
 		case err != nil:
 			l.in.Log.Debug("leader not renewed", "epoch", l.lead.Epoch, "error", err)
