--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -112,3 +112,18 @@
 	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: reborn.Incarnation, Complete: true, Runs: []w.Run{{Task: w.TaskID{Job: "j"}, Run: 5}}}}})
 	require.Empty(t, x.step(0).Starts, "it runs there")
 }
+
+// TestRosterNamesNoTargets guards against a target that has left and is in use again
+// after a restart: the roster tells what may still run, not what may get work.
+func TestRosterNamesNoTargets(t *testing.T) {
+	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: keeper.Roster{Open: []w.TargetID{"a", "left"}}})
+	x.list("a")
+	for i := range 12 {
+		x.submit(oneTask(w.JobID(rune('A' + i))))
+	}
+	f := x.step(0)
+	require.Len(t, f.Starts, 8)
+	for _, s := range f.Starts {
+		require.Equal(t, w.TargetID("a"), s.Target)
+	}
+}
--- /dev/null
+++ b/instance/leader_test.go
@@ -0,0 +1,76 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/gateway"
+	"github.com/masticlead/masticlead/keeper"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// emptyStore holds nothing and takes everything.
+type emptyStore struct{}
+
+func (emptyStore) Commit(context.Context, *keeper.Tx) (keeper.Version, error) { return 1, nil }
+
+func (emptyStore) Scan(context.Context, string, string, string, string) ([]keeper.Row, keeper.Version, error) {
+	return nil, 1, nil
+}
+
+func (emptyStore) Changes(context.Context, string, keeper.Version, time.Duration) ([]keeper.Row, keeper.Version, error) {
+	return nil, 1, nil
+}
+
+func (emptyStore) Clock() time.Duration { return 0 }
+
+// newestConfig is a directory with one configuration.
+type newestConfig struct{ version int64 }
+
+func (d newestConfig) Targets(context.Context) ([]w.Target, error) { return nil, nil }
+
+func (d newestConfig) Config(context.Context) (*w.Config, keeper.Version, error) {
+	return &w.Config{Version: d.version}, 1, nil
+}
+
+func (d newestConfig) ConfigChange(context.Context, keeper.Version, time.Duration) (*w.Config, keeper.Version, error) {
+	return nil, 1, nil
+}
+
+// TestLeaderReadsNewestConfiguration guards against a leader that brings a withdrawn
+// configuration back into use: what its instance has watched is older than what its
+// predecessor acted on.
+func TestLeaderReadsNewestConfiguration(t *testing.T) {
+	k := &keeper.Keeper{Store: emptyStore{}, Parts: 1}
+	log := slog.New(slog.DiscardHandler)
+	in := &Instance{Keeper: k, Directory: newestConfig{7}, Gateway: &gateway.Gateway{Keeper: k, Log: log}, Log: log}
+	in.Gateway.Init()
+	in.Gateway.Configure(&w.Config{Version: 3})
+	in.SetBounds(Bounds{StopTimeout: 200 * time.Millisecond, MaxLease: 10 * time.Second, StateKept: time.Minute})
+	in.ctx, in.cancel = context.WithCancel(t.Context())
+	l, err := newLeader(in, keeper.Leadership{Epoch: 2, Version: 1})
+	require.NoError(t, err)
+	require.Equal(t, int64(7), in.Gateway.Config().Version)
+	l.stop("the test ends")
+	in.cancel()
+	in.wg.Wait()
+}
+
+// TestGuard guards against a process that an unexpected error ends, and a loop that
+// does not go on after one.
+func TestGuard(t *testing.T) {
+	in := &Instance{Log: slog.New(slog.DiscardHandler)}
+	in.ctx, in.cancel = context.WithCancel(t.Context())
+	defer in.cancel()
+	runs := 0
+	in.repeat(func() {
+		if runs++; runs < 3 {
+			panic("unexpected")
+		}
+	})
+	require.Equal(t, 3, runs)
+}
