coordinator: progress is stored every 0.1 s, ends of jobs at once

Ends of jobs, for which callers wait, are stored at once, without acknowledging ends of runs and without the roster; the progress of other jobs every 0.1 s, below the 0.15 s after which targets repeat ends.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -64,24 +64,25 @@
 	asks    map[int64]*ask
 	waiting []*ask
 
-	dirty      map[w.JobID]*job
-	endsSeen   map[w.TargetID]int64
-	publishing []linker.JobState
-	expired    []w.JobID
-	roster     roster // targets that the store lists as possibly running something
-	inFlight   *Batch // the batch that is being stored
-	storeSlow  bool
-	suspended  bool
-	assignDue  bool
-	pendingDue time.Time
-	statesDue  time.Time
-	rosterDue  time.Time
-	levelsDue  time.Time
-	sweepDue   time.Time
-	goodShare  map[string]float64
-	unread     map[w.TargetID]unread
-	generation int64
-	unsorted   bool // steps became active since they were sorted
+	dirty       map[w.JobID]*job
+	endsSeen    map[w.TargetID]int64
+	publishing  []linker.JobState
+	expired     []w.JobID
+	roster      roster // targets that the store lists as possibly running something
+	inFlight    *Batch // the batch that is being stored
+	storeSlow   bool
+	suspended   bool
+	assignDue   bool
+	pendingDue  time.Time
+	statesDue   time.Time
+	rosterDue   time.Time
+	progressDue time.Time
+	levelsDue   time.Time
+	sweepDue    time.Time
+	goodShare   map[string]float64
+	unread      map[w.TargetID]unread
+	generation  int64
+	unsorted    bool // steps became active since they were sorted
 
 	// What survey notes for one round of placement.
 	most        w.Resources
@@ -281,6 +282,9 @@
 	// statesPeriod is the longest time for which a change of a job's state waits
 	// for other news to an instance that did not accept the job.
 	statesPeriod = 60 * time.Millisecond
+	// progressPeriod is the time between two batches with the progress of jobs that
+	// go on. Targets repeat ends that are not acknowledged after 150 ms.
+	progressPeriod = 100 * time.Millisecond
 	// rosterPeriod is the time between two looks at whether the roster has changed.
 	rosterPeriod = 40 * time.Millisecond
 	// levelsPeriod is the time between two looks at the room of the cell.
@@ -319,11 +323,43 @@
 }
 
 // Flush returns what has to be stored next, or nil if nothing has or the last
-// batch is not yet reported as stored.
+// batch is not yet reported as stored. Ends of jobs are stored at once, since callers
+// wait for them, the progress of other jobs every progressPeriod: a job of 100 tasks
+// is written once for many of their ends.
 func (c *Coordinator) Flush() *Batch {
 	if c.inFlight != nil {
 		return nil
 	}
+	var b *Batch
+	if c.now.Before(c.progressDue) {
+		b = c.endedBatch()
+	} else {
+		b = c.fullBatch()
+	}
+	if b.Empty() && len(b.seen) == 0 && len(b.publish) == 0 {
+		return nil
+	}
+	c.inFlight = b
+	return b
+}
+
+// endedBatch holds the ends of jobs only. It acknowledges no ends of runs and leaves
+// the roster as it is, since both need the progress that it lacks.
+func (c *Coordinator) endedBatch() *Batch {
+	b := &Batch{publish: c.publishing}
+	c.publishing = nil
+	for _, s := range b.publish {
+		if j := c.dirty[s.Job]; j != nil && j.state.Final() {
+			b.Progress = append(b.Progress, j.progress())
+			delete(c.dirty, s.Job)
+		}
+	}
+	return b
+}
+
+// fullBatch holds all that has changed.
+func (c *Coordinator) fullBatch() *Batch {
+	c.progressDue = c.now.Add(progressPeriod)
 	b := &Batch{seen: c.endsSeen, publish: c.publishing, Remove: c.expired}
 	for _, j := range c.dirty {
 		b.Progress = append(b.Progress, j.progress())
@@ -332,19 +368,14 @@
 		// A roster that is late lists more than it needs to, which is safe.
 		c.rosterDue = c.now.Add(rosterPeriod)
 		b.roster = c.neededRoster()
-		b.RosterChanged = !maps.Equal(b.roster, c.roster)
-	}
-	if b.Empty() && len(b.seen) == 0 && len(b.publish) == 0 {
-		return nil
-	}
-	if b.RosterChanged {
-		b.Roster = b.roster.stored()
+		if b.RosterChanged = !maps.Equal(b.roster, c.roster); b.RosterChanged {
+			b.Roster = b.roster.stored()
+		}
 	}
 	c.dirty = make(map[w.JobID]*job)
 	c.endsSeen = make(map[w.TargetID]int64)
 	c.publishing = nil
 	c.expired = nil
-	c.inFlight = b
 	return b
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -52,6 +52,7 @@
 func (x *cell) step(d time.Duration) *linker.Frame {
 	x.now = x.now.Add(d)
 	x.c.Advance(x.now)
+	x.c.progressDue, x.c.rosterDue = time.Time{}, time.Time{}
 	for b := x.c.Flush(); b != nil; b = x.c.Flush() {
 		x.c.Stored(b)
 	}
@@ -454,3 +455,58 @@
 	}
 	require.InDelta(t, 300*time.Millisecond/statesPeriod, frames, 2)
 }
+
+// TestProgressSharesBatches guards against a leader that stores a wide job anew with
+// each of its ends: the ends of jobs are stored at once, progress in batches, and no
+// end is acknowledged before its progress is stored.
+func TestProgressSharesBatches(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.list("a")
+	x.list("b")
+	wide := oneTask("wide")
+	wide.Steps[0].Count = 10
+	x.submit(wide)
+	x.submit(oneTask("short"))
+	starts := x.step(0).Starts
+	require.Len(t, starts, 11)
+	for _, s := range starts {
+		x.started(s)
+	}
+	x.step(progressPeriod)
+	written, acked := 0, 0
+	count := func(f map[w.InstanceID]*linker.Frame) {
+		for _, fr := range f {
+			acked += len(fr.Acks)
+		}
+	}
+	for _, s := range starts[:9] {
+		x.now = x.now.Add(5 * time.Millisecond)
+		x.end(s.Target, s, w.EndedDone)
+		x.c.Advance(x.now)
+		if b := x.c.Flush(); b != nil {
+			written += len(b.Progress)
+			x.c.Stored(b)
+		}
+		count(x.c.Frames())
+	}
+	require.LessOrEqual(t, written, 1)
+	require.Zero(t, acked)
+	for _, s := range starts[9:] {
+		x.end(s.Target, s, w.EndedDone)
+	}
+	x.c.Advance(x.now)
+	b := x.c.Flush()
+	require.NotNil(t, b)
+	require.Len(t, b.Progress, 2, "both jobs have ended")
+	x.c.Stored(b)
+	require.Equal(t, w.Completed, x.state("short"))
+	count(x.c.Frames())
+	require.Zero(t, acked, "acknowledgements wait for all progress")
+	x.now = x.now.Add(progressPeriod)
+	x.c.Advance(x.now)
+	b = x.c.Flush()
+	require.NotNil(t, b)
+	x.c.Stored(b)
+	count(x.c.Frames())
+	require.NotZero(t, acked)
+}
--- a/coordinator/crowded_test.go
+++ b/coordinator/crowded_test.go
@@ -125,3 +125,52 @@
 		c.Frames()
 	}
 }
+
+// BenchmarkBusyCell measures a round of decisions in a cell of 1,100 targets at a
+// crest: runs end, calls for advice are answered, and 300 steps wait for room that
+// others get.
+func BenchmarkBusyCell(b *testing.B) {
+	c, now := filledCell(b, 1100, 147, 350, 60)
+	seq := make(map[w.TargetID]int64)
+	next := 0
+	var answers []linker.Advice
+	var from []w.InstanceID
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(5 * time.Millisecond)
+		for i, a := range answers {
+			c.Receive(from[i], &linker.Frame{Advice: []linker.Advice{a}}, now)
+		}
+		answers, from = answers[:0], from[:0]
+		for range 6 {
+			next = (next + 7) % len(c.order)
+			t := c.order[next]
+			for id, sl := range t.slots {
+				seq[t.ID]++
+				c.Receive(t.member.id, &linker.Frame{Reports: []linker.Report{{Target: t.ID, Incarnation: t.Incarnation, Ends: []w.End{
+					{Seq: t.seen + 1, Task: id, Run: sl.run, How: w.EndedStopped},
+				}}}}, now)
+				break
+			}
+		}
+		c.Advance(now)
+		if f := c.Flush(); f != nil {
+			c.Stored(f)
+		}
+		for id, f := range c.Frames() {
+			for _, a := range f.Asks {
+				r := linker.Advice{ID: a.ID}
+				for i, t := range a.Targets {
+					if i%3 == 0 {
+						r.Good, r.Tickets = append(r.Good, t), append(r.Tickets, "x")
+					}
+				}
+				answers, from = append(answers, r), append(from, id)
+			}
+			for _, s := range f.Starts {
+				c.Receive(id, &linker.Frame{Results: []linker.Result{{Target: s.Target, Task: s.Task, Run: s.Run}}}, now)
+			}
+		}
+	}
+	b.ReportMetric(float64(len(c.active)), "steps")
+}
