instance: a round of decisions leaves half of the processor to the connections

On a machine with one core the round of a leader with hundreds of waiting steps takes 2 ms and more and followed the last one after 4 ms at any length. It is now followed by a pause as long as itself, up to 25 ms.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -18,7 +18,9 @@
 	// lease is the time for which a target runs on without contact. It covers
 	// the change of a leader and a restart of all instances.
 	lease = 6 * time.Second
-	// decidePeriod is the least time between two rounds of decisions.
+	// decidePeriod is the least time between two rounds of decisions. A round that
+	// took longer is followed by a pause as long as it, up to idlePeriod, so that at
+	// least half of the processor is left for what the instances send.
 	decidePeriod = 4 * time.Millisecond
 	// idlePeriod is the longest time between two rounds.
 	idlePeriod = 25 * time.Millisecond
@@ -246,6 +248,7 @@
 	var pending *coordinator.Batch
 	var savingSince time.Time
 	watch := pauseWatch{now: sinceBoot}
+	var took time.Duration
 	for {
 		select {
 		case f := <-l.inbox:
@@ -257,7 +260,8 @@
 		case <-l.ctx.Done():
 			return
 		}
-		time.Sleep(decidePeriod)
+		time.Sleep(min(idlePeriod, max(decidePeriod, took)))
+		began := time.Now()
 		if d := watch.look(); d > coordinator.AuthorityTime {
 			l.wake(d)
 		}
@@ -283,6 +287,7 @@
 			}
 		}
 		l.sendFrames()
+		took = time.Since(began)
 	}
 }
 
