--- a/instance/leader.go
+++ b/instance/leader.go
@@ -249,6 +249,7 @@
 	var savingSince time.Time
 	watch := pauseWatch{now: sinceBoot}
 	var took time.Duration
+	var rounds roundStats
 	for {
 		select {
 		case f := <-l.inbox:
@@ -269,6 +270,7 @@
 			select {
 			case f := <-l.inbox:
 				f(l.co)
+				rounds.events++
 			default:
 				more = false
 			}
@@ -288,6 +290,31 @@
 		}
 		l.sendFrames()
 		took = time.Since(began)
+		rounds.note(l, took)
+	}
+}
+
+// roundStats sums up the rounds of a second for the log.
+type roundStats struct {
+	since   time.Time
+	rounds  int
+	events  int
+	sum     time.Duration
+	longest time.Duration
+}
+
+func (r *roundStats) note(l *leader, took time.Duration) {
+	const period = time.Second
+	r.rounds++
+	r.sum += took
+	r.longest = max(r.longest, took)
+	l.in.Meter.Wait("round", took)
+	if now := time.Now(); now.Sub(r.since) >= period {
+		if !r.since.IsZero() {
+			l.in.Log.Info("rounds of decisions", "epoch", l.lead.Epoch, "rounds", r.rounds, "events", r.events,
+				"deciding", r.sum, "longest", r.longest, "waiting", len(l.inbox))
+		}
+		*r = roundStats{since: now}
 	}
 }
 
