coordinator: rounds between full ones try urgent steps and those with news

All waiting steps are tried every 0.2 ms for each, at most every 60 ms, in their order; between that only the most urgent queues and steps with an answer. Searches for calls that take long come every 150 ms at most, and compare room that was computed once.

--- a/coordinator/booking.go
+++ b/coordinator/booking.go
@@ -114,8 +114,11 @@
 	if s.Gang || s.Lasting || s.Estimate <= 0 {
 		return false
 	}
-	ran := time.Duration(backfillMargin * c.runRatio(s.job.Queue) * float64(s.Estimate))
-	return c.now.Add(ran).Before(at)
+	if c.now.Sub(s.ranKnown) >= planPeriod {
+		s.ranKnown = c.now
+		s.ran = time.Duration(backfillMargin * c.runRatio(s.job.Queue) * float64(s.Estimate))
+	}
+	return c.now.Add(s.ran).Before(at)
 }
 
 // freeFor is the room that a target has for a step now. Room that is booked for
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 import (
 	"log/slog"
 	"maps"
+	"math"
 	"time"
 
 	"github.com/masticlead/masticlead/keeper"
@@ -87,8 +88,11 @@
 	// What survey notes for one round of placement.
 	most        w.Resources
 	leastUrgent int
-	roomy       []roomOf // usable targets by free CPU, once a step has asked
-	usableCPU   int64    // of all usable targets
+	roomy       []roomOf  // usable targets by free CPU, once a step has asked
+	usableCPU   int64     // of all usable targets
+	sorting     []roomOf  // scratch space of byRoom
+	urgent      int       // priority of the most urgent queues
+	fullDue     time.Time // when all waiting steps are tried next
 
 	bookedCPU int64 // kept for gangs
 
@@ -139,6 +143,10 @@
 	}
 	c.cfg = cfg
 	c.unsorted = true
+	c.urgent = math.MaxInt
+	for i := range cfg.Queues {
+		c.urgent = min(c.urgent, cfg.Queues[i].Priority)
+	}
 	c.generation++
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -51,7 +51,9 @@
 // the instance that calls the targets.
 func (x *cell) step(d time.Duration) *linker.Frame {
 	x.now = x.now.Add(d)
+	x.c.fullDue = time.Time{}
 	x.c.Advance(x.now)
+	x.c.fullDue = time.Time{}
 	x.c.progressDue, x.c.rosterDue = time.Time{}, time.Time{}
 	for b := x.c.Flush(); b != nil; b = x.c.Flush() {
 		x.c.Stored(b)
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -59,12 +59,14 @@
 	depth     int           // steps of that chain
 	lateness  lateness
 	reserved  []*target
-	booked    []*target // with room that is kept for the gang
-	bookedAt  time.Time // when that was last planned
-	planned   time.Time // when it was last tried to place the gang
-	renewal   time.Time // when the tickets of its plan are expected
-	end       time.Time // estimated, of a gang that runs
-	endKnown  time.Time // when that was estimated
+	booked    []*target     // with room that is kept for the gang
+	bookedAt  time.Time     // when that was last planned
+	planned   time.Time     // when it was last tried to place the gang
+	renewal   time.Time     // when the tickets of its plan are expected
+	end       time.Time     // estimated, of a gang that runs
+	endKnown  time.Time     // when that was estimated
+	ran       time.Duration // expected of a task, with a margin
+	ranKnown  time.Time     // when that was estimated
 }
 
 type occurrence struct {
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -16,9 +16,16 @@
 	// askMargin is the share of targets named beyond those expected to be
 	// needed.
 	askMargin = 1.4
-	// searchPeriod is the time between two searches for targets to ask about. An
-	// answer brings the next one forward.
-	searchPeriod = 40 * time.Millisecond
+	// searchPeriod is the least time between two searches for targets to ask about,
+	// and longestSearch the most for calls that take long. An answer brings the next
+	// one forward.
+	searchPeriod  = 40 * time.Millisecond
+	longestSearch = 150 * time.Millisecond
+	// fullPerStep is the part of the time between two rounds that try all waiting
+	// steps for each of them, and longestFull the longest such time. Rounds between
+	// them try the most urgent steps and those with news.
+	fullPerStep = 200 * time.Microsecond
+	longestFull = 60 * time.Millisecond
 	// leastKnownGood is the number of permitted targets that a waiting step
 	// wants to know.
 	leastKnownGood = 3
@@ -51,8 +58,12 @@
 	c.survey()
 	c.updateReserves()
 	round := c.generation + int64(c.now.Sub(c.began)/retryPeriod)
+	full := !c.now.Before(c.fullDue)
+	if full {
+		c.fullDue = c.now.Add(min(longestFull, time.Duration(len(c.active))*fullPerStep))
+	}
 	for _, s := range c.active {
-		if s.tried == round {
+		if s.tried == round || (!full && s.tried >= 0 && c.priority(s.job) > c.urgent) {
 			continue
 		}
 		s.tried = round
@@ -209,9 +220,14 @@
 
 // byRoom sorts targets by the room that they have to spare, most first.
 func (c *Coordinator) byRoom(s *step, list []*target) {
-	slices.SortStableFunc(list, func(a, b *target) int {
-		return cmp.Compare(c.spare(s, b).CPU, c.spare(s, a).CPU)
-	})
+	c.sorting = c.sorting[:0]
+	for _, t := range list {
+		c.sorting = append(c.sorting, roomOf{t, c.spare(s, t).CPU})
+	}
+	slices.SortStableFunc(c.sorting, func(a, b roomOf) int { return cmp.Compare(b.cpu, a.cpu) })
+	for i := range list {
+		list[i] = c.sorting[i].t
+	}
 }
 
 // count returns how many tasks of the step a target runs.
@@ -305,7 +321,7 @@
 		return
 	}
 	class := classOf(cost.Base)
-	if c.now.Sub(s.searched) < searchPeriod || (class != shortCall && c.freeLanes(class) <= 0) {
+	if c.now.Sub(s.searched) < searchTime(cost) || (class != shortCall && c.freeLanes(class) <= 0) {
 		return
 	}
 	s.searched = c.now
@@ -355,6 +371,11 @@
 	c.claim(s, s.named, n-covered)
 }
 
+// searchTime is the time between two searches for targets to ask about.
+func searchTime(cost *w.AdviceCost) time.Duration {
+	return min(longestSearch, max(searchPeriod, cost.Base/2))
+}
+
 // freshRoom reports whether a target on which the policy of the step is not known
 // has room for one of its tasks.
 func (c *Coordinator) freshRoom(s *step) bool {
