coordinator: a backlog of hundreds of steps is tried in turns

Tried and dropped: searches and plans that double their period while they find nothing (1.65 ms a round as before).

Every 20 ms the first 50 steps that are not urgent are tried and 50 others in turns.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -92,6 +92,7 @@
 	usableCPU   int64     // of all usable targets
 	sorting     []roomOf  // scratch space of byRoom
 	urgent      int       // priority of the most urgent queues
+	turn        int       // number of the step after which the turns of the others go on
 	fullDue     time.Time // when all waiting steps are tried next
 
 	bookedCPU int64 // kept for gangs
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -21,11 +21,11 @@
 	// one forward.
 	searchPeriod  = 40 * time.Millisecond
 	longestSearch = 150 * time.Millisecond
-	// fullPerStep is the part of the time between two rounds that try all waiting
-	// steps for each of them, and longestFull the longest such time. Rounds between
-	// them try the most urgent steps and those with news.
-	fullPerStep = 200 * time.Microsecond
-	longestFull = 60 * time.Millisecond
+	// fullPeriod is the time between two rounds that try steps which are not urgent
+	// and have no news: the first headSteps of them, and turnSteps others in turns.
+	fullPeriod = 20 * time.Millisecond
+	headSteps  = 50
+	turnSteps  = 50
 	// leastKnownGood is the number of permitted targets that a waiting step
 	// wants to know.
 	leastKnownGood = 3
@@ -60,12 +60,19 @@
 	round := c.generation + int64(c.now.Sub(c.began)/retryPeriod)
 	full := !c.now.Before(c.fullDue)
 	if full {
-		c.fullDue = c.now.Add(min(longestFull, time.Duration(len(c.active))*fullPerStep))
+		c.fullDue = c.now.Add(fullPeriod)
 	}
+	others := 0
 	for _, s := range c.active {
-		if s.tried == round || (!full && s.tried >= 0 && c.priority(s.job) > c.urgent) {
+		if s.tried == round {
 			continue
 		}
+		if c.priority(s.job) > c.urgent {
+			others++
+			if s.tried >= 0 && !(full && c.inTurn(others)) {
+				continue
+			}
+		}
 		s.tried = round
 		if c.mayRunElsewhere(s) {
 			c.prepare(s)
@@ -73,6 +80,19 @@
 		}
 		c.placeStep(s)
 	}
+	if full {
+		c.turn += turnSteps
+		if c.turn >= others {
+			c.turn = headSteps
+		}
+	}
+}
+
+// inTurn reports whether the nth step that is not urgent is tried in this round: the
+// first ones always are, the others in turns. It answers a backlog of hundreds of
+// steps, which takes longer to look through than room stays free.
+func (c *Coordinator) inTurn(n int) bool {
+	return n <= headSteps || (n > c.turn && n <= c.turn+turnSteps)
 }
 
 // prepare asks for advice for a step that may not start yet, since a target that
