--- a/coordinator/booking.go
+++ b/coordinator/booking.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -229,9 +228,3 @@
 	}
 	s.named = targets
 }
-
-// byPlaces sorts targets by the number of tasks for which they have room, most
-// first.
-func byPlaces(list []share) {
-	slices.SortStableFunc(list, func(a, b share) int { return cmp.Compare(b.n, a.n) })
-}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -187,7 +187,7 @@
 	for _, t := range c.fresh(s) {
 		list = append(list, share{t: t, n: s.times(t, room(t))})
 	}
-	byPlaces(list)
+	slices.SortStableFunc(list, func(a, b share) int { return cmp.Compare(b.n, a.n) })
 	want := float64(s.Count) * gangMargin / c.shareGood(s.job.Queue)
 	for _, t := range s.permitted {
 		if c.allowed(s, t) {
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -200,7 +200,7 @@
 
 // blocked reports whether the room of a target is reserved for other work.
 func (c *Coordinator) blocked(s *step, t *target) bool {
-	return c.heldByOther(s, t) && (t.held.Gang || c.priority(t.held.job) <= c.priority(s.job))
+	return c.heldByOther(s, t) && c.priority(t.held.job) <= c.priority(s.job)
 }
 
 // heldByOther reports whether the room of a target is reserved for another step.
