coordinator: targets to ask about are taken in the order of their free room

They now walk the targets in the order that is sorted once a round, and stop when a call is full or room has run out.

--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -31,6 +31,9 @@
 	leastKnownGood = 3
 	// readPeriod is the time within which a new coordinator has read most targets.
 	readPeriod = 1500 * time.Millisecond
+	// fewNames is the number of targets without room that a step may ask about, so
+	// that it knows some when they get room.
+	fewNames = 40
 	// heldPenalty makes more urgent work take the room that a stopped run leaves
 	// to another step only if there is no other.
 	heldPenalty = 4
@@ -111,8 +114,7 @@
 		c.requestWide(s, q.Advice, c.gangNames(s, q.Advice, func(t *target) w.Resources { return t.Capacity }))
 		return
 	}
-	fresh := c.fresh(s)
-	c.byRoom(s, fresh)
+	fresh := c.freshByRoom(s)
 	c.request(s, q.Advice, fresh[:min(len(fresh), namedAtOnce(q.Advice))])
 }
 
@@ -372,8 +374,7 @@
 	if covered >= n || (known >= leastKnownGood && !c.freshRoom(s)) {
 		return
 	}
-	fresh := c.fresh(s)
-	c.byRoom(s, fresh)
+	fresh := c.freshByRoom(s)
 	share := c.shareGood(s.job.Queue)
 	want, named := float64(n-covered)*askMargin/share, 0
 	for named < len(fresh) && want > 0 {
@@ -403,23 +404,53 @@
 	if !room.Fits(c.most) {
 		return false
 	}
+	for _, r := range c.byFree() {
+		if r.cpu < room.CPU {
+			return false
+		}
+		if room.Fits(c.unclaimed(s, r.t)) && !s.knows(r.t) && c.allowed(s, r.t) {
+			return true
+		}
+	}
+	return false
+}
+
+// byFree returns the usable targets by what they had free when a step of this round
+// first asked, most first.
+func (c *Coordinator) byFree() []roomOf {
 	if len(c.roomy) == 0 {
 		for _, t := range c.order {
 			if t.open {
 				c.roomy = append(c.roomy, roomOf{t, t.free().CPU})
 			}
 		}
-		slices.SortFunc(c.roomy, func(a, b roomOf) int { return cmp.Compare(b.cpu, a.cpu) })
+		slices.SortFunc(c.roomy, func(a, b roomOf) int {
+			return cmp.Or(cmp.Compare(b.cpu, a.cpu), cmp.Compare(a.t.ID, b.t.ID))
+		})
 	}
-	for _, r := range c.roomy {
-		if r.cpu < room.CPU {
-			return false
+	return c.roomy
+}
+
+// freshByRoom returns targets on which the policy of a step is not known, as many as
+// a call may name: those with room for a task first, then some others. It looks no
+// further than that, since each waiting step asks many times a second.
+func (c *Coordinator) freshByRoom(s *step) []*target {
+	var with, without []*target
+	room := s.Room()
+	for _, r := range c.byFree() {
+		if len(with) >= maxNamed || (r.cpu < room.CPU && len(with)+len(without) >= fewNames) {
+			break
 		}
-		if room.Fits(c.unclaimed(s, r.t)) && !s.knows(r.t) && c.allowed(s, r.t) {
-			return true
+		if s.knows(r.t) || !c.allowed(s, r.t) || !room.Fits(r.t.Capacity) {
+			continue
+		}
+		if room.Fits(c.spare(s, r.t)) {
+			with = append(with, r.t)
+		} else if len(without) < fewNames {
+			without = append(without, r.t)
 		}
 	}
-	return false
+	return append(with, without...)
 }
 
 // roomOf is a target and what it had free when a round of placement first asked.
