--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,9 @@
 	answerShare = 0.4
 	// silentPeriod is the time between two looks at whether the store answers.
 	silentPeriod = 100 * time.Millisecond
+	// pendingLife is the age up to which the number of waiting jobs is told, less
+	// than the 2 s that it may be old.
+	pendingLife = 1500 * time.Millisecond
 	// returns is the number of times that a refused caller should be able to
 	// return within its time.
 	returns = 3
@@ -75,6 +78,8 @@
 	mu   sync.Mutex
 	conn *linker.Conn // to the coordinator, nil while there is none
 
+	alone time.Time // since when there is no coordinator
+
 	states  map[w.JobID]w.State
 	pending map[string]int
 	own     map[string]int // jobs accepted here that the coordinator doesn't know yet, by queue
@@ -86,6 +91,7 @@
 // Init prepares the gateway for use.
 func (g *Gateway) Init() {
 	g.acceptor = newAcceptor(g.Keeper)
+	g.alone = time.Now()
 	g.states = make(map[w.JobID]w.State)
 	g.pending = make(map[string]int)
 	g.own = make(map[string]int)
@@ -136,6 +142,7 @@
 	defer g.mu.Unlock()
 	if g.conn == c {
 		g.conn = nil
+		g.alone = time.Now()
 	}
 }
 
@@ -361,9 +368,13 @@
 	return true, nil
 }
 
-// Pending returns the number of jobs of a queue without a started task.
-func (g *Gateway) Pending(queue string) int {
+// Pending returns the number of jobs of a queue without a started task, and whether
+// it is known: without a coordinator it gets old.
+func (g *Gateway) Pending(queue string) (int, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pending[queue] + g.own[queue]
+	if g.conn == nil && time.Since(g.alone) > pendingLife {
+		return 0, false
+	}
+	return g.pending[queue] + g.own[queue], true
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -148,3 +148,25 @@
 	require.False(t, frames().Again, "nobody has seen the job before")
 	require.True(t, frames().Again, "the first submission may have been started")
 }
+
+// TestOldCountIsNotTold guards against a number of waiting jobs that is far too small:
+// an instance without a coordinator went on to tell the last one that it knew.
+func TestOldCountIsNotTold(t *testing.T) {
+	g := &Gateway{Keeper: &keeper.Keeper{}, Log: slog.New(slog.DiscardHandler)}
+	g.Init()
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := linker.NewConn(near)
+	defer conn.Close()
+	g.Connect(conn)
+	g.Receive(&linker.Frame{Pending: &linker.PendingCounts{Queues: []linker.Pending{{Queue: "q", Jobs: 36}}}})
+	n, known := g.Pending("q")
+	require.True(t, known)
+	require.Equal(t, 36, n)
+	g.Disconnect(conn)
+	_, known = g.Pending("q")
+	require.True(t, known, "a change of the coordinator takes a moment")
+	g.alone = g.alone.Add(-pendingLife)
+	_, known = g.Pending("q")
+	require.False(t, known)
+}
