--- a/instance/leader.go
+++ b/instance/leader.go
@@ -247,7 +247,7 @@
 	defer tick.Stop()
 	var pending *coordinator.Batch
 	var savingSince time.Time
-	watch := pauseWatch{now: sinceBoot}
+	watch := pauseWatch{now: machineUptime}
 	var took time.Duration
 	var rounds roundStats
 	for {
--- a/instance/pause.go
+++ b/instance/pause.go
@@ -13,9 +13,9 @@
 	now  func() time.Duration // time since the machine was started
 }
 
-// sinceBoot returns the time since the machine was started, with the time for
-// which it was suspended.
-func sinceBoot() time.Duration {
+// machineUptime returns the time since the machine was started, including the time
+// for which it was suspended.
+func machineUptime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		// The steady clock misses only suspensions.
--- a/instance/pause_test.go
+++ b/instance/pause_test.go
@@ -49,5 +49,5 @@
 	require.Equal(t, 20*time.Millisecond, p.look())
 	at += 9 * time.Second
 	require.Equal(t, 9*time.Second, p.look())
-	require.Positive(t, sinceBoot())
+	require.Positive(t, machineUptime())
 }
