workload, linker, platform: types of tenants, keys and allowances

Cause: the configuration's tenants, the key exemption of routes and the settings for revocation, quota excess and remote factor were not read.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -24,8 +24,13 @@
 	StopTimeout time.Duration // upper bound of the time to stop a run
 	RestoreTime time.Duration // time to restore a run from a checkpoint
 	Retention   time.Duration // time for which the state of an ended job is kept
-	Log         *slog.Logger
-	Meter       *meter.Meter
+	// QuotaExcess is the fraction by which a tenant's runs may exceed its cap.
+	QuotaExcess float64
+	// RemoteFactor is the ratio of a task's run time away from its data, or of a gang's
+	// spread over racks, to that near it.
+	RemoteFactor float64
+	Log          *slog.Logger
+	Meter        *meter.Meter
 }
 
 // Batch is a set of changes to be written to the store.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,6 +51,9 @@
 	RestoreTime         time.Duration // to start a task from a checkpoint
 	MaxLease            time.Duration
 	StateRetention      time.Duration // minimum time to keep the states of jobs
+	RevokeAfter         time.Duration // time after which no instance accepts a removed API key; 0 if not strict
+	QuotaExcess         float64       // fraction by which a tenant's runs may exceed its cap
+	RemoteFactor        float64       // ratio of a task's run time away from its data to that near it
 }
 
 // Instance is one instance of a cell. Its exported fields must be set before Run.
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -97,8 +97,8 @@
 	bounds := in.bounds.Load()
 	l.coordinator = coordinator.New(coordinator.Settings{
 		Epoch: leadership.Epoch, Self: in.id, Lease: min(targetLease, bounds.MaxLease), StopTimeout: bounds.StopTimeout,
-		RestoreTime: bounds.RestoreTime,
-		Retention:   bounds.StateRetention + retentionMargin, Log: in.Log, Meter: in.Meter,
+		RestoreTime: bounds.RestoreTime, QuotaExcess: bounds.QuotaExcess, RemoteFactor: bounds.RemoteFactor,
+		Retention: bounds.StateRetention + retentionMargin, Log: in.Log, Meter: in.Meter,
 	}, start)
 	l.spawn(l.renew)
 	l.spawn(l.watchRenewals)
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -26,18 +26,20 @@
 	Ended   []JobState // final states that a previous coordinator published before storing them
 
 	// Sent by the coordinator.
-	Assign   *Assign
-	Specs    []Spec // specs of the jobs in Starts
-	Starts   []Start
-	Stops    []Stop
-	Acks     []Ack
-	Asks     []Ask
-	States   []JobState
-	Pending  *PendingCounts
-	Received []w.JobID // jobs and cancellations that the coordinator has accepted
-	Reset    bool      // States is a full snapshot; earlier states that are not final are discarded
-	Replies  []CallReply
-	Retire   bool // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
+	Assign  *Assign
+	Specs   []Spec // specs of the jobs in Starts
+	Starts  []Start
+	Stops   []Stop
+	Acks    []Ack
+	Asks    []Ask
+	States  []JobState
+	Pending *PendingCounts
+	// Allowances replaces the allowances sent before.
+	Allowances *Allowances
+	Received   []w.JobID // jobs and cancellations that the coordinator has accepted
+	Reset      bool      // States is a full snapshot; earlier states that are not final are discarded
+	Replies    []CallReply
+	Retire     bool // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
 }
 
 // Hello is the first message on a connection, in both directions.
@@ -194,6 +196,19 @@
 	Job     w.JobID
 	State   w.State
 	Unsaved bool // the state is not stored yet; the receiver must keep it for the next coordinator
+	Tenant  w.TenantName
+}
+
+// Allowance limits the rate at which an instance accepts jobs of a tenant whose jobs
+// exceed its rate while the cell is full.
+type Allowance struct {
+	Tenant     w.TenantName
+	JobsPerSec float64
+}
+
+// Allowances lists all tenants whose rate is limited.
+type Allowances struct {
+	Tenants []Allowance
 }
 
 // PendingCounts lists all queues with pending jobs.
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -3,6 +3,7 @@
 package workload
 
 import (
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"strconv"
@@ -126,6 +127,8 @@
 	Accepted int64  `json:"w"` // Unix time of acceptance, ms
 	Attempts int    `json:"a"`
 	Priority int    `json:"p,omitempty"`
+	// Tenant is the tenant whose key the submission carried.
+	Tenant TenantName `json:"u,omitempty"`
 }
 
 // Occurrences returns how many times the steps run.
@@ -311,6 +314,7 @@
 	LatencyGoal time.Duration
 	Timeout     time.Duration
 	Advice      *AdviceTiming
+	AuthExempt  bool // calls need no API key
 }
 
 // Service is a pool of targets.
@@ -326,6 +330,39 @@
 	Queues       []Queue
 	Services     []Service
 	MaxBodyBytes int64
+	// RequiresKeys is set if calls for jobs must carry the API key of a tenant.
+	RequiresKeys bool
+	Tenants      []Tenant
+}
+
+// TenantName is the name of a tenant. Jobs without a tenant have an empty one.
+type TenantName string
+
+// KeyDigest is the SHA-256 digest of an API key. Keys themselves are not kept, so that
+// they can't appear in logs or errors.
+type KeyDigest [sha256.Size]byte
+
+// Tenant is a tenant of the active configuration.
+type Tenant struct {
+	Name TenantName
+	Keys []KeyDigest
+	// Weight is the tenant's share of a full cell, and the number of jobs per second
+	// that it is entitled to.
+	Weight float64
+	Cap    Resources // limit of what the tenant may have running; 0 means no limit
+}
+
+// Tenant returns the first tenant with the given name, or nil if there is none.
+func (c *Config) Tenant(name TenantName) *Tenant {
+	if c == nil {
+		return nil
+	}
+	for i := range c.Tenants {
+		if c.Tenants[i].Name == name {
+			return &c.Tenants[i]
+		}
+	}
+	return nil
 }
 
 // Queue returns the queue with the given name, or nil if there is none.
