limiter, sharer, coordinator: caps and shares of tenants

Cause: a tenant could take all capacity of a cell, and its backlog delayed the jobs of others. Change: limiter accounts for runs by tenant from the start order until their end is known; the coordinator checks it before starts, advice calls, bookings and preemption, and counts what may run on targets that were not read since a takeover. sharer marks jobs beyond their tenant's rate and orders the backlog by weighted dominant share. The gateway refuses gangs that never fit a cap. A slot that replaces another one of the same task no longer leaks its resources.

--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -78,7 +78,7 @@
 			}
 			k := &keeper.Keeper{Store: store, Partitions: partitions}
 			targetClient := platform.NewTargetClient(s.AdviceAddr)
-			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m}
+			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m, QuotaExcess: s.QuotaExcess}
 			inst := &instance.Instance{
 				Name: s.InstanceName, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Cores: s.Cores,
 				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store,
--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -124,6 +124,10 @@
 			a.step.unansweredCalls--
 			continue
 		}
+		if a.step.capHeld {
+			c.closeAdviceCall(a.id, a)
+			continue
+		}
 		class := classOf(a.expectedDuration)
 		if exhausted[class] {
 			rest = append(rest, a)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -108,11 +108,12 @@
 	runTimeRatios map[string]float64    // ratio of actual to estimated run times, by queue
 	latenessDue   time.Time
 	reserveDue    time.Time
+	tenants       tenancy
 }
 
 // New returns a coordinator without jobs, targets or members.
 func New(s Settings, now time.Time) *Coordinator {
-	return &Coordinator{
+	c := &Coordinator{
 		Settings:        s,
 		now:             now,
 		startedAt:       now,
@@ -131,6 +132,8 @@
 		reserves:        make(map[string]*reserve),
 		runTimeRatios:   make(map[string]float64),
 	}
+	c.tenants.init(s.QuotaExcess)
+	return c
 }
 
 // Load initializes the coordinator from a snapshot of the store. The roster in it names
@@ -140,6 +143,7 @@
 		c.addJob(&s.Jobs[i], s.Progress[s.Jobs[i].ID], s.Cancelled[s.Jobs[i].ID], false)
 	}
 	c.loadRoster(&s.Roster)
+	c.classifyJobs()
 }
 
 // Configure applies a configuration, unless one of the same or a later version is
@@ -148,7 +152,9 @@
 	if c.cfg != nil && cfg.Version <= c.cfg.Version {
 		return
 	}
+	old := c.cfg
 	c.cfg = cfg
+	c.configureTenants(old)
 	c.backlogUnsorted = true
 	c.mostUrgentPriority = math.MaxInt
 	for i := range cfg.Queues {
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -87,7 +87,7 @@
 // needs advice books resources of permitted targets for the time at which they are
 // expected to be free and all its tickets to be valid.
 func (c *Coordinator) placeGang(s *step, timing *w.AdviceTiming) {
-	if s.waiting < s.Count || c.now.Sub(s.plannedAt) < c.gangRetryPeriod(s, timing) {
+	if s.waiting < s.Count || c.now.Sub(s.plannedAt) < c.gangRetryPeriod(s, timing) || !c.capAllows(s) {
 		return
 	}
 	s.plannedAt = c.now
--- a/coordinator/goal.go
+++ b/coordinator/goal.go
@@ -104,7 +104,8 @@
 
 // sortBacklog orders the backlog by the priority of the steps' queues, then lateness,
 // then the time at which the steps became ready. Under overload, first-come, first-served
-// order alone would make every job wait for the whole backlog and miss its goal.
+// order alone would make every job wait for the whole backlog and miss its goal. If the
+// configuration has tenants, their rates and shares count as well, see sortByShare.
 func (c *Coordinator) sortBacklog() {
 	if !c.now.Before(c.latenessDue) {
 		c.latenessDue = c.now.Add(latenessCheckPeriod)
@@ -115,10 +116,14 @@
 			}
 		}
 	}
-	if !c.backlogUnsorted {
+	if !c.backlogUnsorted && !c.tenants.needsSort() {
 		return
 	}
 	c.backlogUnsorted = false
+	if c.tenants.active {
+		c.sortByShare()
+		return
+	}
 	slices.SortStableFunc(c.backlog, func(a, b *step) int {
 		return cmp.Or(
 			cmp.Compare(c.priority(a.job), c.priority(b.job)),
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -67,6 +67,7 @@
 	endEstimatedAt     time.Time     // when expectedEnd was computed
 	expectedRunTime    time.Duration // estimated run time of a task, including backfillMargin
 	runTimeEstimatedAt time.Time     // when expectedRunTime was computed
+	capHeld            bool          // its tenant's cap kept it from starting in the last placement round
 }
 
 type occurrence struct {
@@ -95,8 +96,10 @@
 	gateway             w.InstanceID // instance that handed the job over, whose caller waits for it, or ""
 	stats               jobStats
 	endedAt             time.Time
-	queue               *w.Queue  // cached queue of the job, or nil
-	queueConfig         *w.Config // configuration for which queue was looked up
+	queue               *w.Queue     // cached queue of the job, or nil
+	queueConfig         *w.Config    // configuration for which queue was looked up
+	excess              bool         // beyond its tenant's rate
+	tenantState         *tenantState // cached state of the tenant, or nil
 }
 
 // jobStats is the history of a job that is logged when it ends.
@@ -145,7 +148,17 @@
 	return max(1, j.Attempts)
 }
 
+// priority returns the priority value of a job. Jobs beyond their tenant's rate come
+// behind those of all queues, so that others may preempt them and they preempt nothing.
 func (c *Coordinator) priority(j *job) int {
+	if j.excess {
+		return c.tenants.excessPriority
+	}
+	return c.queuePriority(j)
+}
+
+// queuePriority returns the priority value of a job's queue.
+func (c *Coordinator) queuePriority(j *job) int {
 	if q := c.queue(j); q != nil {
 		return q.Priority
 	}
@@ -158,6 +171,8 @@
 	}
 	j := &job{Job: *rec, cancelled: cancelled, fresh: fresh, addedAt: c.now, arrivedAt: c.jobArrivalTime(rec, fresh), state: w.Queued, started: p.Started}
 	c.jobs[j.ID] = j
+	c.classifyJob(j)
+	c.tenants.uncertainStale = c.tenants.uncertainStale || !fresh
 	switch {
 	case p.State.Final():
 		j.state, j.endStored = p.State, true
@@ -316,6 +331,7 @@
 	tk.phaseSince = c.now
 	if p == waiting {
 		s.waiting++
+		c.tenants.uncertainStale = c.tenants.uncertainStale || !s.job.fresh
 		tk.target = nil
 		c.addToBacklog(s)
 	}
@@ -439,7 +455,7 @@
 						}
 					}
 				}
-				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "open", c.now.Sub(s.readyAt), "gang", s.Gang,
+				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "tenant", j.Tenant, "held", c.holdUp(s), "open", c.now.Sub(s.readyAt), "gang", s.Gang,
 					"waiting", phases[waiting], "starting", phases[starting], "running", phases[running], "stopping", phases[stopping],
 					"unclear", at, "asking", s.unansweredCalls, "advised", len(s.advice), "good", permitted,
 					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced))
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -65,7 +65,9 @@
 		c.backlog[i] = nil
 	}
 	c.backlog = kept
+	c.updateUncertain()
 	c.sortBacklog()
+	c.tenants.round++
 	c.updateTargetSummary()
 	c.updateReserves()
 	generation := c.generation + int64(c.now.Sub(c.startedAt)/retryPeriod)
@@ -75,21 +77,16 @@
 	}
 	lessUrgent := 0 // steps below the highest priority so far
 	for _, s := range c.backlog {
-		if s.triedGeneration == generation {
+		if c.heldByCap(s) {
 			continue
 		}
-		if c.priority(s.job) > c.mostUrgentPriority {
-			lessUrgent++
-			if s.triedGeneration >= 0 && !(fullPass && c.triedInPass(lessUrgent)) {
-				continue
+		if s.triedGeneration != generation {
+			if c.priority(s.job) > c.mostUrgentPriority {
+				lessUrgent++
 			}
+			c.tryStep(s, generation, fullPass, lessUrgent)
 		}
-		s.triedGeneration = generation
-		if c.mayRunElsewhere(s) {
-			c.prefetchAdvice(s)
-			continue
-		}
-		c.placeStep(s)
+		c.promisePrepared(s)
 	}
 	if fullPass {
 		c.rotation += rotatedStepsPerPass
@@ -99,6 +96,20 @@
 	}
 }
 
+// tryStep tries the nth step below the highest priority, or a step of that priority,
+// unless it has to wait for a full pass.
+func (c *Coordinator) tryStep(s *step, generation int64, fullPass bool, n int) {
+	if c.priority(s.job) > c.mostUrgentPriority && s.triedGeneration >= 0 && !(fullPass && c.triedInPass(n)) {
+		return
+	}
+	s.triedGeneration = generation
+	if c.mayRunElsewhere(s) {
+		c.prefetchAdvice(s)
+		return
+	}
+	c.placeStep(s)
+}
+
 // triedInPass reports whether a full pass tries the nth step below the highest
 // priority: the first ones always, the others in rotation. Trying all steps of a backlog
 // of hundreds takes longer than freed resources remain available.
@@ -173,10 +184,14 @@
 	if s.waiting == 0 {
 		return
 	}
+	n := c.capRoom(s)
+	if n == 0 {
+		return
+	}
 	if timing != nil {
-		c.refreshAdvice(s, timing, s.waiting)
+		c.refreshAdvice(s, timing, n)
 	}
-	c.preemptFor(s, timing != nil)
+	c.preemptFor(s, timing != nil, n)
 }
 
 // placeTasks starts waiting tasks of a step until no target is found for one.
@@ -185,6 +200,9 @@
 		if s.tasks[i].phase != waiting {
 			continue
 		}
+		if !c.capAllows(s) {
+			return
+		}
 		t := c.bestTarget(s, i, needsAdvice)
 		if t == nil {
 			return
@@ -243,7 +261,8 @@
 // resources. Without claims, a hundred waiting steps made calls for resources that only
 // one of them could use.
 func (c *Coordinator) claimResources(s *step, targets []*target, n int) {
-	need := s.Demand()
+	need, wanted := s.Demand(), n
+	defer func() { c.noteAsked(s, wanted-n) }()
 	for _, t := range targets {
 		for k := min(n, s.fitCount(t, c.unclaimedResources(s, t))); k > 0; k-- {
 			t.claimed = t.claimed.Add(need)
--- a/coordinator/preemption.go
+++ b/coordinator/preemption.go
@@ -84,13 +84,12 @@
 // canPreempt reports whether any usable target may run lower-priority tasks.
 func (c *Coordinator) canPreempt(s *step) bool { return c.priority(s.job) < c.leastUrgentPriority }
 
-// preemptFor frees resources for the waiting tasks of a step by preempting
-// lower-priority runs, and nominates their targets for the step.
-func (c *Coordinator) preemptFor(s *step, needsAdvice bool) {
+// preemptFor frees resources for n waiting tasks of a step by preempting lower-priority
+// runs, and nominates their targets for the step.
+func (c *Coordinator) preemptFor(s *step, needsAdvice bool, n int) {
 	if c.now.Before(s.nextPreemption) || !c.canPreempt(s) {
 		return
 	}
-	n := s.waiting
 	for n > 0 {
 		var best *target
 		var victims []*slot
--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -95,7 +95,7 @@
 	}
 	for _, s := range c.backlog {
 		if r := c.reserves[c.serviceOf(s.job)]; r != nil && s.lateness == inTime && c.priority(s.job) == r.priority {
-			r.urgentCPU += int64(s.waiting) * s.Demand().CPU
+			r.urgentCPU += int64(c.urgentDemand(s)) * s.Demand().CPU
 		}
 	}
 	for _, r := range c.reserves {
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -115,6 +115,7 @@
 		// The new incarnation has not seen any epoch yet. Until this coordinator has
 		// called it, an earlier coordinator that has not noticed its replacement may
 		// start tasks there.
+		c.tenants.uncertainStale = true
 		c.unsynced[t.ID] = unsyncedTarget{leaseEnd: c.now.Add(c.maxLease() + handoverMargin)}
 	} else {
 		delete(c.unsynced, t.ID)
@@ -161,10 +162,15 @@
 
 // addSlot adds a slot to a target and accounts for its resources.
 func (c *Coordinator) addSlot(t *target, id w.TaskID, sl *slot) {
+	if old := t.slots[id]; old != nil {
+		// A target runs a task at most once, so the new run replaces the old one.
+		c.removeSlot(t, id, old)
+	}
 	if len(t.slots) == 0 {
 		t.leastUrgentPriority = math.MinInt
 	}
 	if sl.step != nil {
+		c.tenants.limits.Add(sl.step.job.Tenant, sl.step.Need)
 		t.leastUrgentPriority = max(t.leastUrgentPriority, c.priority(sl.step.job))
 	}
 	t.slots[id] = sl
@@ -189,6 +195,9 @@
 		return
 	}
 	delete(t.slots, id)
+	if sl.step != nil {
+		c.tenants.limits.Remove(sl.step.job.Tenant, sl.step.Need)
+	}
 	t.used = t.used.Sub(sl.resources)
 	t.countSlot(sl, -1)
 	if sl.stopping {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/limiter"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
 	w "github.com/masticlead/masticlead/workload"
@@ -80,6 +81,8 @@
 	// to other instances, or 0 if this instance is not isolated.
 	RerouteDelay func() time.Duration
 	Meter        *meter.Meter
+	// QuotaExcess is the fraction by which a gang may exceed its tenant's cap.
+	QuotaExcess float64
 
 	acceptor  *acceptor
 	lastProbe atomic.Int64 // Unix time of the last submission that probed an unreachable store, ns
@@ -216,7 +219,10 @@
 	j.Queue, j.Service, j.Attempts, j.Priority = q.Name, q.Service, q.Attempts, q.Priority
 	j.Accepted = time.Now().UnixMilli()
 	start := time.Now()
-	stored, err := g.accept(ctx, j)
+	stored, err := j, g.checkCap(ctx, j)
+	if err == nil {
+		stored, err = g.accept(ctx, j)
+	}
 	if err != nil {
 		var refused *RefusedError
 		if errors.As(err, &refused) {
@@ -234,6 +240,33 @@
 	return nil
 }
 
+// capRetryAfter is the retry delay of a job that its tenant's cap can never admit. It is
+// the longest one, since only a new configuration changes the answer.
+const capRetryAfter = 5 * time.Second
+
+// checkCap refuses a job with a gang that can never fit its tenant's cap. A job that was
+// stored before the cap was lowered is not refused, since it may run.
+func (g *Gateway) checkCap(ctx context.Context, j *w.Job) error {
+	t := g.Config().Tenant(j.Tenant)
+	if t == nil || !limiter.JobNeverFits(t.Cap, g.QuotaExcess, j) {
+		return nil
+	}
+	g.mu.Lock()
+	known := g.states[j.ID] != w.Unknown
+	g.mu.Unlock()
+	if known {
+		return nil
+	}
+	stored, err := g.Keeper.Exists(ctx, j.ID)
+	if err != nil {
+		return fmt.Errorf("gateway: check whether a job over its tenant's cap is stored: %w", err)
+	}
+	if stored {
+		return nil
+	}
+	return &RefusedError{Reason: "tenantCap", Overload: true, RetryAfter: capRetryAfter}
+}
+
 // accept stores a job. An attempt with an unknown outcome is repeated with the same
 // content; the repetition finds the job if an earlier attempt stored it.
 func (g *Gateway) accept(ctx context.Context, j *w.Job) (*w.Job, error) {
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -73,6 +73,11 @@
 	return true
 }
 
+// Times returns n times the resources.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.CPU * int64(n), r.Mem * int64(n), r.GPU * int64(n)}
+}
+
 // FitCount returns how many times r fits into free, at most limit.
 func (r Resources) FitCount(free Resources, limit int) int {
 	n := int64(limit)
