--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -111,6 +111,7 @@
 	stop        *linker.Stop
 	sent        time.Time
 	expiresAt   time.Time // when targets begin to reject a start
+	version     int64     // configuration of the leader when it sent the order
 }
 
 // modelLeader is a leader together with the instance that makes its calls.
@@ -141,15 +142,17 @@
 	ackedDone    map[w.TaskID]bool     // tasks whose successful end was acknowledged
 	incarnations w.Incarnation
 	starts       int
+	caps         []int64 // CPU cap of the only tenant by configuration version, or nil
 }
 
 const modelLease = 6 * time.Second
 
-func newModel(t *rapid.T) *model {
+func newModel(t *rapid.T, caps ...int64) *model {
 	m := &model{
 		t: t, now: time.Unix(1_800_000_000, 0), store: &modelStore{rows: make(map[keeper.Key]keeper.Row)},
 		targets: make(map[w.TargetID]*modelTarget), completedAt: make(map[w.JobID]time.Time), unstoredEnds: make(map[w.JobID]w.State), ackedDone: make(map[w.TaskID]bool),
 	}
+	m.caps = caps
 	m.keeper = &keeper.Keeper{Store: m.store, Partitions: 2}
 	for _, id := range []w.TargetID{"a", "b", "c"} {
 		m.targets[id] = &modelTarget{id: id}
@@ -189,7 +192,7 @@
 		Retention: time.Hour, Log: slog.New(slog.DiscardHandler),
 	}, m.now)
 	l.coordinator.Load(s)
-	l.coordinator.Configure(&w.Config{Version: 1, Queues: []w.Queue{{Name: testQueue, Service: "s", Attempts: 9}}})
+	l.coordinator.Configure(m.config())
 	l.coordinator.Join(&linker.Hello{Instance: "caller"})
 	f := &linker.Frame{}
 	for id, state := range m.unstoredEnds {
@@ -215,11 +218,14 @@
 	}
 	j := singleTaskJob(w.JobID(fmt.Sprint("j", len(m.jobs))))
 	j.Steps[0].Count = rapid.IntRange(1, 2).Draw(m.t, "tasks")
+	if m.caps != nil {
+		j.Tenant, j.Steps[0].Gang = "t", rapid.Bool().Draw(m.t, "gang")
+	}
 	if _, err := m.keeper.Accept(context.Background(), []*w.Job{&j}); err != nil {
 		m.t.Fatal(err)
 	}
 	m.jobs = append(m.jobs, j)
-	if l := m.pickLeader(); l != nil {
+	if l := m.pickLeader(); l != nil && (m.caps == nil || l == m.leaders[len(m.leaders)-1]) {
 		l.coordinator.Receive("caller", &linker.Frame{Jobs: []w.Job{j}}, m.now)
 	}
 }
@@ -267,7 +273,7 @@
 	}
 	for _, f := range l.coordinator.Frames() {
 		for _, s := range f.Starts {
-			m.orders = append(m.orders, modelOrder{from: l, target: s.Target, incarnation: l.coordinator.targets[s.Target].Incarnation, start: &s, sent: m.now, expiresAt: m.now.Add(2 * time.Second)})
+			m.orders = append(m.orders, modelOrder{from: l, target: s.Target, incarnation: l.coordinator.targets[s.Target].Incarnation, start: &s, sent: m.now, expiresAt: m.now.Add(2 * time.Second), version: l.coordinator.cfg.Version})
 		}
 		for _, s := range f.Stops {
 			m.orders = append(m.orders, modelOrder{from: l, target: s.Target, incarnation: l.coordinator.targets[s.Target].Incarnation, stop: &s})
@@ -432,6 +438,7 @@
 		m.t.Fatalf("%v starts on %s after its job was published as completed", id, t.id)
 	}
 	t.runs[id] = run
+	m.checkCap(o.version)
 	if o.expiresAt.After(t.deadline) {
 		t.deadline = o.expiresAt
 	}
