--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -179,3 +179,46 @@
 	_, known = g.Pending("q")
 	require.False(t, known)
 }
+
+// readableStore answers reads of single rows.
+type readableStore struct {
+	keeper.Store
+	rows []keeper.Row
+}
+
+func (s *readableStore) Scan(context.Context, string, string, string, string) ([]keeper.Row, keeper.Version, error) {
+	return s.rows, 1, nil
+}
+
+// TestGangBeyondCapIsRefused guards against accepting a gang that can never start, and
+// against refusing one that was stored before the cap was lowered and may still run.
+func TestGangBeyondCapIsRefused(t *testing.T) {
+	store := &readableStore{}
+	g := &Gateway{
+		Keeper: &keeper.Keeper{Store: store}, Log: slog.New(slog.DiscardHandler), QuotaExcess: 0.1,
+		StoreFailingFor: func() time.Duration { return time.Second }, StoreUnreachableFor: func() time.Duration { return time.Second },
+	}
+	g.Init()
+	g.Configure(&w.Config{Version: 1, Tenants: []w.Tenant{{Name: "t", Cap: w.Resources{CPU: 1000}}}})
+	reason := func(id w.JobID, tenant w.TenantName, tasks int) (string, bool, time.Duration) {
+		g.lastProbe.Store(time.Now().UnixNano()) // jobs that pass the check are refused, since the store is unreachable
+		err := g.Submit(t.Context(), &w.Queue{Name: "q"}, &w.Job{ID: id, Tenant: tenant, Steps: []w.Step{{Count: tasks, Gang: true, Need: w.Resources{CPU: 100}}}})
+		var refused *RefusedError
+		require.ErrorAs(t, err, &refused)
+		return refused.Reason, refused.Overload, refused.RetryAfter
+	}
+	got, overload, retry := reason("j", "t", 13)
+	require.Equal(t, "tenantCap", got)
+	require.True(t, overload)
+	require.Equal(t, capRetryAfter, retry)
+	for _, tc := range []struct {
+		tenant w.TenantName
+		tasks  int
+	}{{"t", 12}, {"u", 13}, {"", 13}} {
+		got, _, _ = reason("j", tc.tenant, tc.tasks)
+		require.Equal(t, "storeAway", got)
+	}
+	store.rows = []keeper.Row{{Version: 1}}
+	got, _, _ = reason("j", "t", 13)
+	require.Equal(t, "storeAway", got)
+}
