authenticator, gateway, platform, instance: API keys and their revocation

Cause: requests for jobs were accepted from everyone, and an instance that was cut off from the store applied its last configuration without a limit. Change: requests on routes without authExempt need the key of a tenant. The package authenticator maps keys to tenants and holds the configuration with the time of its last confirmation. The gateway refuses keys by a configuration that is older than the bound, after a request was read and again before the job or cancellation is written. Jobs name their tenant in their row and in the states that the coordinator publishes; other tenants get 403. Instances confirm the configuration by its watch and, when that is late, by direct and relayed reads in parallel.

--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/masticlead/masticlead/meter"
 	"github.com/masticlead/masticlead/platform"
 	"github.com/masticlead/masticlead/recorder"
+	"github.com/masticlead/masticlead/workload"
 )
 
 const (
@@ -44,6 +46,11 @@
 	}
 }
 
+// configReads returns the reads of the configuration over the separate paths to the store.
+func configReads(s *platform.Store) []func(context.Context) (*workload.Config, error) {
+	return []func(context.Context) (*workload.Config, error){s.ReadConfigDirect, s.ReadConfigRelayed}
+}
+
 // newPlatformCmd returns the command that runs an instance on the users' platform.
 func newPlatformCmd() *cobra.Command {
 	var level string
@@ -81,13 +88,13 @@
 			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m}
 			inst := &instance.Instance{
 				Name: s.InstanceName, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Cores: s.Cores,
-				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store,
+				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store, ConfigReads: configReads(store),
 				TargetClient: targetClient, Gateway: g, Front: &platform.Handler{Gateway: g}, Log: log,
 				Meter: m, MetricsAddr: s.MetricsAddr,
 			}
 			inst.SetBounds(instanceBounds(s))
 			go platform.Watch(cmd.Context(), path, hup, settingsPollInterval, func(s *platform.Settings) {
-				log.Info("settings reloaded", "store", s.StoreAddr, "advice", s.AdviceAddr)
+				log.Info("settings reloaded", "store", s.StoreAddr, "advice", s.AdviceAddr, "revokeAfter", s.RevokeAfter)
 				store.SetAddr(s.StoreAddr)
 				targetClient.SetAdviceAddr(s.AdviceAddr)
 				inst.SetBounds(instanceBounds(s))
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -327,6 +327,7 @@
 		if len(m.pendingStates) > 0 && (all || m.sendStatesNow || m.frame != nil) {
 			f := m.nextFrame()
 			f.States = append(f.States, m.pendingStates...)
+			f.NamesTenants = true
 			m.pendingStates, m.sendStatesNow = nil, false
 		}
 		if m.frame == nil {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -535,7 +535,7 @@
 	for _, s := range states {
 		var gateway w.InstanceID
 		if j := c.jobs[s.Job]; j != nil {
-			gateway = j.gateway
+			gateway, s.Tenant = j.gateway, j.Tenant
 		}
 		for _, m := range c.sortedMembers {
 			m.pendingStates = append(m.pendingStates, s)
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -43,10 +43,10 @@
 	c.members[h.Instance] = m
 	c.sortMembers()
 	f := m.nextFrame()
-	f.Reset = true
+	f.Reset, f.NamesTenants = true, true
 	f.States = make([]linker.JobState, 0, len(c.jobs))
 	for id, j := range c.jobs {
-		f.States = append(f.States, linker.JobState{Job: id, State: j.visibleState(), Unsaved: j.endUnstored()})
+		f.States = append(f.States, linker.JobState{Job: id, State: j.visibleState(), Unsaved: j.endUnstored(), Tenant: j.Tenant})
 	}
 	c.assignmentsStale = true
 	c.Log.Info("instance joined", "instance", h.Instance, "zone", h.Zone, "members", len(c.members))
--- /dev/null
+++ b/gateway/access.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/masticlead/masticlead/authenticator"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// ErrForbidden reports that a job belongs to another tenant.
+var ErrForbidden = errors.New("gateway: the job belongs to another tenant")
+
+// Caller is the sender of a request. The zero value has no key.
+type Caller struct {
+	// Tenant is the tenant whose jobs the caller may see, besides jobs without a
+	// tenant.
+	Tenant     w.TenantName
+	credential authenticator.Credential
+	exempt     bool // the queue needs no key
+}
+
+type callerContextKey struct{}
+
+// WithCaller returns a context for requests of a caller. Without one, Submit, State and
+// Cancel fail while the configuration requires keys.
+func WithCaller(ctx context.Context, c Caller) context.Context {
+	return context.WithValue(ctx, callerContextKey{}, c)
+}
+
+func callerOf(ctx context.Context) Caller {
+	c, _ := ctx.Value(callerContextKey{}).(Caller)
+	return c
+}
+
+// Authenticate returns the sender of a request for a job of a queue. It returns an error
+// that wraps authenticator.ErrUnknownKey if the queue needs a key and the credential has
+// none that is valid, and a RefusedError if the configuration is too old to tell.
+func (g *Gateway) Authenticate(ctx context.Context, q *w.Queue, id w.JobID, credential authenticator.Credential) (Caller, error) {
+	c := Caller{credential: credential, exempt: q.AuthExempt}
+	s := g.Freshness.Snapshot()
+	if !requiresKeys(s) {
+		return c, nil
+	}
+	tenant, err := g.tenant(ctx, s, credential)
+	if err != nil && !c.exempt {
+		g.reportRefusal(s, q, id, err)
+		return Caller{}, err
+	}
+	c.Tenant = tenant
+	return c, nil
+}
+
+func requiresKeys(s *authenticator.Snapshot) bool { return s != nil && s.Config.RequiresKeys }
+
+// tenant returns the tenant of a credential, with the errors of Authenticate.
+func (g *Gateway) tenant(ctx context.Context, s *authenticator.Snapshot, c authenticator.Credential) (w.TenantName, error) {
+	tenant, err := g.Freshness.Authenticate(s, c)
+	switch {
+	case errors.Is(err, authenticator.ErrStale):
+		return "", &RefusedError{Reason: "staleConfiguration", RetryAfter: g.staleRetryAfter(ctx)}
+	case err != nil:
+		return "", fmt.Errorf("gateway: %w", err)
+	}
+	return tenant, nil
+}
+
+func (g *Gateway) staleRetryAfter(ctx context.Context) time.Duration {
+	remaining := maxRetryAfter * retriesWithinDeadline
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining = time.Until(deadline)
+	}
+	return g.retryAfter(remaining)
+}
+
+// reportRefusal counts and logs a request that was refused before it reached a job.
+func (g *Gateway) reportRefusal(s *authenticator.Snapshot, q *w.Queue, id w.JobID, err error) {
+	reason := refusalReason(err)
+	g.Meter.Count("request", reason)
+	age, ageErr := g.Freshness.Age(s)
+	if ageErr != nil {
+		age = -1
+	}
+	g.Log.Warn("request refused", "job", id, "queue", q.Name, "reason", reason, "configuration", s.Config.Version, "confirmed", age)
+}
+
+// refusalReason returns the reason under which a request that was not accepted is counted.
+func refusalReason(err error) string {
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return refused.Reason
+	case errors.Is(err, authenticator.ErrUnknownKey):
+		return "unknownKey"
+	case errors.Is(err, ErrForbidden):
+		return "otherTenant"
+	default:
+		return "unclear"
+	}
+}
+
+// verify checks the key of a request again, right before the request takes effect.
+func (g *Gateway) verify(ctx context.Context) error {
+	s := g.Freshness.Snapshot()
+	c := callerOf(ctx)
+	if c.exempt || !requiresKeys(s) {
+		return nil
+	}
+	tenant, err := g.tenant(ctx, s, c.credential)
+	if err != nil {
+		return err
+	}
+	if tenant != c.Tenant {
+		// The key has moved to another tenant since the request was received.
+		return &RefusedError{Reason: "tenantChanged", RetryAfter: minRetryAfter}
+	}
+	return nil
+}
+
+// checkOwner returns ErrForbidden if the caller may not see the jobs of a tenant.
+func (g *Gateway) checkOwner(ctx context.Context, owner w.TenantName) error {
+	if owner == "" || owner == callerOf(ctx).Tenant || !requiresKeys(g.Freshness.Snapshot()) {
+		return nil
+	}
+	return ErrForbidden
+}
+
+// submissionTenant returns the tenant of a job that the caller submits.
+func submissionTenant(ctx context.Context) w.TenantName {
+	c := callerOf(ctx)
+	if c.exempt {
+		return ""
+	}
+	return c.Tenant
+}
+
+// ownership is the result of a look-up of a job's tenant.
+type ownership struct {
+	tenant w.TenantName
+	found  bool // the job exists
+	err    error
+}
+
+// lookUpOwner returns a function that waits for a job's tenant. The row is read, while the
+// caller goes on, only if the configuration requires keys and no coordinator has sent the
+// tenant.
+func (g *Gateway) lookUpOwner(ctx context.Context, id w.JobID) func() ownership {
+	if !requiresKeys(g.Freshness.Snapshot()) {
+		return func() ownership { return ownership{found: true} }
+	}
+	g.mu.Lock()
+	tenant, known := g.owners[id]
+	g.mu.Unlock()
+	if known {
+		return func() ownership { return ownership{tenant: tenant, found: true} }
+	}
+	done := make(chan ownership, 1)
+	go func() {
+		tenant, found, err := g.Keeper.JobTenant(ctx, id)
+		done <- ownership{tenant, found, err}
+	}()
+	return func() ownership {
+		o := <-done
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if o.err == nil && o.found && g.states[id] != w.Unknown {
+			g.owners[id] = o.tenant
+		}
+		return o
+	}
+}
+
+// State returns the state of a job, or workload.Unknown if the job does not exist. It
+// fails with ErrForbidden if the job belongs to another tenant than the caller, and with
+// the errors of Authenticate if the caller's key has become invalid.
+func (g *Gateway) State(ctx context.Context, id w.JobID) (w.State, error) {
+	owner := g.lookUpOwner(ctx, id)
+	s, err := g.state(ctx, id)
+	if err != nil {
+		return w.Unknown, err
+	}
+	if s == w.Unknown {
+		return w.Unknown, nil
+	}
+	o := owner()
+	switch {
+	case o.err != nil:
+		return w.Unknown, fmt.Errorf("gateway: state: %w", o.err)
+	case !o.found:
+		return w.Unknown, nil
+	}
+	// Reading the row may have taken long.
+	if err := g.verify(ctx); err != nil {
+		return w.Unknown, err
+	}
+	if err := g.checkOwner(ctx, o.tenant); err != nil {
+		g.Meter.Count("request", refusalReason(err))
+		return w.Unknown, err
+	}
+	return s, nil
+}
+
+// Cancel cancels a job and reports whether the job exists. It fails like State if the
+// caller may not see the job. After any other error that is not a RefusedError, the
+// cancellation may be stored.
+func (g *Gateway) Cancel(ctx context.Context, id w.JobID) (bool, error) {
+	if err := g.verify(ctx); err != nil {
+		return false, err
+	}
+	o := g.lookUpOwner(ctx, id)()
+	if o.err != nil || !o.found {
+		return false, o.err
+	}
+	if err := g.checkOwner(ctx, o.tenant); err != nil {
+		g.Meter.Count("request", refusalReason(err))
+		return false, err
+	}
+	return g.cancel(ctx, id)
+}
+
+// recordOwners keeps the tenants of the jobs whose states a frame contains, and drops
+// those of jobs without a state. g.mu must be held.
+func (g *Gateway) recordOwners(f *linker.Frame) {
+	for i := range f.States {
+		s := &f.States[i]
+		switch {
+		case s.State == w.Unknown:
+			delete(g.owners, s.Job)
+		case f.NamesTenants:
+			g.owners[s.Job] = s.Tenant
+		}
+	}
+	if f.Reset {
+		for id := range g.owners {
+			if g.states[id] == w.Unknown {
+				delete(g.owners, id)
+			}
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/masticlead/masticlead/authenticator"
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
@@ -80,17 +81,20 @@
 	// to other instances, or 0 if this instance is not isolated.
 	RerouteDelay func() time.Duration
 	Meter        *meter.Meter
+	// Freshness holds the configuration and decides whether it is recent enough to
+	// accept keys.
+	Freshness authenticator.Freshness
 
 	acceptor  *acceptor
 	lastProbe atomic.Int64 // Unix time of the last submission that probed an unreachable store, ns
 
-	cfg  atomic.Pointer[w.Config]
 	mu   sync.Mutex
 	conn *linker.Conn // to the coordinator; nil while disconnected
 
 	disconnectedSince time.Time // start of the current period without a coordinator connection
 
 	states             map[w.JobID]w.State
+	owners             map[w.JobID]w.TenantName // tenants of the jobs in states, as far as they are known; "" for jobs without one
 	pending            map[string]int
 	unconfirmedCounts  map[string]int     // number of unconfirmedJobs by queue
 	unconfirmedJobs    map[w.JobID]*w.Job // accepted here and not yet confirmed by the coordinator
@@ -103,6 +107,7 @@
 	g.acceptor = newAcceptor(g.Keeper)
 	g.disconnectedSince = time.Now()
 	g.states = make(map[w.JobID]w.State)
+	g.owners = make(map[w.JobID]w.TenantName)
 	g.pending = make(map[string]int)
 	g.unconfirmedCounts = make(map[string]int)
 	g.unconfirmedJobs = make(map[w.JobID]*w.Job)
@@ -111,22 +116,17 @@
 }
 
 // Config returns the current configuration, or nil if none is set.
-func (g *Gateway) Config() *w.Config { return g.cfg.Load() }
-
-// Configure replaces the configuration if c has a higher version, and reports
-// whether it did.
-func (g *Gateway) Configure(c *w.Config) bool {
-	for {
-		current := g.cfg.Load()
-		if current != nil && current.Version >= c.Version {
-			return false
-		}
-		if g.cfg.CompareAndSwap(current, c) {
-			return true
-		}
+func (g *Gateway) Config() *w.Config {
+	if s := g.Freshness.Snapshot(); s != nil {
+		return s.Config
 	}
+	return nil
 }
 
+// Configure replaces the configuration if c has a higher version, and reports
+// whether it did. It does not confirm that c is current.
+func (g *Gateway) Configure(c *w.Config) bool { return g.Freshness.Apply(c, 0) }
+
 // Connect makes c the connection to the coordinator and sends it the jobs and
 // cancellations that no coordinator has confirmed, and the published final states
 // that are not stored yet.
@@ -191,6 +191,7 @@
 			g.states[s.Job] = s.State
 		}
 	}
+	g.recordOwners(f)
 	for _, id := range f.Received {
 		if j := g.unconfirmedJobs[id]; j != nil {
 			g.unconfirmedCounts[j.Queue]--
@@ -207,29 +208,27 @@
 }
 
 // Submit accepts a job. It returns an error that wraps workload.ErrInvalid if the job
-// is invalid, or a RefusedError if the job was certainly not stored; in both cases the
-// job never runs. After any other error the job may be stored.
+// is invalid, a RefusedError if the job was certainly not stored, an error that wraps
+// authenticator.ErrUnknownKey if the caller's key is not valid, or ErrForbidden if the ID
+// belongs to a job of another tenant. In these cases the submission never runs. After any
+// other error the job may be stored.
 func (g *Gateway) Submit(ctx context.Context, q *w.Queue, j *w.Job) error {
 	if err := j.Validate(); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	j.Queue, j.Service, j.Attempts, j.Priority = q.Name, q.Service, q.Attempts, q.Priority
+	j.Tenant = submissionTenant(ctx)
 	j.Accepted = time.Now().UnixMilli()
 	start := time.Now()
 	stored, err := g.accept(ctx, j)
 	if err != nil {
-		var refused *RefusedError
-		if errors.As(err, &refused) {
-			g.Meter.Count("request", refused.Reason)
-		} else {
-			g.Meter.Count("request", "unclear")
-		}
-		g.Log.Warn("job not accepted", "job", j.ID, "queue", q.Name, "took", time.Since(start), "error", err)
+		g.Meter.Count("request", refusalReason(err))
+		g.Log.Warn("job not accepted", "job", j.ID, "queue", q.Name, "tenant", j.Tenant, "took", time.Since(start), "error", err)
 		return err
 	}
 	g.Meter.Count("request", "accepted")
 	g.Meter.ObserveDuration("accept", time.Since(start))
-	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "configuration", g.Config().Version, "took", time.Since(start))
+	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "tenant", j.Tenant, "configuration", g.Config().Version, "took", time.Since(start))
 	g.forward(stored, stored != j)
 	return nil
 }
@@ -254,9 +253,14 @@
 	}
 	maybeStored := false
 	for attempt := 0; ; attempt++ {
+		if !maybeStored {
+			if err := g.verify(ctx); err != nil {
+				return nil, err
+			}
+		}
 		stored, err := g.acceptor.accept(ctx, j)
 		if err == nil {
-			return stored, nil
+			return stored, g.checkOwner(ctx, stored.Tenant)
 		}
 		if !errors.Is(err, keeper.ErrNotExecuted) {
 			maybeStored = true
@@ -314,6 +318,7 @@
 	if g.states[j.ID] == w.Unknown {
 		g.states[j.ID] = w.Queued
 	}
+	g.owners[j.ID] = j.Tenant
 	if g.unconfirmedJobs[j.ID] != nil || g.states[j.ID].Final() {
 		return
 	}
@@ -324,8 +329,8 @@
 	}
 }
 
-// State returns the state of a job, or workload.Unknown if the job does not exist.
-func (g *Gateway) State(ctx context.Context, id w.JobID) (w.State, error) {
+// state returns the state of a job, or workload.Unknown if the job does not exist.
+func (g *Gateway) state(ctx context.Context, id w.JobID) (w.State, error) {
 	g.mu.Lock()
 	s := g.states[id]
 	g.mu.Unlock()
@@ -347,8 +352,8 @@
 	return s, nil
 }
 
-// Cancel cancels a job and reports whether the job exists.
-func (g *Gateway) Cancel(ctx context.Context, id w.JobID) (bool, error) {
+// cancel cancels a job and reports whether the job exists.
+func (g *Gateway) cancel(ctx context.Context, id w.JobID) (bool, error) {
 	g.mu.Lock()
 	s := g.states[id]
 	g.mu.Unlock()
@@ -361,6 +366,9 @@
 			return false, err
 		}
 	}
+	if err := g.verify(ctx); err != nil {
+		return false, err
+	}
 	for {
 		err := g.Keeper.Cancel(ctx, id)
 		if err == nil {
--- /dev/null
+++ b/instance/config.go
@@ -0,0 +1,197 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/masticlead/masticlead/authenticator"
+	"github.com/masticlead/masticlead/keeper"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+const (
+	// unreadyFraction is the fraction of the bound for removed keys that the age of the
+	// configuration must exceed for the instance to report that it isn't ready. It
+	// leaves the load balancer 2 s of the usual 5 s to send new connections elsewhere
+	// before requests are refused.
+	unreadyFraction = 0.6
+	// confirmFraction is the fraction of the bound at which the configuration is
+	// confirmed by separate reads, and the timeout of these reads.
+	confirmFraction = 0.2
+	// confirmPauseFraction is the fraction of the bound between two attempts to confirm
+	// the configuration. It bounds the number of reads while the store refuses them.
+	confirmPauseFraction = 0.1
+	// watchFraction is the fraction of the bound for which the store may delay its
+	// response to a watch of the configuration. A response confirms the configuration
+	// as of its request, so that the age grows to two such delays and two round trips,
+	// which must stay below confirmFraction while the store is healthy.
+	watchFraction = 0.08
+	// minWatchTimeout bounds the rate of watches where the bound is very short.
+	minWatchTimeout = 100 * time.Millisecond
+	// confirmTick is the interval at which the age of the configuration is checked.
+	confirmTick = 50 * time.Millisecond
+)
+
+// watchConfig watches the configuration and applies each new version. Each response of
+// the store confirms that the active configuration is current.
+func (in *Instance) watchConfig() {
+	var after keeper.Version
+	synced := false
+	// current is false if the store may hold a configuration that was not applied, as
+	// when it can't be decoded.
+	current := false
+	for in.ctx.Err() == nil {
+		sent := in.Gateway.Freshness.Now()
+		previous := after
+		var cfg *w.Config
+		var err error
+		if synced {
+			cfg, after, err = in.Directory.ConfigChange(in.ctx, after, in.watchTimeout())
+		} else {
+			current = false
+			cfg, after, err = in.Directory.Config(in.ctx)
+			synced = err == nil
+		}
+		if err != nil {
+			current = current && after == previous
+			if errors.Is(err, keeper.ErrHistoryTruncated) {
+				synced = false
+			}
+			in.sleep(retryDelay)
+			continue
+		}
+		switch {
+		case cfg != nil:
+			current = in.applyConfig(cfg, sent)
+		case after < previous:
+			// The store has lost changes that it reported before.
+			synced = false
+		case current:
+			in.Gateway.Freshness.Confirm(sent)
+		case in.Gateway.Config() == nil:
+			in.sleep(retryDelay)
+		}
+	}
+}
+
+// watchTimeout returns the time for which the store may delay its response to a watch of
+// the configuration.
+func (in *Instance) watchTimeout() time.Duration {
+	if bound := in.confirmBound(); bound > 0 {
+		return min(longPollTimeout, max(minWatchTimeout, time.Duration(watchFraction*float64(bound))))
+	}
+	return longPollTimeout
+}
+
+// applyConfig applies a configuration that a read sent at the given time has returned. It
+// returns false if a newer one is active.
+func (in *Instance) applyConfig(cfg *w.Config, sent time.Duration) bool {
+	previous := in.Gateway.Freshness.Snapshot()
+	if in.Gateway.Freshness.Apply(cfg, sent) {
+		in.logConfig(previous, in.Gateway.Freshness.Snapshot())
+		if l := in.leader.Load(); l != nil {
+			l.configure(cfg)
+		}
+	}
+	return in.Gateway.Config().Version <= cfg.Version
+}
+
+func (in *Instance) logConfig(previous, s *authenticator.Snapshot) {
+	removed := 0
+	if previous != nil {
+		removed = previous.KeysRemovedBy(s)
+	}
+	in.Log.Info("configuration in force", "version", s.Config.Version, "queues", len(s.Config.Queues),
+		"tenants", len(s.Config.Tenants), "keys", s.Keys(), "keysRemoved", removed)
+}
+
+// confirmBound returns the bound for removed keys, or 0 if there is none or there are no
+// keys.
+func (in *Instance) confirmBound() time.Duration {
+	if cfg := in.Gateway.Config(); cfg == nil || len(cfg.Tenants) == 0 {
+		return 0
+	}
+	return in.bounds.Load().RevokeAfter
+}
+
+// configStale reports whether the configuration is so old that requests with keys will
+// soon be refused.
+func (in *Instance) configStale() bool {
+	return in.Gateway.Freshness.OlderThan(in.Gateway.Freshness.Snapshot(), unreadyFraction)
+}
+
+// confirmConfig confirms the configuration by separate reads while the responses to
+// watchConfig are late, and reports when it becomes too old.
+func (in *Instance) confirmConfig() {
+	stale := false
+	for in.ctx.Err() == nil {
+		in.sleep(confirmTick)
+		in.reportConfigAge(&stale)
+		bound := in.confirmBound()
+		if bound == 0 || !in.Gateway.Freshness.OlderThan(in.Gateway.Freshness.Snapshot(), confirmFraction) {
+			continue
+		}
+		if !in.readConfig(time.Duration(confirmFraction * float64(bound))) {
+			in.sleep(time.Duration(confirmPauseFraction * float64(bound)))
+		}
+	}
+}
+
+// readConfig reads the configuration over all paths to the store at once, and applies the
+// first response. It reports whether a read confirmed the configuration.
+func (in *Instance) readConfig(timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(in.ctx, timeout)
+	defer cancel()
+	reads := in.ConfigReads
+	if len(reads) == 0 {
+		reads = []func(context.Context) (*w.Config, error){func(ctx context.Context) (*w.Config, error) {
+			cfg, _, err := in.Directory.Config(ctx)
+			return cfg, err
+		}}
+	}
+	sent := in.Gateway.Freshness.Now()
+	if sent == 0 {
+		// Without the clock, no read can confirm anything.
+		in.Meter.Count("confirm", "failed")
+		return false
+	}
+	results := make(chan *w.Config, len(reads))
+	for _, read := range reads {
+		in.spawn(func() {
+			var cfg *w.Config
+			// A panic is logged by spawn. The result must be sent nevertheless.
+			defer func() { results <- cfg }()
+			cfg, _ = read(ctx)
+		})
+	}
+	for range reads {
+		if cfg := <-results; cfg != nil && in.applyConfig(cfg, sent) {
+			in.Meter.Count("confirm", "confirmed")
+			return true
+		}
+	}
+	in.Meter.Count("confirm", "failed")
+	return false
+}
+
+// reportConfigAge updates the gauge of the configuration's age, and logs when the
+// configuration becomes stale and when it no longer is. stale holds the last result.
+func (in *Instance) reportConfigAge(stale *bool) {
+	s := in.Gateway.Freshness.Snapshot()
+	if s == nil {
+		return
+	}
+	age, err := in.Gateway.Freshness.Age(s)
+	if err == nil {
+		in.Meter.SetGauge("configAgeSeconds", age.Seconds())
+	}
+	if now := in.configStale(); now != *stale {
+		*stale = now
+		if now {
+			in.Log.Warn("configuration not confirmed", "version", s.Config.Version, "age", age, "bound", in.bounds.Load().RevokeAfter)
+		} else {
+			in.Log.Info("configuration confirmed again", "version", s.Config.Version, "age", age)
+		}
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -58,15 +58,19 @@
 
 // Instance is one instance of a cell. Its exported fields must be set before Run.
 type Instance struct {
-	Name         string
-	Zone         string
-	FrontAddr    string  // listen address for client requests
-	ReadyAddr    string  // listen address for readiness checks
-	LinkAddr     string  // listen address for connections from instances
-	Cores        float64 // CPU capacity of this instance
-	Keeper       *keeper.Keeper
-	Directory    Directory
-	Store        Store
+	Name      string
+	Zone      string
+	FrontAddr string  // listen address for client requests
+	ReadyAddr string  // listen address for readiness checks
+	LinkAddr  string  // listen address for connections from instances
+	Cores     float64 // CPU capacity of this instance
+	Keeper    *keeper.Keeper
+	Directory Directory
+	Store     Store
+	// ConfigReads read the configuration over one path to the store each. They are
+	// called in parallel to confirm that the active configuration is current. If there
+	// are none, Directory is used.
+	ConfigReads  []func(context.Context) (*w.Config, error)
 	TargetClient executor.TargetClient
 	Gateway      *gateway.Gateway
 	Front        http.Handler
@@ -112,6 +116,10 @@
 	in.pendingCalls = make(map[int64]chan linker.CallReply)
 	in.Store.SetRelay(in.relay)
 	in.Gateway.RerouteDelay = in.rerouteDelay
+	in.Gateway.Freshness.Bound = func() time.Duration { return in.bounds.Load().RevokeAfter }
+	if in.Gateway.Freshness.Clock == nil {
+		in.Gateway.Freshness.Clock = bootTime
+	}
 	in.Gateway.Init()
 	in.elector.Cores = in.Cores
 	in.elector.Watch(keeper.Leadership{}, time.Now())
@@ -146,7 +154,7 @@
 		metricsSrv = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
 		in.spawn(func() { in.serve(metricsSrv, metrics) })
 	}
-	for _, loop := range []func(){in.watchConfig, in.watchLeader, in.followLeader, in.campaign} {
+	for _, loop := range []func(){in.watchConfig, in.confirmConfig, in.watchLeader, in.followLeader, in.campaign} {
 		in.spawn(func() { in.restartOnPanic(loop) })
 	}
 
@@ -207,7 +215,7 @@
 // serveReadiness tells the load balancer whether to send new connections to this
 // instance.
 func (in *Instance) serveReadiness(rw http.ResponseWriter, _ *http.Request) {
-	if in.draining.Load() || in.Gateway.Config() == nil || in.isolated() {
+	if in.draining.Load() || in.Gateway.Config() == nil || in.isolated() || in.configStale() {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -279,41 +287,6 @@
 	}
 }
 
-// watchConfig watches the configuration and applies each new version.
-func (in *Instance) watchConfig() {
-	var after keeper.Version
-	synced := false
-	for in.ctx.Err() == nil {
-		var cfg *w.Config
-		var err error
-		if synced {
-			cfg, after, err = in.Directory.ConfigChange(in.ctx, after, longPollTimeout)
-		} else {
-			cfg, after, err = in.Directory.Config(in.ctx)
-			synced = err == nil
-		}
-		if err != nil {
-			if errors.Is(err, keeper.ErrHistoryTruncated) {
-				synced = false
-			}
-			in.sleep(retryDelay)
-			continue
-		}
-		if cfg == nil {
-			if in.Gateway.Config() == nil {
-				in.sleep(retryDelay)
-			}
-			continue
-		}
-		if in.Gateway.Configure(cfg) {
-			in.Log.Info("configuration in force", "version", cfg.Version, "queues", len(cfg.Queues))
-			if l := in.leader.Load(); l != nil {
-				l.configure(cfg)
-			}
-		}
-	}
-}
-
 // retryDelay is the delay before an operation that failed is attempted again.
 const retryDelay = 100 * time.Millisecond
 
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -107,10 +107,11 @@
 		if err == nil {
 			// The configuration seen by this instance's watch may be older than the
 			// one that the previous leader applied.
+			sent := in.Gateway.Freshness.Now()
 			if cfg, _, err := in.Directory.Config(l.ctx); err != nil {
 				in.Log.Warn("could not read the configuration at takeover", "epoch", leadership.Epoch, "error", err)
 			} else if cfg != nil {
-				in.Gateway.Configure(cfg)
+				in.applyConfig(cfg, sent)
 			}
 			if cfg := in.Gateway.Config(); cfg != nil {
 				l.coordinator.Configure(cfg)
--- a/instance/pause.go
+++ b/instance/pause.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -16,12 +17,22 @@
 // machineUptime returns the time since boot, including the time for which the machine
 // was suspended.
 func machineUptime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+	t, err := bootTime()
+	if err != nil {
 		// Fall back to the monotonic clock, which only misses suspensions.
 		return time.Since(processStart)
 	}
-	return time.Duration(ts.Nano())
+	return t
+}
+
+// bootTime returns the time since boot, including the time for which the machine was
+// suspended.
+func bootTime() (time.Duration, error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0, fmt.Errorf("instance: read CLOCK_BOOTTIME: %w", err)
+	}
+	return time.Duration(ts.Nano()), nil
 }
 
 var processStart = time.Now()
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -26,14 +26,17 @@
 	Ended   []JobState // final states that a previous coordinator published before storing them
 
 	// Sent by the coordinator.
-	Assign  *Assign
-	Specs   []Spec // specs of the jobs in Starts
-	Starts  []Start
-	Stops   []Stop
-	Acks    []Ack
-	Asks    []Ask
-	States  []JobState
-	Pending *PendingCounts
+	Assign *Assign
+	Specs  []Spec // specs of the jobs in Starts
+	Starts []Start
+	Stops  []Stop
+	Acks   []Ack
+	Asks   []Ask
+	States []JobState
+	// NamesTenants is set if States names the tenants of all jobs. Coordinators of
+	// earlier builds don't set it.
+	NamesTenants bool
+	Pending      *PendingCounts
 	// Allowances replaces the allowances sent before.
 	Allowances *Allowances
 	Received   []w.JobID // jobs and cancellations that the coordinator has accepted
