--- a/gateway/access.go
+++ b/gateway/access.go
@@ -87,6 +87,15 @@
 	g.Log.Warn("request refused", "job", id, "queue", q.Name, "reason", reason, "configuration", s.Config.Version, "confirmed", age)
 }
 
+// reportDenial counts and logs a request for a job's state or cancellation that was refused,
+// and returns err.
+func (g *Gateway) reportDenial(ctx context.Context, id w.JobID, err error) error {
+	reason := refusalReason(err)
+	g.Meter.Count("request", reason)
+	g.Log.Warn("request refused", "job", id, "tenant", callerOf(ctx).Tenant, "reason", reason)
+	return err
+}
+
 // refusalReason returns the reason under which a request that was not accepted is counted.
 func refusalReason(err error) string {
 	var refused *RefusedError
@@ -194,11 +203,10 @@
 	}
 	// Reading the row may have taken long.
 	if err := g.verify(ctx); err != nil {
-		return w.Unknown, err
+		return w.Unknown, g.reportDenial(ctx, id, err)
 	}
 	if err := g.checkOwner(ctx, o.tenant); err != nil {
-		g.Meter.Count("request", refusalReason(err))
-		return w.Unknown, err
+		return w.Unknown, g.reportDenial(ctx, id, err)
 	}
 	return s, nil
 }
@@ -208,15 +216,14 @@
 // cancellation may be stored.
 func (g *Gateway) Cancel(ctx context.Context, id w.JobID) (bool, error) {
 	if err := g.verify(ctx); err != nil {
-		return false, err
+		return false, g.reportDenial(ctx, id, err)
 	}
 	o := g.lookUpOwner(ctx, id)()
 	if o.err != nil || !o.found {
 		return false, o.err
 	}
 	if err := g.checkOwner(ctx, o.tenant); err != nil {
-		g.Meter.Count("request", refusalReason(err))
-		return false, err
+		return false, g.reportDenial(ctx, id, err)
 	}
 	return g.cancel(ctx, id)
 }
