--- a/instance/config_test.go
+++ b/instance/config_test.go
@@ -114,7 +114,10 @@
 	fails := func(context.Context) (*w.Config, error) { return nil, errors.New("refused") }
 	older := func(context.Context) (*w.Config, error) { return keyedConfig(6), nil }
 	panics := func(context.Context) (*w.Config, error) { panic("unexpected") }
-	valid := func(context.Context) (*w.Config, error) { return keyedConfig(7), nil }
+	valid := func(context.Context) (*w.Config, error) {
+		time.Sleep(20 * time.Millisecond) // after the reads that fail
+		return keyedConfig(7), nil
+	}
 	in := newConfigInstance(t, nil)
 	in.applyConfig(keyedConfig(7), 0)
 
