gateway: test of gangs over a cap names its tenant by the caller

Cause: since keys are checked, a job's tenant comes from the key of the request and no longer from the job that the test passes in. Change: the test passes the caller; its checks are unchanged. Result: go test ./gateway passes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -202,7 +202,7 @@
 	g.Configure(&w.Config{Version: 1, Tenants: []w.Tenant{{Name: "t", Cap: w.Resources{CPU: 1000}}}})
 	reason := func(id w.JobID, tenant w.TenantName, tasks int) (string, bool, time.Duration) {
 		g.lastProbe.Store(time.Now().UnixNano()) // jobs that pass the check are refused, since the store is unreachable
-		err := g.Submit(t.Context(), &w.Queue{Name: "q"}, &w.Job{ID: id, Tenant: tenant, Steps: []w.Step{{Count: tasks, Gang: true, Need: w.Resources{CPU: 100}}}})
+		err := g.Submit(WithCaller(t.Context(), Caller{Tenant: tenant}), &w.Queue{Name: "q"}, &w.Job{ID: id, Steps: []w.Step{{Count: tasks, Gang: true, Need: w.Resources{CPU: 100}}}})
 		var refused *RefusedError
 		require.ErrorAs(t, err, &refused)
 		return refused.Reason, refused.Overload, refused.RetryAfter
