throttler, coordinator, gateway, meter: admission control by tenant

Cause: a tenant that sends more than its rate filled the queues, the store and the leader's memory, and operators saw nothing by tenant. Change: the leader counts arrivals and refusals by tenant and instance over 2 s and limits tenants whose waiting excess is above 2 s of their rate; instances enforce the allowances with token buckets that expire after 3 s. Instances report their refusals with their status, since the leader sees accepted jobs only. Metrics by tenant, at most 50 by name; log lines of refusals with tenant and configuration; 'step takes long' names the limit of the tenant.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -108,6 +108,8 @@
 	runTimeRatios map[string]float64    // ratio of actual to estimated run times, by queue
 	latenessDue   time.Time
 	reserveDue    time.Time
+
+	tenants *tenants
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -130,6 +132,7 @@
 		earlyEnds:       make(map[w.JobID]earlyEnd),
 		reserves:        make(map[string]*reserve),
 		runTimeRatios:   make(map[string]float64),
+		tenants:         newTenants(now),
 	}
 }
 
@@ -149,6 +152,7 @@
 		return
 	}
 	c.cfg = cfg
+	c.tenants.configure(cfg)
 	c.backlogUnsorted = true
 	c.mostUrgentPriority = math.MaxInt
 	for i := range cfg.Queues {
@@ -283,10 +287,12 @@
 	if !now.Before(c.pendingDue) {
 		c.pendingDue = now.Add(pendingPeriod)
 		c.publishPendingCounts()
+		c.publishAllowances()
 	}
 	if !now.Before(c.gaugesDue) {
 		c.gaugesDue = now.Add(gaugePeriod)
 		c.reportGauges()
+		c.reportTenants()
 	}
 	if !now.Before(c.sweepDue) {
 		c.sweepDue = now.Add(sweepPeriod)
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -20,6 +20,7 @@
 	pendingStates []linker.JobState // state changes to send with the next frame
 	sendStatesNow bool              // a caller of this instance waits for one of pendingStates
 	pendingCounts []linker.Pending  // last counts sent to it
+	limited       bool              // the last allowances sent to it limit a tenant
 	adviceCalls   int               // advice calls that it was sent and has not answered
 	freeAt        time.Time         // when its advice calls are expected to be answered
 	assignmentKey string            // identifies the targets of its last assignment; "" forces a new one
@@ -169,7 +170,9 @@
 		m.leaving = f.Status.Leaving
 		c.assignmentsStale = true
 	}
+	c.countRefusals(id, f.Status)
 	for i := range f.Jobs {
+		c.countArrival(id, &f.Jobs[i], f.Again)
 		c.AddJob(&f.Jobs[i], !f.Again)
 		if j := c.jobs[f.Jobs[i].ID]; j != nil {
 			j.gateway = id
--- /dev/null
+++ b/gateway/admission.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/masticlead/masticlead/linker"
+	"github.com/masticlead/masticlead/throttler"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// reasonTenantRate is the reason of refusals because the tenant exceeds its rate while
+// its jobs wait.
+const reasonTenantRate = "tenantRate"
+
+// admission holds what the gateway needs to admit jobs by tenant and to explain
+// refusals.
+type admission struct {
+	throttle     *throttler.Throttle
+	configMu     sync.Mutex   // held while a configuration is applied, so that the latest one counts
+	configuredAt atomic.Int64 // Unix time at which the configuration came into force here, ns
+}
+
+func (a *admission) init() { a.throttle = throttler.NewThrottle(rand.Float64) }
+
+// configured records that a configuration has come into force.
+func (g *Gateway) configured() {
+	g.admission.configMu.Lock()
+	defer g.admission.configMu.Unlock()
+	g.admission.configuredAt.Store(time.Now().UnixNano())
+	g.Meter.SetTenants(g.Config().Tenants)
+}
+
+// applyAllowances applies the allowances in a frame from the coordinator.
+func (g *Gateway) applyAllowances(f *linker.Frame) {
+	if f.Allowances != nil {
+		g.admission.throttle.Apply(f.Allowances.Tenants, time.Now())
+	}
+}
+
+// TakeRefusals returns the number of jobs refused by tenant because of an allowance
+// since the last call.
+func (g *Gateway) TakeRefusals() []linker.Refusals { return g.admission.throttle.TakeRefusals() }
+
+// admit returns a RefusedError if the job's tenant exceeds its allowance. A job that is
+// known to be stored is always admitted: its caller has sent it again because it got no
+// response, and a refusal would say that the job never runs.
+func (g *Gateway) admit(j *w.Job) error {
+	if j.Tenant == "" || g.knows(j.ID) {
+		return nil
+	}
+	retryAfter, ok := g.admission.throttle.Admit(j.Tenant, time.Now())
+	if ok {
+		return nil
+	}
+	return &RefusedError{Reason: reasonTenantRate, Overload: true, RetryAfter: retryAfter}
+}
+
+// knows reports whether a job is known to be stored.
+func (g *Gateway) knows(id w.JobID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.states[id] != w.Unknown || g.unconfirmedJobs[id] != nil
+}
+
+// recordFailure counts and logs a submission that was not accepted. Refusals because of
+// an allowance have a message of their own, since they are frequent and the rate limit
+// of log lines applies to each message.
+func (g *Gateway) recordFailure(j *w.Job, err error, took time.Duration) {
+	reason := "unclear"
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		reason = refused.Reason
+	}
+	g.Meter.Count("request", reason)
+	g.countTenant(j.Tenant, reason)
+	attributes := append([]any{"job", j.ID, "queue", j.Queue}, g.configAttributes(j.Tenant, reason)...)
+	if reason == reasonTenantRate {
+		g.Log.Info("job over its tenant's rate refused", append(attributes, "retryAfter", refused.RetryAfter)...)
+		return
+	}
+	g.Log.Warn("job not accepted", append(attributes, "took", took, "error", err)...)
+}
+
+// configAttributes returns log attributes that tell by which configuration a request of
+// a tenant was refused.
+func (g *Gateway) configAttributes(tenant w.TenantName, reason string) []any {
+	c := g.Config()
+	if c == nil {
+		return nil
+	}
+	age := time.Since(time.Unix(0, g.admission.configuredAt.Load())).Round(time.Millisecond)
+	out := []any{"reason", reason, "configuration", c.Version, "configurationAge", age}
+	if tenant != "" {
+		out = append(out, "tenant", tenant)
+	}
+	return out
+}
+
+// countTenant counts a submission of a tenant. Jobs without one are counted by queue
+// only.
+func (g *Gateway) countTenant(tenant w.TenantName, result string) {
+	if tenant != "" {
+		g.Meter.CountTenant(tenant, result)
+	}
+}
--- /dev/null
+++ b/gateway/admission_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"bytes"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// TestTenantRateRefused guards against excess that reaches the store, a job that is
+// stored already and refused as new when its caller sends it again, a refusal of another
+// tenant or of a route without keys, and a refusal without its reason in the log.
+func TestTenantRateRefused(t *testing.T) {
+	var log bytes.Buffer
+	g := &Gateway{
+		Keeper: &keeper.Keeper{Store: unresponsiveStore{}}, Log: slog.New(slog.NewTextHandler(&log, nil)),
+		StoreFailingFor: func() time.Duration { return time.Second }, StoreUnreachableFor: func() time.Duration { return time.Second },
+	}
+	g.Init()
+	g.Configure(&w.Config{Version: 7, RequiresKeys: true, Tenants: []w.Tenant{{Name: "hot", Weight: 1}, {Name: "a", Weight: 1}}})
+	// The store is unreachable and was probed just now, so that submissions that reach
+	// it are refused with another reason.
+	reason := func(tenant w.TenantName, id w.JobID) *RefusedError {
+		g.lastProbe.Store(time.Now().UnixNano())
+		var refused *RefusedError
+		require.ErrorAs(t, g.Submit(t.Context(), &w.Queue{Name: "q"}, &w.Job{ID: id, Tenant: tenant, Steps: []w.Step{{Count: 1}}}), &refused)
+		return refused
+	}
+	require.Equal(t, "storeAway", reason("hot", "j0").Reason)
+	g.Receive(&linker.Frame{States: []linker.JobState{{Job: "stored", State: w.Queued}}, Allowances: &linker.Allowances{
+		Tenants: []linker.Allowance{{Tenant: "hot", JobsPerSec: 0.2}},
+	}})
+	require.Equal(t, "storeAway", reason("hot", "j1").Reason, "the bucket holds one job")
+	refused := reason("hot", "j2")
+	require.Equal(t, "tenantRate", refused.Reason)
+	require.True(t, refused.Overload)
+	require.Positive(t, refused.RetryAfter)
+	require.Equal(t, []linker.Refusals{{Tenant: "hot", Jobs: 1}}, g.TakeRefusals())
+	require.Regexp(t, `job=j2 .*reason=tenantRate configuration=7 configurationAge=\S+ tenant=hot retryAfter=`, log.String())
+	require.Equal(t, "storeAway", reason("hot", "stored").Reason)
+	require.Equal(t, "storeAway", reason("a", "j3").Reason)
+	require.Equal(t, "storeAway", reason("", "j4").Reason)
+	g.Receive(&linker.Frame{Allowances: &linker.Allowances{}})
+	require.Equal(t, "storeAway", reason("hot", "j5").Reason)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	Meter        *meter.Meter
 
 	acceptor  *acceptor
+	admission admission
 	lastProbe atomic.Int64 // Unix time of the last submission that probed an unreachable store, ns
 
 	cfg  atomic.Pointer[w.Config]
@@ -101,6 +102,7 @@
 // Init initializes the gateway. It must be called before jobs are submitted.
 func (g *Gateway) Init() {
 	g.acceptor = newAcceptor(g.Keeper)
+	g.admission.init()
 	g.disconnectedSince = time.Now()
 	g.states = make(map[w.JobID]w.State)
 	g.pending = make(map[string]int)
@@ -122,6 +124,7 @@
 			return false
 		}
 		if g.cfg.CompareAndSwap(current, c) {
+			g.configured()
 			return true
 		}
 	}
@@ -159,9 +162,10 @@
 	}
 }
 
-// Receive applies the job states, confirmations and pending counts in a frame from
-// the coordinator.
+// Receive applies the job states, confirmations, pending counts and allowances in a
+// frame from the coordinator.
 func (g *Gateway) Receive(f *linker.Frame) {
+	g.applyAllowances(f)
 	if len(f.States) == 0 && f.Pending == nil && len(f.Received) == 0 && !f.Reset {
 		return
 	}
@@ -216,18 +220,17 @@
 	j.Queue, j.Service, j.Attempts, j.Priority = q.Name, q.Service, q.Attempts, q.Priority
 	j.Accepted = time.Now().UnixMilli()
 	start := time.Now()
+	if err := g.admit(j); err != nil {
+		g.recordFailure(j, err, time.Since(start))
+		return err
+	}
 	stored, err := g.accept(ctx, j)
 	if err != nil {
-		var refused *RefusedError
-		if errors.As(err, &refused) {
-			g.Meter.Count("request", refused.Reason)
-		} else {
-			g.Meter.Count("request", "unclear")
-		}
-		g.Log.Warn("job not accepted", "job", j.ID, "queue", q.Name, "took", time.Since(start), "error", err)
+		g.recordFailure(j, err, time.Since(start))
 		return err
 	}
 	g.Meter.Count("request", "accepted")
+	g.countTenant(j.Tenant, "accepted")
 	g.Meter.ObserveDuration("accept", time.Since(start))
 	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "configuration", g.Config().Version, "took", time.Since(start))
 	g.forward(stored, stored != j)
--- a/instance/link.go
+++ b/instance/link.go
@@ -222,7 +222,7 @@
 	for {
 		select {
 		case <-t.C:
-			c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.FailingFor(), Leaving: in.draining.Load()}})
+			c.Send(&linker.Frame{Status: &linker.Status{StoreAge: in.Store.FailingFor(), Leaving: in.draining.Load(), Refusals: in.Gateway.TakeRefusals()}})
 		case <-stop:
 			return
 		}
--- a/linker/conn_test.go
+++ b/linker/conn_test.go
@@ -43,3 +43,18 @@
 		require.Error(t, receiver.Receive(func(*Frame) { t.Error("handler called for invalid data") }))
 	}
 }
+
+// TestEmptyAllowances guards against the end of all allowances that gets lost because
+// the encoding omits empty values.
+func TestEmptyAllowances(t *testing.T) {
+	local, remote := net.Pipe()
+	sender, receiver := NewConn(local), NewConn(remote)
+	defer sender.Close()
+	sender.Send(&Frame{Allowances: &Allowances{}, Retire: true})
+	require.Error(t, receiver.Receive(func(f *Frame) {
+		if f.Retire {
+			require.NotNil(t, f.Allowances)
+			receiver.Close()
+		}
+	}))
+}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -54,6 +54,15 @@
 type Status struct {
 	StoreAge time.Duration // time for which direct calls of the instance to the store have failed
 	Leaving  bool          // the instance is shutting down
+	// Refusals are the jobs refused since the last status because of an allowance. The
+	// leader splits a tenant's rate by arrivals, and sees accepted jobs only otherwise.
+	Refusals []Refusals
+}
+
+// Refusals is the number of jobs of a tenant that an instance refused.
+type Refusals struct {
+	Tenant w.TenantName
+	Jobs   int
 }
 
 // Report is the result of a hold request to a target: the state of the target and its
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -10,13 +10,14 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-// Meter holds metrics in a Prometheus registry of its own. On a nil Meter, Count,
-// ObserveDuration and SetGauge do nothing.
+// Meter holds metrics in a Prometheus registry of its own. On a nil Meter, all
+// methods that record do nothing.
 type Meter struct {
 	registry  *prometheus.Registry
 	events    *prometheus.CounterVec
 	durations *prometheus.HistogramVec
 	gauges    *prometheus.GaugeVec
+	tenants   *tenantMetrics
 }
 
 // New returns a Meter with all metrics registered and no samples.
@@ -33,8 +34,9 @@
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "masticlead_level", Help: "What the coordinator believes of the cell.",
 		}, []string{"kind"}),
+		tenants: newTenantMetrics(),
 	}
-	m.registry.MustRegister(m.events, m.durations, m.gauges)
+	m.registry.MustRegister(m.events, m.durations, m.gauges, m.tenants.requests, m.tenants.levels)
 	return m
 }
 
