--- a/cmd/masticlead/explain.go
+++ b/cmd/masticlead/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"os"
@@ -21,7 +22,7 @@
 		Use:   "explain ID --logs FILE...",
 		Short: "Print the log lines of several instances about a request, in time order",
 		Long: "Print the log lines that contain the ID of a request, in time order, together with changes of leader,\n" +
-			"configuration and targets around that time. The logs are those written by the platform command.",
+			"configuration and targets, and limits of its tenant, around that time. The logs are those written by the platform command.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var all []logLine
@@ -94,15 +95,31 @@
 	"instance started", "instance drains", "configuration in force", "target set aside", "target unreachable", "target lapsed",
 }
 
+var tenantPattern = regexp.MustCompile(` tenant=("[^"]*"|\S+)`)
+
+// tenantOf returns the attribute that names the tenant of a line, or "".
+func tenantOf(l logLine) string { return strings.TrimSpace(tenantPattern.FindString(l.text)) }
+
+// affects reports whether a line is about an event that can affect the requests of a
+// tenant, which is named as by tenantOf.
+func affects(l logLine, tenant string) bool {
+	if strings.Contains(l.text, `msg="tenant limited or released"`) {
+		return tenant != "" && tenantOf(l) == tenant
+	}
+	return slices.ContainsFunc(cellEvents, func(c string) bool { return strings.Contains(l.text, `msg="`+c) })
+}
+
 func explain(out io.Writer, id string, lines []logLine, window time.Duration) error {
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.timestamp.Compare(b.timestamp) })
 	var first, last time.Time
+	var tenant string
 	for _, l := range lines {
 		if strings.Contains(l.text, id) {
 			if first.IsZero() {
 				first = l.timestamp
 			}
 			last = l.timestamp
+			tenant = cmp.Or(tenantOf(l), tenant)
 		}
 	}
 	if first.IsZero() {
@@ -111,8 +128,7 @@
 	for _, l := range lines {
 		matches := strings.Contains(l.text, id)
 		if !matches {
-			if l.timestamp.Before(first.Add(-window)) || l.timestamp.After(last.Add(window)) ||
-				!slices.ContainsFunc(cellEvents, func(c string) bool { return strings.Contains(l.text, `msg="`+c) }) {
+			if l.timestamp.Before(first.Add(-window)) || l.timestamp.After(last.Add(window)) || !affects(l, tenant) {
 				continue
 			}
 		}
--- a/cmd/masticlead/main.go
+++ b/cmd/masticlead/main.go
@@ -75,7 +75,7 @@
 	}
 	root.AddCommand(
 		newServeCmd(), newDevCmd(), newPlatformCmd(), newExplainCmd(),
-		newJobsCmd(o), newRulesCmd(o), newInstancesCmd(o), newTargetsCmd(o),
+		newJobsCmd(o), newRulesCmd(o), newInstancesCmd(o), newTargetsCmd(o), newTenantsCmd(o),
 		newVersionCmd(o),
 	)
 	return root
