standin, soak: tenants, keys and caps

Cause: neither the stand-in of the platform nor the soak knew tenants, so that a removed key that is still accepted or a start beyond a cap went unnoticed. The clients of the soak send keys, some of them removed or never issued, while keys are replaced and a cap changes.

--- a/soak/builds_test.go
+++ b/soak/builds_test.go
@@ -77,9 +77,9 @@
 	start(other)
 	requireLeader(otherNames...)
 	const loadTime = 30 * time.Second
-	var accepted []string
+	var accepted []acceptedJob
 	var wg sync.WaitGroup
-	wg.Go(func() { accepted = submitJobs(sim, processes, time.Now().Add(loadTime)) })
+	wg.Go(func() { accepted = submitJobs(sim, processes, nil, time.Now().Add(loadTime)) })
 
 	start(this)
 	time.Sleep(mixedTime)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -96,8 +96,9 @@
 		frontAddr, firstPort := standin.FreeAddr(), firstLinkPort+linkPortsPerInstance*i
 		configPath := filepath.Join(dir, fmt.Sprintf("node%d.conf", i))
 		config := fmt.Sprintf("nodeName=n%d\nzone=z1\nip=%s\nlistenAddrs.front=%s\nlistenAddrs.readyAddr=%s\nportRange=%d,%d\n"+
-			"platform.address=%s\nadvice=%s\nplatform.across=true\nlimits.memoryMb=284\nbounds.graceS=4\nbounds.maxHoldMs=10000\nbounds.stopTimeoutMs=200\n",
-			i, nodeIP(i), frontAddr, standin.FreeAddr(), firstPort, firstPort+linkPortsPerInstance-1, sim.StoreAddr, sim.AdviceAddr)
+			"platform.address=%s\nadvice=%s\nplatform.across=true\nlimits.memoryMb=284\nbounds.graceS=4\nbounds.maxHoldMs=10000\nbounds.stopTimeoutMs=200\n"+
+			"bounds.revokeStrict=true\nbounds.revokeMs=%d\nbounds.quotaExcess=%g\n",
+			i, nodeIP(i), frontAddr, standin.FreeAddr(), firstPort, firstPort+linkPortsPerInstance-1, sim.StoreAddr, sim.AdviceAddr, revocationBound.Milliseconds(), capExcess)
 		require.NoError(t, os.WriteFile(configPath, []byte(config), 0o600))
 		logFile, err := os.Create(filepath.Join(dir, fmt.Sprintf("node%d.log", i)))
 		require.NoError(t, err)
@@ -113,16 +114,16 @@
 
 // requireJobsEnd waits until all accepted jobs have ended, and checks that no rule of
 // the platform was violated.
-func requireJobsEnd(t *testing.T, sim *standin.Platform, processes []*process, accepted []string) {
+func requireJobsEnd(t *testing.T, sim *standin.Platform, processes []*process, accepted []acceptedJob) {
 	t.Helper()
 	deadline := time.Now().Add(completionTimeout)
-	for _, id := range accepted {
+	for _, job := range accepted {
 		for {
-			state := jobState(processes, id)
+			state := jobState(processes, job)
 			if state == "completed" || state == "failed" {
 				break
 			}
-			require.True(t, time.Now().Before(deadline), "job %s did not end before the timeout; last state %q", id, state)
+			require.True(t, time.Now().Before(deadline), "job %s did not end before the timeout; last state %q", job.id, state)
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,8 @@
 	// Each instance listens for connections of other instances on a port range of its own.
 	firstLinkPort        = 20_000
 	linkPortsPerInstance = 16
+	// taskCPU and taskMemMb are the resources of each task.
+	taskCPU, taskMemMb = 1000, 10
 )
 
 func intFromEnv(name string, defaultValue int) int {
@@ -44,7 +46,7 @@
 // TestSoak injects random faults into instances, store and targets. It guards against
 // tasks that run twice at the same time, start after their end was acknowledged, exceed
 // the capacity of a target or belong to rejected jobs, and against accepted jobs that
-// never end.
+// never end. See also tenantChecks.
 func TestSoak(t *testing.T) {
 	seed := uint64(intFromEnv("MASTICLEAD_SEED", 1))
 	t.Logf("seed %d", seed)
@@ -61,6 +63,7 @@
 	})
 	require.NoError(t, err)
 	defer sim.Close()
+	tenants := newTenantSet(sim, seed)
 
 	processes := newProcesses(t, sim, bin, bin)
 	for _, p := range processes {
@@ -70,16 +73,14 @@
 	time.Sleep(2 * time.Second)
 	loadEnd := time.Now().Add(time.Duration(intFromEnv("MASTICLEAD_SOAK", defaultLoadSeconds)) * time.Second)
 	var wg sync.WaitGroup
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		injectFaults(rng, sim, processes, loadEnd)
-	}()
-	accepted := submitJobs(sim, processes, loadEnd)
+	wg.Go(func() { injectFaults(rng, sim, processes, loadEnd) })
+	wg.Go(func() { tenants.change(loadEnd) })
+	accepted := submitJobs(sim, processes, tenants, loadEnd)
 	wg.Wait()
 	require.NotEmpty(t, accepted)
 
 	requireJobsEnd(t, sim, processes, accepted)
+	tenants.requireValid(t)
 }
 
 // injectFaults injects one random fault at a time until the given time. It ends each
@@ -97,11 +98,11 @@
 			p.start()
 		case 2:
 			p.signal(syscall.SIGSTOP)
-			time.Sleep(time.Duration(500+rng.IntN(2500)) * time.Millisecond)
+			time.Sleep(faultDuration(rng, 2500))
 			p.signal(syscall.SIGCONT)
 		case 3:
 			sim.Store.SetFault([]standin.StoreFault{standin.StoreUnavailable, standin.StoreUnresponsive, standin.StoreDropsResponses}[rng.IntN(3)], 0)
-			time.Sleep(time.Duration(500+rng.IntN(2000)) * time.Millisecond)
+			time.Sleep(faultDuration(rng, 2000))
 			sim.Store.SetFault(standin.StoreHealthy, 0)
 		case 4:
 			sim.Store.Compact()
@@ -115,58 +116,90 @@
 	}
 }
 
-// submitJobs submits jobs at a fixed interval until the given time and returns the IDs
-// of the accepted ones.
-func submitJobs(sim *standin.Platform, processes []*process, until time.Time) []string {
+// acceptedJob is a job that an instance accepted, and a credential that its state can be
+// asked for with.
+type acceptedJob struct {
+	id         string
+	credential credential
+}
+
+// submitJobs submits jobs at a fixed interval until the given time and returns the
+// accepted ones. Without tenants, requests carry no keys.
+func submitJobs(sim *standin.Platform, processes []*process, tenants *tenantSet, until time.Time) []acceptedJob {
 	const interval = 40 * time.Millisecond
 	var mu sync.Mutex
-	var accepted []string
+	var accepted []acceptedJob
 	var wg sync.WaitGroup
 	for i := 0; time.Now().Before(until); i++ {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			id := fmt.Sprintf("%016x", i)
-			spec := "spec " + id
-			sim.Checker.RecordSubmission(id, spec)
-			body, err := json.Marshal(map[string]any{"spec": spec, "steps": []map[string]any{
-				{"count": 2, "cpu": 1000, "memMb": 10},
-				{"count": 2, "cpu": 1000, "memMb": 10, "after": []int{0}, "gang": i%3 == 0},
-			}})
-			if err != nil {
-				panic(err)
-			}
-			rejected := true
-			for attempt := range 4 {
-				switch status := sendForStatus(http.MethodPost, processes[(i+attempt)%len(processes)], id, body); status {
-				case http.StatusOK:
-					mu.Lock()
-					accepted = append(accepted, id)
-					mu.Unlock()
-					return
-				case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-				default:
-					rejected = false
-				}
-				time.Sleep(200 * time.Millisecond)
-			}
-			if rejected {
-				sim.Checker.RecordRefusal(id)
+		id := fmt.Sprintf("%016x", i)
+		var c credential
+		if tenants != nil {
+			c = tenants.choose()
+			tenants.recordJob(id, c)
+		}
+		wg.Go(func() {
+			if submitJob(sim, processes, tenants, i, id, c) {
+				mu.Lock()
+				accepted = append(accepted, acceptedJob{id, tenants.permanent(c)})
+				mu.Unlock()
 			}
-		}()
+		})
 		time.Sleep(interval)
 	}
 	wg.Wait()
 	return accepted
 }
 
-func sendRequest(method string, p *process, id string, body []byte) (int, []byte) {
+// submitJob submits the i-th job until an instance accepts it or the attempts are used
+// up, and reports whether it was accepted.
+func submitJob(sim *standin.Platform, processes []*process, tenants *tenantSet, i int, id string, c credential) bool {
+	spec := "spec " + id
+	sim.Checker.RecordSubmission(id, spec)
+	body, err := json.Marshal(map[string]any{"spec": spec, "steps": []map[string]any{
+		{"count": 2, "cpu": taskCPU, "memMb": taskMemMb},
+		{"count": 2, "cpu": taskCPU, "memMb": taskMemMb, "after": []int{0}, "gang": i%3 == 0},
+	}})
+	if err != nil {
+		panic(err)
+	}
+	rejected := true
+	for attempt := range 4 {
+		sent := time.Now()
+		status, _ := sendRequest(http.MethodPost, processes[(i+attempt)%len(processes)], id, c, body)
+		if tenants != nil {
+			tenants.check(c, sent, status)
+		}
+		switch status {
+		case http.StatusOK:
+			if tenants != nil {
+				tenants.setLastJob(c, id)
+			}
+			return true
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		default:
+			rejected = false
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if rejected {
+		sim.Checker.RecordRefusal(id)
+	}
+	if tenants != nil {
+		tenants.queryLastJob(processes[i%len(processes)], c)
+	}
+	return false
+}
+
+func sendRequest(method string, p *process, id string, c credential, body []byte) (int, []byte) {
 	client := http.Client{Timeout: 3 * time.Second}
 	req, err := http.NewRequest(method, "http://"+p.frontAddr+standin.Prefix+id, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	req.Host = standin.Host
+	if c.key != "" {
+		req.Header.Set(standin.CredentialHeader, c.key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, nil
@@ -179,19 +212,14 @@
 	return resp.StatusCode, respBody
 }
 
-func sendForStatus(method string, p *process, id string, body []byte) int {
-	status, _ := sendRequest(method, p, id, body)
-	return status
-}
-
-func jobState(processes []*process, id string) string {
+func jobState(processes []*process, job acceptedJob) string {
 	for _, p := range processes {
-		if status, respBody := sendRequest(http.MethodGet, p, id, nil); status == http.StatusOK {
-			var job struct {
+		if status, respBody := sendRequest(http.MethodGet, p, job.id, job.credential, nil); status == http.StatusOK {
+			var body struct {
 				State string `json:"state"`
 			}
-			if json.Unmarshal(respBody, &job) == nil {
-				return job.State
+			if json.Unmarshal(respBody, &body) == nil {
+				return body.State
 			}
 		}
 	}
--- /dev/null
+++ b/soak/tenants_test.go
@@ -0,0 +1,230 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/platform/standin"
+)
+
+// tenantChecks makes TestSoak fail if a removed key was accepted too late or a start
+// exceeded a cap, and adds faults that last longer than the bound for removed keys. It
+// is to be switched on as soon as the instances check keys and caps; until then, the
+// soak only logs what it would have found.
+const tenantChecks = false
+
+const (
+	// revocationBound is the time after the acknowledgement of a configuration from
+	// which requests with a key that it removed must not succeed (bounds.revokeMs).
+	revocationBound = 5 * time.Second
+	// capExcess is the excess over a cap that the settings of the instances permit.
+	capExcess = 0.1
+	// longestOutage is the longest fault of the store.
+	longestOutage = 7 * time.Second
+	// capDelay is the time for which a leader may start tasks under the caps of an
+	// earlier configuration: 3 s in contact with the store, as long as the store is
+	// away, and 2 s for which a start order is valid.
+	capDelay = 3*time.Second + longestOutage + 2*time.Second
+	// highCap and lowCap are the CPU caps between which the tenant capped changes. Its
+	// jobs need about 6,000 on average.
+	highCap, lowCap = 8000, 4000
+	capped          = 1 // index of the tenant
+)
+
+// tenantSet holds the tenants of the configuration, and the keys that clients send.
+type tenantSet struct {
+	sim     *standin.Platform
+	mu      sync.Mutex
+	rng     *rand.Rand
+	version int
+	tenants []standin.Tenant
+
+	issued     int
+	removed    []removedKey
+	lateKeys   []string // requests that succeeded although their key was removed or never issued
+	capChanged time.Time
+	lastJobs   map[int]string // ID of the job accepted last, by index of the tenant
+}
+
+type removedKey struct {
+	key    string
+	tenant int
+	at     time.Time // when the store had acknowledged the removal
+}
+
+// credential is the key of a request and the tenant that it belongs to or did.
+type credential struct {
+	key    string
+	tenant int // -1 if the key was never issued
+}
+
+// newTenantSet stores a configuration with three tenants: one without a cap, one with a
+// cap, and one that sends more than its rate. The first key of each is never removed.
+func newTenantSet(sim *standin.Platform, seed uint64) *tenantSet {
+	s := &tenantSet{sim: sim, rng: rand.New(rand.NewPCG(seed, 2)), version: 1, capChanged: time.Now(), lastJobs: make(map[int]string)}
+	sim.Checker.CapExcess, sim.Checker.CapDelay = capExcess, capDelay
+	s.tenants = []standin.Tenant{
+		{Name: "large", Weight: 100},
+		{Name: "capped", Weight: 100, Cap: standin.Usage{CPU: highCap}},
+		{Name: "hot", Weight: 3},
+	}
+	for i := range s.tenants {
+		s.tenants[i].Keys = []string{s.newKey(), s.newKey()}
+	}
+	s.store()
+	return s
+}
+
+func (s *tenantSet) newKey() string {
+	s.issued++
+	return fmt.Sprintf("key-%d-%016x", s.issued, s.rng.Uint64())
+}
+
+// store stores the next version of the configuration.
+func (s *tenantSet) store() {
+	s.version++
+	s.sim.SetTenants(s.version, s.tenants)
+}
+
+// change replaces keys, and lowers or raises the cap, until the given time. It then
+// raises the cap, so that the remaining jobs can end in time.
+func (s *tenantSet) change(until time.Time) {
+	const capInterval = capDelay + 3*time.Second
+	for time.Now().Before(until) {
+		s.mu.Lock()
+		if time.Since(s.capChanged) > capInterval {
+			s.setCap(lowCap + highCap - s.tenants[capped].Cap.CPU)
+		} else {
+			s.replaceKey()
+		}
+		pause := time.Duration(500+s.rng.IntN(1500)) * time.Millisecond
+		s.mu.Unlock()
+		time.Sleep(pause)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setCap(highCap)
+}
+
+func (s *tenantSet) setCap(cpu int64) {
+	s.tenants[capped].Cap.CPU = cpu
+	s.capChanged = time.Now()
+	s.store()
+}
+
+// replaceKey removes the second key of a tenant and adds another.
+func (s *tenantSet) replaceKey() {
+	i := s.rng.IntN(len(s.tenants))
+	old := s.tenants[i].Keys[1]
+	s.tenants[i].Keys = []string{s.tenants[i].Keys[0], s.newKey()}
+	s.store()
+	s.removed = append(s.removed, removedKey{old, i, time.Now()})
+}
+
+// choose returns the credential of the next job. Some are removed keys, most of them for
+// about as long as the bound, and some were never issued.
+func (s *tenantSet) choose() credential {
+	const removedPart, unknownPart, recent = 0.15, 0.03, 8
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.rng.IntN(len(s.tenants))
+	switch x := s.rng.Float64(); {
+	case x < unknownPart:
+		return credential{fmt.Sprintf("unknown-%016x", s.rng.Uint64()), -1}
+	case x < unknownPart+removedPart && len(s.removed) > 0:
+		r := s.removed[len(s.removed)-1-s.rng.IntN(min(recent, len(s.removed)))]
+		return credential{r.key, r.tenant}
+	default:
+		return credential{s.tenants[i].Keys[s.rng.IntN(2)], i}
+	}
+}
+
+// recordJob tells the checker which tenant a job belongs to. The tasks of all jobs use
+// the same resources.
+func (s *tenantSet) recordJob(id string, c credential) {
+	if c.tenant >= 0 {
+		s.sim.Checker.RecordTenant(id, s.tenants[c.tenant].Name, standin.Usage{CPU: taskCPU, MemMb: taskMemMb})
+	}
+}
+
+// permanent returns a credential of the same tenant that is never removed.
+func (s *tenantSet) permanent(c credential) credential {
+	if s == nil || c.tenant < 0 {
+		return c
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return credential{s.tenants[c.tenant].Keys[0], c.tenant}
+}
+
+// setLastJob records an accepted job of a tenant.
+func (s *tenantSet) setLastJob(c credential, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastJobs[c.tenant] = id
+}
+
+// queryLastJob asks for the state of a job of the tenant of a refused credential.
+func (s *tenantSet) queryLastJob(p *process, c credential) {
+	s.mu.Lock()
+	id := s.lastJobs[max(0, c.tenant)]
+	s.mu.Unlock()
+	if id == "" {
+		return
+	}
+	sent := time.Now()
+	status, _ := sendRequest(http.MethodGet, p, id, c, nil)
+	s.check(c, sent, status)
+}
+
+// check records a request that must not have succeeded with its key.
+func (s *tenantSet) check(c credential, sent time.Time, status int) {
+	if status != http.StatusOK {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.tenant < 0 {
+		s.lateKeys = append(s.lateKeys, "request with the key "+c.key+", which was never issued, succeeded")
+		return
+	}
+	i := slices.IndexFunc(s.removed, func(r removedKey) bool { return r.key == c.key })
+	if i < 0 {
+		return
+	}
+	if after := sent.Sub(s.removed[i].at); after > revocationBound {
+		s.lateKeys = append(s.lateKeys, fmt.Sprintf("request with the key %s succeeded although it was sent %v after its removal", c.key, after))
+	}
+}
+
+// requireValid fails if a request or a start violated the rules for tenants. While
+// tenantChecks is not set, it logs the violations instead.
+func (s *tenantSet) requireValid(t *testing.T) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	overCap := s.sim.Checker.CapViolations()
+	t.Logf("%d configurations, %d keys removed, %d requests with invalid keys accepted, %d starts over a cap",
+		s.version, len(s.removed), len(s.lateKeys), len(overCap))
+	if tenantChecks {
+		require.Empty(t, s.lateKeys)
+		require.Empty(t, overCap)
+	}
+}
+
+// faultDuration returns the duration of a fault. While tenantChecks is set, some are
+// longer than the bound for removed keys.
+func faultDuration(rng *rand.Rand, ms int) time.Duration {
+	d := time.Duration(500+rng.IntN(ms)) * time.Millisecond
+	if tenantChecks && rng.IntN(3) == 0 {
+		d = revocationBound + time.Duration(rng.IntN(int(longestOutage-revocationBound)))
+	}
+	return d
+}
