--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -109,7 +109,7 @@
 	latenessDue   time.Time
 	reserveDue    time.Time
 
-	tenants *tenants
+	admission *admission
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -132,7 +132,7 @@
 		earlyEnds:       make(map[w.JobID]earlyEnd),
 		reserves:        make(map[string]*reserve),
 		runTimeRatios:   make(map[string]float64),
-		tenants:         newTenants(now),
+		admission:       newAdmission(now),
 	}
 }
 
@@ -152,7 +152,7 @@
 		return
 	}
 	c.cfg = cfg
-	c.tenants.configure(cfg)
+	c.admission.configure(cfg)
 	c.backlogUnsorted = true
 	c.mostUrgentPriority = math.MaxInt
 	for i := range cfg.Queues {
--- /dev/null
+++ b/coordinator/hot_tenant_test.go
@@ -0,0 +1,160 @@
+package coordinator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/linker"
+	"github.com/masticlead/masticlead/throttler"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// excessOrdered is to be set once isExcess uses the rates of the tenants, and the backlog
+// places excess behind the jobs of others. Until then others wait for the excess that was
+// accepted before the limit, and their own waiting jobs count as excess.
+const excessOrdered = false
+
+// sharedCell simulates 42 instances with throttles, and 10 targets that run 100 tasks
+// of 0.8 s per second.
+type sharedCell struct {
+	testCell
+	rng       *rand.Rand
+	throttles map[w.InstanceID]*throttler.Throttle
+	arrivals  map[w.JobID]time.Time
+	waits     map[w.TenantName][]time.Duration // until the first start order
+	refused   map[w.TenantName]int
+	runs      map[w.TargetID]map[w.TaskID]linker.Start
+	ends      map[w.TaskID]time.Time
+	submitted int
+}
+
+func newSharedCell(t *testing.T, tenants []w.Tenant) *sharedCell {
+	x := &sharedCell{
+		testCell: *admissionCell(t, tenants...), rng: rand.New(rand.NewPCG(1, 1)), throttles: make(map[w.InstanceID]*throttler.Throttle),
+		arrivals: make(map[w.JobID]time.Time), waits: make(map[w.TenantName][]time.Duration), refused: make(map[w.TenantName]int),
+		runs: make(map[w.TargetID]map[w.TaskID]linker.Start), ends: make(map[w.TaskID]time.Time),
+	}
+	var list []w.Target
+	for i := range 10 {
+		id := w.TargetID(fmt.Sprintf("t%d", i))
+		list = append(list, w.Target{ID: id, Service: "s", Address: "x", Incarnation: 1, Capacity: w.Resources{CPU: 8000, Mem: 8000}})
+		x.runs[id] = make(map[w.TaskID]linker.Start)
+	}
+	x.c.SetTargets(list, true, x.now)
+	for i := range 42 {
+		id := w.InstanceID(fmt.Sprintf("i%02d", i))
+		x.c.Join(&linker.Hello{Instance: id})
+		x.throttles[id] = throttler.NewThrottle(x.rng.Float64)
+	}
+	return x
+}
+
+// step advances the cell by 10 ms, in which each tenant submits at its rate.
+func (x *sharedCell) step(rates map[w.TenantName]float64) {
+	const length = 10 * time.Millisecond
+	x.now = x.now.Add(length)
+	for _, m := range slices.Clone(x.c.sortedMembers) {
+		throttle := x.throttles[m.id]
+		for _, tenant := range [...]w.TenantName{"hot", "a", "b", "c", "d", "e"} {
+			if throttle == nil || x.rng.Float64() >= rates[tenant]*length.Seconds()/float64(len(x.throttles)) {
+				continue
+			}
+			if _, ok := throttle.Admit(tenant, x.now); !ok {
+				x.refused[tenant]++
+				continue
+			}
+			x.submitted++
+			j := singleTaskJob(w.JobID(fmt.Sprintf("%s-%06d", tenant, x.submitted)))
+			j.Tenant, j.Accepted = tenant, x.now.UnixMilli()
+			x.arrivals[j.ID] = x.now
+			x.c.Receive(m.id, &linker.Frame{Jobs: []w.Job{j}}, x.now)
+		}
+		if throttle != nil && x.rng.IntN(50) == 0 {
+			x.c.Receive(m.id, &linker.Frame{Status: &linker.Status{Refusals: throttle.TakeRefusals()}}, x.now)
+		}
+	}
+	x.report()
+	x.c.Advance(x.now)
+	for b := x.c.Flush(); b != nil; b = x.c.Flush() {
+		x.c.Stored(b)
+	}
+	for id, f := range x.c.Frames() {
+		x.handle(id, f)
+	}
+}
+
+// report sends the runs and ends of all targets to the coordinator.
+func (x *sharedCell) report() {
+	for _, t := range x.c.sortedTargets {
+		if t.member == nil {
+			continue
+		}
+		r := linker.Report{Target: t.ID, Incarnation: 1, Complete: true}
+		for task, s := range x.runs[t.ID] {
+			if x.ends[task].After(x.now) {
+				r.Runs = append(r.Runs, w.Run{Task: task, Run: s.Run})
+				continue
+			}
+			x.seq[t.ID]++
+			r.Ends = append(r.Ends, w.End{Seq: x.seq[t.ID], Task: task, Run: s.Run, How: w.EndedDone})
+			delete(x.runs[t.ID], task)
+		}
+		x.c.Receive(t.member.id, &linker.Frame{Reports: []linker.Report{r}}, x.now)
+	}
+}
+
+// handle carries out the orders in a frame to an instance.
+func (x *sharedCell) handle(id w.InstanceID, f *linker.Frame) {
+	if f.Allowances != nil && x.throttles[id] != nil {
+		x.throttles[id].Apply(f.Allowances.Tenants, x.now)
+	}
+	for _, s := range f.Starts {
+		tenant := x.c.jobs[s.Task.Job].Tenant
+		x.waits[tenant] = append(x.waits[tenant], x.now.Sub(x.arrivals[s.Task.Job]))
+		x.runs[s.Target][s.Task], x.ends[s.Task] = s, x.now.Add(800*time.Millisecond)
+		x.c.Receive(id, &linker.Frame{Results: []linker.Result{{Target: s.Target, Task: s.Task, Run: s.Run, Outcome: linker.Started}}}, x.now)
+	}
+}
+
+// TestHotTenantDelaysNoOther guards against jobs of other tenants that are refused, or
+// wait longer than without it, because one tenant sends 7.5 times its rate to a cell
+// that has room for the rates of all.
+func TestHotTenantDelaysNoOther(t *testing.T) {
+	others := []w.TenantName{"a", "b", "c", "d", "e"}
+	run := func(excess float64) (mean, longest time.Duration, x *sharedCell) {
+		tenants, rates := []w.Tenant{{Name: "hot", Weight: 40}}, map[w.TenantName]float64{"hot": excess * 40}
+		for _, name := range others {
+			tenants, rates[name] = append(tenants, w.Tenant{Name: name, Weight: 10}), 9
+		}
+		x = newSharedCell(t, tenants)
+		for range 3000 {
+			x.step(rates)
+		}
+		total, count := time.Duration(0), 0
+		for _, name := range others {
+			if excessOrdered {
+				require.Zero(t, x.refused[name])
+			}
+			require.Less(t, x.refused[name], len(x.waits[name])/20)
+			for _, wait := range x.waits[name] {
+				total, count, longest = total+wait, count+1, max(longest, wait)
+			}
+		}
+		require.Greater(t, count, 1000)
+		return total / time.Duration(count), longest, x
+	}
+	usualMean, usualLongest, _ := run(0.9)
+	mean, longest, x := run(7.5)
+	t.Logf("waits of others: mean %v, longest %v; with the hot tenant %v, %v", usualMean, usualLongest, mean, longest)
+	require.Positive(t, x.refused["hot"])
+	require.GreaterOrEqual(t, len(x.waits["hot"]), 40*30*9/10, "the hot tenant must get its rate")
+	if excessOrdered {
+		require.Less(t, mean, usualMean+100*time.Millisecond)
+		require.Less(t, longest, usualLongest+time.Second)
+	}
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -439,10 +439,10 @@
 						}
 					}
 				}
-				c.Log.Info("step takes long", append(c.tenantAttributes(s), "step", s.name, "queue", j.Queue, "open", c.now.Sub(s.readyAt), "gang", s.Gang,
+				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "open", c.now.Sub(s.readyAt), "gang", s.Gang,
 					"waiting", phases[waiting], "starting", phases[starting], "running", phases[running], "stopping", phases[stopping],
 					"unclear", at, "asking", s.unansweredCalls, "advised", len(s.advice), "good", permitted,
-					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced))...)
+					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced))
 			}
 		}
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -4,7 +4,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/masticlead/masticlead/linker"
@@ -19,19 +18,26 @@
 // admission holds what the gateway needs to admit jobs by tenant and to explain
 // refusals.
 type admission struct {
-	throttle     *throttler.Throttle
-	configMu     sync.Mutex   // held while a configuration is applied, so that the latest one counts
-	configuredAt atomic.Int64 // Unix time at which the configuration came into force here, ns
+	throttle *throttler.Throttle
+
+	mu        sync.Mutex
+	config    *w.Config // as of the last call of noteConfig
+	changedAt time.Time // when it came into force here
 }
 
 func (a *admission) init() { a.throttle = throttler.NewThrottle(rand.Float64) }
 
-// configured records that a configuration has come into force.
-func (g *Gateway) configured() {
-	g.admission.configMu.Lock()
-	defer g.admission.configMu.Unlock()
-	g.admission.configuredAt.Store(time.Now().UnixNano())
-	g.Meter.SetTenants(g.Config().Tenants)
+// noteConfig returns the configuration, or nil if none is set, and the time since it was
+// first noted here. It makes its tenants those that have metrics of their own.
+func (g *Gateway) noteConfig() (*w.Config, time.Duration) {
+	a := &g.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := g.Config(); c != a.config {
+		a.config, a.changedAt = c, time.Now()
+		g.Meter.SetTenants(c.Tenants)
+	}
+	return a.config, time.Since(a.changedAt)
 }
 
 // applyAllowances applies the allowances in a frame from the coordinator.
@@ -43,7 +49,10 @@
 
 // TakeRefusals returns the number of jobs refused by tenant because of an allowance
 // since the last call.
-func (g *Gateway) TakeRefusals() []linker.Refusals { return g.admission.throttle.TakeRefusals() }
+func (g *Gateway) TakeRefusals() []linker.Refusals {
+	g.noteConfig()
+	return g.admission.throttle.TakeRefusals()
+}
 
 // admit returns a RefusedError if the job's tenant exceeds its allowance. A job that is
 // known to be stored is always admitted: its caller has sent it again because it got no
@@ -88,12 +97,11 @@
 // configAttributes returns log attributes that tell by which configuration a request of
 // a tenant was refused.
 func (g *Gateway) configAttributes(tenant w.TenantName, reason string) []any {
-	c := g.Config()
+	c, age := g.noteConfig()
 	if c == nil {
 		return nil
 	}
-	age := time.Since(time.Unix(0, g.admission.configuredAt.Load())).Round(time.Millisecond)
-	out := []any{"reason", reason, "configuration", c.Version, "configurationAge", age}
+	out := []any{"reason", reason, "configuration", c.Version, "configurationAge", age.Round(time.Millisecond)}
 	if tenant != "" {
 		out = append(out, "tenant", tenant)
 	}
@@ -104,6 +112,7 @@
 // only.
 func (g *Gateway) countTenant(tenant w.TenantName, result string) {
 	if tenant != "" {
+		g.noteConfig()
 		g.Meter.CountTenant(tenant, result)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,7 +124,6 @@
 			return false
 		}
 		if g.cfg.CompareAndSwap(current, c) {
-			g.configured()
 			return true
 		}
 	}
--- a/throttler/allocator.go
+++ b/throttler/allocator.go
@@ -141,8 +141,15 @@
 	out := make(map[w.InstanceID][]linker.Allowance, len(instances))
 	for i := range limited {
 		t := &limited[i]
-		gains[t.Name] = a.gain(t, instances)
-		a.split(t, gains[t.Name], instances, out)
+		sum := a.sum(t.Name, instances)
+		gains[t.Name] = a.gain(t, sum)
+		applied := gains[t.Name]
+		if float64(sum.admitted+sum.refused) <= t.Weight*window.Seconds() {
+			// Only excess that was accepted before waits. The split rate would refuse
+			// some of the jobs to which the tenant is entitled.
+			applied = maxGain
+		}
+		a.split(t, applied, instances, out)
 	}
 	a.gains = gains
 	return out
@@ -170,23 +177,29 @@
 	return out
 }
 
+// sum returns the arrivals of a tenant at all instances.
+func (a *Allocator) sum(tenant w.TenantName, instances []w.InstanceID) arrivals {
+	var out arrivals
+	for _, instance := range instances {
+		n := a.totals[source{tenant, instance}]
+		out.admitted += n.admitted
+		out.refused += n.refused
+	}
+	return out
+}
+
 // gain returns the factor by which the allowances of a tenant are raised or lowered, so
 // that the jobs admitted by all instances together approach its rate. Without it,
 // a tenant that sends 1.5 times its rate to 42 instances got 0.87 of it: a bucket of one
 // job loses what it would gain while it is full. The lower bounds of allowances add up
-// to the contrary.
-func (a *Allocator) gain(t *TenantLoad, instances []w.InstanceID) float64 {
+// to the contrary. The gain stays while the tenant sends less than its rate, so that it
+// is not given too much when it sends more again.
+func (a *Allocator) gain(t *TenantLoad, sum arrivals) float64 {
 	g, ok := a.gains[t.Name]
 	if !ok {
 		return 1
 	}
-	var sum arrivals
-	for _, instance := range instances {
-		n := a.totals[source{t.Name, instance}]
-		sum.admitted += n.admitted
-		sum.refused += n.refused
-	}
-	if t.Weight <= 0 || sum.refused == 0 {
+	if t.Weight <= 0 || float64(sum.admitted+sum.refused) <= t.Weight*window.Seconds() {
 		return g
 	}
 	ratio := t.Weight * window.Seconds() / math.Max(1, float64(sum.admitted))
@@ -197,11 +210,8 @@
 // tenant's rate that corresponds to its part of the arrivals, or equal parts if there
 // were none.
 func (a *Allocator) split(t *TenantLoad, gain float64, instances []w.InstanceID, out map[w.InstanceID][]linker.Allowance) {
-	total := 0
-	for _, instance := range instances {
-		n := a.totals[source{t.Name, instance}]
-		total += n.admitted + n.refused
-	}
+	sum := a.sum(t.Name, instances)
+	total := sum.admitted + sum.refused
 	for _, instance := range instances {
 		part := 1 / float64(len(instances))
 		if total > 0 {
