--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -109,6 +109,7 @@
 	latenessDue   time.Time
 	reserveDue    time.Time
 	tenants       tenancy
+	admission     *admission
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -131,6 +132,7 @@
 		earlyEnds:       make(map[w.JobID]earlyEnd),
 		reserves:        make(map[string]*reserve),
 		runTimeRatios:   make(map[string]float64),
+		admission:       newAdmission(now),
 	}
 	c.tenants.init(s.QuotaExcess)
 	return c
@@ -155,6 +157,7 @@
 	old := c.cfg
 	c.cfg = cfg
 	c.configureTenants(old)
+	c.admission.configure(cfg)
 	c.backlogUnsorted = true
 	c.mostUrgentPriority = math.MaxInt
 	for i := range cfg.Queues {
@@ -289,10 +292,12 @@
 	if !now.Before(c.pendingDue) {
 		c.pendingDue = now.Add(pendingPeriod)
 		c.publishPendingCounts()
+		c.publishAllowances()
 	}
 	if !now.Before(c.gaugesDue) {
 		c.gaugesDue = now.Add(gaugePeriod)
 		c.reportGauges()
+		c.reportTenants()
 	}
 	if !now.Before(c.sweepDue) {
 		c.sweepDue = now.Add(sweepPeriod)
--- /dev/null
+++ b/gateway/admission.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/masticlead/masticlead/limiter"
+	"github.com/masticlead/masticlead/linker"
+	"github.com/masticlead/masticlead/throttler"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// reasonTenantRate is the reason of refusals because the tenant exceeds its rate while
+// its jobs wait.
+const reasonTenantRate = "tenantRate"
+
+// admission holds what the gateway needs to admit jobs by tenant and to explain
+// refusals.
+type admission struct {
+	throttle *throttler.Throttle
+
+	mu        sync.Mutex
+	config    *w.Config // as of the last call of noteConfig
+	changedAt time.Time // when it came into force here
+}
+
+func (a *admission) init() { a.throttle = throttler.NewThrottle(rand.Float64) }
+
+// noteConfig returns the configuration, or nil if none is set, and the time since it was
+// first noted here. It makes its tenants those that have metrics of their own.
+func (g *Gateway) noteConfig() (*w.Config, time.Duration) {
+	a := &g.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := g.Config(); c != a.config {
+		a.config, a.changedAt = c, time.Now()
+		g.Meter.SetTenants(c.Tenants)
+	}
+	return a.config, time.Since(a.changedAt)
+}
+
+// applyAllowances applies the allowances in a frame from the coordinator.
+func (g *Gateway) applyAllowances(f *linker.Frame) {
+	if f.Allowances != nil {
+		g.admission.throttle.Apply(f.Allowances.Tenants, time.Now())
+	}
+}
+
+// TakeRefusals returns the number of jobs refused by tenant because of an allowance
+// since the last call.
+func (g *Gateway) TakeRefusals() []linker.Refusals {
+	g.noteConfig()
+	return g.admission.throttle.TakeRefusals()
+}
+
+// admit returns a RefusedError if the job's tenant exceeds its allowance, or if its cap can
+// never admit the job. A job that is known to be stored is always admitted: its caller has
+// sent it again because it got no response, and a refusal would say that the job never
+// runs.
+func (g *Gateway) admit(ctx context.Context, j *w.Job) error {
+	if j.Tenant == "" || g.knows(j.ID) {
+		return nil
+	}
+	if err := g.checkCap(ctx, j); err != nil {
+		return err
+	}
+	retryAfter, ok := g.admission.throttle.Admit(j.Tenant, time.Now())
+	if ok {
+		return nil
+	}
+	return &RefusedError{Reason: reasonTenantRate, Overload: true, RetryAfter: retryAfter}
+}
+
+// knows reports whether a job is known to be stored.
+func (g *Gateway) knows(id w.JobID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.states[id] != w.Unknown || g.unconfirmedJobs[id] != nil
+}
+
+// recordFailure counts and logs a submission that was not accepted. Refusals because of
+// an allowance have a message of their own, since they are frequent and the rate limit
+// of log lines applies to each message.
+func (g *Gateway) recordFailure(j *w.Job, err error, took time.Duration) {
+	reason := refusalReason(err)
+	var refused *RefusedError
+	errors.As(err, &refused)
+	g.Meter.Count("request", reason)
+	g.countTenant(j.Tenant, reason)
+	attributes := append([]any{"job", j.ID, "queue", j.Queue}, g.configAttributes(j.Tenant, reason)...)
+	if reason == reasonTenantRate && refused != nil {
+		g.Log.Info("job over its tenant's rate refused", append(attributes, "retryAfter", refused.RetryAfter)...)
+		return
+	}
+	g.Log.Warn("job not accepted", append(attributes, "took", took, "error", err)...)
+}
+
+// configAttributes returns log attributes that tell by which configuration a request of
+// a tenant was refused.
+func (g *Gateway) configAttributes(tenant w.TenantName, reason string) []any {
+	c, age := g.noteConfig()
+	if c == nil {
+		return nil
+	}
+	out := []any{"reason", reason, "configuration", c.Version, "configurationAge", age.Round(time.Millisecond)}
+	if tenant != "" {
+		out = append(out, "tenant", tenant)
+	}
+	return out
+}
+
+// countTenant counts a submission of a tenant. Jobs without one are counted by queue
+// only.
+func (g *Gateway) countTenant(tenant w.TenantName, result string) {
+	if tenant != "" {
+		g.noteConfig()
+		g.Meter.CountTenant(tenant, result)
+	}
+}
+
+// capRetryAfter is the retry delay of a job that its tenant's cap can never admit. It is
+// the longest one, since only a new configuration changes the answer.
+const capRetryAfter = 5 * time.Second
+
+// checkCap refuses a job with a gang that can never fit its tenant's cap. A job that was
+// stored before the cap was lowered is not refused, since it may run.
+func (g *Gateway) checkCap(ctx context.Context, j *w.Job) error {
+	t := g.Config().Tenant(j.Tenant)
+	if t == nil || !limiter.JobNeverFits(t.Cap, g.QuotaExcess, j) {
+		return nil
+	}
+	stored, err := g.Keeper.Exists(ctx, j.ID)
+	if err != nil {
+		return fmt.Errorf("gateway: check whether a job over its tenant's cap is stored: %w", err)
+	}
+	if stored {
+		return nil
+	}
+	return &RefusedError{Reason: "tenantCap", Overload: true, RetryAfter: capRetryAfter}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,6 @@
 
 	"github.com/masticlead/masticlead/authenticator"
 	"github.com/masticlead/masticlead/keeper"
-	"github.com/masticlead/masticlead/limiter"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
 	w "github.com/masticlead/masticlead/workload"
@@ -89,6 +88,7 @@
 	Freshness authenticator.Freshness
 
 	acceptor  *acceptor
+	admission admission
 	lastProbe atomic.Int64 // Unix time of the last submission that probed an unreachable store, ns
 
 	mu   sync.Mutex
@@ -108,6 +108,7 @@
 // Init initializes the gateway. It must be called before jobs are submitted.
 func (g *Gateway) Init() {
 	g.acceptor = newAcceptor(g.Keeper)
+	g.admission.init()
 	g.disconnectedSince = time.Now()
 	g.states = make(map[w.JobID]w.State)
 	g.owners = make(map[w.JobID]w.TenantName)
@@ -162,9 +163,10 @@
 	}
 }
 
-// Receive applies the job states, confirmations and pending counts in a frame from
-// the coordinator.
+// Receive applies the job states, confirmations, pending counts and allowances in a
+// frame from the coordinator.
 func (g *Gateway) Receive(f *linker.Frame) {
+	g.applyAllowances(f)
 	if len(f.States) == 0 && f.Pending == nil && len(f.Received) == 0 && !f.Reset {
 		return
 	}
@@ -223,49 +225,22 @@
 	j.Tenant = submissionTenant(ctx)
 	j.Accepted = time.Now().UnixMilli()
 	start := time.Now()
-	stored, err := j, g.checkCap(ctx, j)
+	stored, err := j, g.admit(ctx, j)
 	if err == nil {
 		stored, err = g.accept(ctx, j)
 	}
 	if err != nil {
-		g.Meter.Count("request", refusalReason(err))
-		g.Log.Warn("job not accepted", "job", j.ID, "queue", q.Name, "tenant", j.Tenant, "took", time.Since(start), "error", err)
+		g.recordFailure(j, err, time.Since(start))
 		return err
 	}
 	g.Meter.Count("request", "accepted")
+	g.countTenant(j.Tenant, "accepted")
 	g.Meter.ObserveDuration("accept", time.Since(start))
 	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "tenant", j.Tenant, "configuration", g.Config().Version, "took", time.Since(start))
 	g.forward(stored, stored != j)
 	return nil
 }
 
-// capRetryAfter is the retry delay of a job that its tenant's cap can never admit. It is
-// the longest one, since only a new configuration changes the answer.
-const capRetryAfter = 5 * time.Second
-
-// checkCap refuses a job with a gang that can never fit its tenant's cap. A job that was
-// stored before the cap was lowered is not refused, since it may run.
-func (g *Gateway) checkCap(ctx context.Context, j *w.Job) error {
-	t := g.Config().Tenant(j.Tenant)
-	if t == nil || !limiter.JobNeverFits(t.Cap, g.QuotaExcess, j) {
-		return nil
-	}
-	g.mu.Lock()
-	known := g.states[j.ID] != w.Unknown
-	g.mu.Unlock()
-	if known {
-		return nil
-	}
-	stored, err := g.Keeper.Exists(ctx, j.ID)
-	if err != nil {
-		return fmt.Errorf("gateway: check whether a job over its tenant's cap is stored: %w", err)
-	}
-	if stored {
-		return nil
-	}
-	return &RefusedError{Reason: "tenantCap", Overload: true, RetryAfter: capRetryAfter}
-}
-
 // accept stores a job. An attempt with an unknown outcome is repeated with the same
 // content; the repetition finds the job if an earlier attempt stored it.
 func (g *Gateway) accept(ctx context.Context, j *w.Job) (*w.Job, error) {
