--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -73,19 +73,19 @@
 	time.Sleep(2 * time.Second)
 	loadEnd := time.Now().Add(time.Duration(intFromEnv("MASTICLEAD_SOAK", defaultLoadSeconds)) * time.Second)
 	var wg sync.WaitGroup
-	wg.Go(func() { injectFaults(rng, sim, processes, loadEnd) })
+	wg.Go(func() { injectFaults(rng, sim, processes, tenants, loadEnd) })
 	wg.Go(func() { tenants.change(loadEnd) })
 	accepted := submitJobs(sim, processes, tenants, loadEnd)
 	wg.Wait()
 	require.NotEmpty(t, accepted)
 
+	defer tenants.requireValid(t)
 	requireJobsEnd(t, sim, processes, accepted)
-	tenants.requireValid(t)
 }
 
 // injectFaults injects one random fault at a time until the given time. It ends each
 // fault before the next one, so that none remains when it returns.
-func injectFaults(rng *rand.Rand, sim *standin.Platform, processes []*process, until time.Time) {
+func injectFaults(rng *rand.Rand, sim *standin.Platform, processes []*process, tenants *tenantSet, until time.Time) {
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(300+rng.IntN(1200)) * time.Millisecond)
 		p, target := processes[rng.IntN(len(processes))], sim.Targets[rng.IntN(targetCount)]
@@ -98,11 +98,11 @@
 			p.start()
 		case 2:
 			p.signal(syscall.SIGSTOP)
-			time.Sleep(faultDuration(rng, 2500))
+			tenants.sleepInFault(rng, 2500)
 			p.signal(syscall.SIGCONT)
 		case 3:
 			sim.Store.SetFault([]standin.StoreFault{standin.StoreUnavailable, standin.StoreUnresponsive, standin.StoreDropsResponses}[rng.IntN(3)], 0)
-			time.Sleep(faultDuration(rng, 2000))
+			tenants.sleepInFault(rng, 2000)
 			sim.Store.SetFault(standin.StoreHealthy, 0)
 		case 4:
 			sim.Store.Compact()
@@ -162,6 +162,9 @@
 	if err != nil {
 		panic(err)
 	}
+	if tenants != nil {
+		tenants.queryLastJob(processes[i%len(processes)], c)
+	}
 	rejected := true
 	for attempt := range 4 {
 		sent := time.Now()
@@ -184,9 +187,6 @@
 	if rejected {
 		sim.Checker.RecordRefusal(id)
 	}
-	if tenants != nil {
-		tenants.queryLastJob(processes[i%len(processes)], c)
-	}
 	return false
 }
 
--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -33,9 +33,10 @@
 	// away, and 2 s for which a start order is valid.
 	capDelay = 3*time.Second + longestOutage + 2*time.Second
 	// highCap and lowCap are the CPU caps between which the tenant capped changes. Its
-	// jobs need about 6,000 on average.
-	highCap, lowCap = 8000, 4000
-	capped          = 1 // index of the tenant
+	// jobs need about 6,000 on average, as do those of the tenant hot, whose cap makes
+	// them wait, so that its rate is limited.
+	highCap, lowCap, hotCap = 8000, 4000, 2000
+	capped, hot             = 1, 2 // indexes of the tenants
 )
 
 // tenantSet holds the tenants of the configuration, and the keys that clients send.
@@ -73,7 +74,7 @@
 	s.tenants = []standin.Tenant{
 		{Name: "large", Weight: 100},
 		{Name: "capped", Weight: 100, Cap: map[string]float64{"cpu": highCap}},
-		{Name: "hot", Weight: 3},
+		{Name: "hot", Weight: 3, Cap: map[string]float64{"cpu": hotCap}},
 	}
 	for i := range s.tenants {
 		s.tenants[i].APIKeys = []string{s.newKey(), s.newKey()}
@@ -94,7 +95,7 @@
 }
 
 // change replaces keys, and lowers or raises the cap, until the given time. It then
-// raises the cap, so that the remaining jobs can end in time.
+// raises the caps, so that the remaining jobs can end in time.
 func (s *tenantSet) change(until time.Time) {
 	const capInterval = capDelay + 3*time.Second
 	for time.Now().Before(until) {
@@ -102,7 +103,7 @@
 		if time.Since(s.capChanged) > capInterval {
 			s.setCap(lowCap + highCap - s.tenants[capped].Cap["cpu"])
 		} else {
-			s.replaceKey()
+			s.replaceKey(s.rng.IntN(len(s.tenants)))
 		}
 		pause := time.Duration(500+s.rng.IntN(1500)) * time.Millisecond
 		s.mu.Unlock()
@@ -110,6 +111,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tenants[hot].Cap = nil
 	s.setCap(highCap)
 }
 
@@ -120,8 +122,7 @@
 }
 
 // replaceKey removes the second key of a tenant and adds another.
-func (s *tenantSet) replaceKey() {
-	i := s.rng.IntN(len(s.tenants))
+func (s *tenantSet) replaceKey(i int) {
 	old := s.tenants[i].APIKeys[1]
 	s.tenants[i].APIKeys = []string{s.tenants[i].APIKeys[0], s.newKey()}
 	s.store()
@@ -131,7 +132,7 @@
 // choose returns the credential of the next job. Some are removed keys, most of them for
 // about as long as the bound, and some were never issued.
 func (s *tenantSet) choose() credential {
-	const removedPart, unknownPart, recent = 0.15, 0.03, 8
+	const removedPart, unknownPart, recent = 0.2, 0.03, 8
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i := s.rng.IntN(len(s.tenants))
@@ -171,7 +172,8 @@
 	s.lastJobs[c.tenant] = id
 }
 
-// queryLastJob asks for the state of a job of the tenant of a refused credential.
+// queryLastJob asks for the state of a job of the credential's tenant, which an instance
+// may know without the store.
 func (s *tenantSet) queryLastJob(p *process, c credential) {
 	s.mu.Lock()
 	id := s.lastJobs[max(0, c.tenant)]
@@ -219,12 +221,17 @@
 	}
 }
 
-// faultDuration returns the duration of a fault. While tenantChecks is set, some are
-// longer than the bound for removed keys.
-func faultDuration(rng *rand.Rand, ms int) time.Duration {
-	d := time.Duration(500+rng.IntN(ms)) * time.Millisecond
-	if tenantChecks && rng.IntN(3) == 0 {
-		d = revocationBound + time.Duration(rng.IntN(int(longestOutage-revocationBound)))
+// sleepInFault waits for the duration of a fault. While tenantChecks is set, some faults
+// are longer than the bound for removed keys, and keys are removed when they begin.
+func (s *tenantSet) sleepInFault(rng *rand.Rand, ms int) {
+	if !tenantChecks || rng.IntN(2) == 0 {
+		time.Sleep(time.Duration(500+rng.IntN(ms)) * time.Millisecond)
+		return
+	}
+	s.mu.Lock()
+	for i := range s.tenants {
+		s.replaceKey(i)
 	}
-	return d
+	s.mu.Unlock()
+	time.Sleep(longestOutage)
 }
