coordinator: runs of ended jobs count for their tenant after a handover

Cause: a new leader did not count runs of cancelled jobs that the earlier one had not stopped yet, so a tenant could exceed its cap by them. Change: such runs count from their listing to their end, and until their targets are read up to what these can hold. The model cancels jobs.

--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -67,6 +67,7 @@
 	endEstimatedAt     time.Time     // when expectedEnd was computed
 	expectedRunTime    time.Duration // estimated run time of a task, including backfillMargin
 	runTimeEstimatedAt time.Time     // when expectedRunTime was computed
+	account            slotAccount   // what a run of a task counts for the tenant
 	capHeld            bool          // its tenant's cap kept it from starting in the last placement round
 }
 
@@ -205,6 +206,7 @@
 			s.tasks = make([]task, s.Count)
 			s.waiting = s.Count
 			s.name = s.id(0).StepName()
+			s.account = slotAccount{j.Tenant, s.Need}
 			o.steps = append(o.steps, s)
 		}
 		o.computeCriticalPath()
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -85,6 +85,7 @@
 	}
 	s := j.step(r.Task)
 	if s == nil {
+		sl.account = endedJobAccount(j, r.Task)
 		c.addSlot(t, r.Task, sl)
 		c.sendStop(t, r.Task, r.Run)
 		return
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -12,12 +12,13 @@
 
 // slot is a run together with the resources that it occupies on a target.
 type slot struct {
-	step      *step // nil if the job is not known
+	step      *step // nil if the job is not known, or had ended when it was loaded
 	index     int
 	run       w.RunID
 	resources w.Resources
-	listedAt  time.Time // last complete list of runs that contained the run
-	stopping  bool      // a stop was ordered
+	account   *slotAccount // what it counts for its tenant, or nil if the job is not known
+	listedAt  time.Time    // last complete list of runs that contained the run
+	stopping  bool         // a stop was ordered
 }
 
 type target struct {
@@ -170,9 +171,9 @@
 		t.leastUrgentPriority = math.MinInt
 	}
 	if sl.step != nil {
-		c.tenants.limits.Add(sl.step.job.Tenant, sl.step.Need)
 		t.leastUrgentPriority = max(t.leastUrgentPriority, c.priority(sl.step.job))
 	}
+	c.tenants.add(sl)
 	t.slots[id] = sl
 	t.used = t.used.Add(sl.resources)
 	t.countSlot(sl, 1)
@@ -195,9 +196,7 @@
 		return
 	}
 	delete(t.slots, id)
-	if sl.step != nil {
-		c.tenants.limits.Remove(sl.step.job.Tenant, sl.step.Need)
-	}
+	c.tenants.remove(sl)
 	t.used = t.used.Sub(sl.resources)
 	t.countSlot(sl, -1)
 	if sl.stopping {
--- a/coordinator/tenants.go
+++ b/coordinator/tenants.go
@@ -56,6 +56,38 @@
 	r.states = make(map[w.TenantName]*tenantState)
 }
 
+// slotAccount is what a slot counts for a tenant.
+type slotAccount struct {
+	tenant w.TenantName
+	need   w.Resources
+}
+
+// endedJobAccount returns the account of a run of a job that had ended when it was
+// loaded, so that the job has no steps. Such runs are stopped and count until their end.
+func endedJobAccount(j *job, id w.TaskID) *slotAccount {
+	if id.Step >= len(j.Steps) {
+		return nil
+	}
+	return &slotAccount{j.Tenant, j.Steps[id.Step].Need}
+}
+
+// add accounts for a slot.
+func (r *tenancy) add(sl *slot) {
+	if sl.step != nil {
+		sl.account = &sl.step.account
+	}
+	if sl.account != nil {
+		r.limits.Add(sl.account.tenant, sl.account.need)
+	}
+}
+
+// remove reverses add.
+func (r *tenancy) remove(sl *slot) {
+	if sl.account != nil {
+		r.limits.Remove(sl.account.tenant, sl.account.need)
+	}
+}
+
 // configureTenants applies the tenants of a new configuration.
 func (c *Coordinator) configureTenants(old *w.Config) {
 	r := &c.tenants
@@ -65,7 +97,7 @@
 	}
 	wasActive := r.active
 	r.active = len(c.cfg.Tenants) > 0
-	r.excessPriority = math.MinInt
+	r.excessPriority = 0
 	for i := range c.cfg.Queues {
 		r.excessPriority = max(r.excessPriority, c.cfg.Queues[i].Priority+1)
 	}
@@ -209,9 +241,10 @@
 		s.capHeld = false
 		return false
 	}
-	q := limiter.Query{Tenant: s.job.Tenant, Need: s.Need}
-	q.IgnoreUncertain = len(c.unsynced) > 0 && c.mayRunElsewhere(s)
-	s.capHeld = !c.allowsQuery(s, &q)
+	s.capHeld = !c.capAllows(s)
+	if s.capHeld && len(c.unsynced) > 0 && c.mayRunElsewhere(s) {
+		s.capHeld = !c.allowsQuery(s, &limiter.Query{Tenant: s.job.Tenant, Need: s.Need, IgnoreUncertain: true})
+	}
 	if !s.capHeld {
 		return false
 	}
@@ -285,8 +318,9 @@
 	return n
 }
 
-// updateUncertain counts the waiting tasks that may be running on unsynced targets, up
-// to what these targets can hold. Tasks that run on idle CPU take no capacity, so their
+// updateUncertain counts the tasks that may be running on unsynced targets, up to what
+// these targets can hold: the waiting ones, and those of jobs that ended but did not
+// complete, whose runs may not have been stopped yet. Tasks that run on idle CPU take no capacity, so their
 // CPU has no such bound.
 func (c *Coordinator) updateUncertain() {
 	r := &c.tenants
@@ -306,21 +340,28 @@
 		service string
 	}
 	sums, unreserved := make(map[pool]w.Resources), make(map[pool]int64)
+	count := func(j *job, s *w.Step, n int) {
+		p := pool{j.Tenant, c.serviceOf(j)}
+		sums[p] = sums[p].Add(s.Demand().Times(n))
+		unreserved[p] += (s.Need.CPU - s.Demand().CPU) * int64(n)
+	}
 	for _, j := range c.jobs {
-		if j.state.Final() || j.fresh {
+		if j.state == w.Completed || j.fresh {
 			continue
 		}
+		if j.occurrences == nil {
+			for i := range j.Steps {
+				count(j, &j.Steps[i], j.Steps[i].Count*c.unsyncedOccurrences(j, i))
+			}
+		}
 		for _, o := range j.occurrences {
 			if o.due.After(c.now.Add(clockSkewMargin)) {
 				continue // no coordinator has started it
 			}
 			for _, s := range o.steps {
-				if s.waiting == 0 || !c.mayRunElsewhere(s) {
-					continue
+				if s.waiting > 0 && c.mayRunElsewhere(s) {
+					count(j, s.Step, s.waiting)
 				}
-				p := pool{j.Tenant, c.serviceOf(j)}
-				sums[p] = sums[p].Add(s.Demand().Times(s.waiting))
-				unreserved[p] += (s.Need.CPU - s.Demand().CPU) * int64(s.waiting)
 			}
 		}
 	}
@@ -336,6 +377,22 @@
 	r.limits.SetUncertain(total)
 }
 
+// unsyncedOccurrences returns the number of occurrences of a job that had ended when it
+// was loaded of which an unsynced target may be running tasks of a step.
+func (c *Coordinator) unsyncedOccurrences(j *job, index int) int {
+	n := 0
+	for k := range j.Occurrences() {
+		name := w.TaskID{Job: j.ID, Occurrence: k, Step: index}.StepName()
+		for _, u := range c.unsynced {
+			if !u.closed || u.hasStep(name) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
 // unsyncedCapacity returns the capacity of the unsynced targets by service. It is
 // unlimited if one of them is not listed, since its capacity is then unknown.
 func (c *Coordinator) unsyncedCapacity() (capacity map[string]w.Resources, unlimited bool) {
--- a/coordinator/tenants_model_test.go
+++ b/coordinator/tenants_model_test.go
@@ -1,11 +1,13 @@
 package coordinator
 
 import (
+	"context"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -31,6 +33,20 @@
 	}
 }
 
+// cancel stores the cancellation of a job and hands it to the newest leader.
+func (m *model) cancel() {
+	if m.store.unresponsive || len(m.jobs) == 0 {
+		return
+	}
+	id := m.jobs[rapid.IntRange(0, len(m.jobs)-1).Draw(m.t, "job")].ID
+	if err := m.keeper.Cancel(context.Background(), id); err != nil {
+		m.t.Fatal(err)
+	}
+	if l := m.leaders[len(m.leaders)-1]; !l.frozen && !l.replaced {
+		l.coordinator.Receive("caller", &linker.Frame{Cancels: []w.JobID{id}}, m.now)
+	}
+}
+
 // checkCap fails if the running tasks of the tenant exceed, by more than one task, the
 // highest cap since the configuration of the last start order.
 func (m *model) checkCap(version int64) {
@@ -64,7 +80,7 @@
 		m := newModel(t, 1000*rapid.Int64Range(1, 3).Draw(t, "cap"))
 		events := []func(){
 			m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch,
-			m.passTime, m.endRandomRun, m.submit, m.submit, m.findJobs, m.renew, m.applyDelayed, m.injectFault, m.changeCap, m.configureLeader,
+			m.passTime, m.endRandomRun, m.submit, m.submit, m.findJobs, m.renew, m.applyDelayed, m.injectFault, m.changeCap, m.configureLeader, m.cancel,
 		}
 		for range 3 {
 			m.advance()
--- a/coordinator/tenants_test.go
+++ b/coordinator/tenants_test.go
@@ -23,15 +23,19 @@
 	recount := make(map[w.TenantName]limiter.Usage)
 	for _, t := range c.sortedTargets {
 		var used w.Resources
-		for _, sl := range t.slots {
+		for id, sl := range t.slots {
 			used = used.Add(sl.resources)
-			if sl.step == nil {
+			j := c.jobs[id.Job]
+			if sl.step != nil {
+				j = sl.step.job
+			}
+			if j == nil {
 				continue
 			}
-			u := recount[sl.step.job.Tenant]
+			u := recount[j.Tenant]
 			u.Runs++
-			u.Resources = u.Resources.Add(sl.step.Need)
-			recount[sl.step.job.Tenant] = u
+			u.Resources = u.Resources.Add(j.Steps[id.Step].Need)
+			recount[j.Tenant] = u
 		}
 		if used != t.used {
 			return fmt.Errorf("target %s has %v in use, its slots have %v", t.ID, t.used, used)
@@ -215,6 +219,27 @@
 	require.NoError(t, x.c.checkAccounts())
 }
 
+// TestEndedJobCountsAfterHandover guards against a new leader that starts up to the cap
+// beside runs of a cancelled job which have not been stopped yet.
+func TestEndedJobCountsAfterHandover(t *testing.T) {
+	x := newCell(t, 2, 2, &keeper.Snapshot{
+		Jobs: []w.Job{tenantJob("old", "t", 5)}, Progress: map[w.JobID]keeper.Progress{}, Cancelled: map[w.JobID]bool{"old": true},
+		Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}},
+	})
+	x.setTenants(tenantCap("t", 6000))
+	x.reportRuns("a")
+	x.submit(tenantJob("new", "t", 9))
+	require.Len(t, x.advance(0).Starts, 1)
+	runs := []w.Run{{Task: w.TaskID{Job: "old"}, Run: 5}, {Task: w.TaskID{Job: "old", Index: 1}, Run: 5}}
+	x.reportRuns("b", runs...)
+	f := x.advance(0)
+	require.Len(t, f.Starts, 3)
+	require.Len(t, f.Stops, 2)
+	require.NoError(t, x.c.checkAccounts())
+	x.reportEnd("b", linker.Start{Task: runs[0].Task, Run: 5}, w.EndedStopped)
+	require.Len(t, x.advance(0).Starts, 1)
+}
+
 // TestReplacedSlotIsReleased guards against accounts that keep a run which another run of
 // the same task on the same target has replaced.
 func TestReplacedSlotIsReleased(t *testing.T) {
