coordinator: learned speed of targets in placement, gangs and expected ends

Cause: a target was chosen only by how full it is. With a quarter of the targets at 0.55 and the rest at 1.2 of the nominal speed, urgent tasks and single members of gangs ran on slow targets, and reserves for urgent queues took slow targets. Change: runs that end, and late runs in progress, teach the speed of their target; the ratio of a queue is recorded as on a target of median speed. While a tenth of a service's targets is slower than 0.8 of the median, scores, gang plans, reserves, expected ends, backfill, stall times and preemption use the relative speed. TestEvenTargetsAsBefore: all orders are the same.

--- a/cmd/masticlead/explain.go
+++ b/cmd/masticlead/explain.go
@@ -91,7 +91,7 @@
 // of a cell.
 var cellEvents = []string{
 	"took over", "leadership ends", "leader hands over", "cell loaded", "leader can't renew", "coordination suspended",
-	"instance started", "instance drains", "configuration in force", "target set aside", "target unreachable", "target lapsed",
+	"instance started", "instance drains", "configuration in force", "target set aside", "target unreachable", "target lapsed", "target speeds changed",
 }
 
 func explain(out io.Writer, id string, lines []logLine, window time.Duration) error {
--- a/coordinator/booking.go
+++ b/coordinator/booking.go
@@ -101,16 +101,16 @@
 	var r w.Resources
 	for i := range t.bookings {
 		b := &t.bookings[i]
-		if b.step != s && !c.endsBefore(s, b.start) {
+		if b.step != s && !c.endsBefore(s, t, b.start) {
 			r = r.Add(b.resources)
 		}
 	}
 	return r
 }
 
-// endsBefore reports whether a task of a step that starts now is expected to end
-// before the given time, even if it runs longer by backfillMargin.
-func (c *Coordinator) endsBefore(s *step, at time.Time) bool {
+// endsBefore reports whether a task of a step that starts now on a target is expected to
+// end before the given time, even if it runs longer by backfillMargin.
+func (c *Coordinator) endsBefore(s *step, t *target, at time.Time) bool {
 	if s.Gang || s.Lasting || s.Estimate <= 0 {
 		return false
 	}
@@ -118,7 +118,7 @@
 		s.runTimeEstimatedAt = c.now
 		s.expectedRunTime = time.Duration(backfillMargin * c.runTimeRatio(s.job.Queue) * float64(s.Estimate))
 	}
-	return c.now.Add(s.expectedRunTime).Before(at)
+	return c.now.Add(time.Duration(float64(s.expectedRunTime) / t.relative())).Before(at)
 }
 
 // availableResources returns the resources of a target that a step can use now.
@@ -180,7 +180,7 @@
 	case tk.phase == running && tk.percent >= minProgressPercent && tk.progressedAt.After(tk.phaseSince):
 		return tk.phaseSince.Add(tk.progressedAt.Sub(tk.phaseSince) * 100 / time.Duration(tk.percent))
 	case s.Estimate > 0:
-		return later(tk.phaseSince.Add(time.Duration(c.runTimeRatio(s.job.Queue)*float64(s.Estimate))), c.now)
+		return later(tk.phaseSince.Add(time.Duration(c.runTimeRatio(s.job.Queue)*float64(s.Estimate)/tk.speed())), c.now)
 	}
 	return c.now.Add(2 * maxBookingLead) // unknown, so later than any planned start
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -106,6 +106,9 @@
 	earlyEnds     map[w.JobID]earlyEnd  // ends that arrived before their jobs
 	reserves      map[string]*reserve   // by service
 	runTimeRatios map[string]float64    // ratio of actual to estimated run times, by queue
+	speedRatios   map[ratioKey]*speedRatio
+	speeds        map[string]*serviceSpeeds // by service
+	speedsDue     time.Time
 	latenessDue   time.Time
 	reserveDue    time.Time
 }
@@ -130,6 +133,8 @@
 		earlyEnds:       make(map[w.JobID]earlyEnd),
 		reserves:        make(map[string]*reserve),
 		runTimeRatios:   make(map[string]float64),
+		speedRatios:     make(map[ratioKey]*speedRatio),
+		speeds:          make(map[string]*serviceSpeeds),
 	}
 }
 
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -39,11 +39,7 @@
 	if sum < s.Count {
 		return nil
 	}
-	if s.OneRack {
-		if rack := largestRack(list, s.Count); rack != nil {
-			list = rack
-		}
-	}
+	list = c.gangTargets(s, list)
 	for i := range list {
 		if sh := &list[i]; s.fitCount(sh.target, c.availableResources(s, sh.target)) < sh.tasks {
 			_, lost := c.selectVictims(s, sh.target, sh.tasks)
@@ -192,7 +188,9 @@
 	for _, t := range c.unadvisedTargets(s) {
 		list = append(list, gangShare{target: t, tasks: s.fitCount(t, resources(t))})
 	}
-	slices.SortStableFunc(list, func(a, b gangShare) int { return cmp.Compare(b.tasks, a.tasks) })
+	slices.SortStableFunc(list, func(a, b gangShare) int {
+		return cmp.Or(cmp.Compare(a.target.speedRank(), b.target.speedRank()), cmp.Compare(b.tasks, a.tasks))
+	})
 	want := float64(s.Count) * gangTargetMargin / c.permittedShare(s.job.Queue)
 	for _, t := range s.permittedTargets {
 		if c.eligible(s, t) {
--- a/coordinator/goal.go
+++ b/coordinator/goal.go
@@ -55,23 +55,29 @@
 // stepLateness returns the expected lateness of a step's occurrence if the step starts
 // now.
 func (c *Coordinator) stepLateness(s *step) lateness {
+	goal, end, ok := c.goalAndEnd(s)
+	switch {
+	case !ok, end <= goal:
+		return inTime
+	case end <= lateFactor*goal:
+		return late
+	}
+	return tooLate
+}
+
+// goalAndEnd returns the goal of a step's occurrence and its expected duration if the step
+// starts now. It returns false if the occurrence has no goal.
+func (c *Coordinator) goalAndEnd(s *step) (goal, end time.Duration, ok bool) {
 	q := c.queue(s.job)
 	if q == nil || q.Stretch <= 0 || s.Lasting {
-		return inTime
+		return 0, 0, false
 	}
 	ratio := c.runTimeRatio(q.Name)
-	goal := q.LatencyGoal + time.Duration(q.Stretch*ratio*float64(s.occurrence.chainEstimate))
+	goal = q.LatencyGoal + time.Duration(q.Stretch*ratio*float64(s.occurrence.chainEstimate))
 	if a := q.Advice; a != nil {
 		goal += time.Duration(s.occurrence.chainLength) * (a.BaseLatency + goalTargetsPerCall*a.LatencyPerTarget)
 	}
-	end := c.now.Sub(s.occurrence.arrivalTime()) + time.Duration(ratio*float64(s.remainingEstimate))
-	switch {
-	case end <= goal:
-		return inTime
-	case end <= lateFactor*goal:
-		return late
-	}
-	return tooLate
+	return goal, c.now.Sub(s.occurrence.arrivalTime()) + time.Duration(ratio*float64(s.remainingEstimate)), true
 }
 
 // arrivalTime returns the time from which the goal of an occurrence is measured.
@@ -92,7 +98,7 @@
 }
 
 // recordRunTime updates the run time ratio of the step's queue with the duration of a
-// run that executed its task from start to end.
+// run that executed its task from start to end, on a target of median speed.
 func (c *Coordinator) recordRunTime(s *step, duration time.Duration) {
 	if s.Estimate <= 0 || s.Lasting || duration <= 0 {
 		return
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -442,7 +442,7 @@
 				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "open", c.now.Sub(s.readyAt), "gang", s.Gang,
 					"waiting", phases[waiting], "starting", phases[starting], "running", phases[running], "stopping", phases[stopping],
 					"unclear", at, "asking", s.unansweredCalls, "advised", len(s.advice), "good", permitted,
-					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced))
+					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced), "slow", s.runsOnSlowTargets())
 			}
 		}
 	}
@@ -475,6 +475,7 @@
 	c.Meter.SetGauge("cpuUsed", usedCPU)
 	c.Meter.SetGauge("stepsWaiting", float64(len(c.backlog)))
 	c.Meter.SetGauge("members", float64(len(c.sortedMembers)))
+	c.reportSpeeds()
 }
 
 // sweep removes ended jobs, early cancellations and early ends after the retention
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -67,6 +67,7 @@
 	c.backlog = kept
 	c.sortBacklog()
 	c.updateTargetSummary()
+	c.updateSpeeds()
 	c.updateReserves()
 	generation := c.generation + int64(c.now.Sub(c.startedAt)/retryPeriod)
 	fullPass := !c.now.Before(c.fullPassDue)
@@ -295,6 +296,7 @@
 	var best *target
 	bestScore := math.Inf(1)
 	need := s.Demand()
+	preference := c.speedPreference(s)
 	for _, t := range c.candidates(s, needsAdvice) {
 		free := c.availableResources(s, t)
 		if !need.Fits(free) || !c.eligible(s, t) || (needsAdvice && !c.hasValidTicket(s, t, 0)) || (s.Spread > 0 && s.tasksOn(t) >= s.Spread) {
@@ -313,7 +315,7 @@
 		if c.nominatedForOther(s, t) {
 			score += nominatedTargetPenalty
 		}
-		score += 2 * float64(t.health.consecutiveFailures)
+		score += 2*float64(t.health.consecutiveFailures) + preference.score(t)
 		if score < bestScore {
 			best, bestScore = t, score
 		}
@@ -471,6 +473,7 @@
 			without = append(without, f.target)
 		}
 	}
+	c.slowAfterFast(s, with)
 	return append(with, without...)
 }
 
--- a/coordinator/preemption.go
+++ b/coordinator/preemption.go
@@ -101,6 +101,7 @@
 				continue
 			}
 			list, lost := c.selectVictims(s, t, 1)
+			lost += c.slowdownWork(s, t)
 			if lost < bestLost {
 				best, victims, bestLost = t, list, lost
 			}
--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -104,13 +104,14 @@
 }
 
 // selectTargets reserves targets for the peak demand. It reserves rack by rack, so that
-// the other racks remain free of reserved targets for steps that need a single rack.
+// the other racks remain free of reserved targets for steps that need a single rack. Slow
+// targets come last, since urgent tasks have little slack.
 func (r *reserve) selectTargets(peak int64) {
 	if !r.mixed || float64(r.usedCPU) < scarcityThreshold*float64(r.totalCPU) {
 		return
 	}
 	slices.SortFunc(r.targets, func(a, b *target) int {
-		return cmp.Or(cmp.Compare(a.rack(), b.rack()), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.speedRank(), b.speedRank()), cmp.Compare(a.rack(), b.rack()), cmp.Compare(a.ID, b.ID))
 	})
 	left := min(peak, int64(maxReservedShare*float64(r.totalCPU)))
 	for _, t := range r.targets {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -223,7 +223,7 @@
 	case w.EndedDone:
 		t.health.recordSuccess()
 		if current && tk.phase == running && tk.fullRun {
-			c.recordRunTime(s, c.now.Sub(tk.phaseSince))
+			c.recordRun(s, e.Task.Index)
 		}
 		if s.Lasting {
 			c.requeueTask(s, e.Task.Index)
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -22,19 +22,20 @@
 
 type target struct {
 	w.Target
-	used              w.Resources
-	slots             map[w.TaskID]*slot
-	unknownSlots      int // slots of unknown jobs
-	fillSlots         int // slots of tasks that run on idle CPU only
-	servingSlots      int // slots of serving tasks, which have a tail latency goal
-	member            *member
-	listed            bool      // on the platform's current list of targets
-	synced            bool      // this coordinator has received a complete list of its runs
-	leaseExpired      bool      // its lease has certainly expired and its slots were released
-	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
-	endSeq            int64     // highest sequence number of a received end
-	ackedSeq          int64     // highest acknowledged sequence number
-	health            health
+	used         w.Resources
+	slots        map[w.TaskID]*slot
+	unknownSlots int // slots of unknown jobs
+	fillSlots    int // slots of tasks that run on idle CPU only
+	servingSlots int // slots of serving tasks, which have a tail latency goal
+	member       *member
+	listed       bool      // on the platform's current list of targets
+	synced       bool      // this coordinator has received a complete list of its runs
+	leaseExpired bool      // its lease has certainly expired and its slots were released
+	reportedAt   time.Time // last report of a reachable target, or when the target was added or reset
+	endSeq       int64     // highest sequence number of a received end
+	ackedSeq     int64     // highest acknowledged sequence number
+	health       health
+	speedState
 	orphans           []orphanEnd // ends of jobs that are not known yet
 	nominatedStep     *step       // step that preempted runs here and may use their resources first, until nominatedUntil
 	nominatedUntil    time.Time
@@ -125,6 +126,7 @@
 	delete(c.endSeqs, t.ID)
 	t.synced = false
 	t.health = health{}
+	t.speed.Restart()
 	t.reportedAt = c.now
 	c.assignmentsStale = true
 }
