delayer, coordinator: waits for a place near the data

Cause: tasks whose near targets are full, and gangs that fit no rack at the moment, start far away at once and run remoteFactor times as long, also when a near place opens a moment later. Change: package delayer decides, from expected openings and the slack of the goal, whether to wait, and promises each opening once; gangs book their rack. Ratios and speeds are recorded as near.

--- a/coordinator/booking.go
+++ b/coordinator/booking.go
@@ -118,7 +118,7 @@
 		s.runTimeEstimatedAt = c.now
 		s.expectedRunTime = time.Duration(backfillMargin * c.runTimeRatio(s.job.Queue) * float64(s.Estimate))
 	}
-	return c.now.Add(time.Duration(float64(s.expectedRunTime) / t.relative())).Before(at)
+	return c.now.Add(time.Duration(float64(s.expectedRunTime) * c.slowdown(s, t))).Before(at)
 }
 
 // availableResources returns the resources of a target that a step can use now.
@@ -180,7 +180,7 @@
 	case tk.phase == running && tk.percent >= minProgressPercent && tk.progressedAt.After(tk.phaseSince):
 		return tk.phaseSince.Add(tk.progressedAt.Sub(tk.phaseSince) * 100 / time.Duration(tk.percent))
 	case s.Estimate > 0:
-		return later(tk.phaseSince.Add(time.Duration(c.runTimeRatio(s.job.Queue)*float64(s.Estimate)/tk.speed())), c.now)
+		return later(tk.phaseSince.Add(time.Duration(c.runTimeRatio(s.job.Queue)*float64(s.Estimate)*c.slowdown(s, tk.target))), c.now)
 	}
 	return c.now.Add(2 * maxBookingLead) // unknown, so later than any planned start
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"github.com/masticlead/masticlead/delayer"
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
@@ -111,6 +112,7 @@
 	speedsDue     time.Time
 	latenessDue   time.Time
 	reserveDue    time.Time
+	delays        delayer.Policy // decides whether work waits for a place near its data
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -133,6 +135,7 @@
 		earlyEnds:       make(map[w.JobID]earlyEnd),
 		reserves:        make(map[string]*reserve),
 		runTimeRatios:   make(map[string]float64),
+		delays:          delayer.New(),
 		speedRatios:     make(map[ratioKey]*speedRatio),
 		speeds:          make(map[string]*serviceSpeeds),
 	}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -92,7 +92,9 @@
 		return func(t *target) bool { return timing == nil || c.hasValidTicket(s, t, margin) }
 	}
 	if p := c.planGang(s, targets, ticketed(0), func(t *target) w.Resources { return c.availableResources(s, t) }); p != nil {
-		c.startGang(s, p)
+		if !c.delayGang(s, timing, targets, p) {
+			c.startGang(s, p)
+		}
 		return
 	}
 	if c.now.Before(s.nextPreemption) {
@@ -211,6 +213,8 @@
 // startGang starts all tasks of a gang under one run ID.
 func (c *Coordinator) startGang(s *step, plan []gangShare) {
 	c.cancelBookingAndNominations(s)
+	s.spreadOut = s.OneRack && !oneRack(plan)
+	c.endWait(s, 0, !s.spreadOut)
 	c.lastRunID++
 	// All members start from the same checkpoint, the latest one.
 	checkpoint := ""
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -139,7 +139,7 @@
 // stallTime returns the time without progress after which a run counts as stalled.
 func (c *Coordinator) stallTime(sl *slot) time.Duration {
 	tk := &sl.step.tasks[sl.index]
-	percent := time.Duration(c.runTimeRatio(sl.step.job.Queue)*float64(sl.step.Estimate)/tk.speed()) / 100
+	percent := time.Duration(c.runTimeRatio(sl.step.job.Queue)*float64(sl.step.Estimate)*c.slowdown(sl.step, tk.target)) / 100
 	if tk.percent > 0 && tk.progressedAt.After(tk.phaseSince) {
 		percent = max(percent, tk.progressedAt.Sub(tk.phaseSince)/time.Duration(tk.percent))
 	}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -32,6 +32,7 @@
 	progressedAt time.Time // when percent last changed
 	missedLists  int       // consecutive complete lists without the run
 	preemptions  int       // number of runs that were preempted
+	waitLogged   bool      // its wait for a near target was logged
 }
 
 // step is a step of one occurrence of a job.
@@ -67,6 +68,7 @@
 	endEstimatedAt     time.Time     // when expectedEnd was computed
 	expectedRunTime    time.Duration // estimated run time of a task, including backfillMargin
 	runTimeEstimatedAt time.Time     // when expectedRunTime was computed
+	localityState
 }
 
 type occurrence struct {
@@ -442,7 +444,7 @@
 				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "open", c.now.Sub(s.readyAt), "gang", s.Gang,
 					"waiting", phases[waiting], "starting", phases[starting], "running", phases[running], "stopping", phases[stopping],
 					"unclear", at, "asking", s.unansweredCalls, "advised", len(s.advice), "good", permitted,
-					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced), "slow", s.runsOnSlowTargets())
+					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced), "slow", s.runsOnSlowTargets(), "waitsNear", s.nearWaits)
 			}
 		}
 	}
@@ -483,6 +485,7 @@
 func (c *Coordinator) sweep() {
 	c.logSlowSteps()
 	c.expireOrphans()
+	c.delays.Expire(c.now.Add(-waitRetention))
 	for id, at := range c.earlyCancels {
 		if c.now.Sub(at) > c.Retention {
 			delete(c.earlyCancels, id)
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -168,14 +168,15 @@
 		c.placeGang(s, timing)
 		return
 	}
+	s.nearWaits = 0
 	if s.Demand().Fits(c.maxFree) {
 		c.placeTasks(s, timing != nil)
 	}
-	if s.waiting == 0 {
+	if s.waiting == s.nearWaits {
 		return
 	}
 	if timing != nil {
-		c.refreshAdvice(s, timing, s.waiting)
+		c.refreshAdvice(s, timing, s.waiting-s.nearWaits)
 	}
 	c.preemptFor(s, timing != nil)
 }
@@ -190,6 +191,9 @@
 		if t == nil {
 			return
 		}
+		if c.waitsForNear(s, i, t, needsAdvice) {
+			continue
+		}
 		c.startTask(s, i, t)
 	}
 }
@@ -325,6 +329,7 @@
 
 // startTask starts a task under a new run ID.
 func (c *Coordinator) startTask(s *step, i int, t *target) {
+	c.endWait(s, i, s.near(t))
 	c.lastRunID++
 	c.startRun(s, i, t, c.lastRunID)
 }
--- a/coordinator/preemption.go
+++ b/coordinator/preemption.go
@@ -90,7 +90,7 @@
 	if c.now.Before(s.nextPreemption) || !c.canPreempt(s) {
 		return
 	}
-	n := s.waiting
+	n := s.waiting - s.nearWaits
 	for n > 0 {
 		var best *target
 		var victims []*slot
--- a/coordinator/speed.go
+++ b/coordinator/speed.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -66,14 +67,6 @@
 	return 0
 }
 
-// speed returns the relative speed of the target that runs a task.
-func (tk *task) speed() float64 {
-	if tk.target == nil {
-		return 1
-	}
-	return tk.target.relative()
-}
-
 // serviceSpeeds holds the learned speeds of the targets of a service.
 type serviceSpeeds struct {
 	targets []*target
@@ -200,11 +193,13 @@
 }
 
 // observeSpeed updates the speed of the target of a task, and the speed ratio of its queue,
-// with the time in which the target executed a share of the task.
+// with the time in which the target executed a share of the task. The time counts as if the
+// target were near the data of the task.
 func (c *Coordinator) observeSpeed(s *step, t *target, share float64, elapsed time.Duration) {
 	if c.typicalRunTime(s) == 0 || elapsed <= 0 {
 		return
 	}
+	elapsed = time.Duration(float64(elapsed) / c.distanceFactor(s, t))
 	t.speed.Observe(time.Duration(share*float64(c.measurableRunTime(s))), elapsed)
 	key := ratioKey{s.job.Queue, s.Gang}
 	r := c.speedRatios[key]
@@ -243,7 +238,7 @@
 // done, and the share of a run that it counts as. Without reported progress, a run that
 // takes longer than expected counts as about to end.
 func (c *Coordinator) progressOf(s *step, tk *task) (expected, elapsed time.Duration, share float64) {
-	expected = c.measurableRunTime(s)
+	expected = time.Duration(float64(c.measurableRunTime(s)) * c.distanceFactor(s, tk.target))
 	if expected == 0 {
 		return 0, 0, 0
 	}
@@ -259,41 +254,38 @@
 }
 
 // recordRun updates the speed of the target and the run time ratio of the queue with a
-// run that executed its task from start to end. The ratio is that of a target of median
-// speed: otherwise a queue whose work runs on slow targets would learn that its work is
+// run that executed its task from start to end. The ratio is that of a near target of
+// median speed: otherwise a queue whose work runs on slow targets would learn that its work is
 // long, and its targets would seem fast.
 func (c *Coordinator) recordRun(s *step, i int) {
 	tk := &s.tasks[i]
 	duration := c.now.Sub(tk.phaseSince)
-	speed := tk.target.relative()
+	slowdown := c.slowdown(s, tk.target)
 	if s.Gang {
-		speed = c.recordGangMembers(s)
+		slowdown = c.recordGangMembers(s)
 	} else {
 		c.observeSpeed(s, tk.target, 1, duration)
 	}
-	c.recordRunTime(s, time.Duration(float64(duration)*speed))
+	c.recordRunTime(s, time.Duration(float64(duration)/slowdown))
 }
 
 // recordGangMembers updates the speeds of the targets of a gang that ends, and returns
-// the relative speed of the slowest. A member that is done waits for the others, so the
+// the slowdown of the slowest. A member that is done waits for the others, so the
 // progress of each member shows the speed of its target, and its end does not.
 func (c *Coordinator) recordGangMembers(s *step) float64 {
-	slowest := math.Inf(1)
+	slowest := 0.0
 	for i := range s.tasks {
 		tk := &s.tasks[i]
 		if tk.phase != running || tk.target == nil {
 			continue
 		}
-		slowest = min(slowest, tk.target.relative())
+		slowest = max(slowest, c.slowdown(s, tk.target))
 		if !tk.fullRun || tk.percent < minGangPercent || !tk.progressedAt.After(tk.phaseSince) {
 			continue
 		}
 		c.observeSpeed(s, tk.target, float64(tk.percent)/100, tk.progressedAt.Sub(tk.phaseSince))
 	}
-	if math.IsInf(slowest, 1) {
-		return 1
-	}
-	return slowest
+	return cmp.Or(slowest, 1)
 }
 
 // speedPreference is the preference of a task for targets by speed.
@@ -348,9 +340,9 @@
 }
 
 // slowdownWork returns the work, in core-seconds, that a task of the step loses on a
-// target compared with one of median speed.
+// target compared with a near one of median speed.
 func (c *Coordinator) slowdownWork(s *step, t *target) float64 {
-	return c.typicalRunTime(s).Seconds() * (1/t.relative() - 1) * float64(s.Demand().CPU) / 1000
+	return c.typicalRunTime(s).Seconds() * (c.slowdown(s, t) - 1) * float64(s.Demand().CPU) / 1000
 }
 
 // gangBottleneck returns the highest speed such that the targets that have at least this
@@ -448,7 +440,7 @@
 		if uneven {
 			rack = fastestRack(list, s.Count)
 		}
-		if rack != nil {
+		if rack != nil && !(uneven && c.fasterSpread(list, rack, s.Count)) {
 			list = rack
 		}
 	}
@@ -458,6 +450,12 @@
 	return list
 }
 
+// fasterSpread reports whether a gang of n tasks runs faster spread over racks than on the
+// given rack, since the targets of the rack are slow.
+func (c *Coordinator) fasterSpread(list, rack []gangShare, n int) bool {
+	return c.RemoteFactor > 1 && gangBottleneck(list, n)/c.RemoteFactor > gangBottleneck(rack, n)
+}
+
 // reportSpeeds updates the gauges of the learned speeds: the lowest spread of a service,
 // and the number of slow targets of services whose speeds differ.
 func (c *Coordinator) reportSpeeds() {
--- a/coordinator/speed_test.go
+++ b/coordinator/speed_test.go
@@ -22,12 +22,13 @@
 	*testCell
 	rng     *rand.Rand
 	speed   map[w.TargetID]float64
-	factor  func(s *w.Step, t *target) float64 // slowdown by the distance from the data, or nil
+	factor  func(s *step, t *target) float64 // slowdown by the distance from the data, or nil
 	runs    []*replayRun
 	arrived map[w.JobID]time.Time
 	inGoal  map[string]int
 	total   map[string]int
-	orders  []string // start orders
+	orders  []string                 // start orders
+	spent   map[string]time.Duration // time from arrival to end of all jobs, by queue
 }
 
 type replayRun struct {
@@ -40,7 +41,7 @@
 func newReplay(t *testing.T, speeds []float64, racks int) *replay {
 	x := &replay{
 		testCell: newCell(t, 1, 0, nil), rng: rand.New(rand.NewPCG(7, 7)), speed: make(map[w.TargetID]float64),
-		arrived: make(map[w.JobID]time.Time), inGoal: make(map[string]int), total: make(map[string]int),
+		arrived: make(map[w.JobID]time.Time), inGoal: make(map[string]int), total: make(map[string]int), spent: make(map[string]time.Duration),
 	}
 	x.c.Configure(&w.Config{Version: 2, Queues: []w.Queue{
 		{Name: "urgent", Service: "s", Attempts: 4, Stretch: 1.5, LatencyGoal: 300 * time.Millisecond},
@@ -79,7 +80,7 @@
 		step := &x.c.jobs[s.Task.Job].Steps[0]
 		length := step.Estimate.Seconds() * math.Exp(0.1*x.rng.NormFloat64()) / x.speed[s.Target]
 		if x.factor != nil {
-			length *= x.factor(step, x.c.targets[s.Target])
+			length *= x.factor(x.c.jobs[s.Task.Job].occurrences[0].steps[0], x.c.targets[s.Target])
 		}
 		x.runs = append(x.runs, &replayRun{Start: s, begin: x.now, length: time.Duration(length * float64(time.Second))})
 		x.orders = append(x.orders, fmt.Sprint(s.Task, "@", s.Target))
@@ -126,6 +127,7 @@
 	if ended || !j.state.Final() {
 		return
 	}
+	x.spent[j.Queue] += x.now.Sub(x.arrived[j.ID])
 	q := x.c.cfg.Queue(j.Queue)
 	if x.now.Sub(x.arrived[j.ID]) <= q.LatencyGoal+time.Duration(q.Stretch*float64(j.Steps[0].Estimate)) {
 		x.inGoal[j.Queue]++
