--- a/cmd/masticlead/explain.go
+++ b/cmd/masticlead/explain.go
@@ -92,7 +92,7 @@
 // of a cell.
 var cellEvents = []string{
 	"took over", "leadership ends", "leader hands over", "cell loaded", "leader can't renew", "coordination suspended",
-	"instance started", "instance drains", "configuration in force", "target set aside", "target unreachable", "target lapsed",
+	"instance started", "instance drains", "configuration in force", "target set aside", "target unreachable", "target lapsed", "target speeds changed",
 }
 
 var tenantPattern = regexp.MustCompile(` tenant=("[^"]*"|\S+)`)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"github.com/masticlead/masticlead/delayer"
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
@@ -106,10 +107,14 @@
 	earlyEnds     map[w.JobID]earlyEnd  // ends that arrived before their jobs
 	reserves      map[string]*reserve   // by service
 	runTimeRatios map[string]float64    // ratio of actual to estimated run times, by queue
+	speedRatios   map[ratioKey]*speedRatio
+	speeds        map[string]*serviceSpeeds // by service
+	speedsDue     time.Time
 	latenessDue   time.Time
 	reserveDue    time.Time
 	tenants       tenancy
 	admission     *admission
+	delays        delayer.Policy // decides whether work waits for a place near its data
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -133,6 +138,9 @@
 		reserves:        make(map[string]*reserve),
 		runTimeRatios:   make(map[string]float64),
 		admission:       newAdmission(now),
+		delays:          delayer.New(),
+		speedRatios:     make(map[ratioKey]*speedRatio),
+		speeds:          make(map[string]*serviceSpeeds),
 	}
 	c.tenants.init(s.QuotaExcess)
 	return c
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -39,11 +39,7 @@
 	if sum < s.Count {
 		return nil
 	}
-	if s.OneRack {
-		if rack := largestRack(list, s.Count); rack != nil {
-			list = rack
-		}
-	}
+	list = c.gangTargets(s, list)
 	for i := range list {
 		if sh := &list[i]; s.fitCount(sh.target, c.availableResources(s, sh.target)) < sh.tasks {
 			_, lost := c.selectVictims(s, sh.target, sh.tasks)
@@ -96,7 +92,9 @@
 		return func(t *target) bool { return timing == nil || c.hasValidTicket(s, t, margin) }
 	}
 	if p := c.planGang(s, targets, ticketed(0), func(t *target) w.Resources { return c.availableResources(s, t) }); p != nil {
-		c.startGang(s, p)
+		if !c.delayGang(s, timing, targets, p) {
+			c.startGang(s, p)
+		}
 		return
 	}
 	if c.now.Before(s.nextPreemption) {
@@ -192,7 +190,9 @@
 	for _, t := range c.unadvisedTargets(s) {
 		list = append(list, gangShare{target: t, tasks: s.fitCount(t, resources(t))})
 	}
-	slices.SortStableFunc(list, func(a, b gangShare) int { return cmp.Compare(b.tasks, a.tasks) })
+	slices.SortStableFunc(list, func(a, b gangShare) int {
+		return cmp.Or(cmp.Compare(a.target.speedRank(), b.target.speedRank()), cmp.Compare(b.tasks, a.tasks))
+	})
 	want := float64(s.Count) * gangTargetMargin / c.permittedShare(s.job.Queue)
 	for _, t := range s.permittedTargets {
 		if c.eligible(s, t) {
@@ -213,6 +213,8 @@
 // startGang starts all tasks of a gang under one run ID.
 func (c *Coordinator) startGang(s *step, plan []gangShare) {
 	c.cancelBookingAndNominations(s)
+	s.spreadOut = s.OneRack && !oneRack(plan)
+	c.endWait(s, 0, !s.spreadOut)
 	c.lastRunID++
 	// All members start from the same checkpoint, the latest one.
 	checkpoint := ""
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -32,6 +32,7 @@
 	progressedAt time.Time // when percent last changed
 	missedLists  int       // consecutive complete lists without the run
 	preemptions  int       // number of runs that were preempted
+	waitLogged   bool      // its wait for a near target was logged
 }
 
 // step is a step of one occurrence of a job.
@@ -69,6 +70,7 @@
 	runTimeEstimatedAt time.Time     // when expectedRunTime was computed
 	account            slotAccount   // what a run of a task counts for the tenant
 	capHeld            bool          // its tenant's cap kept it from starting in the last placement round
+	localityState
 }
 
 type occurrence struct {
@@ -460,7 +462,7 @@
 				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "tenant", j.Tenant, "held", c.holdUp(s), "open", c.now.Sub(s.readyAt), "gang", s.Gang,
 					"waiting", phases[waiting], "starting", phases[starting], "running", phases[running], "stopping", phases[stopping],
 					"unclear", at, "asking", s.unansweredCalls, "advised", len(s.advice), "good", permitted,
-					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced))
+					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced), "slow", s.runsOnSlowTargets(), "waitsNear", s.nearWaits)
 			}
 		}
 	}
@@ -493,6 +495,7 @@
 	c.Meter.SetGauge("cpuUsed", usedCPU)
 	c.Meter.SetGauge("stepsWaiting", float64(len(c.backlog)))
 	c.Meter.SetGauge("members", float64(len(c.sortedMembers)))
+	c.reportSpeeds()
 }
 
 // sweep removes ended jobs, early cancellations and early ends after the retention
@@ -500,6 +503,7 @@
 func (c *Coordinator) sweep() {
 	c.logSlowSteps()
 	c.expireOrphans()
+	c.delays.Expire(c.now.Add(-waitRetention))
 	for id, at := range c.earlyCancels {
 		if c.now.Sub(at) > c.Retention {
 			delete(c.earlyCancels, id)
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -69,6 +69,7 @@
 	c.sortBacklog()
 	c.tenants.round++
 	c.updateTargetSummary()
+	c.updateSpeeds()
 	c.updateReserves()
 	generation := c.generation + int64(c.now.Sub(c.startedAt)/retryPeriod)
 	fullPass := !c.now.Before(c.fullPassDue)
@@ -178,13 +179,14 @@
 		c.placeGang(s, timing)
 		return
 	}
+	s.nearWaits = 0
 	if s.Demand().Fits(c.maxFree) {
 		c.placeTasks(s, timing != nil)
 	}
-	if s.waiting == 0 {
+	if s.waiting == s.nearWaits {
 		return
 	}
-	n := c.capRoom(s)
+	n := min(c.capRoom(s), s.waiting-s.nearWaits)
 	if n == 0 {
 		return
 	}
@@ -207,6 +209,9 @@
 		if t == nil {
 			return
 		}
+		if c.waitsForNear(s, i, t, needsAdvice) {
+			continue
+		}
 		c.startTask(s, i, t)
 	}
 }
@@ -314,6 +319,7 @@
 	var best *target
 	bestScore := math.Inf(1)
 	need := s.Demand()
+	preference := c.speedPreference(s)
 	for _, t := range c.candidates(s, needsAdvice) {
 		free := c.availableResources(s, t)
 		if !need.Fits(free) || !c.eligible(s, t) || (needsAdvice && !c.hasValidTicket(s, t, 0)) || (s.Spread > 0 && s.tasksOn(t) >= s.Spread) {
@@ -332,7 +338,7 @@
 		if c.nominatedForOther(s, t) {
 			score += nominatedTargetPenalty
 		}
-		score += 2 * float64(t.health.consecutiveFailures)
+		score += 2*float64(t.health.consecutiveFailures) + preference.score(t)
 		if score < bestScore {
 			best, bestScore = t, score
 		}
@@ -342,6 +348,7 @@
 
 // startTask starts a task under a new run ID.
 func (c *Coordinator) startTask(s *step, i int, t *target) {
+	c.endWait(s, i, s.near(t))
 	c.lastRunID++
 	c.startRun(s, i, t, c.lastRunID)
 }
@@ -490,6 +497,7 @@
 			without = append(without, f.target)
 		}
 	}
+	c.slowAfterFast(s, with)
 	return append(with, without...)
 }
 
