elector, keeper: loading leaders are replaced for lack of progress only

Cause: the other instances count the age of a heartbeat from when it was sent, and replace any leader after 1 s. A leader that loads renews over the same connections as its scans.

Change: the takeover transaction writes the first heartbeat. Heartbeats of a loading leader carry a progress counter, and such a leader is replaced only after 3 s without progress (LoadStallTimeout). Renewals use connections of their own, the load uses 16 scans at a time, 3 while renewals are slow, and repeats a failed scan alone. Takeovers, polling and unreachable reports are damped by the number of instances and of leaders that failed to load. A superseded load is cancelled. Ends that callers have seen can be kept in the table ends, which a load reads.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -29,6 +29,7 @@
 	// RemoteFactor is the ratio of a task's run time away from its data, or of a gang's
 	// spread over racks, to that near it.
 	RemoteFactor float64
+	LoadProgress func() // called for each job that Load adds, if it is not nil
 	Log          *slog.Logger
 	Meter        *meter.Meter
 }
@@ -37,6 +38,7 @@
 type Batch struct {
 	Progress      []keeper.Progress
 	Remove        []w.JobID
+	RemoveEnds    []w.JobID     // rows of keeper.TableEnds that are no longer needed
 	Roster        keeper.Roster // written only if RosterChanged is set
 	RosterChanged bool
 
@@ -47,7 +49,7 @@
 
 // Empty reports whether the batch writes nothing to the store.
 func (b *Batch) Empty() bool {
-	return len(b.Progress) == 0 && len(b.Remove) == 0 && !b.RosterChanged
+	return len(b.Progress) == 0 && len(b.Remove) == 0 && len(b.RemoveEnds) == 0 && !b.RosterChanged
 }
 
 // Coordinator holds the scheduling state of a cell.
@@ -74,6 +76,8 @@
 	endSeqs          map[w.TargetID]int64 // highest sequence number of the received ends, for the next batch
 	unstoredStates   []linker.JobState    // published once the next batch is stored
 	expiredJobs      []w.JobID            // removed with the next batch
+	endRows          map[w.JobID]bool     // jobs with a row of keeper.TableEnds
+	expiredEnds      []w.JobID            // jobs whose such rows are removed with the next batch
 	roster           roster               // roster as last stored: targets that may be running something
 	inFlight         *Batch               // batch that is being stored, or nil
 	storeSlow        bool
@@ -128,6 +132,7 @@
 		unsynced:        make(map[w.TargetID]unsyncedTarget),
 		earlyCancels:    make(map[w.JobID]time.Time),
 		earlyEnds:       make(map[w.JobID]earlyEnd),
+		endRows:         make(map[w.JobID]bool),
 		reserves:        make(map[string]*reserve),
 		runTimeRatios:   make(map[string]float64),
 	}
@@ -138,6 +143,12 @@
 func (c *Coordinator) Load(s *keeper.Snapshot) {
 	for i := range s.Jobs {
 		c.addJob(&s.Jobs[i], s.Progress[s.Jobs[i].ID], s.Cancelled[s.Jobs[i].ID], false)
+		if c.LoadProgress != nil {
+			c.LoadProgress()
+		}
+	}
+	for id, state := range s.Ends {
+		c.RestoreStoredEnd(id, state)
 	}
 	c.loadRoster(&s.Roster)
 }
@@ -244,7 +255,30 @@
 	}
 	c.Log.Info("applied job end published by an earlier coordinator", "job", e.Job, "state", e.State, "epoch", c.Epoch)
 	c.finish(j, e.State)
-	j.endPublished = true
+	if !j.endPublished {
+		// All members keep the end until it is stored, so that it does not depend on
+		// the instance that sent it.
+		c.publish(linker.JobState{Job: e.Job, State: e.State, Unsaved: true})
+	}
+}
+
+// RestoreStoredEnd applies the end of a job that an instance wrote to the store, see
+// keeper.SaveEnds. The row is removed once the final state of the job is stored.
+func (c *Coordinator) RestoreStoredEnd(id w.JobID, state w.State) {
+	c.endRows[id] = true
+	c.RestoreEnd(linker.JobState{Job: id, State: state})
+	if j := c.jobs[id]; j != nil && j.state.Final() && j.endStored {
+		c.expireEndRow(id)
+	}
+}
+
+// expireEndRow has the row that an instance wrote about a job's end removed with the next
+// batch.
+func (c *Coordinator) expireEndRow(id w.JobID) {
+	if c.endRows[id] {
+		delete(c.endRows, id)
+		c.expiredEnds = append(c.expiredEnds, id)
+	}
 }
 
 // earlyEnd is the end of a job that arrived before the job.
@@ -380,7 +414,7 @@
 // fullBatch returns a batch with all changes.
 func (c *Coordinator) fullBatch() *Batch {
 	c.progressDue = c.now.Add(progressPeriod)
-	b := &Batch{endSeqs: c.endSeqs, states: c.unstoredStates, Remove: c.expiredJobs}
+	b := &Batch{endSeqs: c.endSeqs, states: c.unstoredStates, Remove: c.expiredJobs, RemoveEnds: c.expiredEnds}
 	for _, j := range c.dirty {
 		b.Progress = append(b.Progress, j.progress())
 	}
@@ -395,7 +429,7 @@
 	c.dirty = make(map[w.JobID]*job)
 	c.endSeqs = make(map[w.TargetID]int64)
 	c.unstoredStates = nil
-	c.expiredJobs = nil
+	c.expiredJobs, c.expiredEnds = nil, nil
 	return b
 }
 
@@ -423,6 +457,7 @@
 	for i := range b.Progress {
 		if j := c.jobs[b.Progress[i].ID]; j != nil && b.Progress[i].State.Final() {
 			j.endStored = true
+			c.expireEndRow(j.ID)
 		}
 	}
 	c.publish(b.states...)
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -488,13 +488,19 @@
 		}
 	}
 	for id, e := range c.earlyEnds {
-		if c.now.Sub(e.at) > c.Retention {
+		// While the leadership is confirmed, scans of the store would have found the
+		// job by now if it still existed, so the instances need not keep its end.
+		if c.now.Sub(e.at) > c.Retention && c.now.Sub(c.renewedAt) < LeadershipGrace {
 			delete(c.earlyEnds, id)
+			c.expireEndRow(id)
+			c.publish(linker.JobState{Job: id})
 		}
 	}
 	for id, j := range c.jobs {
-		if j.state.Final() && c.now.Sub(j.endedAt) > c.Retention && !j.mayBeRunning() {
+		// The instances forget the state of a removed job, so it must be in the store.
+		if j.state.Final() && j.endStored && c.now.Sub(j.endedAt) > c.Retention && !j.mayBeRunning() {
 			delete(c.jobs, id)
+			c.expireEndRow(id)
 			delete(c.dirty, id)
 			c.expiredJobs = append(c.expiredJobs, id)
 			c.publish(linker.JobState{Job: id})
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -22,9 +22,6 @@
 	// readLatencyFactor is the multiple of the heartbeat's read latency by which
 	// both timeouts are extended, since a slow store delays renewals as well.
 	readLatencyFactor = 3
-	// unreachableReportTTL is the time for which an unreachable report counts
-	// after this instance first read it.
-	unreachableReportTTL = 1500 * time.Millisecond
 	// unreachableTimeout is the time without a connection to the leader after
 	// which an instance writes an unreachable report. It is also the minimum time
 	// before a takeover that is based on such reports.
@@ -33,6 +30,14 @@
 	// leader isn't known to have accepted connections. A leader accepts its first
 	// connections only after loading the cell from the store, which may be slow.
 	loadTimeout = 3 * time.Second
+	// LoadStallTimeout is the time without a heartbeat that shows progress after which
+	// a leader that is loading the cell is replaced. Renewals of a leader that loads
+	// over a slow link can be late by more than heartbeatTimeout; in a cell of 147
+	// instances, each new leader was replaced for that before it had loaded.
+	LoadStallTimeout = 3 * time.Second
+	// maxObservationGap limits the time between two reads of the heartbeat that counts
+	// towards LoadStallTimeout. While the store answers nobody, the leader can't load.
+	maxObservationGap = 1 * time.Second
 )
 
 // ConnResult is the result of the last connection to the leader or attempt to
@@ -58,6 +63,9 @@
 // Elector watches one leader. It is not safe for concurrent use.
 type Elector struct {
 	Cores float64 // of this instance
+	// Rand returns a random number in [0, 1). It spreads the actions of the instances
+	// of a cell over time. If it is nil, they are not spread.
+	Rand func() float64
 
 	leader             keeper.Leadership
 	disconnectedAt     time.Time // when the connection was lost, or the watch began
@@ -71,6 +79,15 @@
 	unreachableReports map[w.InstanceID]observedReport
 	maxCores           float64 // highest core count of an instance that leaders reported recently
 	maxCoresAt         time.Time
+	observedAt         time.Time      // when the heartbeat was last read
+	watchedAt          time.Time      // when the watch began
+	loadProgress       int64          // of the last heartbeat of a loading leader
+	loadBeat           keeper.Version // version of the last heartbeat that showed progress
+	stalledFor         time.Duration  // observed time since the loading leader made progress
+	loadingUntil       time.Time      // when the leader was last seen loading
+	loadFinished       bool           // a heartbeat showed that the leader is not loading
+	draw               float64        // random number in [0, 1) for the takeover of this leader
+	damping            damping
 	members            int       // other instances connected to the leader, according to its heartbeat
 	loading            bool      // a read showed no members of the leader, or no heartbeat of it yet
 	servingSince       time.Time // earliest time from which the leader is known to have had members, or zero
@@ -89,7 +106,12 @@
 // Watch starts watching a leader and discards the state of the previous one,
 // except for the highest core count.
 func (e *Elector) Watch(leader keeper.Leadership, now time.Time) {
-	*e = Elector{Cores: e.Cores, maxCores: e.maxCores, maxCoresAt: e.maxCoresAt, leader: leader, disconnectedAt: now, unreachableReports: make(map[w.InstanceID]observedReport)}
+	*e = Elector{
+		Cores: e.Cores, Rand: e.Rand, maxCores: e.maxCores, maxCoresAt: e.maxCoresAt, damping: e.damping,
+		leader: leader, disconnectedAt: now, watchedAt: now, unreachableReports: make(map[w.InstanceID]observedReport),
+	}
+	e.draw = e.random()
+	e.damping.reset(leader, now)
 }
 
 // Leader returns the watched leader.
@@ -116,13 +138,31 @@
 // ShouldReportUnreachable reports whether the instance should write an unreachable
 // report about the leader.
 func (e *Elector) ShouldReportUnreachable(now time.Time) bool {
-	return !e.connected && now.Sub(e.disconnectedAt) >= unreachableTimeout
+	if e.connected || e.isLoading() {
+		return false
+	}
+	since := e.disconnectedAt
+	if e.loadingUntil.After(since) {
+		since = e.loadingUntil
+	}
+	// Reports are written in the partition of the leader row. Without the spread, those
+	// of a large cell would all be ahead of the leader's next renewal.
+	return now.Sub(since) >= unreachableTimeout+time.Duration(e.draw*float64(e.damping.reportSpread()))
+}
+
+// NeedsReports reports whether the unreachable reports have to be read with the
+// heartbeat.
+func (e *Elector) NeedsReports(now time.Time) bool {
+	return !e.connected && now.Sub(e.disconnectedAt) >= unreachableTimeout && !e.isLoading()
 }
 
 // Observe records a heartbeat with its age, the unreachable reports read with it,
 // and the latency of the read.
 func (e *Elector) Observe(heartbeat keeper.Heartbeat, age, readLatency time.Duration, reports []keeper.UnreachableReport, now time.Time) {
 	e.members = heartbeat.Members
+	e.damping.observe(heartbeat, now)
+	e.observeLoad(heartbeat, age, now)
+	e.observedAt = now
 	switch {
 	case !e.servingSince.IsZero():
 	case e.members == 0 || heartbeat.Epoch < e.leader.Epoch:
@@ -151,25 +191,100 @@
 	}
 }
 
+// observeLoad updates the time for which a loading leader has made no progress.
+func (e *Elector) observeLoad(heartbeat keeper.Heartbeat, age time.Duration, now time.Time) {
+	if !heartbeat.Loading || heartbeat.Epoch != e.leader.Epoch {
+		e.loadFinished = e.loadFinished || heartbeat.Epoch == e.leader.Epoch
+		return
+	}
+	switch {
+	case e.loadBeat == 0:
+		// The takeover may have been committed long after it was sent, so the age
+		// counts only from the time at which the new leader was seen.
+		e.stalledFor = min(max(0, age), now.Sub(e.watchedAt))
+		e.loadBeat, e.loadProgress = heartbeat.Version, heartbeat.Progress
+	case heartbeat.Version != e.loadBeat && heartbeat.Progress > e.loadProgress:
+		e.stalledFor, e.loadBeat, e.loadProgress = 0, heartbeat.Version, heartbeat.Progress
+	default:
+		e.stalledFor += min(now.Sub(e.observedAt), maxObservationGap)
+	}
+	e.loadingUntil = now
+}
+
+// isLoading reports whether the last heartbeat read is that of a loading leader.
+func (e *Elector) isLoading() bool {
+	return !e.loadingUntil.IsZero() && e.loadingUntil.Equal(e.observedAt)
+}
+
+// FailedLoads returns the number of consecutive leaders, up to the watched one, that
+// did not finish loading the cell as far as this instance knows. It is to be passed on
+// in the leader row by an instance that takes over.
+func (e *Elector) FailedLoads() int {
+	if e.leader.Epoch == 0 || e.everConnected || e.loadFinished || !e.heartbeatRead {
+		return 0
+	}
+	return min(e.leader.FailedLoads, maxFailedLoads) + 1
+}
+
+// Instances returns the number of instances of the cell as far as it is known.
+func (e *Elector) Instances() int { return e.damping.instances }
+
+// random returns a random number in [0, 1).
+func (e *Elector) random() float64 {
+	if e.Rand == nil {
+		return 0
+	}
+	return e.Rand()
+}
+
+// PollPeriod returns the time until the heartbeat is to be read again. It varies, so
+// that the instances of a cell do not all read at the same time.
+func (e *Elector) PollPeriod() time.Duration {
+	p := e.damping.pollPeriod()
+	return p + time.Duration(pollJitter*e.random()*float64(p))
+}
+
+// ReportPeriod returns the minimum time between two unreachable reports.
+func (e *Elector) ReportPeriod() time.Duration { return e.damping.reportPeriod() }
+
+// SetTakeoverFailed records that a takeover by this instance was not confirmed. The
+// time until it may try again doubles with each failure until there is a new leader.
+func (e *Elector) SetTakeoverFailed(now time.Time) { e.damping.setFailed(now, e.random()) }
+
+// Damping returns the time that is added before the watched leader may be replaced,
+// because leaders before it were replaced while they loaded.
+func (e *Elector) Damping() time.Duration { return loadBackoff(e.leader.FailedLoads) }
+
 // ShouldTakeOver reports whether the instance should take over now, and why.
 func (e *Elector) ShouldTakeOver(now time.Time) (string, bool) {
+	if e.connected || !e.heartbeatRead || now.Before(e.damping.nextAttempt) {
+		return "", false
+	}
+	// Of the instances that would take over, the earliest does so before the others try.
+	wait := time.Duration(e.draw * float64(e.damping.candidateSpread(e.leader.FailedLoads)))
+	if e.leader.FailedLoads > 0 && !e.everConnected && !e.loadFinished {
+		wait += e.damping.spread(e.Damping(), e.draw)
+		if now.Sub(e.watchedAt) < wait {
+			return "", false
+		}
+	}
 	if e.maxCores > PreferredCoreRatio*e.Cores {
-		now = now.Add(-takeoverDelay)
+		now, wait = now.Add(-takeoverDelay), wait+takeoverDelay
 		// Instances with more cores may be restarting together with the leader's,
 		// so the delay also applies after the replacement of its process.
-		if !e.connected && (now.Before(e.disconnectedAt) || (e.connResult == Replaced && now.Before(e.replacedAt))) {
+		if now.Before(e.disconnectedAt) || (e.connResult == Replaced && now.Before(e.replacedAt)) {
 			return "", false
 		}
-		return e.shouldTakeOver(e.heartbeatAge-takeoverDelay, now)
 	}
-	return e.shouldTakeOver(e.heartbeatAge, now)
+	if e.isLoading() && e.connResult != Replaced {
+		return "the leader loads without progress", e.stalledFor >= LoadStallTimeout+wait+readLatencyFactor*e.readLatency
+	}
+	return e.shouldTakeOver(e.heartbeatAge-wait, now)
 }
 
 // shouldTakeOver applies the takeover rules with the given heartbeat age.
 func (e *Elector) shouldTakeOver(age time.Duration, now time.Time) (string, bool) {
 	switch {
-	case e.connected || !e.heartbeatRead:
-		return "", false
 	case e.leader.Epoch == 0:
 		return "no leader yet", true
 	case e.connResult == Replaced:
@@ -181,7 +296,7 @@
 	}
 	reportCount := 0
 	for _, r := range e.unreachableReports {
-		if now.Sub(r.observedAt) < unreachableReportTTL {
+		if now.Sub(r.observedAt) < e.damping.reportTTL() {
 			reportCount++
 		}
 	}
@@ -193,6 +308,9 @@
 	case e.servingSince.After(since):
 		since = e.servingSince
 	}
+	if e.loadingUntil.After(since) {
+		since = e.loadingUntil
+	}
 	if now.Sub(since) >= timeout && reportCount > e.members+1 {
 		return "most instances can't reach the leader", true
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -87,6 +88,7 @@
 	lastLedEpoch      w.Epoch       // last epoch in which this instance started to lead
 	leaderChanged     chan struct{} // signals a new leader to followLeader
 	leader            atomic.Pointer[leader]
+	loading           atomic.Pointer[leader] // the leader of this instance while it loads the cell
 	leaderConn        atomic.Pointer[linker.Conn]
 	joinedConn        atomic.Pointer[linker.Conn] // leaderConn after the leader has accepted this instance
 	disconnectedSince atomic.Int64                // Unix time in ns since which the leader is not connected, 0 while it is
@@ -113,7 +115,7 @@
 	in.Store.SetRelay(in.relay)
 	in.Gateway.RerouteDelay = in.rerouteDelay
 	in.Gateway.Init()
-	in.elector.Cores = in.Cores
+	in.elector.Cores, in.elector.Rand = in.Cores, rand.Float64
 	in.elector.Watch(keeper.Leadership{}, time.Now())
 	in.disconnectedSince.Store(time.Now().UnixNano())
 
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -44,6 +44,9 @@
 	// duration of that renewal.
 	lateRenewal           = 1200 * time.Millisecond
 	renewalDurationFactor = 2
+	// slowRenewal is the duration of a renewal above which the load of the cell is
+	// throttled.
+	slowRenewal = 150 * time.Millisecond
 	// maxStoreFailingFor is the time for which an instance's calls to the store may
 	// have failed for the instance to still count as reaching the store.
 	maxStoreFailingFor = 300 * time.Millisecond
@@ -71,6 +74,9 @@
 	resumedAt          time.Time                  // end of the last long pause of the process
 	joinedAt           map[w.InstanceID]time.Time // when each instance connected
 	lastHandover       time.Time
+	loadedAt           time.Time // when the cell was loaded, or zero
+
+	monitor keeper.LoadMonitor
 }
 
 type memberStatus struct {
@@ -93,37 +99,21 @@
 		conns:    make(map[w.InstanceID]*linker.Conn), status: make(map[w.InstanceID]memberStatus), lastRenewal: time.Now(),
 	}
 	l.ctx, l.cancel = context.WithCancel(in.ctx)
+	in.loading.Store(l)
+	defer in.loading.CompareAndSwap(l, nil)
 	start := time.Now()
 	bounds := in.bounds.Load()
 	l.coordinator = coordinator.New(coordinator.Settings{
 		Epoch: leadership.Epoch, Self: in.id, Lease: min(targetLease, bounds.MaxLease), StopTimeout: bounds.StopTimeout,
 		RestoreTime: bounds.RestoreTime, QuotaExcess: bounds.QuotaExcess, RemoteFactor: bounds.RemoteFactor,
-		Retention: bounds.StateRetention + retentionMargin, Log: in.Log, Meter: in.Meter,
+		Retention: bounds.StateRetention + retentionMargin, LoadProgress: l.monitor.Advance, Log: in.Log, Meter: in.Meter,
 	}, start)
 	l.spawn(l.renew)
 	l.spawn(l.watchRenewals)
 	for {
-		s, err := in.Keeper.Load(l.ctx)
+		s, err := in.Keeper.LoadMonitored(l.ctx, &l.monitor)
 		if err == nil {
-			// The configuration seen by this instance's watch may be older than the
-			// one that the previous leader applied.
-			if cfg, _, err := in.Directory.Config(l.ctx); err != nil {
-				in.Log.Warn("could not read the configuration at takeover", "epoch", leadership.Epoch, "error", err)
-			} else if cfg != nil {
-				in.Gateway.Configure(cfg)
-			}
-			if cfg := in.Gateway.Config(); cfg != nil {
-				l.coordinator.Configure(cfg)
-			}
-			l.leadership.InitSaves(s)
-			if !in.recoverPanic(func() { l.coordinator.Load(s) }) {
-				l.stop("could not restore the cell")
-				return nil, fmt.Errorf("instance: epoch %d: could not restore a cell of %d jobs", leadership.Epoch, len(s.Jobs))
-			}
-			l.spawn(func() { l.scanJobs(s.Versions) })
-			l.reportUndecodable(s.DecodeErrors)
-			in.Log.Info("cell loaded", "jobs", len(s.Jobs), "targets", len(s.Roster.Open)+len(s.Roster.Closed), "took", time.Since(start))
-			return l, nil
+			return l, l.restore(s, start)
 		}
 		in.Log.Warn("could not load the cell; retrying", "error", err)
 		if current, err := in.Keeper.Leader(l.ctx); err == nil && current.Epoch > leadership.Epoch {
@@ -137,6 +127,41 @@
 	}
 }
 
+// restore initializes the coordinator from a snapshot. A failure ends the leadership.
+func (l *leader) restore(s *keeper.Snapshot, start time.Time) error {
+	in := l.in
+	// The configuration seen by this instance's watch may be older than the one that
+	// the previous leader applied.
+	if cfg, _, err := in.Directory.Config(l.ctx); err != nil {
+		in.Log.Warn("could not read the configuration at takeover", "epoch", l.leadership.Epoch, "error", err)
+	} else if cfg != nil {
+		in.Gateway.Configure(cfg)
+	}
+	if cfg := in.Gateway.Config(); cfg != nil {
+		l.coordinator.Configure(cfg)
+	}
+	l.leadership.InitSaves(s)
+	// Cancellations that were acknowledged during the load may be missing from the
+	// snapshot, and the instance that has to forward them may be gone.
+	updates, err := in.Keeper.Updates(l.ctx, s.Versions)
+	if err != nil {
+		updates = new(keeper.Updates) // read again by scanJobs
+	}
+	if !in.recoverPanic(func() { l.coordinator.Load(s); l.applyUpdates(l.coordinator, updates) }) {
+		l.stop("could not restore the cell")
+		return fmt.Errorf("instance: epoch %d: could not restore a cell of %d jobs", l.leadership.Epoch, len(s.Jobs))
+	}
+	l.reportUndecodable(s.DecodeErrors)
+	l.reportUndecodable(updates.DecodeErrors)
+	l.spawn(func() { l.scanJobs(s.Versions) })
+	l.mu.Lock()
+	l.loadedAt = time.Now()
+	l.mu.Unlock()
+	in.Meter.ObserveDuration("load", time.Since(start))
+	in.Log.Info("cell loaded", "jobs", len(s.Jobs), "targets", len(s.Roster.Open)+len(s.Roster.Closed), "ends", len(s.Ends), "took", time.Since(start))
+	return nil
+}
+
 func (l *leader) spawn(f func()) { l.in.spawn(f) }
 
 // stop ends the leadership and closes the connections to the instances.
@@ -172,6 +197,7 @@
 	l.joinedAt[h.Instance] = time.Now()
 	l.status[h.Instance] = memberStatus{cores: h.Strength}
 	l.mu.Unlock()
+	l.monitor.Advance()
 	if old != nil {
 		old.Close()
 	}
@@ -364,7 +390,7 @@
 func (l *leader) save(b *coordinator.Batch, saved chan<- *coordinator.Batch) {
 	for l.ctx.Err() == nil {
 		err := l.in.Keeper.Save(l.ctx, &l.leadership, &keeper.ChangeSet{
-			Progress: b.Progress, Remove: b.Remove, Roster: b.Roster, RosterChanged: b.RosterChanged,
+			Progress: b.Progress, Remove: b.Remove, RemoveEnds: b.RemoveEnds, Roster: b.Roster, RosterChanged: b.RosterChanged,
 		})
 		if err == nil {
 			saved <- b
@@ -401,9 +427,10 @@
 				maxCores = max(maxCores, s.cores)
 			}
 		}
+		loading := l.isLoading(connected)
 		l.mu.Unlock()
 		start := time.Now()
-		err := l.in.Keeper.Renew(l.ctx, &l.leadership, max(0, connected-1), maxCores)
+		err := l.sendHeartbeat(loading, connected, maxCores)
 		if err != nil && l.stopIfSuperseded(err) {
 			return
 		}
@@ -429,6 +456,31 @@
 	}
 }
 
+// joinGrace is the time after the load for which a leader still counts as loading
+// while most instances have not joined it. The states of all jobs, which it sends to
+// each of them, can delay its renewals.
+const joinGrace = 3 * time.Second
+
+// isLoading reports whether the leader still loads the cell or waits for most instances
+// to join. l.mu must be held.
+func (l *leader) isLoading(connected int) bool {
+	return l.loadedAt.IsZero() || (2*connected < l.leadership.Instances && time.Since(l.loadedAt) < joinGrace)
+}
+
+// sendHeartbeat renews the leadership. While the cell is loaded, it limits the load as
+// long as the renewal is slow.
+func (l *leader) sendHeartbeat(loading bool, connected int, maxCores float64) error {
+	if !loading {
+		return l.in.Keeper.Renew(l.ctx, &l.leadership, max(0, connected-1), maxCores)
+	}
+	throttle := time.AfterFunc(slowRenewal, func() { l.monitor.SetThrottled(true) })
+	start := time.Now()
+	err := l.in.Keeper.RenewLoading(l.ctx, &l.leadership, l.monitor.Progress(), maxCores)
+	throttle.Stop()
+	l.monitor.SetThrottled(time.Since(start) > slowRenewal)
+	return err
+}
+
 // watchRenewals hands the leadership over when renewals are late. It runs apart from
 // renew because a renewal that gets no response blocks for longer than that.
 func (l *leader) watchRenewals() {
@@ -439,7 +491,9 @@
 		now := time.Now()
 		l.mu.Lock()
 		age := now.Sub(l.lastRenewal)
-		late := age > lateRenewal+renewalDurationFactor*l.renewalDuration
+		// A leader that loads has no instance to hand over to, and the others replace
+		// it later than one that serves; see elector.LoadStallTimeout.
+		late := !l.loadedAt.IsZero() && age > lateRenewal+renewalDurationFactor*l.renewalDuration
 		handedOver := now.Sub(l.lastHandover) <= lateRenewal
 		l.mu.Unlock()
 		if late && !warned {
@@ -539,7 +593,7 @@
 				continue
 			}
 			versions = s.Versions
-			updates = &keeper.Updates{Jobs: s.Jobs, DecodeErrors: s.DecodeErrors}
+			updates = &keeper.Updates{Jobs: s.Jobs, Ends: s.Ends, DecodeErrors: s.DecodeErrors}
 			for id := range s.Cancelled {
 				updates.Cancellations = append(updates.Cancellations, id)
 			}
@@ -548,16 +602,23 @@
 			continue
 		}
 		l.reportUndecodable(updates.DecodeErrors)
-		l.post(func(c *coordinator.Coordinator) {
-			for i := range updates.Jobs {
-				if !c.HasJob(updates.Jobs[i].ID) {
-					l.in.Log.Info("found a stored job that no gateway forwarded", "job", updates.Jobs[i].ID)
-					c.AddJob(&updates.Jobs[i], false)
-				}
-			}
-			for _, id := range updates.Cancellations {
-				c.Cancel(id)
-			}
-		})
+		l.post(func(c *coordinator.Coordinator) { l.applyUpdates(c, updates) })
+	}
+}
+
+// applyUpdates passes jobs, cancellations and ends that were read from the store to the
+// coordinator.
+func (l *leader) applyUpdates(c *coordinator.Coordinator, updates *keeper.Updates) {
+	for i := range updates.Jobs {
+		if !c.HasJob(updates.Jobs[i].ID) {
+			l.in.Log.Info("found a stored job that no gateway forwarded", "job", updates.Jobs[i].ID)
+			c.AddJob(&updates.Jobs[i], false)
+		}
+	}
+	for _, id := range updates.Cancellations {
+		c.Cancel(id)
+	}
+	for id, state := range updates.Ends {
+		c.RestoreStoredEnd(id, state)
 	}
 }
--- a/instance/succession.go
+++ b/instance/succession.go
@@ -44,14 +44,22 @@
 		return
 	}
 	in.elector.Watch(leadership, time.Now())
+	damping := in.elector.Damping()
 	elected := leadership.Instance == in.id && leadership.Epoch > in.lastLedEpoch
 	if elected {
 		in.lastLedEpoch = leadership.Epoch
 	}
 	in.electorMu.Unlock()
 	in.Log.Info("leader changed", "leader", leadership.Instance, "epoch", leadership.Epoch, "own", leadership.Instance == in.id)
-	if l := in.leader.Load(); l != nil && l.leadership.Epoch < leadership.Epoch {
-		l.stop("another leader took over")
+	for _, own := range [...]*leader{in.leader.Load(), in.loading.Load()} {
+		if own != nil && own.leadership.Epoch < leadership.Epoch {
+			own.stop("another leader took over")
+		}
+	}
+	if leadership.FailedLoads > 0 {
+		in.Meter.Count("takeoverDamped", "failedLoads")
+		in.Log.Warn("takeovers are damped after leaders that did not finish loading", "epoch", leadership.Epoch,
+			"failedLoads", leadership.FailedLoads, "wait", damping, "instances", leadership.Instances)
 	}
 	if elected {
 		in.spawn(func() { in.startLeading(leadership) })
@@ -68,56 +76,80 @@
 // campaign checks whether the leader is alive while this instance is not connected to
 // it, and takes over when the elector decides so.
 func (in *Instance) campaign() {
-	const period = 120 * time.Millisecond
 	var lastReport time.Time
 	for in.ctx.Err() == nil {
+		in.electorMu.Lock()
+		period := in.elector.PollPeriod()
+		in.electorMu.Unlock()
 		in.sleep(period)
+		now := time.Now()
 		in.electorMu.Lock()
-		readHeartbeat, leadership, reportUnreachable := in.elector.NeedsHeartbeat(), in.elector.Leader(), in.elector.ShouldReportUnreachable(time.Now())
+		readHeartbeat, leadership, reportUnreachable := in.elector.NeedsHeartbeat(), in.elector.Leader(), in.elector.ShouldReportUnreachable(now)
+		reportPeriod, needsReports := in.elector.ReportPeriod(), in.elector.NeedsReports(now)
 		in.electorMu.Unlock()
-		if !readHeartbeat || leadership.Version == 0 && leadership.Epoch != 0 || in.draining.Load() || in.leader.Load() != nil {
+		if !readHeartbeat || leadership.Version == 0 && leadership.Epoch != 0 || in.draining.Load() || in.leader.Load() != nil || in.loading.Load() != nil {
 			continue
 		}
-		if reportUnreachable && time.Since(lastReport) > unreachableReportInterval {
-			lastReport = time.Now()
+		if reportUnreachable && now.Sub(lastReport) > reportPeriod {
+			lastReport = now
 			in.spawn(func() {
 				if err := in.Keeper.ReportUnreachable(in.ctx, in.Name, leadership.Epoch); err != nil {
 					in.Log.Debug("could not write unreachable report", "error", err)
 				}
 			})
 		}
-		start := time.Now()
-		heartbeat, reports, err := in.Keeper.LeaderHealth(in.ctx)
-		if err != nil {
-			continue
-		}
-		now := time.Now()
-		in.electorMu.Lock()
-		in.elector.Observe(heartbeat, in.Keeper.HeartbeatAge(heartbeat), now.Sub(start), reports, now)
-		reason, due := in.elector.ShouldTakeOver(now)
-		in.electorMu.Unlock()
-		if due {
+		if reason, due := in.checkLeader(needsReports); due {
 			in.takeOver(leadership, reason)
 		}
 	}
 }
 
-// unreachableReportInterval is the minimum interval between two unreachable reports of
-// this instance.
-const unreachableReportInterval = 500 * time.Millisecond
+// checkLeader reads the leader's heartbeat and reports whether this instance should take
+// over, and why.
+func (in *Instance) checkLeader(needsReports bool) (string, bool) {
+	start := time.Now()
+	var heartbeat keeper.Heartbeat
+	var reports []keeper.UnreachableReport
+	var err error
+	if needsReports {
+		heartbeat, reports, err = in.Keeper.LeaderHealth(in.ctx)
+	} else {
+		heartbeat, err = in.Keeper.Heartbeat(in.ctx)
+	}
+	if err != nil {
+		return "", false
+	}
+	now := time.Now()
+	in.electorMu.Lock()
+	defer in.electorMu.Unlock()
+	in.elector.Observe(heartbeat, in.Keeper.HeartbeatAge(heartbeat), now.Sub(start), reports, now)
+	return in.elector.ShouldTakeOver(now)
+}
 
 // takeOver makes this instance the leader unless another instance took over first.
 func (in *Instance) takeOver(previous keeper.Leadership, reason string) {
-	leadership, err := in.Keeper.TakeOver(in.ctx, previous, keeper.Leadership{Instance: in.id, Address: in.LinkAddr, Zone: in.Zone})
+	in.electorMu.Lock()
+	next := keeper.Leadership{
+		Instance: in.id, Address: in.LinkAddr, Zone: in.Zone, MaxCores: in.Cores,
+		FailedLoads: in.elector.FailedLoads(), Instances: in.elector.Instances(),
+	}
+	in.electorMu.Unlock()
+	leadership, err := in.Keeper.TakeOver(in.ctx, previous, next)
 	if err == nil {
-		in.Log.Info("took over", "epoch", leadership.Epoch, "from", previous.Instance, "reason", reason)
+		in.Meter.Count("takeover", "done")
+		in.Log.Info("took over", "epoch", leadership.Epoch, "from", previous.Instance, "reason", reason, "failedLoads", leadership.FailedLoads)
 		in.observeLeader(leadership)
 		return
 	}
+	in.Meter.Count("takeover", "failed")
 	in.Log.Info("could not take over", "epoch", previous.Epoch, "reason", reason, "error", err)
-	// The leader row names the instance that took over first, or this instance if the
-	// write succeeded and only the response was lost.
-	if current, err := in.Keeper.Leader(in.ctx); err == nil {
+	in.electorMu.Lock()
+	in.elector.SetTakeoverFailed(time.Now())
+	in.electorMu.Unlock()
+	// The conflict names the instance that took over first, or this instance if the
+	// write succeeded and only the response was lost. After any other error, the watch
+	// of the leader row shows it; the losers of a takeover must not all read it at once.
+	if current, ok := keeper.LeaderOfConflict(err); ok {
 		in.observeLeader(current)
 	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -129,6 +129,17 @@
 type Keeper struct {
 	Store      Store
 	Partitions Partitions
+	// Urgent is the store for takeovers and heartbeats. It is the same store over a
+	// connection of its own, so that they do not wait behind other calls, as those of
+	// a load. If it is nil, Store is used.
+	Urgent Store
+}
+
+func (k *Keeper) urgent() Store {
+	if k.Urgent != nil {
+		return k.Urgent
+	}
+	return k.Store
 }
 
 // JobKey returns the key of a job's row.
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -12,6 +13,9 @@
 var (
 	leaderKey  = Key{Table: TableControl, Name: leaderName}
 	saveSeqKey = Key{Table: tableSaves, Name: leaderName}
+	// heartbeatKey is in the partition of leaderKey, so that a takeover writes both
+	// rows in a transaction of one partition.
+	heartbeatKey = Key{Table: tableHeartbeats, Name: heartbeatName}
 )
 
 // tableSaves is separate from TableControl, which all instances watch.
@@ -23,7 +27,13 @@
 	Instance w.InstanceID `json:"instance"`
 	Address  string       `json:"address"`
 	Zone     string       `json:"zone"`
-	Version  Version      `json:"-"`
+	// FailedLoads is the number of consecutive leaders before this one that were
+	// replaced before they had loaded the cell. Takeovers are damped by it.
+	FailedLoads int `json:"failedLoads,omitempty"`
+	// Instances is the number of instances of the cell as known at the takeover.
+	Instances int     `json:"instances,omitempty"`
+	MaxCores  float64 `json:"-"` // for the first heartbeat, see Heartbeat.MaxCores
+	Version   Version `json:"-"`
 
 	saveSeqVersion     Version // version of the row with the save sequence number
 	saveSeq            int64   // sequence number of the last save
@@ -56,16 +66,21 @@
 }
 
 // TakeOver replaces old, the leadership that was read last, with next in the
-// following epoch. It returns a ConflictError if another instance took over first.
+// following epoch, and writes the first heartbeat of that epoch. It returns a
+// ConflictError if another instance took over first; see LeaderOfConflict.
 func (k *Keeper) TakeOver(ctx context.Context, old, next Leadership) (Leadership, error) {
 	next.Epoch = old.Epoch + 1
 	value, err := json.Marshal(&next)
 	if err != nil {
 		return next, fmt.Errorf("keeper: encode leader: %w", err)
 	}
-	ver, err := k.Store.Commit(ctx, &Tx{
+	beat, err := k.encodeHeartbeat(&Heartbeat{Epoch: next.Epoch, Loading: true, Instances: next.Instances, MaxCores: next.MaxCores})
+	if err != nil {
+		return next, err
+	}
+	ver, err := k.urgent().Commit(ctx, &Tx{
 		Preconditions: []Precondition{{Key: leaderKey, Version: old.Version}},
-		Writes:        []Row{{Key: leaderKey, Value: value}},
+		Writes:        []Row{{Key: leaderKey, Value: value}, {Key: heartbeatKey, Value: beat}},
 	})
 	if err != nil {
 		return next, fmt.Errorf("keeper: take over from epoch %d: %w", old.Epoch, err)
@@ -74,6 +89,23 @@
 	return next, nil
 }
 
+// LeaderOfConflict returns the leader row in the error of a failed takeover, so that
+// an instance that lost a takeover needs no further read. It reports false if the
+// error does not contain the row.
+func LeaderOfConflict(err error) (Leadership, bool) {
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		return Leadership{}, false
+	}
+	for i := range conflict.Rows {
+		if conflict.Rows[i].Key == leaderKey {
+			l, err := decodeLeader(&conflict.Rows[i])
+			return l, err == nil
+		}
+	}
+	return Leadership{}, false
+}
+
 // WatchLeader waits up to wait for a new leader. It returns nil if there is none.
 func (k *Keeper) WatchLeader(ctx context.Context, after Version, wait time.Duration) (*Leadership, Version, error) {
 	rows, ver, err := k.Store.Changes(ctx, TableControl, after, wait)
@@ -103,7 +135,15 @@
 	Members  int     `json:"members"` // other instances connected to the leader
 	MaxCores float64 `json:"best"`    // most cores of any connected instance or the leader itself
 	SentAtMs int64   `json:"at"`      // time on the store's clock when the heartbeat was sent
-	Version  Version `json:"-"`
+	// Loading is set while the leader has not loaded the cell. Leaders of earlier
+	// versions do not set it.
+	Loading bool `json:"loading,omitempty"`
+	// Progress grows while the leader loads. Its unit has no meaning.
+	Progress int64 `json:"progress,omitempty"`
+	// Instances is the number of instances of the cell as known at the takeover.
+	// Members takes its place once the leader has loaded.
+	Instances int     `json:"instances,omitempty"`
+	Version   Version `json:"-"`
 }
 
 // UnreachableReport is the row by which an instance reports that it cannot reach
@@ -114,16 +154,36 @@
 	Version  Version      `json:"-"`
 }
 
-// Renew writes the heartbeat of a leader. It returns a ConflictError if another
-// leader took over.
+func (k *Keeper) encodeHeartbeat(heartbeat *Heartbeat) ([]byte, error) {
+	heartbeat.SentAtMs = k.Store.Clock().Milliseconds()
+	value, err := json.Marshal(heartbeat)
+	if err != nil {
+		return nil, fmt.Errorf("keeper: encode heartbeat: %w", err)
+	}
+	return value, nil
+}
+
+// Renew writes the heartbeat of a leader that has loaded the cell. It returns a
+// ConflictError if another leader took over.
 func (k *Keeper) Renew(ctx context.Context, leadership *Leadership, members int, maxCores float64) error {
-	value, err := json.Marshal(&Heartbeat{Epoch: leadership.Epoch, Members: members, MaxCores: maxCores, SentAtMs: k.Store.Clock().Milliseconds()})
+	return k.renew(ctx, leadership, &Heartbeat{Members: members, MaxCores: maxCores})
+}
+
+// RenewLoading writes the heartbeat of a leader that is loading the cell. It returns
+// a ConflictError if another leader took over.
+func (k *Keeper) RenewLoading(ctx context.Context, leadership *Leadership, progress int64, maxCores float64) error {
+	return k.renew(ctx, leadership, &Heartbeat{MaxCores: maxCores, Loading: true, Progress: progress, Instances: leadership.Instances})
+}
+
+func (k *Keeper) renew(ctx context.Context, leadership *Leadership, heartbeat *Heartbeat) error {
+	heartbeat.Epoch = leadership.Epoch
+	value, err := k.encodeHeartbeat(heartbeat)
 	if err != nil {
-		return fmt.Errorf("keeper: encode heartbeat: %w", err)
+		return err
 	}
-	if _, err := k.Store.Commit(ctx, &Tx{
+	if _, err := k.urgent().Commit(ctx, &Tx{
 		Preconditions: []Precondition{{Key: leaderKey, Version: leadership.Version}},
-		Writes:        []Row{{Key: Key{Table: tableHeartbeats, Name: heartbeatName}, Value: value}},
+		Writes:        []Row{{Key: heartbeatKey, Value: value}},
 	}); err != nil {
 		return fmt.Errorf("keeper: renew leadership in epoch %d: %w", leadership.Epoch, err)
 	}
@@ -148,6 +208,24 @@
 	return k.Store.Clock() - time.Duration(heartbeat.SentAtMs)*time.Millisecond
 }
 
+// Heartbeat reads the leader's heartbeat alone. In a large cell, it is a small
+// fraction of what LeaderHealth reads.
+func (k *Keeper) Heartbeat(ctx context.Context) (Heartbeat, error) {
+	var heartbeat Heartbeat
+	row, err := k.get(ctx, heartbeatKey)
+	if err != nil {
+		return heartbeat, fmt.Errorf("keeper: read heartbeat: %w", err)
+	}
+	if row == nil {
+		return heartbeat, nil
+	}
+	if err := json.Unmarshal(row.Value, &heartbeat); err != nil {
+		return heartbeat, fmt.Errorf("keeper: decode heartbeat: %w", err)
+	}
+	heartbeat.Version = row.Version
+	return heartbeat, nil
+}
+
 // LeaderHealth reads the leader's heartbeat and the unreachable reports.
 func (k *Keeper) LeaderHealth(ctx context.Context) (Heartbeat, []UnreachableReport, error) {
 	var heartbeat Heartbeat
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -17,6 +20,7 @@
 	Jobs         []w.Job
 	Progress     map[w.JobID]Progress
 	Cancelled    map[w.JobID]bool
+	Ends         map[w.JobID]w.State // ends that callers have seen and that may not be in Progress
 	Roster       Roster
 	Versions     map[string]Version // version of each table from which to read changes
 	DecodeErrors []error            // one per row that could not be decoded; the jobs of these rows are omitted
@@ -27,13 +31,19 @@
 // Load reads the state of the cell. Only the loading leader writes progress, so it
 // does not change meanwhile. The content of jobs in a final state is omitted.
 func (k *Keeper) Load(ctx context.Context) (*Snapshot, error) {
+	return k.LoadMonitored(ctx, new(LoadMonitor))
+}
+
+// LoadMonitored is Load with a monitor that shows its progress and limits its scans.
+func (k *Keeper) LoadMonitored(ctx context.Context, m *LoadMonitor) (*Snapshot, error) {
 	s := &Snapshot{
+		Ends:      make(map[w.JobID]w.State),
 		Progress:  make(map[w.JobID]Progress),
 		Cancelled: make(map[w.JobID]bool),
 		Versions:  make(map[string]Version),
 	}
 	var roster, saveSeq *Row
-	scans, err := k.scanAll(ctx, &roster, &saveSeq, TableProgress, TableJobs, TableCancellations)
+	scans, err := k.scanAll(ctx, m, &roster, &saveSeq)
 	if err != nil {
 		return nil, err
 	}
@@ -49,6 +59,7 @@
 	forEachRow := func(table string, fn func(*Row) error) {
 		for _, result := range scans[table] {
 			for i := range result.rows {
+				m.Advance()
 				if err := fn(&result.rows[i]); err != nil {
 					s.DecodeErrors = append(s.DecodeErrors, err)
 				}
@@ -85,6 +96,13 @@
 		s.Cancelled[w.JobID(r.Name)] = true
 		return nil
 	})
+	forEachRow(TableEnds, func(r *Row) error {
+		e, err := decodeEnd(r)
+		if err == nil {
+			s.Ends[e.ID] = e.State
+		}
+		return err
+	})
 	if saveSeq != nil {
 		s.saveSeqVersion = saveSeq.Version
 	}
@@ -107,8 +125,80 @@
 // concurrently. The bounds suit hexadecimal job IDs; the ranges cover all names.
 const nameRangeBounds = "123456789abcdef"
 
-// maxConcurrentScans is the maximum number of concurrent scans of one load.
-const maxConcurrentScans = 48
+const (
+	// maxConcurrentScans is the maximum number of concurrent scans of one load.
+	maxConcurrentScans = 16
+	// throttledScans is the maximum while the renewals of the loading leader are
+	// slow. The responses of 48 scans held up a renewal by over a second on a link
+	// of 10 Mbit/s.
+	throttledScans = 3
+	// scanAttempts is the number of attempts of each scan, so that one failure does
+	// not make the load read everything again.
+	scanAttempts = 4
+	// scanRetryDelay is the delay between two of them.
+	scanRetryDelay = 100 * time.Millisecond
+)
+
+// LoadMonitor shows the progress of a load and limits its concurrent scans. Its zero
+// value is ready for use by one load at a time.
+type LoadMonitor struct {
+	progress atomic.Int64
+
+	mu        sync.Mutex
+	throttled bool
+	scans     int           // in progress
+	freed     chan struct{} // closed when another scan may begin; nil if none waits
+}
+
+// Advance records a unit of progress.
+func (m *LoadMonitor) Advance() { m.progress.Add(1) }
+
+// Progress returns a number that grows while the load makes progress.
+func (m *LoadMonitor) Progress() int64 { return m.progress.Load() }
+
+// SetThrottled sets whether the load limits its scans to few at a time.
+func (m *LoadMonitor) SetThrottled(throttled bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.throttled = throttled
+	m.wake()
+}
+
+func (m *LoadMonitor) wake() {
+	if m.freed != nil {
+		close(m.freed)
+		m.freed = nil
+	}
+}
+
+// beginScan waits until another scan may begin.
+func (m *LoadMonitor) beginScan(ctx context.Context) error {
+	for {
+		m.mu.Lock()
+		if m.scans < throttledScans || (!m.throttled && m.scans < maxConcurrentScans) {
+			m.scans++
+			m.mu.Unlock()
+			return nil
+		}
+		if m.freed == nil {
+			m.freed = make(chan struct{})
+		}
+		freed := m.freed
+		m.mu.Unlock()
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (m *LoadMonitor) endScan() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.scans--
+	m.wake()
+}
 
 // nameRange is the range [from, to) of names in a partition.
 type nameRange struct{ partition, from, to string }
@@ -116,6 +206,9 @@
 // scanRanges returns the ranges in which a table is scanned.
 func (k *Keeper) scanRanges(table string) []nameRange {
 	var ranges []nameRange
+	if table == TableEnds {
+		return []nameRange{{}}
+	}
 	if table != TableProgress {
 		for _, partition := range k.Partitions.All() {
 			ranges = append(ranges, nameRange{partition: partition})
@@ -130,61 +223,85 @@
 	return append(ranges, nameRange{from: from})
 }
 
+// loadOrder lists the tables in the order in which they are scanned: what decides
+// which jobs and tasks may not run, before the jobs themselves, which are the largest.
+var loadOrder = [...]string{TableEnds, TableProgress, TableCancellations, TableJobs}
+
 // scanAll scans all partitions of the tables, and reads the roster row and the row
 // with the save sequence number.
-func (k *Keeper) scanAll(ctx context.Context, roster, saveSeq **Row, tables ...string) (map[string][]scanResult, error) {
-	results := make(map[string][]scanResult, len(tables))
+func (k *Keeper) scanAll(ctx context.Context, m *LoadMonitor, roster, saveSeq **Row) (map[string][]scanResult, error) {
+	results := make(map[string][]scanResult, len(loadOrder))
+	parent := ctx
 	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(maxConcurrentScans)
-	for _, table := range tables {
+	scan := func(what string, read func() error) {
+		if m.beginScan(ctx) != nil {
+			return // g.Wait returns the error that ended ctx, or ctx is the caller's
+		}
+		g.Go(func() error {
+			defer m.endScan()
+			if err := retryScan(ctx, read); err != nil {
+				return fmt.Errorf("keeper: load %s: %w", what, err)
+			}
+			m.Advance()
+			return nil
+		})
+	}
+	scan("roster", func() (err error) {
+		*roster, err = k.get(ctx, Key{Table: TableControl, Name: rosterName})
+		return err
+	})
+	scan("save sequence number", func() (err error) {
+		*saveSeq, err = k.get(ctx, saveSeqKey)
+		return err
+	})
+	for _, table := range loadOrder {
 		ranges := k.scanRanges(table)
 		tableResults := make([]scanResult, len(ranges))
 		results[table] = tableResults
 		for i, r := range ranges {
-			g.Go(func() error {
+			scan(table, func() error {
 				rows, ver, err := k.Store.Scan(ctx, table, r.partition, r.from, r.to)
-				if err != nil {
-					return fmt.Errorf("keeper: load %s: %w", table, err)
-				}
 				tableResults[i] = scanResult{rows, ver}
-				return nil
+				return err
 			})
 		}
 	}
-	g.Go(func() error {
-		row, err := k.get(ctx, Key{Table: TableControl, Name: rosterName})
-		if err != nil {
-			return fmt.Errorf("keeper: load roster: %w", err)
-		}
-		*roster = row
-		return nil
-	})
-	g.Go(func() error {
-		row, err := k.get(ctx, saveSeqKey)
-		if err != nil {
-			return fmt.Errorf("keeper: load save sequence number: %w", err)
-		}
-		*saveSeq = row
-		return nil
-	})
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
+	if err := parent.Err(); err != nil {
+		return nil, fmt.Errorf("keeper: load: %w", err)
+	}
 	return results, nil
 }
 
-// Updates holds the jobs and cancellations that were stored after a version.
+// retryScan repeats a read that fails, up to scanAttempts times.
+func retryScan(ctx context.Context, read func() error) error {
+	for attempt := 1; ; attempt++ {
+		err := read()
+		if err == nil || attempt == scanAttempts || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-time.After(scanRetryDelay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Updates holds the jobs, cancellations and ends that were stored after a version.
 type Updates struct {
 	Jobs          []w.Job
 	Cancellations []w.JobID
-	DecodeErrors  []error // one per row that could not be decoded
+	Ends          map[w.JobID]w.State // see Snapshot.Ends
+	DecodeErrors  []error             // one per row that could not be decoded
 }
 
-// Updates reads the jobs and cancellations stored after the given versions of the
+// Updates reads the jobs, cancellations and ends stored after the given versions of the
 // tables, and advances the versions.
 func (k *Keeper) Updates(ctx context.Context, versions map[string]Version) (*Updates, error) {
-	updates := new(Updates)
-	for _, table := range [...]string{TableJobs, TableCancellations} {
+	updates := &Updates{Ends: make(map[w.JobID]w.State)}
+	for _, table := range [...]string{TableJobs, TableCancellations, TableEnds} {
 		rows, ver, err := k.Store.Changes(ctx, table, versions[table], 0)
 		if err != nil {
 			return nil, fmt.Errorf("keeper: read changes of %s: %w", table, err)
@@ -192,6 +309,13 @@
 		for i := range rows {
 			switch {
 			case rows[i].Deleted:
+			case table == TableEnds:
+				e, err := decodeEnd(&rows[i])
+				if err != nil {
+					updates.DecodeErrors = append(updates.DecodeErrors, err)
+					continue
+				}
+				updates.Ends[e.ID] = e.State
 			case table == TableCancellations:
 				updates.Cancellations = append(updates.Cancellations, w.JobID(rows[i].Name))
 			default:
