gateway, coordinator: shown ends and cancellations survive handovers

Change: instances write ends to the table ends after 2 s (4 s for jobs of others) while the store responds, the leader reads them, and removes them once the state is stored. The load ends with a read of what changed meanwhile. The model learns loads that take several events, cancellations and the loss of all instances.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -142,7 +142,11 @@
 // the targets on which tasks started by an earlier coordinator may still be running.
 func (c *Coordinator) Load(s *keeper.Snapshot) {
 	for i := range s.Jobs {
-		c.addJob(&s.Jobs[i], s.Progress[s.Jobs[i].ID], s.Cancelled[s.Jobs[i].ID], false)
+		id := s.Jobs[i].ID
+		// A job that callers have seen ended before its cancellation was stored stays
+		// in that state.
+		_, ended := s.Ends[id]
+		c.addJob(&s.Jobs[i], s.Progress[id], s.Cancelled[id] && !ended, false)
 		if c.LoadProgress != nil {
 			c.LoadProgress()
 		}
--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -20,7 +20,8 @@
 // time, a leader may be replaced, frozen or partitioned from targets, and a target may
 // be replaced. The store may leave transactions unanswered and commit them later. Orders
 // may be delayed or lost, and so may their results. The leaders are real coordinators
-// that save and load their state through a real keeper.
+// that save and load their state through a real keeper. A load takes several events,
+// during which other leaders act and further takeovers may happen.
 
 // modelStore is an in-memory store that can stop answering. It may still commit an
 // unanswered transaction later.
@@ -82,8 +83,17 @@
 	return out, s.version, nil
 }
 
-func (s *modelStore) Changes(context.Context, string, keeper.Version, time.Duration) ([]keeper.Row, keeper.Version, error) {
-	return nil, s.version, nil
+func (s *modelStore) Changes(_ context.Context, table string, after keeper.Version, _ time.Duration) ([]keeper.Row, keeper.Version, error) {
+	if s.unresponsive {
+		return nil, 0, keeper.ErrOutcomeUnknown
+	}
+	var out []keeper.Row
+	for k, r := range s.rows {
+		if k.Table == table && r.Version > after {
+			out = append(out, r)
+		}
+	}
+	return out, s.version, nil
 }
 
 func (s *modelStore) Clock() time.Duration { return 0 }
@@ -121,6 +131,8 @@
 	renewedAt        time.Time
 	batch            *Batch                    // batch to be saved, or nil
 	replaced         bool                      // the leader has noticed that it was replaced
+	snapshot         *keeper.Snapshot          // what a loading leader has read so far
+	loadedIn         int                       // event in which it began to lead
 	unreachable      map[w.TargetID]bool       // targets that the leader cannot call
 	polledAt         map[w.TargetID]time.Time  // when the targets were last polled successfully
 	unresolvedStarts map[w.TaskID]linker.Start // starts without a known outcome, by task
@@ -137,8 +149,12 @@
 	orders       []modelOrder
 	jobs         []w.Job
 	completedAt  map[w.JobID]time.Time // when the completion of the job was first published
-	unstoredEnds map[w.JobID]w.State   // published ends that the instances keep until they are stored
-	ackedDone    map[w.TaskID]bool     // tasks whose successful end was acknowledged
+	loading      []*modelLeader
+	lastEpoch    w.Epoch
+	unstoredEnds map[w.JobID]w.State // published ends that the instances keep until they are stored
+	event        int                 // number of the current event
+	cancelled    map[w.JobID]int     // event in which the cancellation of the job was acknowledged
+	ackedDone    map[w.TaskID]bool   // tasks whose successful end was acknowledged
 	incarnations w.Incarnation
 	starts       int
 }
@@ -155,7 +171,10 @@
 		m.targets[id] = &modelTarget{id: id}
 		m.replaceTarget(m.targets[id])
 	}
+	m.cancelled = make(map[w.JobID]int)
 	m.takeOver()
+	m.continueLoad()
+	m.continueLoad()
 	return m
 }
 
@@ -164,7 +183,8 @@
 	*t = modelTarget{id: t.id, incarnation: w.Incarnation(m.now.UnixMilli()) + m.incarnations, runs: make(map[w.TaskID]w.RunID), highestEnded: make(map[w.TaskID]w.RunID)}
 }
 
-// takeOver adds a new leader. Earlier ones continue until they notice it.
+// takeOver adds a leader that begins to load the cell. Earlier ones continue until they
+// notice it, also those that are still loading.
 func (m *model) takeOver() {
 	if m.store.unresponsive {
 		return
@@ -173,22 +193,53 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	lead, err := m.keeper.TakeOver(context.Background(), old, keeper.Leadership{Instance: w.InstanceID(fmt.Sprint("i", len(m.leaders)))})
+	lead, err := m.keeper.TakeOver(context.Background(), old, keeper.Leadership{Instance: w.InstanceID(fmt.Sprint("i", old.Epoch))})
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	s, err := m.keeper.Load(context.Background())
+	m.lastEpoch = lead.Epoch
+	m.loading = append(m.loading, &modelLeader{
+		leadership: lead, renewedAt: m.now, unreachable: make(map[w.TargetID]bool), polledAt: make(map[w.TargetID]time.Time),
+		unresolvedStarts: make(map[w.TaskID]linker.Start), stopAnswered: make(map[w.TaskID]bool),
+	})
+}
+
+// continueLoad lets a loading leader read the cell, or begin to lead once it has.
+func (m *model) continueLoad() {
+	if m.store.unresponsive || len(m.loading) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.loading)-1).Draw(m.t, "loading")
+	l := m.loading[i]
+	if l.snapshot == nil {
+		s, err := m.keeper.Load(context.Background())
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		l.snapshot = s
+		return
+	}
+	m.loading = slices.Delete(m.loading, i, i+1)
+	if l.leadership.Epoch != m.lastEpoch && rapid.Bool().Draw(m.t, "noticed") {
+		return
+	}
+	updates, err := m.keeper.Updates(context.Background(), l.snapshot.Versions)
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	l := &modelLeader{leadership: lead, unreachable: make(map[w.TargetID]bool), polledAt: make(map[w.TargetID]time.Time), unresolvedStarts: make(map[w.TaskID]linker.Start), stopAnswered: make(map[w.TaskID]bool)}
-	l.leadership.InitSaves(s)
-	l.renewedAt = m.now
+	m.lead(l, updates)
+}
+
+// lead lets a leader begin that has loaded the cell.
+func (m *model) lead(l *modelLeader, updates *keeper.Updates) {
+	l.leadership.InitSaves(l.snapshot)
 	l.coordinator = New(Settings{
-		Epoch: lead.Epoch, Self: "self", Lease: modelLease, StopTimeout: 200 * time.Millisecond,
+		Epoch: l.leadership.Epoch, Self: "self", Lease: modelLease, StopTimeout: 200 * time.Millisecond,
 		Retention: time.Hour, Log: slog.New(slog.DiscardHandler),
 	}, m.now)
-	l.coordinator.Load(s)
+	l.coordinator.Load(l.snapshot)
+	l.loadedIn = m.event
+	applyUpdates(l, updates)
 	l.coordinator.Configure(&w.Config{Version: 1, Queues: []w.Queue{{Name: testQueue, Service: "s", Attempts: 9}}})
 	l.coordinator.Join(&linker.Hello{Instance: "caller"})
 	f := &linker.Frame{}
@@ -200,6 +251,71 @@
 	m.setTargets(l)
 }
 
+func applyUpdates(l *modelLeader, updates *keeper.Updates) {
+	for i := range updates.Jobs {
+		l.coordinator.AddJob(&updates.Jobs[i], false)
+	}
+	for _, id := range updates.Cancellations {
+		l.coordinator.Cancel(id)
+	}
+	for id, state := range updates.Ends {
+		l.coordinator.RestoreStoredEnd(id, state)
+	}
+}
+
+// writeEnds lets the instances write the ends to the store that no leader has stored.
+func (m *model) writeEnds() {
+	var ends []keeper.End
+	for id, state := range m.unstoredEnds {
+		ends = append(ends, keeper.End{ID: id, State: state})
+	}
+	_ = m.keeper.SaveEnds(context.Background(), ends) // the instances keep the ends
+}
+
+// loseAll loses all instances and targets, as in a loss of power, once the store responds
+// and the instances have written the ends that they keep. Only the store knows these
+// ends then.
+func (m *model) loseAll() {
+	if rapid.IntRange(0, 3).Draw(m.t, "lose") > 0 {
+		return
+	}
+	m.store.unresponsive = false
+	m.writeEnds()
+	clear(m.unstoredEnds)
+	for _, l := range append(m.leaders, m.loading...) {
+		l.replaced = true
+	}
+	m.loading = nil
+	for _, t := range m.targets {
+		m.replaceTarget(t)
+	}
+	m.takeOver()
+	m.continueLoad()
+	m.continueLoad()
+}
+
+// cancel acknowledges the cancellation of a job once it is stored, without telling any
+// leader, as an instance that is lost right after. If the end of the job was published
+// and is not stored, that is stored instead.
+func (m *model) cancel() {
+	if m.store.unresponsive || len(m.jobs) == 0 {
+		return
+	}
+	id := m.jobs[rapid.IntRange(0, len(m.jobs)-1).Draw(m.t, "job")].ID
+	var err error
+	if state, unsaved := m.unstoredEnds[id]; unsaved {
+		err = m.keeper.SaveEnds(context.Background(), []keeper.End{{ID: id, State: state}})
+	} else {
+		err = m.keeper.Cancel(context.Background(), id)
+	}
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	if m.cancelled[id] == 0 {
+		m.cancelled[id] = m.event
+	}
+}
+
 func (m *model) setTargets(l *modelLeader) {
 	var list []w.Target
 	for _, id := range []w.TargetID{"a", "b", "c"} {
@@ -260,7 +376,7 @@
 	l.coordinator.SetStoreSlow(m.store.unresponsive)
 	// An older leader that could not renew its leadership is assumed to have lost most
 	// of its instances to the newest one.
-	l.coordinator.SetSuspended(l != m.leaders[len(m.leaders)-1] && m.now.Sub(l.renewedAt) > LeadershipGrace)
+	l.coordinator.SetSuspended(l.leadership.Epoch != m.lastEpoch && m.now.Sub(l.renewedAt) > LeadershipGrace)
 	l.coordinator.Advance(m.now)
 	if l.batch == nil {
 		l.batch = l.coordinator.Flush()
@@ -315,7 +431,7 @@
 	}
 	b := l.batch
 	if !b.Empty() {
-		err := m.keeper.Save(context.Background(), &l.leadership, &keeper.ChangeSet{Progress: b.Progress, Remove: b.Remove, Roster: b.Roster, RosterChanged: b.RosterChanged})
+		err := m.keeper.Save(context.Background(), &l.leadership, &keeper.ChangeSet{Progress: b.Progress, Remove: b.Remove, RemoveEnds: b.RemoveEnds, Roster: b.Roster, RosterChanged: b.RosterChanged})
 		if err != nil {
 			var c *keeper.ConflictError
 			if errors.As(err, &c) {
@@ -431,6 +547,9 @@
 	if at := m.completedAt[id.Job]; !at.IsZero() && o.sent.After(at) {
 		m.t.Fatalf("%v starts on %s after its job was published as completed", id, t.id)
 	}
+	if in := m.cancelled[id.Job]; in > 0 && l.loadedIn > in {
+		m.t.Fatalf("%v starts on %s although its cancellation was acknowledged before epoch %d was loaded", id, t.id, l.leadership.Epoch)
+	}
 	t.runs[id] = run
 	if o.expiresAt.After(t.deadline) {
 		t.deadline = o.expiresAt
@@ -573,8 +692,9 @@
 	starts := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
-		events := []func(){m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch, m.passTime, m.endRandomRun, m.submit, m.findJobs, m.renew, m.applyDelayed, m.injectFault}
+		events := []func(){m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch, m.passTime, m.endRandomRun, m.submit, m.findJobs, m.renew, m.applyDelayed, m.injectFault, m.continueLoad, m.continueLoad, m.writeEnds, m.loseAll, m.cancel}
 		for range rapid.IntRange(20, 160).Draw(t, "steps") {
+			m.event++
 			events[rapid.IntRange(0, len(events)-1).Draw(t, "event")]()
 		}
 		starts += m.starts
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,10 @@
 	// last pending counts are still reported. It is below the 2 s by which a
 	// reported count may be out of date.
 	maxPendingAge = 1500 * time.Millisecond
+	// maxForwardAge is the age above which an unconfirmed job is no longer forwarded. A
+	// coordinator has then found its row in the store. Forwarding it after its end was
+	// removed from the store, which takes at least 30 s, would run it again.
+	maxForwardAge = 10 * time.Second
 	// retriesWithinDeadline is the number of retries that a refused client should
 	// have time for before its deadline.
 	retriesWithinDeadline = 3
@@ -95,7 +99,8 @@
 	unconfirmedCounts  map[string]int     // number of unconfirmedJobs by queue
 	unconfirmedJobs    map[w.JobID]*w.Job // accepted here and not yet confirmed by the coordinator
 	unconfirmedCancels map[w.JobID]bool
-	unsavedStates      map[w.JobID]w.State // final states that the coordinator published before storing them
+	unsavedEnds        map[w.JobID]*unsavedEnd
+	acceptedHere       map[w.JobID]struct{} // jobs that this instance accepted and whose retention has not expired
 }
 
 // Init initializes the gateway. It must be called before jobs are submitted.
@@ -107,7 +112,8 @@
 	g.unconfirmedCounts = make(map[string]int)
 	g.unconfirmedJobs = make(map[w.JobID]*w.Job)
 	g.unconfirmedCancels = make(map[w.JobID]bool)
-	g.unsavedStates = make(map[w.JobID]w.State)
+	g.unsavedEnds = make(map[w.JobID]*unsavedEnd)
+	g.acceptedHere = make(map[w.JobID]struct{})
 }
 
 // Config returns the current configuration, or nil if none is set.
@@ -135,14 +141,18 @@
 	defer g.mu.Unlock()
 	g.conn = c
 	f := &linker.Frame{Again: true}
-	for _, j := range g.unconfirmedJobs {
+	for id, j := range g.unconfirmedJobs {
+		if time.Since(time.UnixMilli(j.Accepted)) > maxForwardAge {
+			g.confirmJob(id)
+			continue
+		}
 		f.Jobs = append(f.Jobs, *j)
 	}
 	for id := range g.unconfirmedCancels {
 		f.Cancels = append(f.Cancels, id)
 	}
-	for id, s := range g.unsavedStates {
-		f.Ended = append(f.Ended, linker.JobState{Job: id, State: s})
+	for id, e := range g.unsavedEnds {
+		f.Ended = append(f.Ended, linker.JobState{Job: id, State: e.state})
 	}
 	if len(f.Jobs) > 0 || len(f.Cancels) > 0 || len(f.Ended) > 0 {
 		c.Send(f)
@@ -178,13 +188,14 @@
 	for _, s := range f.States {
 		switch {
 		case s.Unsaved:
-			g.unsavedStates[s.Job] = s.State
+			g.keepUnsaved(s)
 		case s.State.Final() || s.State == w.Unknown:
-			delete(g.unsavedStates, s.Job)
+			delete(g.unsavedEnds, s.Job)
 		}
 		if s.State == w.Unknown {
 			// The job's retention has expired and its rows are deleted.
 			delete(g.states, s.Job)
+			delete(g.acceptedHere, s.Job)
 			continue
 		}
 		if !g.states[s.Job].Final() {
@@ -192,10 +203,7 @@
 		}
 	}
 	for _, id := range f.Received {
-		if j := g.unconfirmedJobs[id]; j != nil {
-			g.unconfirmedCounts[j.Queue]--
-			delete(g.unconfirmedJobs, id)
-		}
+		g.confirmJob(id)
 		delete(g.unconfirmedCancels, id)
 	}
 	if f.Pending != nil {
@@ -206,6 +214,14 @@
 	}
 }
 
+// confirmJob forgets that a job has to be forwarded. g.mu must be held.
+func (g *Gateway) confirmJob(id w.JobID) {
+	if j := g.unconfirmedJobs[id]; j != nil {
+		g.unconfirmedCounts[j.Queue]--
+		delete(g.unconfirmedJobs, id)
+	}
+}
+
 // Submit accepts a job. It returns an error that wraps workload.ErrInvalid if the job
 // is invalid, or a RefusedError if the job was certainly not stored; in both cases the
 // job never runs. After any other error the job may be stored.
@@ -317,6 +333,7 @@
 	if g.unconfirmedJobs[j.ID] != nil || g.states[j.ID].Final() {
 		return
 	}
+	g.acceptedHere[j.ID] = struct{}{}
 	g.unconfirmedJobs[j.ID] = j
 	g.unconfirmedCounts[j.Queue]++
 	if g.conn != nil {
@@ -350,10 +367,14 @@
 // Cancel cancels a job and reports whether the job exists.
 func (g *Gateway) Cancel(ctx context.Context, id w.JobID) (bool, error) {
 	g.mu.Lock()
-	s := g.states[id]
+	s, unsaved := g.states[id], g.unsavedEnds[id]
 	g.mu.Unlock()
 	if s.Final() {
-		return true, nil
+		if unsaved == nil {
+			return true, nil
+		}
+		// If all instances that know the end were lost, the job would run again.
+		return true, g.retryStore(ctx, func() error { return g.saveEnds(ctx, []keeper.End{{ID: id, State: unsaved.state}}) })
 	}
 	if s == w.Unknown {
 		found, err := g.Keeper.Exists(ctx, id)
@@ -361,27 +382,37 @@
 			return false, err
 		}
 	}
+	if err := g.retryStore(ctx, func() error { return g.Keeper.Cancel(ctx, id) }); err != nil {
+		return false, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.states[id].Final() {
+		g.states[id] = w.Cancelled
+	}
+	g.unconfirmedCancels[id] = true
+	if g.conn != nil {
+		g.conn.Send(&linker.Frame{Cancels: []w.JobID{id}})
+	}
+	return true, nil
+}
+
+// retryStore repeats a write that a cancellation depends on until it succeeds or the
+// client's deadline is near.
+func (g *Gateway) retryStore(ctx context.Context, write func() error) error {
 	for {
-		err := g.Keeper.Cancel(ctx, id)
+		err := write()
 		if err == nil {
-			break
+			return nil
 		}
 		if deadline, ok := ctx.Deadline(); ctx.Err() != nil || (ok && time.Until(deadline) < minCancelBudget) {
-			return false, fmt.Errorf("gateway: cancel: %w", err)
+			return fmt.Errorf("gateway: cancel: %w", err)
 		}
 		select {
 		case <-time.After(storeRetryDelay):
 		case <-ctx.Done():
 		}
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.states[id] = w.Cancelled
-	g.unconfirmedCancels[id] = true
-	if g.conn != nil {
-		g.conn.Send(&linker.Frame{Cancels: []w.JobID{id}})
-	}
-	return true, nil
 }
 
 // Pending returns the number of jobs of a queue that have no started task. It reports
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -148,7 +148,7 @@
 		metricsSrv = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
 		in.spawn(func() { in.serve(metricsSrv, metrics) })
 	}
-	for _, loop := range []func(){in.watchConfig, in.watchLeader, in.followLeader, in.campaign} {
+	for _, loop := range []func(){in.watchConfig, in.watchLeader, in.followLeader, in.campaign, in.saveEnds} {
 		in.spawn(func() { in.restartOnPanic(loop) })
 	}
 
@@ -316,6 +316,18 @@
 	}
 }
 
+// saveEnds periodically lets the gateway write ends that no leader has stored. The period
+// varies, so that the instances do not all write the same ends at the same time.
+func (in *Instance) saveEnds() {
+	const period = 600 * time.Millisecond
+	for in.ctx.Err() == nil {
+		in.sleep(period/2 + time.Duration(rand.Float64()*float64(period)))
+		if err := in.Gateway.SaveUnsavedEnds(in.ctx, time.Now()); err != nil {
+			in.Log.Debug("could not save ends", "error", err)
+		}
+	}
+}
+
 // retryDelay is the delay before an operation that failed is attempted again.
 const retryDelay = 100 * time.Millisecond
 
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -75,6 +75,7 @@
 	joinedAt           map[w.InstanceID]time.Time // when each instance connected
 	lastHandover       time.Time
 	loadedAt           time.Time // when the cell was loaded, or zero
+	renewedLoaded      bool      // the leadership was renewed since loadedAt
 
 	monitor keeper.LoadMonitor
 }
@@ -111,9 +112,9 @@
 	l.spawn(l.renew)
 	l.spawn(l.watchRenewals)
 	for {
-		s, err := in.Keeper.LoadMonitored(l.ctx, &l.monitor)
+		s, updates, err := l.load()
 		if err == nil {
-			return l, l.restore(s, start)
+			return l, l.restore(s, updates, start)
 		}
 		in.Log.Warn("could not load the cell; retrying", "error", err)
 		if current, err := in.Keeper.Leader(l.ctx); err == nil && current.Epoch > leadership.Epoch {
@@ -127,8 +128,24 @@
 	}
 }
 
-// restore initializes the coordinator from a snapshot. A failure ends the leadership.
-func (l *leader) restore(s *keeper.Snapshot, start time.Time) error {
+// load reads the cell from the store, and then what was stored during the read:
+// cancellations that were acknowledged meanwhile may be missing from the snapshot, and
+// the instance that has to forward them may be gone.
+func (l *leader) load() (*keeper.Snapshot, *keeper.Updates, error) {
+	s, err := l.in.Keeper.LoadMonitored(l.ctx, &l.monitor)
+	if err != nil {
+		return nil, nil, fmt.Errorf("instance: %w", err)
+	}
+	updates, err := l.in.Keeper.Updates(l.ctx, s.Versions)
+	if err != nil {
+		return nil, nil, fmt.Errorf("instance: %w", err)
+	}
+	return s, updates, nil
+}
+
+// restore initializes the coordinator from a snapshot and later updates. A failure ends
+// the leadership.
+func (l *leader) restore(s *keeper.Snapshot, updates *keeper.Updates, start time.Time) error {
 	in := l.in
 	// The configuration seen by this instance's watch may be older than the one that
 	// the previous leader applied.
@@ -141,12 +158,6 @@
 		l.coordinator.Configure(cfg)
 	}
 	l.leadership.InitSaves(s)
-	// Cancellations that were acknowledged during the load may be missing from the
-	// snapshot, and the instance that has to forward them may be gone.
-	updates, err := in.Keeper.Updates(l.ctx, s.Versions)
-	if err != nil {
-		updates = new(keeper.Updates) // read again by scanJobs
-	}
 	if !in.recoverPanic(func() { l.coordinator.Load(s); l.applyUpdates(l.coordinator, updates) }) {
 		l.stop("could not restore the cell")
 		return fmt.Errorf("instance: epoch %d: could not restore a cell of %d jobs", l.leadership.Epoch, len(s.Jobs))
@@ -372,7 +383,12 @@
 		}
 	}
 	stale := time.Since(l.lastRenewal) > coordinator.LeadershipGrace || l.lastRenewal.Before(l.resumedAt)
-	return stale && 2*connected <= l.connectedAtRenewal
+	expected := l.connectedAtRenewal
+	if !l.renewedLoaded {
+		// Another instance may have taken over during the load.
+		expected = max(expected, l.leadership.Instances)
+	}
+	return stale && 2*connected <= expected
 }
 
 func (l *leader) sendFrames() {
@@ -439,6 +455,7 @@
 		if err == nil {
 			l.lastRenewal, l.renewalDuration = start, now.Sub(start)
 			l.connectedAtRenewal = connected
+			l.renewedLoaded = l.renewedLoaded || (!l.loadedAt.IsZero() && start.After(l.loadedAt))
 		}
 		handedOver := now.Sub(l.lastHandover) <= lateRenewal
 		l.mu.Unlock()
@@ -490,7 +507,7 @@
 		l.in.sleep(period)
 		now := time.Now()
 		l.mu.Lock()
-		age := now.Sub(l.lastRenewal)
+		age := min(now.Sub(l.lastRenewal), now.Sub(l.loadedAt))
 		// A leader that loads has no instance to hand over to, and the others replace
 		// it later than one that serves; see elector.LoadStallTimeout.
 		late := !l.loadedAt.IsZero() && age > lateRenewal+renewalDurationFactor*l.renewalDuration
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -306,9 +306,16 @@
 		if err != nil {
 			return nil, fmt.Errorf("keeper: read changes of %s: %w", table, err)
 		}
+		// A job that was removed after it was stored must not be added again.
+		removed := make(map[string]Version)
+		for i := range rows {
+			if rows[i].Deleted {
+				removed[rows[i].Name] = rows[i].Version
+			}
+		}
 		for i := range rows {
 			switch {
-			case rows[i].Deleted:
+			case rows[i].Deleted || rows[i].Version < removed[rows[i].Name]:
 			case table == TableEnds:
 				e, err := decodeEnd(&rows[i])
 				if err != nil {
