elector: takeovers are spread, and instances know how many they are

Cause: an instance that was connected since its start did not know the number of instances, so that the pace of its reads did not follow it.

--- a/elector/damping.go
+++ b/elector/damping.go
@@ -11,8 +11,11 @@
 	minPollPeriod = 120 * time.Millisecond
 	// maxReadsPerSec bounds the reads of the heartbeat by all instances together.
 	maxReadsPerSec = 400
+	// surveyPeriod is the interval between two reads of the heartbeat by an instance that
+	// is connected to the leader.
+	surveyPeriod = 10 * time.Second
 	// pollJitter is the fraction by which the interval varies.
-	pollJitter = 0.2
+	pollJitter = 0.5
 	// minReportPeriod is the interval between two unreachable reports of an instance
 	// of a small cell.
 	minReportPeriod = 500 * time.Millisecond
@@ -41,7 +44,7 @@
 	maxFailedLoads = 16
 	// instancesTTL is the time for which the highest number of instances is kept if
 	// later heartbeats show fewer, since a new leader has few members at first.
-	instancesTTL = 30 * time.Second
+	instancesTTL = 60 * time.Second
 )
 
 // damping limits the load that the instances of a cell cause while they have no
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -79,6 +79,7 @@
 	unreachableReports map[w.InstanceID]observedReport
 	maxCores           float64 // highest core count of an instance that leaders reported recently
 	maxCoresAt         time.Time
+	surveyedAt         time.Time      // when the heartbeat was last read, also of earlier leaders
 	observedAt         time.Time      // when the heartbeat was last read
 	watchedAt          time.Time      // when the watch began
 	loadProgress       int64          // of the last heartbeat of a loading leader
@@ -107,7 +108,7 @@
 // except for the highest core count.
 func (e *Elector) Watch(leader keeper.Leadership, now time.Time) {
 	*e = Elector{
-		Cores: e.Cores, Rand: e.Rand, maxCores: e.maxCores, maxCoresAt: e.maxCoresAt, damping: e.damping,
+		Cores: e.Cores, Rand: e.Rand, maxCores: e.maxCores, maxCoresAt: e.maxCoresAt, damping: e.damping, surveyedAt: e.surveyedAt,
 		leader: leader, disconnectedAt: now, watchedAt: now, unreachableReports: make(map[w.InstanceID]observedReport),
 	}
 	e.draw = e.random()
@@ -132,8 +133,12 @@
 	e.connResult = result
 }
 
-// NeedsHeartbeat reports whether the leader's heartbeat has to be read.
-func (e *Elector) NeedsHeartbeat() bool { return !e.connected }
+// NeedsHeartbeat reports whether the leader's heartbeat has to be read. While connected,
+// the instance reads it rarely, only to know how many instances there are and how many
+// cores they have when the leader is lost.
+func (e *Elector) NeedsHeartbeat(now time.Time) bool {
+	return !e.connected || now.Sub(e.surveyedAt) >= surveyPeriod
+}
 
 // ShouldReportUnreachable reports whether the instance should write an unreachable
 // report about the leader.
@@ -159,6 +164,7 @@
 // Observe records a heartbeat with its age, the unreachable reports read with it,
 // and the latency of the read.
 func (e *Elector) Observe(heartbeat keeper.Heartbeat, age, readLatency time.Duration, reports []keeper.UnreachableReport, now time.Time) {
+	e.surveyedAt = now
 	e.members = heartbeat.Members
 	e.damping.observe(heartbeat, now)
 	e.observeLoad(heartbeat, age, now)
@@ -204,7 +210,10 @@
 		e.stalledFor = min(max(0, age), now.Sub(e.watchedAt))
 		e.loadBeat, e.loadProgress = heartbeat.Version, heartbeat.Progress
 	case heartbeat.Version != e.loadBeat && heartbeat.Progress > e.loadProgress:
-		e.stalledFor, e.loadBeat, e.loadProgress = 0, heartbeat.Version, heartbeat.Progress
+		// The progress was made when the heartbeat was sent, which may be long before
+		// it was committed if the store was silent.
+		e.stalledFor = min(max(0, age), maxObservationGap)
+		e.loadBeat, e.loadProgress = heartbeat.Version, heartbeat.Progress
 	default:
 		e.stalledFor += min(now.Sub(e.observedAt), maxObservationGap)
 	}
--- a/elector/storm_test.go
+++ b/elector/storm_test.go
@@ -127,7 +127,7 @@
 				s.version++
 				s.beat, s.beatAt = keeper.Heartbeat{Epoch: epoch, Version: s.version}, sent
 				if loading {
-					s.beat.Loading, s.beat.Progress, s.beat.Instances = true, int64(sent.Sub(since)), s.row.Instances
+					s.beat.Loading, s.beat.Progress, s.beat.Instances = true, int64(sent.Sub(since)), len(s.fakes)
 				} else {
 					s.beat.Members = len(s.fakes) - 1
 				}
@@ -167,7 +167,7 @@
 		f.elector.Watch(s.row, s.now)
 	}
 	dies, mortal := s.dieAtEpoch[s.row.Epoch]
-	dead := mortal && s.elapsed() > s.takeovers[len(s.takeovers)-1]+dies
+	dead := mortal && len(s.takeovers) > 0 && s.elapsed() > s.takeovers[len(s.takeovers)-1]+dies
 	if f.elector.Leader().Epoch == s.row.Epoch && s.row.Epoch > 0 {
 		switch {
 		case dead && s.elapsed() > s.takeovers[len(s.takeovers)-1]+dies+600*time.Millisecond:
@@ -180,7 +180,7 @@
 		return
 	}
 	f.nextPoll = s.now.Add(f.elector.PollPeriod())
-	if !f.elector.NeedsHeartbeat() {
+	if !f.elector.NeedsHeartbeat(s.now) {
 		return
 	}
 	if f.elector.ShouldReportUnreachable(s.now) && s.now.Sub(f.lastReport) > f.elector.ReportPeriod() {
@@ -209,14 +209,88 @@
 // in a cell of 147 instances there were 15 takeovers in 17 s after the store had been
 // silent for 4 s.
 func TestNoTakeoverStorm(t *testing.T) {
+	for _, n := range []int{150, 300} {
+		for seed := range int64(10) {
+			s := newStormSim(seed, n)
+			s.runUntil(5 * time.Second)
+			s.silentFrom, s.silentTo = 5*time.Second, 9*time.Second
+			before, reads, attempts := len(s.takeovers), len(s.reads), s.attempts
+			s.runUntil(6200 * time.Millisecond)
+			s.takeOver(s.fakes[7]) // requested by the leader, which can't renew
+			s.runUntil(65 * time.Second)
+			t.Logf("%d instances: takeovers at %v; %d attempts, %d reads, at most %d/s", n, s.takeovers[before:], s.attempts-attempts, len(s.reads)-reads, s.maxReadRate())
+			require.LessOrEqual(t, len(s.takeovers)-before, 3, "takeovers in a minute")
+			require.LessOrEqual(t, s.maxReadRate(), maxReadsPerSec, "reads of the heartbeat in a second")
+		}
+	}
+}
+
+// maxReadRate returns the highest number of reads of the heartbeat in a second, apart from
+// the start of the cell, when no instance knows how many there are.
+func (s *stormSim) maxReadRate() int {
+	highest, from := 0, 0
+	for i, at := range s.reads {
+		for at-s.reads[from] > time.Second {
+			from++
+		}
+		if s.reads[from] > 4*time.Second {
+			highest = max(highest, i-from+1)
+		}
+	}
+	return highest
+}
+
+// TestDeadLoadingLeaderIsReplaced guards against a cell that waits too long for a leader
+// that died while it loaded.
+func TestDeadLoadingLeaderIsReplaced(t *testing.T) {
+	for _, n := range []int{3, 150, 300} {
+		s := newStormSim(int64(n), n)
+		s.runUntil(5 * time.Second)
+		const dies = 500 * time.Millisecond
+		s.dieAtEpoch = map[w.Epoch]time.Duration{s.row.Epoch + 1: dies}
+		s.takeOver(s.fakes[1])
+		count := len(s.takeovers)
+		s.runUntil(25 * time.Second)
+		require.Len(t, s.takeovers, count+2, "%d instances", n)
+		took := s.takeovers[count+1] - s.takeovers[count] - dies
+		t.Logf("%d instances: replaced after %v", n, took)
+		require.LessOrEqual(t, took, LoadStallTimeout+time.Second)
+	}
+}
+
+// TestDeadLeaderIsReplacedSoon guards against damping that delays the takeover after the
+// death of a healthy leader. The age of its last heartbeat decides, see heartbeatTimeout.
+func TestDeadLeaderIsReplacedSoon(t *testing.T) {
+	for _, n := range []int{3, 150, 300} {
+		for seed := range int64(10) {
+			s := newStormSim(seed, n)
+			s.runUntil(5*time.Second + time.Duration(seed)*30*time.Millisecond)
+			lives := s.elapsed() - s.takeovers[len(s.takeovers)-1]
+			s.dieAtEpoch = map[w.Epoch]time.Duration{s.row.Epoch: lives}
+			count, died := len(s.takeovers), s.elapsed()
+			s.runUntil(10 * time.Second)
+			require.Greater(t, len(s.takeovers), count)
+			took := s.takeovers[count] - died
+			t.Logf("%d instances: replaced after %v", n, took)
+			require.LessOrEqual(t, took, heartbeatTimeout+2*minPollPeriod)
+		}
+	}
+}
+
+// TestFailedLoadsDampTakeovers guards against a cell that replaces its leader at the same
+// pace for ever if every leader dies while it loads.
+func TestFailedLoadsDampTakeovers(t *testing.T) {
 	s := newStormSim(1, 150)
-	s.silentFrom, s.silentTo = 0, 0
-	s.runUntil(5 * time.Second)
-	before := len(s.takeovers)
-	s.silentFrom, s.silentTo = 5*time.Second, 9*time.Second
-	s.runUntil(6200 * time.Millisecond)
-	s.takeOver(s.fakes[7]) // requested by the leader, which can't renew
-	s.runUntil(65 * time.Second)
-	t.Logf("takeovers at %v; %d attempts, %d reads", s.takeovers, s.attempts, len(s.reads))
-	require.LessOrEqual(t, len(s.takeovers)-before, 3)
+	s.dieAtEpoch = make(map[w.Epoch]time.Duration)
+	for e := range w.Epoch(100) {
+		s.dieAtEpoch[e+1] = 500 * time.Millisecond
+	}
+	s.runUntil(60 * time.Second)
+	t.Logf("takeovers at %v", s.takeovers)
+	last := len(s.takeovers) - 1
+	require.GreaterOrEqual(t, last, 4)
+	require.Greater(t, s.takeovers[last]-s.takeovers[last-1], s.takeovers[1]-s.takeovers[0]+2*time.Second)
+	for i := range last {
+		require.LessOrEqual(t, s.takeovers[i+1]-s.takeovers[i], 500*time.Millisecond+LoadStallTimeout+maxBackoff+maxDampedSpread)
+	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -89,6 +89,7 @@
 	leaderChanged     chan struct{} // signals a new leader to followLeader
 	leader            atomic.Pointer[leader]
 	loading           atomic.Pointer[leader] // the leader of this instance while it loads the cell
+	waitingConns      atomic.Int64           // connections of instances that wait for this instance to load the cell
 	leaderConn        atomic.Pointer[linker.Conn]
 	joinedConn        atomic.Pointer[linker.Conn] // leaderConn after the leader has accepted this instance
 	disconnectedSince atomic.Int64                // Unix time in ns since which the leader is not connected, 0 while it is
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -490,6 +490,9 @@
 	if !loading {
 		return l.in.Keeper.Renew(l.ctx, &l.leadership, max(0, connected-1), maxCores)
 	}
+	l.mu.Lock()
+	l.leadership.Instances = max(l.leadership.Instances, int(l.in.waitingConns.Load()))
+	l.mu.Unlock()
 	throttle := time.AfterFunc(slowRenewal, func() { l.monitor.SetThrottled(true) })
 	start := time.Now()
 	err := l.in.Keeper.RenewLoading(l.ctx, &l.leadership, l.monitor.Progress(), maxCores)
--- a/instance/link.go
+++ b/instance/link.go
@@ -73,7 +73,9 @@
 // identifies its sender.
 func (in *Instance) serveConn(nc net.Conn) {
 	c := linker.NewConn(nc)
+	in.waitingConns.Add(1)
 	l := in.awaitLeader(c)
+	in.waitingConns.Add(-1)
 	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Cores, Leads: l != nil}})
 	if l == nil {
 		// Leave time to send the frame before the connection is closed.
--- a/instance/succession.go
+++ b/instance/succession.go
@@ -84,7 +84,7 @@
 		in.sleep(period)
 		now := time.Now()
 		in.electorMu.Lock()
-		readHeartbeat, leadership, reportUnreachable := in.elector.NeedsHeartbeat(), in.elector.Leader(), in.elector.ShouldReportUnreachable(now)
+		readHeartbeat, leadership, reportUnreachable := in.elector.NeedsHeartbeat(now), in.elector.Leader(), in.elector.ShouldReportUnreachable(now)
 		reportPeriod, needsReports := in.elector.ReportPeriod(), in.elector.NeedsReports(now)
 		in.electorMu.Unlock()
 		if !readHeartbeat || leadership.Version == 0 && leadership.Epoch != 0 || in.draining.Load() || in.leader.Load() != nil || in.loading.Load() != nil {
