linker, keeper: states of all jobs in small frames, updates read as a whole

A failure to read the changes of one table dropped those of the tables read before it, among them acknowledged cancellations.

Change: such frames are split, the deadline of a write applies to each frame, and the versions advance only when all tables were read. A load that takes longer than the history of the store is not repeated. An end that was shown is applied before a later cancellation.

--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -255,12 +255,12 @@
 	for i := range updates.Jobs {
 		l.coordinator.AddJob(&updates.Jobs[i], false)
 	}
-	for _, id := range updates.Cancellations {
-		l.coordinator.Cancel(id)
-	}
 	for id, state := range updates.Ends {
 		l.coordinator.RestoreStoredEnd(id, state)
 	}
+	for _, id := range updates.Cancellations {
+		l.coordinator.Cancel(id)
+	}
 }
 
 // writeEnds lets the instances write the ends to the store that no leader has stored.
--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 
@@ -134,3 +135,23 @@
 	g.Receive(&linker.Frame{States: []linker.JobState{{Job: "own", State: w.Completed}, {Job: "other", State: w.Failed}}})
 	require.Empty(t, g.unsavedEnds, "the leader has stored the ends")
 }
+
+// TestOldJobIsNotForwarded guards against running a job again whose rows were removed while
+// its instance was cut off from all leaders.
+func TestOldJobIsNotForwarded(t *testing.T) {
+	g, _ := newEndGateway()
+	g.forward(&w.Job{ID: "new", Queue: "q", Accepted: time.Now().UnixMilli()}, false)
+	g.forward(&w.Job{ID: "old", Queue: "q", Accepted: time.Now().Add(-maxForwardAge - time.Second).UnixMilli()}, false)
+	local, remote := net.Pipe()
+	peer, conn := linker.NewConn(remote), linker.NewConn(local)
+	defer peer.Close()
+	defer conn.Close()
+	got := make(chan *linker.Frame, 16)
+	go func() { _ = peer.Receive(func(f *linker.Frame) { got <- f }) }()
+	g.Connect(conn)
+	f := <-got
+	require.Len(t, f.Jobs, 1)
+	require.Equal(t, w.JobID("new"), f.Jobs[0].ID)
+	n, _ := g.Pending("q")
+	require.Equal(t, 1, n, "the leader counts the other one")
+}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -138,7 +138,12 @@
 		return nil, nil, fmt.Errorf("instance: %w", err)
 	}
 	updates, err := l.in.Keeper.Updates(l.ctx, s.Versions)
-	if err != nil {
+	switch {
+	case errors.Is(err, keeper.ErrHistoryTruncated):
+		// The load took longer than the store keeps its history. Another load would not
+		// help; scanJobs reads everything again while this leader serves.
+		return s, new(keeper.Updates), nil
+	case err != nil:
 		return nil, nil, fmt.Errorf("instance: %w", err)
 	}
 	return s, updates, nil
@@ -398,7 +403,9 @@
 	defer l.mu.Unlock()
 	for id, f := range frames {
 		if c := l.conns[id]; c != nil {
-			c.Send(f)
+			for _, part := range f.Split() {
+				c.Send(part)
+			}
 		}
 	}
 }
@@ -636,10 +643,12 @@
 			c.AddJob(&updates.Jobs[i], false)
 		}
 	}
-	for _, id := range updates.Cancellations {
-		c.Cancel(id)
-	}
+	// A job that callers have seen ended before its cancellation was stored stays in that
+	// state.
 	for id, state := range updates.Ends {
 		c.RestoreStoredEnd(id, state)
 	}
+	for _, id := range updates.Cancellations {
+		c.Cancel(id)
+	}
 }
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -298,9 +299,10 @@
 }
 
 // Updates reads the jobs, cancellations and ends stored after the given versions of the
-// tables, and advances the versions.
+// tables, and advances the versions unless it fails.
 func (k *Keeper) Updates(ctx context.Context, versions map[string]Version) (*Updates, error) {
 	updates := &Updates{Ends: make(map[w.JobID]w.State)}
+	next := make(map[string]Version)
 	for _, table := range [...]string{TableJobs, TableCancellations, TableEnds} {
 		rows, ver, err := k.Store.Changes(ctx, table, versions[table], 0)
 		if err != nil {
@@ -334,7 +336,8 @@
 				updates.Jobs = append(updates.Jobs, *j)
 			}
 		}
-		versions[table] = ver
+		next[table] = ver
 	}
+	maps.Copy(versions, next)
 	return updates, nil
 }
--- a/keeper/takeover_test.go
+++ b/keeper/takeover_test.go
@@ -120,7 +120,7 @@
 	row := func(id string, ver Version, deleted bool) Row {
 		return Row{Key: k.JobKey(w.JobID(id)), Value: []byte(`{"t":[{"n":1}]}`), Version: ver, Deleted: deleted}
 	}
-	k.Store = historyStore{s, []Row{row("a", 5, false), row("b", 6, false), row("a", 9, true), row("c", 7, true), row("c", 10, false)}}
+	k.Store = historyStore{s, []Row{row("a", 5, false), row("b", 6, false), row("a", 9, true), row("c", 7, true), row("c", 10, false)}, ""}
 	updates, err := k.Updates(t.Context(), make(map[string]Version))
 	require.NoError(t, err)
 	var ids []w.JobID
@@ -130,13 +130,28 @@
 	require.Equal(t, []w.JobID{"b", "c"}, ids)
 }
 
-// historyStore returns fixed changes of the jobs.
+// TestFailedUpdatesAreReadAgain guards against jobs and cancellations that no leader learns
+// of: a failure to read the changes of one table dropped what was read of those before it.
+func TestFailedUpdatesAreReadAgain(t *testing.T) {
+	s, k, _ := newLeader(t)
+	k.Store = historyStore{s, nil, TableCancellations}
+	versions := map[string]Version{TableJobs: 3}
+	_, err := k.Updates(t.Context(), versions)
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+	require.Equal(t, map[string]Version{TableJobs: 3}, versions)
+}
+
+// historyStore returns fixed changes of the jobs, and fails for one table.
 type historyStore struct {
 	Store
-	rows []Row
+	rows  []Row
+	fails string
 }
 
 func (s historyStore) Changes(_ context.Context, table string, _ Version, _ time.Duration) ([]Row, Version, error) {
+	if table == s.fails {
+		return nil, 0, ErrOutcomeUnknown
+	}
 	if table != TableJobs {
 		return nil, 1, nil
 	}
--- a/linker/conn.go
+++ b/linker/conn.go
@@ -100,10 +100,11 @@
 		case <-c.done:
 			return
 		}
-		if err := c.nc.SetWriteDeadline(time.Now().Add(HeartbeatTimeout)); err != nil {
-			return
-		}
 		for f != nil {
+			// The deadline applies to each frame, as that of the receiver does.
+			if err := c.nc.SetWriteDeadline(time.Now().Add(HeartbeatTimeout)); err != nil {
+				return
+			}
 			if err := enc.Encode(f); err != nil {
 				return
 			}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -5,6 +5,7 @@
 package linker
 
 import (
+	"slices"
 	"time"
 
 	w "github.com/masticlead/masticlead/workload"
@@ -42,6 +43,32 @@
 	Retire     bool // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
 }
 
+const (
+	// maxFrameStates is the number of states that a frame should not exceed. A frame has
+	// to arrive within HeartbeatTimeout, also while a new leader sends the states of all
+	// jobs to all instances at the same time.
+	maxFrameStates = 100
+	// maxSplitFrames is the number of frames into which a frame is split at most, so that
+	// they fit into the send queue.
+	maxSplitFrames = sendQueueSize / 4
+)
+
+// Split returns frames that are equivalent to f if they are sent in this order. All but
+// the first contain only states.
+func (f *Frame) Split() []*Frame {
+	size := max(maxFrameStates, len(f.States)/maxSplitFrames+1)
+	if len(f.States) <= size {
+		return []*Frame{f}
+	}
+	first := *f
+	first.States = f.States[:size:size]
+	frames := []*Frame{&first}
+	for states := range slices.Chunk(f.States[size:], size) {
+		frames = append(frames, &Frame{States: states})
+	}
+	return frames
+}
+
 // Hello is the first message on a connection, in both directions.
 type Hello struct {
 	Instance w.InstanceID
