--- a/coordinator/tenants_model_test.go
+++ b/coordinator/tenants_model_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// cancel stores the cancellation of a job and hands it to the newest leader.
-func (m *model) cancel() {
+// cancelAndForward stores the cancellation of a job and hands it to the newest leader.
+func (m *model) cancelAndForward() {
 	if m.store.unresponsive || len(m.jobs) == 0 {
 		return
 	}
@@ -80,7 +80,8 @@
 		m := newModel(t, 1000*rapid.Int64Range(1, 3).Draw(t, "cap"))
 		events := []func(){
 			m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch,
-			m.passTime, m.endRandomRun, m.submit, m.submit, m.findJobs, m.renew, m.applyDelayed, m.injectFault, m.changeCap, m.configureLeader, m.cancel,
+			m.passTime, m.endRandomRun, m.submit, m.submit, m.findJobs, m.renew, m.applyDelayed, m.injectFault, m.changeCap, m.configureLeader, m.cancelAndForward,
+			m.continueLoad, m.continueLoad,
 		}
 		for range 3 {
 			m.advance()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -91,6 +92,8 @@
 	lastLedEpoch      w.Epoch       // last epoch in which this instance started to lead
 	leaderChanged     chan struct{} // signals a new leader to followLeader
 	leader            atomic.Pointer[leader]
+	loading           atomic.Pointer[leader] // the leader of this instance while it loads the cell
+	waitingConns      atomic.Int64           // connections of instances that wait for this instance to load the cell
 	leaderConn        atomic.Pointer[linker.Conn]
 	joinedConn        atomic.Pointer[linker.Conn] // leaderConn after the leader has accepted this instance
 	disconnectedSince atomic.Int64                // Unix time in ns since which the leader is not connected, 0 while it is
@@ -121,7 +124,7 @@
 		in.Gateway.Freshness.Clock = bootTime
 	}
 	in.Gateway.Init()
-	in.elector.Cores = in.Cores
+	in.elector.Cores, in.elector.Rand = in.Cores, rand.Float64
 	in.elector.Watch(keeper.Leadership{}, time.Now())
 	in.disconnectedSince.Store(time.Now().UnixNano())
 
@@ -154,7 +157,7 @@
 		metricsSrv = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
 		in.spawn(func() { in.serve(metricsSrv, metrics) })
 	}
-	for _, loop := range []func(){in.watchConfig, in.confirmConfig, in.watchLeader, in.followLeader, in.campaign} {
+	for _, loop := range []func(){in.watchConfig, in.confirmConfig, in.watchLeader, in.followLeader, in.campaign, in.saveEnds} {
 		in.spawn(func() { in.restartOnPanic(loop) })
 	}
 
@@ -287,6 +290,18 @@
 	}
 }
 
+// saveEnds periodically lets the gateway write ends that no leader has stored. The period
+// varies, so that the instances do not all write the same ends at the same time.
+func (in *Instance) saveEnds() {
+	const period = 600 * time.Millisecond
+	for in.ctx.Err() == nil {
+		in.sleep(period/2 + time.Duration(rand.Float64()*float64(period)))
+		if err := in.Gateway.SaveUnsavedEnds(in.ctx, time.Now()); err != nil {
+			in.Log.Debug("could not save ends", "error", err)
+		}
+	}
+}
+
 // retryDelay is the delay before an operation that failed is attempted again.
 const retryDelay = 100 * time.Millisecond
 
