validator, config check: check of a configuration before it is stored

Cause: operators found faults in a configuration (a key of two tenants, a route behind another one, a cap below one task) only after it was in force. Change: package validator with one set of rules for the command and the instances; masticlead config check prints findings with line and column, and what differs from the version in force. Instances log and count findings.

--- a/cmd/masticlead/main.go
+++ b/cmd/masticlead/main.go
@@ -43,6 +43,13 @@
 	if err == nil {
 		return exitOK
 	}
+	var exit *exitError
+	if errors.As(err, &exit) {
+		if exit.Err != nil {
+			_, _ = fmt.Fprintln(stderr, "masticlead: "+exit.Error())
+		}
+		return exit.Code
+	}
 	var findings findingsError
 	var parserFindings parser.Findings
 	switch {
@@ -76,7 +83,7 @@
 	root.AddCommand(
 		newServeCmd(), newDevCmd(), newPlatformCmd(), newExplainCmd(),
 		newJobsCmd(o), newRulesCmd(o), newInstancesCmd(o), newTargetsCmd(o),
-		newVersionCmd(o),
+		newConfigCmd(), newVersionCmd(o),
 	)
 	return root
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -307,6 +307,7 @@
 		}
 		if in.Gateway.Configure(cfg) {
 			in.Log.Info("configuration in force", "version", cfg.Version, "queues", len(cfg.Queues))
+			in.reportFindings(cfg)
 			if l := in.leader.Load(); l != nil {
 				l.configure(cfg)
 			}
