--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -55,6 +55,9 @@
 			continue
 		}
 		for _, key := range t.Keys {
+			if key == (w.KeyDigest{}) {
+				continue // the place of an empty key
+			}
 			if _, taken := a.tenants[key]; !taken {
 				a.tenants[key] = t.Name
 			}
--- a/instance/config.go
+++ b/instance/config.go
@@ -108,6 +108,7 @@
 	}
 	in.Log.Info("configuration in force", "version", s.Config.Version, "queues", len(s.Config.Queues),
 		"tenants", len(s.Config.Tenants), "keys", s.Keys(), "keysRemoved", removed)
+	in.reportFindings(s.Config)
 }
 
 // confirmBound returns the bound for removed keys, or 0 if there is none or there are no
