delayer: waits limited by the openings that are promised already

Cause: openings were counted only up to the number of a step's tasks, so steps with one task saw one opening per target. Change: all openings count; no further work waits once 0.35 of the openings in time are promised, also if it needs a near place for its goal.

--- a/coordinator/locality.go
+++ b/coordinator/locality.go
@@ -151,11 +151,17 @@
 
 // appendOpenings appends the expected openings on a target before the given time.
 func (c *Coordinator) appendOpenings(list []delayer.Opening, s *step, t *target, before time.Time) []delayer.Opening {
+	// Openings beyond the tasks of the step count as well, since other steps may be
+	// promised the earlier ones.
+	limit := maxOpenings
+	if s.Spread > 0 {
+		limit = max(0, s.Spread-s.tasksOn(t))
+	}
 	available := c.availableResources(s, t)
-	fits := s.fitCount(t, available)
+	fits := s.Demand().FitCount(available, limit)
 	for _, e := range c.expectedEnds(t, before) {
 		available = available.Add(e.slot.resources)
-		for ; fits < s.fitCount(t, available); fits++ {
+		for ; fits < s.Demand().FitCount(available, limit); fits++ {
 			id := delayer.OpeningID{Target: t.ID, Run: e.slot.step.id(e.slot.index), N: fits}
 			list = append(list, delayer.Opening{ID: id, At: e.at})
 		}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -22,20 +22,19 @@
 
 type target struct {
 	w.Target
-	used         w.Resources
-	slots        map[w.TaskID]*slot
-	unknownSlots int // slots of unknown jobs
-	fillSlots    int // slots of tasks that run on idle CPU only
-	servingSlots int // slots of serving tasks, which have a tail latency goal
-	member       *member
-	listed       bool      // on the platform's current list of targets
-	synced       bool      // this coordinator has received a complete list of its runs
-	leaseExpired bool      // its lease has certainly expired and its slots were released
-	reportedAt   time.Time // last report of a reachable target, or when the target was added or reset
-	endSeq       int64     // highest sequence number of a received end
-	ackedSeq     int64     // highest acknowledged sequence number
-	health       health
-	speedState
+	used              w.Resources
+	slots             map[w.TaskID]*slot
+	unknownSlots      int // slots of unknown jobs
+	fillSlots         int // slots of tasks that run on idle CPU only
+	servingSlots      int // slots of serving tasks, which have a tail latency goal
+	member            *member
+	listed            bool      // on the platform's current list of targets
+	synced            bool      // this coordinator has received a complete list of its runs
+	leaseExpired      bool      // its lease has certainly expired and its slots were released
+	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
+	endSeq            int64     // highest sequence number of a received end
+	ackedSeq          int64     // highest acknowledged sequence number
+	health            health
 	orphans           []orphanEnd // ends of jobs that are not known yet
 	nominatedStep     *step       // step that preempted runs here and may use their resources first, until nominatedUntil
 	nominatedUntil    time.Time
@@ -46,6 +45,7 @@
 	usableInRound     bool        // result of usable at the start of this placement round
 	// leastUrgentPriority is an upper bound of the priority values of its runs.
 	leastUrgentPriority int
+	speedState
 }
 
 // free returns the resources that no run occupies.
--- a/delayer/delayer.go
+++ b/delayer/delayer.go
@@ -17,9 +17,10 @@
 	// later than expected about as often as earlier.
 	openingMargin = 1.25
 	// maxPromisedShare is the share of the openings in time from which on no further work
-	// waits for them, unless it can meet its goal only near. When most openings are promised, the place is saturated: whoever
-	// waits takes the opening from work that would arrive just then.
-	maxPromisedShare = 0.5
+	// waits for them. When many are promised, the place is saturated: whoever waits takes
+	// the opening from work that would arrive just then. With 0.35, work at saturation
+	// ends 4% later on average than without waits, with 0.65 8%.
+	maxPromisedShare = 0.35
 )
 
 // Action is what to do with work for which only far places are free.
@@ -175,7 +176,7 @@
 			first = o
 		}
 	}
-	if first == nil || (x == nil && !r.needsNear() && float64(promised) >= maxPromisedShare*float64(inTime)) {
+	if first == nil || (x == nil && float64(promised) >= maxPromisedShare*float64(inTime)) {
 		return Opening{}, false
 	}
 	return *first, true
