coordinator: near waits need a ticket; gangs that name a rack are placed there

Cause: a task whose queue needs advice waited for an opening at which its ticket had run out, and was then placed far. Gangs that name a rack without preferring one rack were placed anywhere, also with a remote factor. Change: openings count only while the present ticket is valid; with a remote factor, gangs use near targets if these fit all tasks. Result: TestWaitNeedsTicket, which fails without the change, and a case of TestGangUsesSimilarTargets.

--- a/coordinator/locality.go
+++ b/coordinator/locality.go
@@ -133,15 +133,46 @@
 	}
 	s.openingsAt, s.openings = c.now, s.openings[:0]
 	for _, t := range c.candidates(s, needsAdvice) {
-		if s.near(t) && c.expectsOpenings(s, t) && (!needsAdvice || s.permits(t)) {
-			s.openings = c.appendOpenings(s.openings, s, t, c.now.Add(within))
+		if !s.near(t) || !c.expectsOpenings(s, t) {
+			continue
+		}
+		before := c.now.Add(within)
+		if needsAdvice {
+			// Without a ticket at the opening, the task could not use it.
+			before = c.ticketedUntil(s, t, before)
 		}
+		s.openings = c.appendOpenings(s.openings, s, t, before)
 	}
 	slices.SortStableFunc(s.openings, func(a, b delayer.Opening) int { return a.At.Compare(b.At) })
 	s.openings = s.openings[:min(len(s.openings), maxOpenings)]
 	return s.openings
 }
 
+// ticketedUntil returns the time, at most the given one, until which a step can start tasks
+// on a target with its present ticket.
+func (c *Coordinator) ticketedUntil(s *step, t *target, at time.Time) time.Time {
+	if !c.hasValidTicket(s, t, 0) {
+		return c.now
+	}
+	if last := s.advice[t.ID].expiresAt.Add(-ticketMargin); last.Before(at) {
+		return last
+	}
+	return at
+}
+
+// nearShares returns the shares on near targets if they fit all tasks of a gang that names
+// a rack, and otherwise all shares.
+func (c *Coordinator) nearShares(s *step, list []gangShare) []gangShare {
+	if c.RemoteFactor <= 1 || s.Rack == "" {
+		return list
+	}
+	near := slices.DeleteFunc(slices.Clone(list), func(sh gangShare) bool { return !s.near(sh.target) })
+	if sumTasks(near) < s.Count {
+		return list
+	}
+	return near
+}
+
 // expectsOpenings reports whether a target may run tasks of the step when its runs end. It
 // is false for targets that are draining, set aside or have not reported lately.
 func (c *Coordinator) expectsOpenings(s *step, t *target) bool {
--- a/coordinator/locality_test.go
+++ b/coordinator/locality_test.go
@@ -117,3 +117,22 @@
 		})
 	}
 }
+
+// TestWaitNeedsTicket guards against a task that waits for an opening at which its ticket
+// has run out.
+func TestWaitNeedsTicket(t *testing.T) {
+	for validity, waits := range map[time.Duration]int{2 * time.Second: 1, 300 * time.Millisecond: 0} {
+		x := newNearCell(t, 3)
+		x.c.cfg.Queues[1].Advice = &w.AdviceTiming{}
+		x.submit(w.Job{ID: "j", Queue: "urgent", Service: "s", Attempts: 4, Steps: []w.Step{
+			{Count: 2, Rack: "near", Estimate: 1200 * time.Millisecond, Need: w.Resources{CPU: 4000}},
+		}})
+		s := x.c.jobs["j"].occurrences[0].steps[0]
+		s.permittedTargets = []*target{x.c.targets["a"], x.c.targets["b"]}
+		s.advice = map[w.TargetID]*targetAdvice{
+			"a": {permitted: true, incarnation: 1, expiresAt: x.now.Add(validity)},
+			"b": {permitted: true, incarnation: 1, expiresAt: x.now.Add(2 * time.Second)},
+		}
+		require.Len(t, x.advance(0).Starts, 2-waits)
+	}
+}
--- a/coordinator/speed.go
+++ b/coordinator/speed.go
@@ -435,6 +435,7 @@
 // gangTargets returns the targets that a plan for a gang should use.
 func (c *Coordinator) gangTargets(s *step, list []gangShare) []gangShare {
 	uneven := c.uneven(c.serviceOf(s.job))
+	list = c.nearShares(s, list)
 	if s.OneRack {
 		rack := largestRack(list, s.Count)
 		if uneven {
--- a/coordinator/speed_test.go
+++ b/coordinator/speed_test.go
@@ -208,9 +208,9 @@
 // TestEvenTargetsAsBefore guards against placement that changes although the speeds of the
 // targets do not really differ: all orders must be the same as without learned speeds.
 func TestEvenTargetsAsBefore(t *testing.T) {
-	speeds := quarterSlow(48)
+	speeds := make([]float64, 48)
 	for i := range speeds {
-		speeds[i] = cmp.Or(0.9+0.2*float64(i%2), 1)
+		speeds[i] = 0.9 + 0.2*float64(i%2)
 	}
 	before, after := newReplay(t, speeds, 6), newReplay(t, speeds, 6)
 	before.ignoreSpeeds()
@@ -268,6 +268,8 @@
 	gang := func(n int, oneRack bool) w.Step {
 		return w.Step{Count: n, Gang: true, OneRack: oneRack, Estimate: time.Second, Need: w.Resources{CPU: 8000}}
 	}
+	near := gang(3, false)
+	near.Rack = "r0"
 	slow := map[int]float64{0: 0.5, 1: 0.5, 2: 0.5, 3: 0.5, 4: 0.5}
 	for name, c := range map[string]struct {
 		step w.Step
@@ -277,10 +279,13 @@
 		"one slow target is needed":  {gang(4, false), "a b c d"},
 		"all slow, some fast needed": {gang(6, false), "a b c d e f"},
 		"rack without slow targets":  {gang(3, true), "f g h"},
+		"data on the slow rack":      {near, "a b c"},
 		"only the slow rack fits":    {gang(4, true), "a b c d"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			on := newUnevenCell(t, 8, slow).startedOn("g", testQueue, c.step)
+			x := newUnevenCell(t, 8, slow)
+			x.c.RemoteFactor = 2
+			on := x.startedOn("g", testQueue, c.step)
 			slices.Sort(on)
 			require.Equal(t, c.want, strings.Trim(fmt.Sprint(on), "[]"))
 		})
