elector: small cells read the heartbeat at a fixed period, as before

Cause: TestLeaderLosesStore failed in 4 of 13 runs with -race, because the instance that was started first did not always become the first leader: the period of its reads varied by up to half.

Change: the period varies only above 48 instances, where it is longer than 120 ms.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -246,10 +246,13 @@
 	return e.Rand()
 }
 
-// PollPeriod returns the time until the heartbeat is to be read again. It varies, so
-// that the instances of a cell do not all read at the same time.
+// PollPeriod returns the time until the heartbeat is to be read again. In a large cell
+// it varies, so that the instances do not all read at the same time.
 func (e *Elector) PollPeriod() time.Duration {
 	p := e.damping.pollPeriod()
+	if p == minPollPeriod {
+		return p
+	}
 	return p + time.Duration(pollJitter*e.random()*float64(p))
 }
 
