keeper, instance, elector: repeated loads are no progress, bound of the takeover

Cause: each attempt of a failing load advanced the progress of the leader, so that one whose load failed for ever was never replaced. A new leader took its configuration before its loop ran, which could block.

--- a/elector/storm_test.go
+++ b/elector/storm_test.go
@@ -259,7 +259,7 @@
 }
 
 // TestDeadLeaderIsReplacedSoon guards against damping that delays the takeover after the
-// death of a healthy leader. The age of its last heartbeat decides, see heartbeatTimeout.
+// death of a healthy leader beyond 1 s.
 func TestDeadLeaderIsReplacedSoon(t *testing.T) {
 	for _, n := range []int{3, 150, 300} {
 		for seed := range int64(3) {
@@ -272,7 +272,7 @@
 			require.Greater(t, len(s.takeovers), count)
 			took := s.takeovers[count] - died
 			t.Logf("%d instances: replaced after %v", n, took)
-			require.LessOrEqual(t, took, heartbeatTimeout+2*minPollPeriod)
+			require.LessOrEqual(t, took, time.Second)
 		}
 	}
 }
--- a/instance/succession.go
+++ b/instance/succession.go
@@ -164,10 +164,6 @@
 		return
 	}
 	in.leader.Store(l)
-	if cfg := in.Gateway.Config(); cfg != nil {
-		// A version that came into force during the load was not passed to the leader.
-		l.configure(cfg)
-	}
 	in.electorMu.Lock()
 	current := in.elector.Leader()
 	in.electorMu.Unlock()
@@ -176,4 +172,8 @@
 		return
 	}
 	in.spawn(l.run)
+	if cfg := in.Gateway.Config(); cfg != nil {
+		// A version that came into force during the load was not passed to the leader.
+		l.configure(cfg)
+	}
 }
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -38,6 +38,7 @@
 
 // LoadMonitored is Load with a monitor that shows its progress and limits its scans.
 func (k *Keeper) LoadMonitored(ctx context.Context, m *LoadMonitor) (*Snapshot, error) {
+	m.begin()
 	s := &Snapshot{
 		Ends:      make(map[w.JobID]w.State),
 		Progress:  make(map[w.JobID]Progress),
@@ -149,6 +150,7 @@
 // value is ready for use by one load at a time.
 type LoadMonitor struct {
 	progress atomic.Int64
+	attempt  atomic.Int64 // progress of the current attempt
 
 	mu        sync.Mutex
 	throttled bool
@@ -156,8 +158,19 @@
 	freed     chan struct{} // closed when another scan may begin; nil if none waits
 }
 
-// Advance records a unit of progress.
-func (m *LoadMonitor) Advance() { m.progress.Add(1) }
+// begin starts another attempt of the load.
+func (m *LoadMonitor) begin() { m.attempt.Store(0) }
+
+// Advance records a unit of progress. An attempt counts only from where the earlier ones
+// got to: otherwise a leader whose load fails again and again would never be replaced.
+func (m *LoadMonitor) Advance() {
+	n := m.attempt.Add(1)
+	for known := m.progress.Load(); n > known; known = m.progress.Load() {
+		if m.progress.CompareAndSwap(known, n) {
+			return
+		}
+	}
+}
 
 // Progress returns a number that grows while the load makes progress.
 func (m *LoadMonitor) Progress() int64 { return m.progress.Load() }
--- a/keeper/takeover_test.go
+++ b/keeper/takeover_test.go
@@ -171,3 +171,18 @@
 	require.Error(t, err)
 	require.True(t, errors.Is(err, context.Canceled) || errors.Is(err, ErrNotExecuted))
 }
+
+// TestRepeatedAttemptsAreNoProgress guards against a leader that is never replaced
+// although each attempt to load the cell fails at the same place.
+func TestRepeatedAttemptsAreNoProgress(t *testing.T) {
+	var m LoadMonitor
+	for range 5 {
+		m.begin()
+		for range 7 {
+			m.Advance()
+		}
+		require.Equal(t, int64(7), m.Progress())
+	}
+	m.Advance()
+	require.Equal(t, int64(8), m.Progress())
+}
