elector, instance: strong instances lead after an outage of the store

Cause: at the end of an outage the heartbeat is old for all instances, so that the delay of weak ones had passed, and the strong ones that the leader had asked in the outage waited 1 to 8 s after their failed takeovers. A weak instance led, loaded 4,000 jobs in 8 s and was replaced by another weak one: nothing was placed for up to 24 s. Change: weak instances wait takeoverDelay after the first read that succeeds again; a takeover that the store certainly did not execute has no backoff. Result: TestStrongInstanceLeadsAfterOutage fails without the change.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -88,6 +88,8 @@
 	loadingUntil       time.Time      // when the leader was last seen loading
 	loadFinished       bool           // a heartbeat showed that the leader is not loading
 	draw               float64        // random number in [0, 1) for the takeover of this leader
+	readFailed         bool           // the last read of the heartbeat failed
+	readableSince      time.Time      // first successful read after one that failed
 	damping            damping
 	members            int       // other instances connected to the leader, according to its heartbeat
 	loading            bool      // a read showed no members of the leader, or no heartbeat of it yet
@@ -161,9 +163,15 @@
 	return !e.connected && now.Sub(e.disconnectedAt) >= unreachableTimeout && !e.isLoading()
 }
 
+// SetReadFailed records that the heartbeat could not be read.
+func (e *Elector) SetReadFailed() { e.readFailed = true }
+
 // Observe records a heartbeat with its age, the unreachable reports read with it,
 // and the latency of the read.
 func (e *Elector) Observe(heartbeat keeper.Heartbeat, age, readLatency time.Duration, reports []keeper.UnreachableReport, now time.Time) {
+	if e.readFailed {
+		e.readFailed, e.readableSince = false, now
+	}
 	e.surveyedAt = now
 	e.members = heartbeat.Members
 	e.damping.observe(heartbeat, now)
@@ -287,6 +295,11 @@
 		if now.Before(e.disconnectedAt) || (e.connResult == Replaced && now.Before(e.replacedAt)) {
 			return "", false
 		}
+		// After an outage of the store the heartbeat is old for all instances. Without
+		// the delay one of the many weak ones would be first.
+		if now.Before(e.readableSince) {
+			return "", false
+		}
 	}
 	if e.isLoading() && e.connResult != Replaced {
 		return "the leader loads without progress", e.stalledFor >= LoadStallTimeout+wait+readLatencyFactor*e.readLatency
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -124,3 +124,27 @@
 	}
 	return reports
 }
+
+// TestStrongInstanceLeadsAfterOutage guards against a weak instance that takes over at
+// the end of an outage of the store, when the heartbeat is old for all instances: it loads
+// the cell for seconds, while instances with more cores would do so in a fraction of one.
+func TestStrongInstanceLeadsAfterOutage(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	after := func(cores float64, d time.Duration) bool {
+		e := &Elector{Cores: cores}
+		e.Watch(keeper.Leadership{Epoch: 3, Instance: "l"}, now)
+		e.Observe(keeper.Heartbeat{Epoch: 3, Members: 30, MaxCores: 0.8}, 0, time.Millisecond, nil, now)
+		e.SetReadFailed()
+		end := now.Add(4 * time.Second)
+		for at := time.Duration(0); at <= d; at += minPollPeriod {
+			e.Observe(keeper.Heartbeat{Epoch: 3, Members: 30, MaxCores: 0.8}, 4*time.Second+at, time.Millisecond, nil, end.Add(at))
+			if _, due := e.ShouldTakeOver(end.Add(at)); due {
+				return true
+			}
+		}
+		return false
+	}
+	require.True(t, after(0.8, 0))
+	require.False(t, after(0.14, takeoverDelay-minPollPeriod))
+	require.True(t, after(0.14, takeoverDelay+minPollPeriod))
+}
--- a/instance/succession.go
+++ b/instance/succession.go
@@ -116,12 +116,13 @@
 	} else {
 		heartbeat, err = in.Keeper.Heartbeat(in.ctx)
 	}
-	if err != nil {
-		return "", false
-	}
 	now := time.Now()
 	in.electorMu.Lock()
 	defer in.electorMu.Unlock()
+	if err != nil {
+		in.elector.SetReadFailed()
+		return "", false
+	}
 	in.elector.Observe(heartbeat, in.Keeper.HeartbeatAge(heartbeat), now.Sub(start), reports, now)
 	return in.elector.ShouldTakeOver(now)
 }
@@ -143,9 +144,13 @@
 	}
 	in.Meter.Count("takeover", "failed")
 	in.Log.Info("could not take over", "epoch", previous.Epoch, "reason", reason, "error", err)
-	in.electorMu.Lock()
-	in.elector.SetTakeoverFailed(time.Now())
-	in.electorMu.Unlock()
+	if !errors.Is(err, keeper.ErrNotExecuted) {
+		// A store that rejects the takeover has no work with it. Instances that leaders
+		// asked to take over in an outage must not have to wait longer than others.
+		in.electorMu.Lock()
+		in.elector.SetTakeoverFailed(time.Now())
+		in.electorMu.Unlock()
+	}
 	// The conflict names the instance that took over first, or this instance if the
 	// write succeeded and only the response was lost. After any other error, the watch
 	// of the leader row shows it; the losers of a takeover must not all read it at once.
