--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -85,7 +85,7 @@
 			}
 			k := &keeper.Keeper{Store: store, Partitions: partitions, Urgent: store.Urgent()}
 			targetClient := platform.NewTargetClient(s.AdviceAddr)
-			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m, QuotaExcess: s.QuotaExcess}
+			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m}
 			inst := &instance.Instance{
 				Name: s.InstanceName, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Cores: s.Cores,
 				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store, ConfigReads: configReads(store),
--- a/delayer/delayer.go
+++ b/delayer/delayer.go
@@ -13,6 +13,9 @@
 	// at most, unless it can meet its goal only near. A wait of all of it could gain
 	// nothing, and doubles the loss if no place opens.
 	maxWaitShare = 0.6
+	// maxWait is the longest wait. Work for which there is room twice over has to start
+	// within 3 s while less than half of its service is in use.
+	maxWait = 2 * time.Second
 	// openingMargin is the safety factor on the time until an opening, since runs end
 	// later than expected about as often as earlier.
 	openingMargin = 1.25
@@ -62,9 +65,9 @@
 // longestWait returns the longest time that the work may wait.
 func (r *Request) longestWait() time.Duration {
 	if r.needsNear() {
-		return r.Slack
+		return min(maxWait, r.Slack)
 	}
-	return min(r.Slack, time.Duration(maxWaitShare*float64(r.Far-r.Near)))
+	return min(maxWait, r.Slack, time.Duration(maxWaitShare*float64(r.Far-r.Near)))
 }
 
 // Decision is the decision on a request.
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -96,6 +96,9 @@
 	return err
 }
 
+// reasonUnclear is counted for requests without a known outcome.
+const reasonUnclear = "unclear"
+
 // refusalReason returns the reason under which a request that was not accepted is counted.
 func refusalReason(err error) string {
 	var refused *RefusedError
@@ -107,7 +110,7 @@
 	case errors.Is(err, ErrForbidden):
 		return "otherTenant"
 	default:
-		return "unclear"
+		return reasonUnclear
 	}
 }
 
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -21,6 +21,7 @@
 // admission holds what the gateway needs to admit jobs by tenant and to explain
 // refusals.
 type admission struct {
+	unclear  map[w.JobID]time.Time // when submissions without a known outcome failed; guarded by Gateway.mu
 	throttle *throttler.Throttle
 
 	mu        sync.Mutex
@@ -28,7 +29,10 @@
 	changedAt time.Time // when it came into force here
 }
 
-func (a *admission) init() { a.throttle = throttler.NewThrottle(rand.Float64) }
+func (a *admission) init() {
+	a.throttle = throttler.NewThrottle(rand.Float64)
+	a.unclear = make(map[w.JobID]time.Time)
+}
 
 // noteConfig returns the configuration, or nil if none is set, and the time since it was
 // first noted here. It makes its tenants those that have metrics of their own.
@@ -79,7 +83,36 @@
 func (g *Gateway) knows(id w.JobID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.states[id] != w.Unknown || g.unconfirmedJobs[id] != nil
+	at, unclear := g.admission.unclear[id]
+	return g.states[id] != w.Unknown || g.unconfirmedJobs[id] != nil || (unclear && time.Since(at) < unclearFor)
+}
+
+const (
+	// unclearFor is the time for which a submission without a known outcome counts as
+	// stored. By then the leader has found the job, if it is.
+	unclearFor = 10 * time.Second
+	// maxUnclear bounds the number of such submissions that are kept.
+	maxUnclear = 4096
+)
+
+// noteUnclear keeps the ID of a job that may be stored although its submission failed.
+func (g *Gateway) noteUnclear(id w.JobID, err error) {
+	if refusalReason(err) != reasonUnclear {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	unclear := g.admission.unclear
+	if len(unclear) >= maxUnclear {
+		for known, at := range unclear {
+			if time.Since(at) >= unclearFor {
+				delete(unclear, known)
+			}
+		}
+	}
+	if len(unclear) < maxUnclear {
+		unclear[id] = time.Now()
+	}
 }
 
 // recordFailure counts and logs a submission that was not accepted. Refusals because of
@@ -129,8 +162,11 @@
 // checkCap refuses a job with a gang that can never fit its tenant's cap. A job that was
 // stored before the cap was lowered is not refused, since it may run.
 func (g *Gateway) checkCap(ctx context.Context, j *w.Job) error {
-	t := g.Config().Tenant(j.Tenant)
-	if t == nil || !limiter.JobNeverFits(t.Cap, g.QuotaExcess, j) {
+	t, excess := g.Config().Tenant(j.Tenant), 0.0
+	if g.QuotaExcess != nil {
+		excess = g.QuotaExcess()
+	}
+	if t == nil || !limiter.JobNeverFits(t.Cap, excess, j) {
 		return nil
 	}
 	stored, err := g.Keeper.Exists(ctx, j.ID)
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -53,6 +53,8 @@
 	require.Equal(t, "storeAway", reason("hot", "stored").Reason)
 	require.Equal(t, "storeAway", reason("a", "j3").Reason)
 	require.Equal(t, "storeAway", reason("", "j4").Reason)
+	g.noteUnclear("unclear", keeper.ErrOutcomeUnknown)
+	require.Equal(t, "storeAway", reason("hot", "unclear").Reason, "the job may be stored")
 	g.Receive(&linker.Frame{Allowances: &linker.Allowances{}})
 	require.Equal(t, "storeAway", reason("hot", "j5").Reason)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,8 @@
 	w "github.com/masticlead/masticlead/workload"
 )
 
-// RefusedError reports that a job was certainly not stored and will never run.
+// RefusedError reports that a request had no effect. A job that was submitted with it was
+// certainly not stored and will never run.
 type RefusedError struct {
 	Reason     string
 	Overload   bool // the cell is full; otherwise a dependency is unavailable
@@ -85,8 +86,9 @@
 	// to other instances, or 0 if this instance is not isolated.
 	RerouteDelay func() time.Duration
 	Meter        *meter.Meter
-	// QuotaExcess is the fraction by which a gang may exceed its tenant's cap.
-	QuotaExcess float64
+	// QuotaExcess returns the fraction by which a gang may exceed its tenant's cap. A nil
+	// function stands for 0.
+	QuotaExcess func() float64
 	// Freshness holds the configuration and decides whether it is recent enough to
 	// accept keys.
 	Freshness authenticator.Freshness
@@ -246,6 +248,7 @@
 		stored, err = g.accept(ctx, j)
 	}
 	if err != nil {
+		g.noteUnclear(j.ID, err)
 		g.recordFailure(j, err, time.Since(start))
 		return err
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -195,7 +195,7 @@
 func TestGangBeyondCapIsRefused(t *testing.T) {
 	store := &readableStore{}
 	g := &Gateway{
-		Keeper: &keeper.Keeper{Store: store}, Log: slog.New(slog.DiscardHandler), QuotaExcess: 0.1,
+		Keeper: &keeper.Keeper{Store: store}, Log: slog.New(slog.DiscardHandler), QuotaExcess: func() float64 { return 0.1 },
 		StoreFailingFor: func() time.Duration { return time.Second }, StoreUnreachableFor: func() time.Duration { return time.Second },
 	}
 	g.Init()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -119,6 +119,7 @@
 	in.pendingCalls = make(map[int64]chan linker.CallReply)
 	in.Store.SetRelay(in.relay)
 	in.Gateway.RerouteDelay = in.rerouteDelay
+	in.Gateway.QuotaExcess = func() float64 { return in.bounds.Load().QuotaExcess }
 	in.Gateway.Freshness.Bound = func() time.Duration { return in.bounds.Load().RevokeAfter }
 	if in.Gateway.Freshness.Clock == nil {
 		in.Gateway.Freshness.Clock = bootTime
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -51,6 +51,12 @@
 	// maxStoreFailingFor is the time for which an instance's calls to the store may
 	// have failed for the instance to still count as reaching the store.
 	maxStoreFailingFor = 300 * time.Millisecond
+	// updateAttempts is the number of attempts to read what was stored during a load.
+	// Without a repetition, one failure makes the load read everything again.
+	updateAttempts = 4
+	// configReadTimeout bounds the read of the configuration at the end of a load, well
+	// below the time without progress after which a loading leader is replaced.
+	configReadTimeout = 1 * time.Second
 	// retentionMargin is added to the required retention time of states.
 	retentionMargin = 30 * time.Second
 )
@@ -138,6 +144,12 @@
 		return nil, nil, fmt.Errorf("instance: %w", err)
 	}
 	updates, err := l.in.Keeper.Updates(l.ctx, s.Versions)
+	for attempt := 1; err != nil && attempt < updateAttempts && !errors.Is(err, keeper.ErrHistoryTruncated); attempt++ {
+		l.monitor.Advance()
+		l.in.sleep(retryDelay)
+		updates, err = l.in.Keeper.Updates(l.ctx, s.Versions)
+	}
+	l.monitor.Advance()
 	switch {
 	case errors.Is(err, keeper.ErrHistoryTruncated):
 		// The load took longer than the store keeps its history. Another load would not
@@ -155,12 +167,15 @@
 	in := l.in
 	// The configuration seen by this instance's watch may be older than the one that
 	// the previous leader applied.
+	ctx, cancel := context.WithTimeout(l.ctx, configReadTimeout)
+	defer cancel()
 	sent := in.Gateway.Freshness.Now()
-	if cfg, _, err := in.Directory.Config(l.ctx); err != nil {
+	if cfg, _, err := in.Directory.Config(ctx); err != nil {
 		in.Log.Warn("could not read the configuration at takeover", "epoch", l.leadership.Epoch, "error", err)
 	} else if cfg != nil {
 		in.applyConfig(cfg, sent)
 	}
+	l.monitor.Advance()
 	if cfg := in.Gateway.Config(); cfg != nil {
 		l.coordinator.Configure(cfg)
 	}
@@ -622,7 +637,14 @@
 				continue
 			}
 			versions = s.Versions
-			updates = &keeper.Updates{Jobs: s.Jobs, Ends: s.Ends, DecodeErrors: s.DecodeErrors}
+			updates = &keeper.Updates{Ends: s.Ends, DecodeErrors: s.DecodeErrors}
+			for i := range s.Jobs {
+				// A job that ended may have been removed here meanwhile, and must not be
+				// added again.
+				if !s.Progress[s.Jobs[i].ID].State.Final() {
+					updates.Jobs = append(updates.Jobs, s.Jobs[i])
+				}
+			}
 			for id := range s.Cancelled {
 				updates.Cancellations = append(updates.Cancellations, id)
 			}
--- a/instance/succession.go
+++ b/instance/succession.go
@@ -169,6 +169,11 @@
 		return
 	}
 	in.leader.Store(l)
+	if l.ctx.Err() != nil {
+		// It was stopped at the end of the load, before it could be found here.
+		in.leader.CompareAndSwap(l, nil)
+		return
+	}
 	in.electorMu.Lock()
 	current := in.elector.Leader()
 	in.electorMu.Unlock()
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -86,7 +87,7 @@
 			return nil
 		}
 		state := s.Progress[id].State
-		if state == w.Completed {
+		if state == w.Completed && !namesTenant(r.Value) {
 			s.Jobs = append(s.Jobs, w.Job{ID: id})
 			return nil
 		}
@@ -95,6 +96,9 @@
 			j, err = &w.Job{ID: id}, nil
 		}
 		if err == nil {
+			if state == w.Completed {
+				j.Spec = ""
+			}
 			s.Jobs = append(s.Jobs, *j)
 		}
 		return err
@@ -359,3 +363,7 @@
 	maps.Copy(versions, next)
 	return updates, nil
 }
+
+// namesTenant reports whether the row of a job may name its tenant. The content of
+// completed jobs is needed only for their tenant and what their last runs count for it.
+func namesTenant(value []byte) bool { return bytes.Contains(value, []byte(`"u":`)) }
--- a/keeper/takeover_test.go
+++ b/keeper/takeover_test.go
@@ -186,3 +186,17 @@
 	m.Advance()
 	require.Equal(t, int64(8), m.Progress())
 }
+
+// TestLoadKeepsTenants guards against a new leader that publishes completed jobs without
+// their tenant, so that every tenant may see them.
+func TestLoadKeepsTenants(t *testing.T) {
+	_, k, leadership := newLeader(t)
+	_, err := k.Accept(t.Context(), []*w.Job{{ID: "j", Spec: "text", Tenant: "a", Steps: []w.Step{{Count: 1}}}})
+	require.NoError(t, err)
+	require.NoError(t, k.Save(t.Context(), leadership, &ChangeSet{Progress: []Progress{{ID: "j", State: w.Completed}}}))
+	snap, err := k.Load(t.Context())
+	require.NoError(t, err)
+	require.Len(t, snap.Jobs, 1)
+	require.Equal(t, w.TenantName("a"), snap.Jobs[0].Tenant)
+	require.Empty(t, snap.Jobs[0].Spec)
+}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -57,7 +57,7 @@
 )
 
 // Split returns frames that are equivalent to f if they are sent in this order. All but
-// the first contain only states.
+// the first contain only states and the flag about them.
 func (f *Frame) Split() []*Frame {
 	size := max(maxFrameStates, len(f.States)/maxSplitFrames+1)
 	if len(f.States) <= size {
@@ -67,7 +67,7 @@
 	first.States = f.States[:size:size]
 	frames := []*Frame{&first}
 	for states := range slices.Chunk(f.States[size:], size) {
-		frames = append(frames, &Frame{States: states})
+		frames = append(frames, &Frame{States: states, NamesTenants: f.NamesTenants})
 	}
 	return frames
 }
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -126,7 +126,7 @@
 		switch {
 		case q.Host == "":
 			c.add(Unreachable, at("Host"), "no request reaches it: it has no host")
-		case !strings.HasPrefix(q.Prefix, "/"):
+		case q.Prefix != "" && !strings.HasPrefix(q.Prefix, "/"):
 			c.add(Unreachable, at("Prefix"), "no request reaches it: its prefix %q does not begin with a slash", q.Prefix)
 		}
 		if !services[q.Service] {
