dispatcher: start a gang as a whole or not at all in a handover

Cause: each order of a gang checked the grants for its request and its target when it was about to be sent. If a slice was given up between two orders, by a planned stop or by the rebalancing after it, the rest of the gang was not started. A host had the same fault for gangs that it starts for their owner.

Ruled out: single tasks, which either start or do not.

Change: all orders of a placement are recorded as pending and get their deadlines before the first is sent. If one of them can't be sent, none is. An order sent after its slice was given up is covered as before: the next owner waits until the end of the latest grant. The epoch in an order is now that of the grant from which its task ID was made.

--- a/dispatcher/guest.go
+++ b/dispatcher/guest.go
@@ -120,33 +120,42 @@
 		hr.taskIDs[descriptor.NewTaskID(key, reply.Epoch, reply.Attempt, i)] = true
 	}
 	d.hosted.mu.Unlock()
-	var wg sync.WaitGroup
-	for _, a := range p.Tasks {
-		wg.Go(func() { d.sendHosted(hr, p, a, reply, until) })
+	starts, ok := d.prepareStarts(p, until, func(a placer.Assignment) (connector.StartOrder, bool) {
+		return d.buildHostedOrder(hr, p, a, reply), true
+	})
+	if !ok {
+		withdrawStarts(starts, func(s preparedStart) { d.markHostedNotStarted(hr, p, s) })
+		return
 	}
-	wg.Wait()
+	d.sendHosted(hr, p, starts)
 }
 
-// sendHosted sends the start order of one task of a hosted request.
-func (d *Dispatcher) sendHosted(hr *hostedRequest, p scheduler.Placement, a placer.Assignment, c ConfirmReply, until time.Time) {
+// buildHostedOrder returns the start order of one task of a hosted request.
+func (d *Dispatcher) buildHostedOrder(hr *hostedRequest, p scheduler.Placement, a placer.Assignment, c ConfirmReply) connector.StartOrder {
 	req := hr.request
-	order := connector.StartOrder{
+	return connector.StartOrder{
 		Task: descriptor.NewTaskID(req.Key, c.Epoch, c.Attempt, a.Index), Key: req.Key, Epoch: c.Epoch, Attempt: c.Attempt,
 		Index: a.Index, TaskCount: len(p.Tasks), Idempotent: req.Idempotent, Kind: req.Kind, Resources: req.Resources,
 		LeaseMs: d.cfg.TaskLease.Milliseconds(), Payload: req.Payload, Resume: hr.resume,
 	}
-	w := d.worker(a.Target)
-	if w == nil || !w.addPending(order, p.Attempt) {
-		d.markHostedNotStarted(hr, p, order, a.Target)
-		return
-	}
-	if err := d.transmitOrder(w, until, &order); d.handleStartResult(w, order.Task, err) {
-		d.markHostedNotStarted(hr, p, order, a.Target)
+}
+
+// sendHosted sends the start orders of a hosted request.
+func (d *Dispatcher) sendHosted(hr *hostedRequest, p scheduler.Placement, starts []preparedStart) {
+	var wg sync.WaitGroup
+	for _, s := range starts {
+		wg.Go(func() {
+			if err := d.transmitOrder(s); d.handleStartResult(s.worker, s.order.Task, err) {
+				d.markHostedNotStarted(hr, p, s)
+			}
+		})
 	}
+	wg.Wait()
 }
 
-func (d *Dispatcher) markHostedNotStarted(hr *hostedRequest, p scheduler.Placement, o connector.StartOrder, target descriptor.TargetID) {
-	d.cfg.Scheduler.Ended(o.Key, p.Attempt, o.Index, target, scheduler.Result{})
+func (d *Dispatcher) markHostedNotStarted(hr *hostedRequest, p scheduler.Placement, s preparedStart) {
+	o := s.order
+	d.cfg.Scheduler.Ended(o.Key, p.Attempt, o.Index, s.assignment.Target, scheduler.Result{})
 	if d.hosted.removeTask(hr, o.Task) {
 		d.finishHostedTask(hr, o.Key, ReportRequest{NotStarted: []connector.ListedTask{{Task: o.Task, Key: o.Key}}})
 	}
--- a/dispatcher/harness_test.go
+++ b/dispatcher/harness_test.go
@@ -30,6 +30,9 @@
 	owners    [descriptor.SliceCount]descriptor.InstanceID
 	epochs    [descriptor.SliceCount]descriptor.Epoch
 	suspended map[descriptor.InstanceID]bool // instances without valid grants
+	// grantsLeft limits the number of further grants of an instance. Without an
+	// entry there is no limit.
+	grantsLeft map[descriptor.InstanceID]int
 }
 
 // ownerView implements Owners for one instance.
@@ -45,6 +48,12 @@
 	if v.owners[s] != v.self || v.suspended[v.self] {
 		return leaser.Grant{}, false
 	}
+	if left, ok := v.grantsLeft[v.self]; ok {
+		if left == 0 {
+			return leaser.Grant{}, false
+		}
+		v.grantsLeft[v.self] = left - 1
+	}
 	return leaser.Grant{Slice: s, Epoch: v.epochs[s], Until: time.Now().Add(2 * time.Second)}, true
 }
 
@@ -62,6 +71,26 @@
 	o.suspended[id] = suspended
 }
 
+// limitGrants makes the instance lose its ownership after n further grants.
+func (o *testOwners) limitGrants(id descriptor.InstanceID, n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.grantsLeft[id] = n
+}
+
+// hasGrantsLeft reports whether the instance can still get a grant.
+func (o *testOwners) hasGrantsLeft(id descriptor.InstanceID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.grantsLeft[id] > 0
+}
+
+func (o *testOwners) removeGrantLimit(id descriptor.InstanceID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.grantsLeft, id)
+}
+
 // testClaims implements Claims in memory.
 type testClaims struct {
 	mu     sync.Mutex
@@ -182,7 +211,7 @@
 	return &testCell{
 		t: t, cell: cell,
 		platform: &connector.PlatformClient{Client: connector.NewHTTPClient(8, ""), DirectoryURL: "http://" + cell.PlatformAddress + "/directory"},
-		owners:   &testOwners{suspended: map[descriptor.InstanceID]bool{}},
+		owners:   &testOwners{suspended: map[descriptor.InstanceID]bool{}, grantsLeft: map[descriptor.InstanceID]int{}},
 		claims:   map[descriptor.Key]claimer.Claim{},
 		rules: &descriptor.Rules{
 			Version: 1,
@@ -208,6 +237,9 @@
 	}
 }
 
+// testStartWindow is the StartWindow of the dispatchers of a test.
+const testStartWindow = 300 * time.Millisecond
+
 // addInstance starts a dispatcher that owns no slices.
 func (c *testCell) addInstance(id descriptor.InstanceID, dialer connector.Dialer) *Dispatcher {
 	v := &ownerView{testOwners: c.owners, self: id, changes: make(chan leaser.Change, 1024)}
@@ -221,7 +253,7 @@
 		Owners:    v, Claims: claims, Peers: &testPeers{c}, Directory: c.platform, Dialer: dialer,
 		Rules: func() *descriptor.Rules { return c.rules }, Loads: func() []PeerLoad { return c.loads(id) },
 		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
-		PollWait: 100 * time.Millisecond, StartWindow: 300 * time.Millisecond, DirectoryInterval: 100 * time.Millisecond,
+		PollWait: 100 * time.Millisecond, StartWindow: testStartWindow, DirectoryInterval: 100 * time.Millisecond,
 		TaskLease: 2 * time.Second,
 	})
 	d.cfg.Scheduler.SetRules(c.rules)
@@ -254,6 +286,18 @@
 
 // assignSlices moves slices to an instance, as a takeover does.
 func (c *testCell) assignSlices(id descriptor.InstanceID, match func(descriptor.SliceID) bool) {
+	c.moveSlices(id, match, 0)
+}
+
+// handOver moves all slices to an instance while orders of the earlier owner may
+// still start.
+func (c *testCell) handOver(id descriptor.InstanceID) {
+	c.moveSlices(id, allSlices, testStartWindow+200*time.Millisecond)
+}
+
+// moveSlices moves slices to an instance. Orders of the earlier owner may start for
+// the given time.
+func (c *testCell) moveSlices(id descriptor.InstanceID, match func(descriptor.SliceID) bool, orderTime time.Duration) {
 	for s := range descriptor.SliceID(descriptor.SliceCount) {
 		if !match(s) {
 			continue
@@ -268,7 +312,7 @@
 		if v, ok := c.ownerViews[old]; ok {
 			v.changes <- leaser.Change{Slice: s}
 		}
-		c.ownerViews[id].changes <- leaser.Change{Slice: s, Epoch: epoch, Owned: true, SafeFrom: time.Now()}
+		c.ownerViews[id].changes <- leaser.Change{Slice: s, Epoch: epoch, Owned: true, SafeFrom: time.Now().Add(orderTime)}
 		d := c.dispatchers[id]
 		c.mu.Unlock()
 		c.eventually(func() bool {
--- a/dispatcher/start.go
+++ b/dispatcher/start.go
@@ -8,6 +8,7 @@
 
 	"github.com/masticlead/masticlead/connector"
 	"github.com/masticlead/masticlead/descriptor"
+	"github.com/masticlead/masticlead/leaser"
 	"github.com/masticlead/masticlead/placer"
 	"github.com/masticlead/masticlead/scheduler"
 )
@@ -30,15 +31,18 @@
 		}
 		return
 	}
-	attempt, ok := d.prepareAttempt(r, p)
+	grant, attempt, ok := d.prepareAttempt(r, p)
 	if !ok {
 		return
 	}
-	var wg sync.WaitGroup
-	for i := range p.Tasks {
-		wg.Go(func() { d.sendStart(r, p, attempt, i) })
+	starts, ok := d.prepareStarts(p, grant.Until, func(a placer.Assignment) (connector.StartOrder, bool) {
+		return d.buildStartOrder(r, grant.Epoch, attempt, a.Index)
+	})
+	if ok {
+		d.sendStarts(r, p, starts)
+	} else {
+		withdrawStarts(starts, func(s preparedStart) { d.markNotStarted(r, p.Attempt, s.order, s.assignment) })
 	}
-	wg.Wait()
 	d.evaluateAttempt(r, attempt)
 }
 
@@ -61,14 +65,14 @@
 }
 
 // prepareAttempt marks the request as started before the first order is sent, and
-// returns the number of the attempt. It returns false if the request must not be
-// started any more.
-func (d *Dispatcher) prepareAttempt(r *record, p scheduler.Placement) (descriptor.Attempt, bool) {
+// returns the grant for the request and the number of the attempt. It returns false
+// if the request must not be started any more.
+func (d *Dispatcher) prepareAttempt(r *record, p scheduler.Placement) (leaser.Grant, descriptor.Attempt, bool) {
 	grant, ok := d.cfg.Owners.Grant(r.request.Slice())
 	if !ok {
 		d.releasePlacement(p)
 		d.retry(r, "ownerUnconfirmed", nil)
-		return 0, false
+		return grant, 0, false
 	}
 	targets := make([]descriptor.TargetID, len(p.Tasks))
 	for _, a := range p.Tasks {
@@ -82,12 +86,12 @@
 		if cancelled {
 			d.finishCancelled(r)
 		}
-		return 0, false
+		return grant, 0, false
 	}
 	defer r.mu.Unlock()
 	r.schedulerAttempt = p.Attempt
 	d.beginAttempt(r, grant.Epoch, targets)
-	return r.attempt, true
+	return grant, r.attempt, true
 }
 
 // beginAttempt begins the next attempt. The caller holds r.mu.
@@ -124,30 +128,78 @@
 	d.finalize(r)
 }
 
-// sendStart sends the start order of one task and records the result. An order
-// without a response stays pending until the worker of the target resolves it.
-func (d *Dispatcher) sendStart(r *record, p scheduler.Placement, attempt descriptor.Attempt, i int) {
-	a := p.Tasks[i]
-	w := d.worker(a.Target)
-	order, ok := d.buildStartOrder(r, attempt, a.Index)
-	if w == nil || !ok || !w.addPending(order, p.Attempt) {
-		d.markNotStarted(r, p.Attempt, order, a)
-		return
+// preparedStart is the start order of one task of a placement.
+type preparedStart struct {
+	order      connector.StartOrder
+	assignment placer.Assignment
+	// worker is the worker that has recorded the order as pending, or nil.
+	worker *targetWorker
+}
+
+// prepareStarts records the orders of all tasks of a placement as pending and sets
+// their start deadlines. The grant for the request ends at keyUntil. It returns
+// false if one of the orders must not be sent. The caller must then withdraw all of
+// them: if the others were sent, the started part of a gang would be stopped and run
+// again, even in a planned handover of slices.
+//
+// An order may be sent after its grants have been given up: the next owner of a
+// slice waits until no order that was prepared under an earlier grant can start.
+func (d *Dispatcher) prepareStarts(p scheduler.Placement, keyUntil time.Time, build func(placer.Assignment) (connector.StartOrder, bool)) ([]preparedStart, bool) {
+	starts := make([]preparedStart, len(p.Tasks))
+	complete := true
+	for i, a := range p.Tasks {
+		var ok bool
+		s := &starts[i]
+		s.assignment = a
+		s.order, ok = build(a)
+		complete = complete && ok && d.prepareStart(s, p.Attempt, keyUntil)
 	}
-	grant, ok := d.cfg.Owners.Grant(order.Key.Slice())
-	err := errNotSent
-	if ok {
-		order.Epoch = grant.Epoch
-		err = d.transmitOrder(w, grant.Until, &order)
+	return starts, complete
+}
+
+// prepareStart records one order as pending and sets its start deadline. It returns
+// false if the order must not be sent.
+func (d *Dispatcher) prepareStart(s *preparedStart, schedulerAttempt descriptor.Attempt, keyUntil time.Time) bool {
+	w := d.worker(s.assignment.Target)
+	if w == nil || !w.addPending(s.order, schedulerAttempt) {
+		return false
 	}
-	if errors.Is(err, connector.ErrRejected) {
-		r.avoidTarget(a.Target)
+	s.worker = w
+	var ok bool
+	if s.order.StartBeforeMs, ok = w.startDeadline(s.order.Task, keyUntil); !ok {
+		d.countRejectedStart("grantEnded")
 	}
-	if d.handleStartResult(w, order.Task, err) {
-		d.markNotStarted(r, p.Attempt, order, a)
+	return ok
+}
+
+// withdrawStarts calls markNotStarted for each of the orders, none of which has been
+// sent, unless its worker has already resolved it.
+func withdrawStarts(starts []preparedStart, markNotStarted func(preparedStart)) {
+	for _, s := range starts {
+		if s.worker == nil || s.worker.removePending(s.order.Task) {
+			markNotStarted(s)
+		}
 	}
 }
 
+// sendStarts sends the orders and records the results. An order without a response
+// stays pending until the worker of the target resolves it.
+func (d *Dispatcher) sendStarts(r *record, p scheduler.Placement, starts []preparedStart) {
+	var wg sync.WaitGroup
+	for _, s := range starts {
+		wg.Go(func() {
+			err := d.transmitOrder(s)
+			if errors.Is(err, connector.ErrRejected) {
+				r.avoidTarget(s.assignment.Target)
+			}
+			if d.handleStartResult(s.worker, s.order.Task, err) {
+				d.markNotStarted(r, p.Attempt, s.order, s.assignment)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // handleStartResult counts the result of a start order. It returns true if the
 // task certainly did not start and the order had not been resolved before.
 func (d *Dispatcher) handleStartResult(w *targetWorker, id descriptor.TaskID, err error) bool {
@@ -155,8 +207,9 @@
 	case err == nil:
 		d.cfg.Scope.Counter("starts").Inc(1)
 		return false
-	case errors.Is(err, connector.ErrRejected), errors.Is(err, connector.ErrUnavailable), errors.Is(err, errNotSent):
-		d.cfg.Scope.Tagged(map[string]string{"reason": rejectionReason(err)}).Counter("starts_rejected").Inc(1)
+	case errors.Is(err, connector.ErrRejected), errors.Is(err, connector.ErrUnavailable):
+		d.countRejectedStart(rejectionReason(err))
+		d.cfg.Log.Debug("dispatcher: start order rejected", "target", w.target.ID, "task", id, "error", err)
 		if errors.Is(err, connector.ErrUnavailable) {
 			w.markUnavailable()
 		}
@@ -168,21 +221,19 @@
 }
 
 func rejectionReason(err error) string {
-	switch {
-	case errors.Is(err, connector.ErrRejected):
+	if errors.Is(err, connector.ErrRejected) {
 		return "rejected"
-	case errors.Is(err, errNotSent):
-		return "grantEnded"
 	}
 	return "unreachable"
 }
 
-// errNotSent means that there was no valid grant to send the order under.
-var errNotSent = errors.New("start order not sent")
+func (d *Dispatcher) countRejectedStart(reason string) {
+	d.cfg.Scope.Tagged(map[string]string{"reason": reason}).Counter("starts_rejected").Inc(1)
+}
 
 // buildStartOrder returns the start order of one task. It returns false if the
 // attempt is no longer the current one.
-func (d *Dispatcher) buildStartOrder(r *record, attempt descriptor.Attempt, index int) (connector.StartOrder, bool) {
+func (d *Dispatcher) buildStartOrder(r *record, e descriptor.Epoch, attempt descriptor.Attempt, index int) (connector.StartOrder, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.attempt != attempt || index >= len(r.tasks) {
@@ -190,26 +241,20 @@
 	}
 	req := r.request
 	return connector.StartOrder{
-		Task: r.tasks[index].id, Key: req.Key, Attempt: attempt, Index: index, TaskCount: len(r.tasks),
+		Task: r.tasks[index].id, Key: req.Key, Epoch: e, Attempt: attempt, Index: index, TaskCount: len(r.tasks),
 		Idempotent: req.Idempotent, Kind: req.Kind, Resources: req.Resources,
 		LeaseMs: d.cfg.TaskLease.Milliseconds(), Payload: req.Payload, Resume: r.resume,
 	}, true
 }
 
-// transmitOrder sends the order if both the grant for the key, which ends at
-// keyUntil, and the grant for the target are valid. The start deadline is computed
-// directly before the order is sent, so that after a pause of the process in
-// between the target rejects the order as late.
-func (d *Dispatcher) transmitOrder(w *targetWorker, keyUntil time.Time, o *connector.StartOrder) error {
+// transmitOrder sends the order. After a pause of the process since the start
+// deadline was set, the target rejects the order as late.
+func (d *Dispatcher) transmitOrder(s preparedStart) error {
 	ctx, cancel := context.WithTimeout(d.ctx, d.cfg.StartWindow+time.Second)
 	defer cancel()
-	var ok bool
-	if o.StartBeforeMs, ok = w.startDeadline(o.Task, keyUntil); !ok {
-		return errNotSent
-	}
-	status, err := w.conn.Start(ctx, *o)
+	status, err := s.worker.conn.Start(ctx, s.order)
 	if err == nil {
-		w.updateStatus(status, d.cfg.Clock.Now())
+		s.worker.updateStatus(status, d.cfg.Clock.Now())
 	}
 	return err
 }
