integration: log late start orders in the tests of graceful stops

A gang of which one order reaches its target after the deadline also runs again, and the results did not show whether that or the stop was the cause. The test logs the number of late orders. No check is changed.

--- a/integration/restart_test.go
+++ b/integration/restart_test.go
@@ -92,6 +92,11 @@
 	for _, call := range l.failedCalls {
 		t.Errorf("P7: a call to %s ended without a response: %v", call.instanceID, call.err)
 	}
+	lateOrders := 0
+	for _, h := range c.histories() {
+		lateOrders += h.LateOrders
+	}
+	t.Logf("%d start orders arrived too late", lateOrders)
 	runs := map[taskKey]int{}
 	for _, r := range startedBetween(c.histories(), time.Unix(0, 0), time.Now(), anyRun) {
 		runs[taskKey{r.Key, r.Index}]++
