dispatcher: wait for orders in progress when draining

Cause: Drain waited only for the running requests of its own instance. A host that was sending the orders of another owner's gang, or an owner that had taken a placement from the scheduler and not yet begun its attempt, went on to stop.

Ruled out: tasks that a host has started completely. They keep running, and their owner learns their results from the next owner of the targets.

Change: the dispatcher counts placements from the time at which they are taken from the scheduler until their orders are sent, and Drain waits until there are none. Draining stops new rounds under the same lock.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -145,6 +145,9 @@
 	hosted               hostedRequests
 	spilledRequests      atomic.Int64
 	pendingOutcomeWrites atomic.Int64 // outcomes that are being stored in claims
+	// startsInProgress counts the placements whose orders are being sent, and the
+	// rounds in which placements are taken from the scheduler.
+	startsInProgress atomic.Int64
 }
 
 // retryReasons are the values of the reason tag of the retries counter. They are
@@ -275,17 +278,26 @@
 		case <-d.cfg.Scheduler.Ready():
 		case <-d.cfg.Clock.After(dispatchInterval):
 		}
-		if d.isDraining() {
-			continue
+		if d.beginStarts() {
+			d.startPlacements()
+			d.startsInProgress.Add(-1)
 		}
-		for {
-			placements := d.cfg.Scheduler.Next(maxPlacementBatch)
-			for _, p := range placements {
-				d.wg.Go(func() { d.startPlacement(p) })
-			}
-			if len(placements) < maxPlacementBatch {
-				break
-			}
+	}
+}
+
+// startPlacements starts all placements that the scheduler can make now.
+func (d *Dispatcher) startPlacements() {
+	for {
+		placements := d.cfg.Scheduler.Next(maxPlacementBatch)
+		for _, p := range placements {
+			d.startsInProgress.Add(1)
+			d.wg.Go(func() {
+				defer d.startsInProgress.Add(-1)
+				d.startPlacement(p)
+			})
+		}
+		if len(placements) < maxPlacementBatch {
+			return
 		}
 	}
 }
--- a/dispatcher/drain.go
+++ b/dispatcher/drain.go
@@ -19,15 +19,31 @@
 	return d.draining
 }
 
+// beginStarts counts a round of placements as a start in progress. It returns false
+// if the dispatcher is draining. Drain then misses no start: it sees either the
+// count or a round that never begins.
+func (d *Dispatcher) beginStarts() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return false
+	}
+	d.startsInProgress.Add(1)
+	return true
+}
+
 // Drain stops accepting requests, withdraws the claims of waiting requests, and
-// waits until no request is running and all outcomes are stored, or until ctx
-// ends. In the latter case the error states how many requests are left.
+// waits until no request is running, no order is being sent for this or another
+// owner, and all outcomes are stored, or until ctx ends. In the latter case the
+// error states how many requests are left.
 func (d *Dispatcher) Drain(ctx context.Context) error {
 	d.setDraining(true)
 	d.withdrawWaitingClaims()
 	for {
+		// Read the starts first: one that ends after that counts as running.
+		starting := d.startsInProgress.Load()
 		waiting, running := d.CountOpen()
-		if running == 0 && d.pendingOutcomeWrites.Load() == 0 {
+		if running == 0 && starting == 0 && d.pendingOutcomeWrites.Load() == 0 {
 			return nil
 		}
 		select {
--- a/dispatcher/gang_test.go
+++ b/dispatcher/gang_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticlead/masticlead/connector"
 	"github.com/masticlead/masticlead/descriptor"
 	"github.com/masticlead/masticlead/emulator"
 )
@@ -78,3 +79,24 @@
 	require.NoError(c.t, err)
 	require.Equal(c.t, descriptor.Completed, o.Kind(), o.Reason().String())
 }
+
+// TestDrainWaitsForHostedStart guards against a host that stops while it sends the
+// orders of a gang of another owner. The orders that are not sent yet would be
+// aborted, and the started tasks would be stopped and run again.
+func TestDrainWaitsForHostedStart(t *testing.T) {
+	dialer := &delayedDialer{
+		Dialer: &connector.HTTPDialer{Client: connector.NewHTTPClient(16, "")},
+		delay:  testStartWindow / 2, once: make(chan struct{}, 1),
+	}
+	c, owner, host := newSplitCellWithDialer(t, 3, dialer)
+	s := c.submission(ownedRequestID(t, c, "r"), "stairwell", emulator.Payload{RunMs: 500})
+	h, err := owner.Begin(context.Background(), s)
+	require.NoError(t, err)
+	c.eventually(func() bool { return len(dialer.once) == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	require.NoError(t, host.Drain(ctx))
+	requireOneRunPerTask(t, c, s, "at the end of Drain")
+	c.eventually(h.r.isDone)
+	requireOneRunPerTask(t, c, s, "after Drain")
+}
--- a/dispatcher/spill_test.go
+++ b/dispatcher/spill_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticlead/masticlead/connector"
 	"github.com/masticlead/masticlead/descriptor"
 	"github.com/masticlead/masticlead/emulator"
 )
@@ -14,8 +15,13 @@
 // newSplitCell returns a cell with two instances: the host owns the slices that
 // contain targets, and the owner owns all other slices.
 func newSplitCell(t *testing.T, targets int) (*testCell, *Dispatcher, *Dispatcher) {
+	return newSplitCellWithDialer(t, targets, nil)
+}
+
+// newSplitCellWithDialer is like newSplitCell, with the given dialer of the host.
+func newSplitCellWithDialer(t *testing.T, targets int, dialer connector.Dialer) (*testCell, *Dispatcher, *Dispatcher) {
 	c := newTestCell(t, targets)
-	owner, host := c.addInstance("owner", nil), c.addInstance("host", nil)
+	owner, host := c.addInstance("owner", nil), c.addInstance("host", dialer)
 	hasTarget := map[descriptor.SliceID]bool{}
 	for _, target := range c.cell.Listing.Targets {
 		hasTarget[target.ID.Slice()] = true
