dispatcher: report no slices while a hosted start is in progress

Cause: a report of tasks to another owner read the tasks of all targets and then checked whether a hosted request was starting. A start that was in progress before the report and had ended by that check could be missing from the tasks, and its slices still counted as covered. The owner then took its tasks for not started and ran them again. Found by reading; no run of an integration test has shown it.

Change: the check is also made before the tasks are read. A start that begins later does not matter: the owner requests the report only for tasks whose start it has confirmed, and a recovering owner only after the grants of the earlier owner have ended.

--- a/dispatcher/recover.go
+++ b/dispatcher/recover.go
@@ -34,6 +34,10 @@
 			wanted[s] = true
 		}
 	}
+	// Check this before the workers are read: the tasks of a start that is in
+	// progress now may be recorded after their worker was read. The sender of the
+	// request does not know of a start that begins later.
+	starting := d.hosted.anyConfirming(&wanted)
 	d.mu.Lock()
 	known := d.directoryRead
 	var incomplete [descriptor.SliceCount]bool
@@ -51,7 +55,7 @@
 			incomplete[w.target.ID.Slice()] = true
 		}
 	}
-	if !known || d.hosted.anyConfirming(&wanted) {
+	if !known || starting || d.hosted.anyConfirming(&wanted) {
 		return reply
 	}
 	now := d.cfg.Clock.Now()
--- a/dispatcher/spill_test.go
+++ b/dispatcher/spill_test.go
@@ -167,3 +167,26 @@
 	require.Len(t, c.runs(s.Key), 1)
 	require.Nil(t, host.hosted.get(s.Key))
 }
+
+// TestHostedStartDuringReport guards against a report that covers the targets of a
+// host although the host began to start a request before the report was requested
+// and ended after a part of it was collected. The owner would take the tasks for
+// not started and run them again.
+func TestHostedStartDuringReport(t *testing.T) {
+	c, _, host := newSplitCell(t, 2)
+	key := testKey(ownedRequestID(t, c, "r"))
+	hr := &hostedRequest{owner: "owner", request: &descriptor.Request{Key: key}}
+	require.True(t, host.hosted.add(key, hr))
+	request := SliceTasksRequest{Slices: []descriptor.SliceID{key.Slice()}}
+	c.eventually(func() bool { return len(host.HandleSliceTasks(request).Covered) > 0 })
+
+	host.hosted.setConfirming(hr, true)
+	w := host.worker("t0")
+	w.mu.Lock()
+	reply := make(chan SliceTasksReply)
+	go func() { reply <- host.HandleSliceTasks(request) }()
+	time.Sleep(50 * time.Millisecond) // the report waits for the worker
+	host.hosted.setConfirming(hr, false)
+	w.mu.Unlock()
+	require.Empty(t, (<-reply).Covered)
+}
