leaser: test that leases are extended again after a pause of a promiser

TestAnswersDropped failed once after an instance had been paused for 1.5 s, and by reading the pause was the cause: promises of 1.5 s of all instances of the data centre extend the leases (docs/design.md, 3.1).

--- a/leaser/promise_test.go
+++ b/leaser/promise_test.go
@@ -288,3 +288,27 @@
 		require.GreaterOrEqual(t, l.takeoverTime("b", l.members["b"]).Sub(later), 6060*time.Millisecond)
 	})
 }
+
+// TestPausedPromiser guards against instances that stop for the rest of a store
+// outage because one of their data centre was paused for the duration of a promise.
+// Their leases end in the pause, since they need its promise, and must be extended
+// again soon after it.
+func TestPausedPromiser(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 5)
+		defer c.shutdown()
+		c.config.LeaseDuration, c.config.RenewalInterval, c.config.PromiseDuration = 3*time.Second, time.Second, 1500*time.Millisecond
+		for _, name := range []descriptor.InstanceID{"a", "b", "c"} {
+			c.start(name)
+		}
+		c.advance(12 * time.Second)
+		c.setFaults(faketable.Faults{Hang: true})
+		c.advance(4500 * time.Millisecond)
+		require.Equal(t, descriptor.SliceCount, c.totalOwned())
+		c.process("b").clock.pause()
+		c.advance(c.config.PromiseDuration)
+		require.Zero(t, c.totalOwned())
+		c.process("b").clock.resume()
+		c.awaitOwned(c.config.PromiseDuration)
+	})
+}
