coordinator: invalid ended jobs count nothing; test of the end of uncertain usage

Cause: the count of runs of ended jobs used step counts and repetitions that were not validated. Change: invalid jobs are left out. TestUncertainUsageEnds guards the end of uncertain usage with the leases of silent targets.

--- a/coordinator/tenants.go
+++ b/coordinator/tenants.go
@@ -70,7 +70,7 @@
 // endedJobAccount returns the account of a run of a job that had ended when it was
 // loaded, so that the job has no steps. Such runs are stopped and count until their end.
 func endedJobAccount(j *job, id w.TaskID) *slotAccount {
-	if id.Step >= len(j.Steps) {
+	if id.Step >= len(j.Steps) || j.Validate() != nil {
 		return nil
 	}
 	return &slotAccount{j.Tenant, j.Steps[id.Step].Need}
@@ -354,7 +354,7 @@
 		if j.state == w.Completed || j.fresh {
 			continue
 		}
-		if j.occurrences == nil {
+		if j.occurrences == nil && j.Validate() == nil {
 			for i := range j.Steps {
 				count(j, &j.Steps[i], j.Steps[i].Count*c.unsyncedOccurrences(j, i))
 			}
--- a/coordinator/tenants_test.go
+++ b/coordinator/tenants_test.go
@@ -240,6 +240,22 @@
 	require.Len(t, x.advance(0).Starts, 1)
 }
 
+// TestUncertainUsageEnds guards against a tenant that stays held up by tasks which may run
+// on a silent target after the target's lease has ended.
+func TestUncertainUsageEnds(t *testing.T) {
+	x := newCell(t, 2, 2, &keeper.Snapshot{
+		Jobs: []w.Job{tenantJob("old", "t", 8)}, Progress: map[w.JobID]keeper.Progress{}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}},
+	})
+	x.setTenants(tenantCap("t", 4000))
+	x.submit(tenantJob("new", "t", 1))
+	for at := 500 * time.Millisecond; at < x.c.maxLease()+renewalMargin; at += 500 * time.Millisecond {
+		x.reportRuns("a")
+		require.Empty(t, x.advance(500*time.Millisecond).Starts)
+	}
+	x.reportRuns("a")
+	require.Len(t, x.advance(500*time.Millisecond).Starts, 4)
+}
+
 // TestReplacedSlotIsReleased guards against accounts that keep a run which another run of
 // the same task on the same target has replaced.
 func TestReplacedSlotIsReleased(t *testing.T) {
