coordinator: a target that is no longer listed holds up little of a cap

Change: such a target counts as large as the largest known one. Result: TestUnlistedTargetHoldsUpLittle starts 4 tasks, none before.

--- a/coordinator/tenants.go
+++ b/coordinator/tenants.go
@@ -370,10 +370,10 @@
 			}
 		}
 	}
-	capacity, unlimited := c.unsyncedCapacity()
+	capacity, unlisted, unlimited := c.unsyncedCapacity()
 	total := make(map[w.TenantName]w.Resources)
 	for p, sum := range sums {
-		if room := capacity[p.service]; !unlimited {
+		if room := capacity[p.service].Add(unlisted); !unlimited {
 			sum = w.Resources{CPU: min(sum.CPU, room.CPU), Mem: min(sum.Mem, room.Mem), GPU: min(sum.GPU, room.GPU)}
 		}
 		sum.CPU += unreserved[p]
@@ -398,18 +398,26 @@
 	return n
 }
 
-// unsyncedCapacity returns the capacity of the unsynced targets by service. It is
-// unlimited if one of them is not listed, since its capacity is then unknown.
-func (c *Coordinator) unsyncedCapacity() (capacity map[string]w.Resources, unlimited bool) {
+// unsyncedCapacity returns the capacity of the unsynced targets by service. Targets that
+// are no longer listed may belong to any service; each counts as large as the largest
+// target that is known. Without a known target the capacity is unlimited.
+func (c *Coordinator) unsyncedCapacity() (capacity map[string]w.Resources, unlisted w.Resources, unlimited bool) {
 	capacity = make(map[string]w.Resources)
+	unknown := 0
 	for id := range c.unsynced {
-		t := c.targets[id]
-		if t == nil {
-			return nil, true
+		if t := c.targets[id]; t != nil {
+			capacity[t.Service] = capacity[t.Service].Add(t.Capacity)
+		} else {
+			unknown++
 		}
-		capacity[t.Service] = capacity[t.Service].Add(t.Capacity)
 	}
-	return capacity, false
+	if unknown == 0 {
+		return capacity, unlisted, false
+	}
+	for _, t := range c.sortedTargets {
+		unlisted = w.Resources{CPU: max(unlisted.CPU, t.Capacity.CPU), Mem: max(unlisted.Mem, t.Capacity.Mem), GPU: max(unlisted.GPU, t.Capacity.GPU)}
+	}
+	return capacity, unlisted.Times(unknown), len(c.sortedTargets) == 0
 }
 
 // needsSort reports whether the backlog must be sorted again since shares have changed.
--- a/coordinator/tenants_test.go
+++ b/coordinator/tenants_test.go
@@ -328,3 +328,17 @@
 	x.c.sortBacklog()
 	require.Equal(t, want, x.c.backlog)
 }
+
+// TestUnlistedTargetHoldsUpLittle guards against a leader that starts nothing for 9 s after
+// a takeover, until the lease of a target has ended that is in the roster and no longer
+// listed: it can hold as much as the largest known target, and not all waiting tasks.
+func TestUnlistedTargetHoldsUpLittle(t *testing.T) {
+	x := newCell(t, 2, 2, &keeper.Snapshot{
+		Jobs: []w.Job{tenantJob("old", "t", 30)}, Progress: map[w.JobID]keeper.Progress{}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b", "gone"}},
+	})
+	x.setTenants(tenantCap("t", 12000))
+	x.reportRuns("a")
+	x.reportRuns("b")
+	x.submit(tenantJob("new", "t", 9))
+	require.Equal(t, map[w.JobID]int{"new": 4}, startsOf(x.advance(0)))
+}
