limiter: beside other runs a gang keeps to its tenant's cap

Change: only a gang that is larger than the cap may exceed it, while its tenant runs nothing. Result: TestGangCountsAsWhole is stricter, TestGangLargerThanCapStartsAlone is new; limiter, coordinator and gateway pass.

--- a/coordinator/tenants_test.go
+++ b/coordinator/tenants_test.go
@@ -169,9 +169,24 @@
 	x.submit(tenantJob("stream", "t", 9))
 	require.Empty(t, x.advance(0).Starts)
 	x.reportEnd(small[0].Target, small[0], w.EndedDone)
-	require.Equal(t, map[w.JobID]int{"gang": 2}, startsOf(x.advance(0)), "a gang may exceed the cap by one task")
+	require.Empty(t, x.advance(0).Starts, "beside other runs a gang keeps to the cap")
 	x.reportEnd(small[1].Target, small[1], w.EndedDone)
+	require.Equal(t, map[w.JobID]int{"gang": 2}, startsOf(x.advance(0)))
+}
+
+// TestGangLargerThanCapStartsAlone guards against a gang that is accepted, since it fits the
+// cap with the excess and one task, and never starts.
+func TestGangLargerThanCapStartsAlone(t *testing.T) {
+	x := newTenantCell(t, 2, tenantCap("t", 4000))
+	gang := tenantJob("gang", "t", 5)
+	gang.Steps[0].Gang = true
+	x.submit(tenantJob("small", "t", 1))
+	small := x.advance(0).Starts
+	require.Len(t, small, 1)
+	x.submit(gang)
 	require.Empty(t, x.advance(0).Starts)
+	x.reportEnd(small[0].Target, small[0], w.EndedDone)
+	require.Equal(t, map[w.JobID]int{"gang": 5}, startsOf(x.advance(0)))
 }
 
 // TestGangStartsBesideStream guards against a gang of up to half of the cap that never
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -149,11 +149,7 @@
 	if a == nil {
 		return true
 	}
-	limit := a.cap
-	if n > 1 {
-		limit = withExcess(a.cap, l.Excess, need)
-	}
-	return fits(limit, w.Resources{CPU: a.cap.CPU / 2, Mem: a.cap.Mem / 2, GPU: a.cap.GPU / 2}, need, n)
+	return fits(a.cap, w.Resources{CPU: a.cap.CPU / 2, Mem: a.cap.Mem / 2, GPU: a.cap.GPU / 2}, need, n)
 }
 
 // Changes returns a number that increases with each change of an account.
@@ -171,9 +167,11 @@
 	IgnoreUncertain bool
 }
 
-// Allows reports whether n tasks of a tenant may start together. A single task must fit
-// the cap, except that a tenant which runs nothing may start a task larger than its cap.
-// A gang, that is more than one task, may exceed the cap by the excess and one task.
+// Allows reports whether n tasks of a tenant may start together. They must fit the cap. A
+// tenant that runs nothing may start a task larger than its cap, and a gang, that is more
+// than one task, which exceeds the cap by at most the excess and one task. Otherwise the
+// excess is left for runs that are not known: a gang that used it up beside other runs
+// exceeded the permitted total when one of those was missing in the account.
 func (l *Limiter) Allows(tenant w.TenantName, need w.Resources, n int) bool {
 	return l.AllowsQuery(&Query{Tenant: tenant, Need: need}, n)
 }
@@ -185,10 +183,11 @@
 		return true
 	}
 	used := a.usedFor(q)
-	if n == 1 {
-		return used == (w.Resources{}) && a.Runs == 0 || fits(a.cap, used, q.Need, 1)
+	if fits(a.cap, used, q.Need, n) {
+		return true
 	}
-	return fits(withExcess(a.cap, l.Excess, q.Need), used, q.Need, n)
+	alone := used == (w.Resources{}) && a.Runs == 0
+	return alone && (n == 1 || fits(withExcess(a.cap, l.Excess, q.Need), used, q.Need, n))
 }
 
 // Headroom returns how many tasks of a tenant may start one by one, at most limit.
