coordinator: one count of waiting jobs and arrivals by tenant

Cause: TenantLoads and Arrivals were written for the admission by tenant, which counts for itself; only a test called them, and they counted jobs that are not due, which the used count leaves out. The test asserts the same numbers of the count that is used; arrivals by instance are asserted by TestAllowances.

--- a/coordinator/tenants_test.go
+++ b/coordinator/tenants_test.go
@@ -313,8 +313,8 @@
 	stops := x.advance(10 * time.Millisecond).Stops
 	require.Len(t, stops, 1)
 	require.NotContains(t, []w.JobID{"hot0", "hot1"}, stops[0].Task.Job, "jobs within the rate are not preempted")
-	require.Equal(t, TenantLoad{Waiting: 1, WaitingExcess: 1}, x.c.TenantLoads()["none"])
-	require.Equal(t, map[w.InstanceID]int{"other": 8}, x.c.Arrivals(2 * time.Second)["hot"])
+	x.c.countWaiting()
+	require.Equal(t, waitingJobs{all: 1, excess: 1}, x.c.admission.waiting["none"])
 
 	y := newCell(t, 2, 1, &keeper.Snapshot{Jobs: stored, Progress: map[w.JobID]keeper.Progress{}})
 	y.setTenants(tenants...)
