coordinator: log and count lost runs, found runs and dropped ends

Cause: the hypotheses about runs that happened twice differ in why a run was taken for lost, and whether an end was dropped; no line or counter told. Change: one line for each lost run (reason, phase, age, whether its target had listed it), for each run that is found on a target and stopped, and for ends that are dropped; counters lost, adopted and endsDropped. Phases print their names. Result: no decision changes; ./coordinator passes with -race.

--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -9,6 +9,9 @@
 	w "github.com/masticlead/masticlead/workload"
 )
 
+// phase is the phase of a task between its starts.
+//
+//go:generate go tool stringer -type=phase
 type phase uint8
 
 const (
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -56,7 +56,7 @@
 		}
 		if tk.missedLists++; tk.missedLists >= missingRunLists {
 			c.Log.Warn("run missing from the lists of its target", "task", id, "target", t.ID, "run", sl.run)
-			c.loseRun(t, id, sl)
+			c.loseRun(t, id, sl, "unlisted")
 		}
 	}
 }
@@ -95,6 +95,9 @@
 	tk := &s.tasks[sl.index]
 	if j.state.Final() || tk.phase != waiting {
 		// The task already runs elsewhere or no longer needs to run.
+		c.Meter.Count("adopted", "stopped")
+		c.Log.Info("stopped a run found on a target", "task", r.Task, "run", r.Run, "target", t.ID, "incarnation", t.Incarnation,
+			"state", j.state, "phase", tk.phase, "currentRun", tk.run, "epoch", c.Epoch)
 		c.sendStop(t, r.Task, r.Run)
 		return
 	}
@@ -385,7 +388,7 @@
 		c.removeSlot(t, r.Task, sl)
 		return
 	}
-	c.loseRun(t, r.Task, sl)
+	c.loseRun(t, r.Task, sl, r.Outcome.String())
 	if current {
 		tk.avoid = t
 	}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -111,7 +111,7 @@
 		if sl.step != nil && c.now.Sub(sl.step.tasks[sl.index].phaseSince) < age {
 			continue
 		}
-		c.loseRun(t, id, sl)
+		c.loseRun(t, id, sl, "restarted")
 	}
 	if c.Epoch > 1 && c.now.Sub(c.startedAt) < handoverMargin {
 		// The new incarnation has not seen any epoch yet. Until this coordinator has
@@ -139,15 +139,15 @@
 // releaseSlots frees all slots of a target whose runs have certainly ended.
 func (c *Coordinator) releaseSlots(t *target) {
 	for id, sl := range t.slots {
-		c.loseRun(t, id, sl)
+		c.loseRun(t, id, sl, "lapsed")
 	}
 	delete(c.unsynced, t.ID)
 	c.generation++
 }
 
 // loseRun frees a slot whose run ended without a known result, and puts its task back
-// into the waiting phase.
-func (c *Coordinator) loseRun(t *target, id w.TaskID, sl *slot) {
+// into the waiting phase. The reason is logged and counted.
+func (c *Coordinator) loseRun(t *target, id w.TaskID, sl *slot, reason string) {
 	c.removeSlot(t, id, sl)
 	s := sl.step
 	if s == nil {
@@ -156,6 +156,9 @@
 	tk := &s.tasks[sl.index]
 	if tk.target == t && tk.run == sl.run && tk.phase != finished {
 		s.job.stats.lostRuns++
+		c.Meter.Count("lost", reason)
+		c.Log.Info("run lost", "task", id, "run", sl.run, "target", t.ID, "incarnation", t.Incarnation, "reason", reason,
+			"phase", tk.phase, "age", c.now.Sub(tk.phaseSince), "listed", !sl.listedAt.IsZero(), "epoch", c.Epoch)
 		c.setPhase(s, sl.index, waiting)
 		if s.Gang {
 			c.stopGang(s)
@@ -251,6 +254,10 @@
 func (c *Coordinator) HandleReport(m *member, r *linker.Report) {
 	t := c.targets[r.Target]
 	if t == nil || t.member != m {
+		if len(r.Ends) > 0 {
+			c.Meter.Count("endsDropped", "member")
+			c.Log.Info("dropped ends reported by another instance", "target", r.Target, "instance", m.id, "ends", len(r.Ends), "first", r.Ends[0].Task)
+		}
 		return
 	}
 	if r.Gone || r.Incarnation > t.Incarnation {
@@ -260,6 +267,10 @@
 		return
 	}
 	if r.Incarnation != t.Incarnation {
+		if len(r.Ends) > 0 {
+			c.Meter.Count("endsDropped", "incarnation")
+			c.Log.Warn("dropped ends of an earlier incarnation", "target", t.ID, "incarnation", r.Incarnation, "current", t.Incarnation, "ends", len(r.Ends), "first", r.Ends[0].Task)
+		}
 		return
 	}
 	if r.Unreachable {
