--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -191,6 +191,25 @@
 	require.Equal(t, w.Completed, x.jobState("j"))
 }
 
+// TestSavedEndsOfEarlierIncarnationAreNotAcknowledged guards against ends of a restarted
+// target that are discarded unread: the batch with the ends of the earlier incarnation is
+// stored after the restart, and its sequence numbers are acknowledged to the new one.
+func TestSavedEndsOfEarlierIncarnationAreNotAcknowledged(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	start := x.advance(0).Starts[0]
+	x.seq["a"] = 56
+	x.reportEnd("a", start, w.EndedDone)
+	x.c.progressDue = time.Time{}
+	b := x.c.Flush()
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: 2, Gone: true}}})
+	x.c.Stored(b)
+	f := x.advance(0)
+	require.Empty(t, f.Acks)
+	require.Equal(t, []linker.AssignedTarget{{ID: "a", Address: "x", Incarnation: 2}}, f.Assign.Targets)
+}
+
 // TestOrphanEndExpires guards against a target that keeps its ends forever because one
 // of them belongs to a job whose rows were removed.
 func TestOrphanEndExpires(t *testing.T) {
