instance: drop frames of an instance's earlier connection

The leader's events named the instance but not the connection. After an instance had connected again (the leader was frozen or slow for over 0.6 s, or the link was), frames of its earlier connection that were still in the leader's socket buffer were processed after the new connection had joined. Reports that came before the targets were assigned anew were dropped, later ones were applied. Their ends have higher numbers, so the dropped ones were acknowledged unread. A coordinator that got two such reports of one end each, around the assignment, had the two jobs and acknowledgements as

running completed [{a 1 2}]

that is, end 1 lost, end 2 applied, and both acknowledged: a task that had ended as done runs again, and a failed run is not counted.

The other direction had the same gap: between the registration of the new connection and the event that adds the member, frames for the earlier member went to the new connection. An assignment among them starts sessions whose first ends are dropped in the same way. And Leave could be executed after the Join of the new connection, which leaves a connected instance that the coordinator ignores (from reading).

Join now binds the connection to the member in the event itself; frames and the end of any other connection are dropped, and frames are sent to the bound connection only. Instances repeat what a connection has not confirmed: jobs and cancellations when they connect, ends since the targets list them until they are acknowledged.

The test failed before with

Should be true Messages: the first frame of the connection

since the first frame on the new connection was the one for the earlier member.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -69,6 +69,9 @@
 	cancel      context.CancelFunc
 	events      chan func(*coordinator.Coordinator)
 	coordinator *coordinator.Coordinator
+	// memberConns are the connections of the coordinator's members. It is used by events
+	// and the goroutine that executes them only.
+	memberConns map[w.InstanceID]*linker.Conn
 	// stopOnce is needed besides ctx, which is cancelled with the instance as well.
 	stopOnce sync.Once
 
@@ -103,8 +106,8 @@
 func newLeader(in *Instance, leadership keeper.Leadership) (*leader, error) {
 	l := &leader{
 		in: in, leadership: leadership, events: make(chan func(*coordinator.Coordinator), eventQueueSize),
-		joinedAt: make(map[w.InstanceID]time.Time),
-		conns:    make(map[w.InstanceID]*linker.Conn), status: make(map[w.InstanceID]memberStatus), lastRenewal: time.Now(),
+		joinedAt: make(map[w.InstanceID]time.Time), memberConns: make(map[w.InstanceID]*linker.Conn),
+		conns: make(map[w.InstanceID]*linker.Conn), status: make(map[w.InstanceID]memberStatus), lastRenewal: time.Now(),
 	}
 	l.ctx, l.cancel = context.WithCancel(in.ctx)
 	in.loading.Store(l)
@@ -237,7 +240,10 @@
 	if l.ctx.Err() != nil {
 		conn.Close()
 	}
-	l.post(func(c *coordinator.Coordinator) { c.Join(h) })
+	l.post(func(c *coordinator.Coordinator) {
+		l.memberConns[h.Instance] = conn
+		c.Join(h)
+	})
 }
 
 func (l *leader) leave(id w.InstanceID, conn *linker.Conn, err error) {
@@ -251,11 +257,19 @@
 	l.mu.Unlock()
 	if current {
 		l.in.Log.Info("connection to an instance closed", "instance", id, "error", err)
-		l.post(func(c *coordinator.Coordinator) { c.Leave(id) })
 	}
+	l.post(func(c *coordinator.Coordinator) {
+		if l.memberConns[id] == conn {
+			delete(l.memberConns, id)
+			c.Leave(id)
+		}
+	})
 }
 
-func (l *leader) receive(id w.InstanceID, f *linker.Frame) {
+// receive processes a frame of an instance. Frames of an earlier connection are dropped:
+// the coordinator has reassigned the targets, and would take note of the ends in some of
+// these frames only.
+func (l *leader) receive(id w.InstanceID, conn *linker.Conn, f *linker.Frame) {
 	if f.Status != nil {
 		l.mu.Lock()
 		old := l.status[id]
@@ -271,7 +285,11 @@
 			return
 		}
 	}
-	l.post(func(c *coordinator.Coordinator) { c.Receive(id, f, time.Now()) })
+	l.post(func(c *coordinator.Coordinator) {
+		if l.memberConns[id] == conn {
+			c.Receive(id, f, time.Now())
+		}
+	})
 }
 
 // serveCalls makes calls to the store on behalf of an instance that can't reach it.
@@ -414,11 +432,8 @@
 }
 
 func (l *leader) sendFrames() {
-	frames := l.coordinator.Frames()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, f := range frames {
-		if c := l.conns[id]; c != nil {
+	for id, f := range l.coordinator.Frames() {
+		if c := l.memberConns[id]; c != nil {
 			for _, part := range f.Split() {
 				c.Send(part)
 			}
--- a/instance/leader_test.go
+++ b/instance/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/masticlead/masticlead/gateway"
 	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -45,6 +47,15 @@
 // withdrawn configuration, because the one seen by its instance's watch is older than
 // the one that the previous leader applied.
 func TestLeaderReadsNewestConfiguration(t *testing.T) {
+	l := newTestLeader(t)
+	require.Equal(t, int64(7), l.in.Gateway.Config().Version)
+}
+
+// newTestLeader returns a leader of epoch 2 that has loaded an empty cell, in an instance
+// that knows version 3 of a configuration of which the store has version 7. The test
+// executes the events.
+func newTestLeader(t *testing.T) *leader {
+	t.Helper()
 	k := &keeper.Keeper{Store: emptyStore{}, Partitions: 1}
 	log := slog.New(slog.DiscardHandler)
 	in := &Instance{Keeper: k, Directory: staticConfig{7}, Gateway: &gateway.Gateway{Keeper: k, Log: log}, Log: log}
@@ -54,10 +65,60 @@
 	in.ctx, in.cancel = context.WithCancel(t.Context())
 	l, err := newLeader(in, keeper.Leadership{Epoch: 2, Version: 1})
 	require.NoError(t, err)
-	require.Equal(t, int64(7), in.Gateway.Config().Version)
-	l.stop("end of test")
-	in.cancel()
-	in.wg.Wait()
+	t.Cleanup(func() {
+		l.stop("end of test")
+		in.cancel()
+		in.wg.Wait()
+	})
+	return l
+}
+
+// TestFramesOfEarlierConnectionAreDropped guards against ends that are acknowledged
+// unread: after an instance has connected again, the leader drops some reports of the
+// earlier connection and applies later ones, or sends the new connection orders for the
+// earlier one.
+func TestFramesOfEarlierConnectionAreDropped(t *testing.T) {
+	l := newTestLeader(t)
+	hello := &linker.Hello{Instance: "i"}
+	connect := func() (*linker.Conn, chan *linker.Frame) {
+		local, remote := net.Pipe()
+		c, peer := linker.NewConn(local), linker.NewConn(remote)
+		received := make(chan *linker.Frame, 100)
+		go func() {
+			_ = peer.Receive(func(f *linker.Frame) {
+				if f.Reset || len(f.Received) > 0 {
+					received <- f
+				}
+			})
+		}()
+		t.Cleanup(c.Close)
+		return c, received
+	}
+	// round executes the queued events and sends the resulting frames.
+	round := func() {
+		for len(l.events) > 0 {
+			(<-l.events)(l.coordinator)
+		}
+		l.sendFrames()
+	}
+	jobs := func(id w.JobID) *linker.Frame { return &linker.Frame{Jobs: []w.Job{{ID: id}}} }
+	first, _ := connect()
+	l.join(hello, first)
+	round()
+	l.receive("i", first, jobs("a"))
+	for len(l.events) > 0 {
+		(<-l.events)(l.coordinator)
+	}
+	second, received := connect()
+	l.join(hello, second)
+	l.sendFrames()
+	l.receive("i", first, jobs("b"))
+	l.leave("i", first, nil)
+	l.receive("i", second, jobs("c"))
+	round()
+	f := <-received
+	require.True(t, f.Reset, "the first frame of the connection")
+	require.Equal(t, []w.JobID{"c"}, f.Received)
 }
 
 // TestRestartOnPanic guards against a panic in a loop that ends the process or the
--- a/instance/link.go
+++ b/instance/link.go
@@ -90,7 +90,7 @@
 			l.join(f.Hello, c)
 		}
 		if peer != "" {
-			l.receive(peer, f)
+			l.receive(peer, c, f)
 		}
 	})
 	if peer != "" {
