executor: an unanswered start is settled by a stop, not by the answer to its repetition

A start request that is not answered is repeated once. If the target rejected the repetition (room, ticket, late, 429 or 503), the run was reported as not started and the task was started elsewhere. Such a rejection says nothing of the first request: a target may carry it out later, up to its deadline of 2 s, and then the task runs twice.

A rejection of the repetition now counts as no answer: the run is stopped until the target answers, which fences its number there, and it is not started only once a list that was asked for later does not name it. A rejection because of the epoch or of another target at the address remains final, since the first request gets the same.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -145,6 +145,34 @@
 	require.NotContains(t, c.outcomes(), linker.NotStarted)
 }
 
+// TestRejectedRepeatIsNotCalledNotStarted guards against running a task twice: the first
+// start request is carried out after the repeated one was rejected.
+func TestRejectedRepeatIsNotCalledNotStarted(t *testing.T) {
+	for _, outcome := range []linker.Outcome{linker.NotStarted, linker.InsufficientResources, linker.InvalidTicket, linker.TargetUnavailable} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			id := w.TaskID{Job: "j"}
+			s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+			s.startReply = func(n int) (Reply, error) {
+				if n == 1 {
+					return Reply{}, errNoReply
+				}
+				s.holdReply.Runs = []w.Run{{Task: id, Run: 5}}
+				return Reply{Outcome: outcome, Clock: 1001}, nil
+			}
+			e, c := startExecutor(t, s)
+			e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: id, Run: 5}}})
+			time.Sleep(200 * time.Millisecond)
+			require.Equal(t, []linker.Outcome{linker.Indeterminate}, c.outcomes())
+			s.mu.Lock()
+			require.Equal(t, 1, s.stopCalls)
+			s.holdReply.Runs = nil
+			s.mu.Unlock()
+			require.Eventually(t, func() bool { return len(c.outcomes()) == 2 }, 2*time.Second, 5*time.Millisecond)
+			require.Equal(t, linker.NotStarted, c.outcomes()[1])
+		})
+	}
+}
+
 // TestUnansweredStartIsResolved guards against a task that stays in the starting state
 // forever because its start request never reached the target.
 func TestUnansweredStartIsResolved(t *testing.T) {
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -269,38 +269,53 @@
 		Task: order.Task, Run: order.Run, Spec: spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 		Epoch: s.e.currentEpoch(), Deadline: now + startTTL.Milliseconds(),
 	}
-	result := linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: linker.NotStarted}
+	outcome := linker.NotStarted
 	if now > 0 {
-		const maxAttempts = 2
-		for range maxAttempts {
-			ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-			reply, err := s.e.TargetClient.Start(ctx, s.target, &req)
-			cancel()
-			if err == nil {
-				s.mu.Lock()
-				s.recordReply(reply.Clock)
-				if reply.Outcome == linker.Superseded {
-					// An earlier attempt may have started the run, which has
-					// ended since. The next hold reply shows whether it did.
-					s.uncertainRuns[order.Task] = uncertainRun{run: order.Run, afterHold: s.holdSeq}
-					s.mu.Unlock()
-					return
-				}
-				s.mu.Unlock()
-				result.Outcome = reply.Outcome
-				s.e.enqueue(func(f *linker.Frame) { f.Results = append(f.Results, result) })
-				return
-			}
-			s.e.Log.Debug("start request failed", "task", order.Task, "target", order.Target, "run", order.Run, "error", err)
-		}
-		result.Outcome = linker.Indeterminate
+		outcome = s.requestStart(&req)
 	}
-	s.e.enqueue(func(f *linker.Frame) { f.Results = append(f.Results, result) })
-	if result.Outcome == linker.Indeterminate {
+	if outcome == linker.Superseded {
+		// An earlier attempt may have started the run, which has ended since. The next
+		// hold reply shows whether it did.
+		s.mu.Lock()
+		s.uncertainRuns[order.Task] = uncertainRun{run: order.Run, afterHold: s.holdSeq}
+		s.mu.Unlock()
+		return
+	}
+	s.e.enqueue(func(f *linker.Frame) {
+		f.Results = append(f.Results, linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: outcome})
+	})
+	if outcome == linker.Indeterminate {
 		s.stopUntilAnswered(order.Task, order.Run)
 	}
 }
 
+// requestStart sends a start request, and repeats it once if there is no answer.
+func (s *targetSession) requestStart(req *StartRequest) linker.Outcome {
+	const maxAttempts = 2
+	for attempt := range maxAttempts {
+		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+		reply, err := s.e.TargetClient.Start(ctx, s.target, req)
+		cancel()
+		if err != nil {
+			s.e.Log.Debug("start request failed", "task", req.Task, "target", s.target.ID, "run", req.Run, "error", err)
+			continue
+		}
+		s.mu.Lock()
+		s.recordReply(reply.Clock)
+		s.mu.Unlock()
+		switch reply.Outcome {
+		case linker.NotStarted, linker.InsufficientResources, linker.InvalidTicket, linker.TargetUnavailable:
+			if attempt > 0 {
+				// The target may still carry out the request that it did not answer.
+				return linker.Indeterminate
+			}
+		default:
+		}
+		return reply.Outcome
+	}
+	return linker.Indeterminate
+}
+
 func (s *targetSession) stop(order linker.Stop) {
 	defer s.e.wg.Done()
 	s.stopUntilAnswered(order.Task, order.Run)
