coordinator: starts without an answer survive a restart of their target

Cause: orders name only the ID of a target, so a start that got no answer may be carried out by the next incarnation. Its clock begins anew, so the deadline of the order does not prevent that. resetTarget judged by the wall clock which orders could still arrive, dropped the slots of all others and let their tasks start elsewhere; it kept slots in phase starting whose result never came, since the session that would have reported it had ended. Change: a run that the old incarnation has not listed, or whose start was not answered, keeps its slot, and its stop is ordered from the new incarnation. The answer makes that reject the start. A run that was neither listed nor answered does not count as lost by its absence from lists. Evidence: the model now restarts targets under the same and under new IDs, carries out unanswered starts up to 12 s late, lets stops take time, changes capacities, and checks Spread, capacity, acknowledged failures and starts before a late acknowledgement. What nobody can prevent, and the model leaves out: a late start that a new incarnation carries out before it is called, although the earlier one had answered a stop of it.

--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,20 +100,49 @@
 
 func (s *modelStore) Clock() time.Duration { return 0 }
 
-// modelTarget implements the protocol of a target: epochs, run IDs, leases, and ends
-// that are resent until they are acknowledged.
+// modelTarget implements the protocol of a target: epochs, run IDs, leases, stops that
+// take time, and ends that are resent until they are acknowledged.
 type modelTarget struct {
 	id              w.TargetID
 	incarnation     w.Incarnation
+	capacity        []modelCapacity // latest last
 	epoch           w.Epoch
 	runs            map[w.TaskID]w.RunID
-	highestEnded    map[w.TaskID]w.RunID // highest run that was stopped or has ended, by task
+	stopsAt         map[w.TaskID]time.Time // when the runs end that are being stopped
+	highestEnded    map[w.TaskID]w.RunID   // highest run that was stopped or has ended, by task
 	ends            []w.End
 	seq             int64
 	deadline        time.Time
 	leaseExpiredSeq int64 // highest sequence number of an end when the lease last expired
 }
 
+// modelCapacity is the CPU capacity of a target from a time on.
+type modelCapacity struct {
+	cpu  int64
+	from time.Time
+}
+
+// modelRecord is an entry of a task's history: a start, or an end that counts.
+type modelRecord struct {
+	how         w.Ending // 0 for a start
+	run         w.RunID
+	incarnation w.Incarnation
+	acked       bool
+}
+
+// uncertainKey names the run that a target may or may not have started.
+type uncertainKey struct {
+	target w.TargetID
+	task   w.TaskID
+}
+
+// uncertainRun is such a run, whose stop the target has answered, or which it rejected
+// as superseded.
+type uncertainRun struct {
+	run         w.RunID
+	incarnation w.Incarnation
+}
+
 // modelOrder is an order in transit.
 type modelOrder struct {
 	from        *modelLeader
@@ -122,22 +153,22 @@
 	sent        time.Time
 	expiresAt   time.Time // when targets begin to reject a start
 	version     int64     // configuration of the leader when it sent the order
+	lateAt      time.Time // when an unanswered start order is carried out
 }
 
 // modelLeader is a leader together with the instance that makes its calls.
 type modelLeader struct {
-	leadership       keeper.Leadership
-	coordinator      *Coordinator
-	frozen           bool
-	renewedAt        time.Time
-	batch            *Batch                    // batch to be saved, or nil
-	replaced         bool                      // the leader has noticed that it was replaced
-	snapshot         *keeper.Snapshot          // what a loading leader has read so far
-	loadedIn         int                       // event in which it began to lead
-	unreachable      map[w.TargetID]bool       // targets that the leader cannot call
-	polledAt         map[w.TargetID]time.Time  // when the targets were last polled successfully
-	unresolvedStarts map[w.TaskID]linker.Start // starts without a known outcome, by task
-	stopAnswered     map[w.TaskID]bool         // tasks whose stop has been answered since
+	leadership  keeper.Leadership
+	coordinator *Coordinator
+	frozen      bool
+	renewedAt   time.Time
+	batch       *Batch                   // batch to be saved, or nil
+	replaced    bool                     // the leader has noticed that it was replaced
+	snapshot    *keeper.Snapshot         // what a loading leader has read so far
+	loadedIn    int                      // event in which it began to lead
+	unreachable map[w.TargetID]bool      // targets that the leader cannot call
+	polledAt    map[w.TargetID]time.Time // when the targets were last polled successfully
+	uncertain   map[uncertainKey]uncertainRun
 }
 
 type model struct {
@@ -155,24 +186,33 @@
 	unstoredEnds map[w.JobID]w.State // published ends that the instances keep until they are stored
 	event        int                 // number of the current event
 	cancelled    map[w.JobID]int     // event in which the cancellation of the job was acknowledged
-	ackedDone    map[w.TaskID]bool   // tasks whose successful end was acknowledged
+	history      map[w.TaskID][]*modelRecord
+	late         []modelOrder // start orders without an answer that may be carried out later
 	incarnations w.Incarnation
 	starts       int
+	begin        time.Time
+	trace        []string
 	caps         []int64 // CPU cap of the only tenant by configuration version, or nil
 }
 
-const modelLease = 6 * time.Second
+const (
+	modelLease       = 6 * time.Second
+	modelMaxLease    = 10 * time.Second
+	modelStopTimeout = 200 * time.Millisecond
+	modelAttempts    = 3
+	// modelCapacityLag is the time for which the capacity before a reduction may be used.
+	modelCapacityLag = 4 * time.Second
+)
 
 func newModel(t *rapid.T, caps ...int64) *model {
 	m := &model{
 		t: t, now: time.Unix(1_800_000_000, 0), store: &modelStore{rows: make(map[keeper.Key]keeper.Row)},
-		targets: make(map[w.TargetID]*modelTarget), completedAt: make(map[w.JobID]time.Time), unstoredEnds: make(map[w.JobID]w.State), ackedDone: make(map[w.TaskID]bool),
+		targets: make(map[w.TargetID]*modelTarget), completedAt: make(map[w.JobID]time.Time), unstoredEnds: make(map[w.JobID]w.State), history: make(map[w.TaskID][]*modelRecord),
 	}
-	m.caps = caps
+	m.begin, m.caps = m.now, caps
 	m.keeper = &keeper.Keeper{Store: m.store, Partitions: 2}
 	for _, id := range []w.TargetID{"a", "b", "c"} {
-		m.targets[id] = &modelTarget{id: id}
-		m.replaceTarget(m.targets[id])
+		m.replaceTarget(&modelTarget{}, id)
 	}
 	m.cancelled = make(map[w.JobID]int)
 	m.takeOver()
@@ -181,9 +221,53 @@
 	return m
 }
 
-func (m *model) replaceTarget(t *modelTarget) {
+// logf adds to the trace of the sequence.
+func (m *model) logf(format string, args ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%v ", m.now.Sub(m.begin))+fmt.Sprintf(format, args...))
+}
+
+// fail ends the sequence. The trace is no part of the error, since rapid only shortens
+// sequences that end with the same error.
+func (m *model) fail(format string, args ...any) {
+	m.logf(format, args...)
+	m.t.Log(strings.Join(m.trace, "\n"))
+	m.t.Fatal(format)
+}
+
+// replaceTarget lets a target start again under an ID. It keeps nothing.
+func (m *model) replaceTarget(old *modelTarget, id w.TargetID) {
 	m.incarnations++
-	*t = modelTarget{id: t.id, incarnation: w.Incarnation(m.now.UnixMilli()) + m.incarnations, runs: make(map[w.TaskID]w.RunID), highestEnded: make(map[w.TaskID]w.RunID)}
+	m.logf("target %s restarts as %s", old.id, id)
+	delete(m.targets, old.id)
+	m.targets[id] = &modelTarget{
+		id: id, incarnation: w.Incarnation(m.now.UnixMilli()) + m.incarnations, capacity: []modelCapacity{{m.defaultCapacity(), m.now}},
+		runs: make(map[w.TaskID]w.RunID), stopsAt: make(map[w.TaskID]time.Time), highestEnded: make(map[w.TaskID]w.RunID),
+	}
+}
+
+func (m *model) defaultCapacity() int64 {
+	if m.caps != nil {
+		return 2000
+	}
+	return 4000
+}
+
+// pickTarget returns a random target, in ID order for reproducible sequences.
+func (m *model) pickTarget() *modelTarget {
+	return m.targets[slices.Sorted(maps.Keys(m.targets))[m.draw(len(m.targets), "target")]]
+}
+
+// draw returns a number below n. The numbers that rapid draws from a range are mostly
+// small, which leaves most events out of a short sequence.
+func (m *model) draw(n int, label string) int {
+	i := 0
+	for k := 1; k < 8*n; k *= 2 {
+		i *= 2
+		if rapid.Bool().Draw(m.t, label) {
+			i++
+		}
+	}
+	return i % n
 }
 
 // takeOver adds a leader that begins to load the cell. Earlier ones continue until they
@@ -203,7 +287,7 @@
 	m.lastEpoch = lead.Epoch
 	m.loading = append(m.loading, &modelLeader{
 		leadership: lead, renewedAt: m.now, unreachable: make(map[w.TargetID]bool), polledAt: make(map[w.TargetID]time.Time),
-		unresolvedStarts: make(map[w.TaskID]linker.Start), stopAnswered: make(map[w.TaskID]bool),
+		uncertain: make(map[uncertainKey]uncertainRun),
 	})
 }
 
@@ -237,11 +321,12 @@
 func (m *model) lead(l *modelLeader, updates *keeper.Updates) {
 	l.leadership.InitSaves(l.snapshot)
 	l.coordinator = New(Settings{
-		Epoch: l.leadership.Epoch, Self: "self", Lease: modelLease, StopTimeout: 200 * time.Millisecond,
+		Epoch: l.leadership.Epoch, Self: "self", Lease: modelLease, StopTimeout: modelStopTimeout,
 		Retention: time.Hour, Log: slog.New(slog.DiscardHandler),
 	}, m.now)
 	l.coordinator.Load(l.snapshot)
 	l.loadedIn = m.event
+	m.logf("epoch %d leads", l.leadership.Epoch)
 	applyUpdates(l, updates)
 	l.coordinator.Configure(m.config())
 	l.coordinator.Join(&linker.Hello{Instance: "caller"})
@@ -288,9 +373,9 @@
 	for _, l := range append(m.leaders, m.loading...) {
 		l.replaced = true
 	}
-	m.loading = nil
-	for _, t := range m.targets {
-		m.replaceTarget(t)
+	m.loading, m.orders, m.late = nil, nil, nil
+	for _, id := range slices.Sorted(maps.Keys(m.targets)) {
+		m.replaceTarget(m.targets[id], id)
 	}
 	m.takeOver()
 	m.continueLoad()
@@ -321,8 +406,10 @@
 
 func (m *model) setTargets(l *modelLeader) {
 	var list []w.Target
-	for _, id := range []w.TargetID{"a", "b", "c"} {
-		list = append(list, w.Target{ID: id, Service: "s", Address: "x", Incarnation: m.targets[id].incarnation, Capacity: w.Resources{CPU: 2000, Mem: 2000}})
+	for _, id := range slices.Sorted(maps.Keys(m.targets)) {
+		t := m.targets[id]
+		cpu := t.capacity[len(t.capacity)-1].cpu
+		list = append(list, w.Target{ID: id, Service: "s", Address: "x", Incarnation: t.incarnation, Capacity: w.Resources{CPU: cpu, Mem: 9000}})
 	}
 	l.coordinator.SetTargets(list, true, m.now)
 }
@@ -333,8 +420,11 @@
 		return
 	}
 	j := singleTaskJob(w.JobID(fmt.Sprint("j", len(m.jobs))))
-	j.Steps[0].Count = rapid.IntRange(1, 2).Draw(m.t, "tasks")
-	if m.caps != nil {
+	if m.caps == nil {
+		j.Steps[0].Count, j.Steps[0].Spread = rapid.IntRange(1, 4).Draw(m.t, "tasks"), rapid.IntRange(0, 2).Draw(m.t, "spread")
+		j.Steps[0].Gang = rapid.IntRange(0, 3).Draw(m.t, "gang") == 0
+	} else {
+		j.Steps[0].Count = rapid.IntRange(1, 2).Draw(m.t, "tasks")
 		j.Tenant, j.Steps[0].Gang = "t", rapid.Bool().Draw(m.t, "gang")
 	}
 	if _, err := m.keeper.Accept(context.Background(), []*w.Job{&j}); err != nil {
@@ -379,6 +469,7 @@
 	if l == nil {
 		return
 	}
+	m.reportSilent(l)
 	l.coordinator.SetStoreSlow(m.store.unresponsive)
 	// An older leader that could not renew its leadership is assumed to have lost most
 	// of its instances to the newest one.
@@ -389,10 +480,10 @@
 	}
 	for _, f := range l.coordinator.Frames() {
 		for _, s := range f.Starts {
-			m.orders = append(m.orders, modelOrder{from: l, target: s.Target, incarnation: l.coordinator.targets[s.Target].Incarnation, start: &s, sent: m.now, expiresAt: m.now.Add(2 * time.Second), version: l.coordinator.cfg.Version})
+			m.orders = append(m.orders, modelOrder{from: l, target: s.Target, incarnation: l.session(s.Target), start: &s, sent: m.now, expiresAt: m.now.Add(2 * time.Second), version: l.coordinator.cfg.Version})
 		}
 		for _, s := range f.Stops {
-			m.orders = append(m.orders, modelOrder{from: l, target: s.Target, incarnation: l.coordinator.targets[s.Target].Incarnation, stop: &s})
+			m.orders = append(m.orders, modelOrder{from: l, target: s.Target, incarnation: l.session(s.Target), stop: &s})
 		}
 		for _, a := range f.Acks {
 			m.acknowledge(l, a)
@@ -413,17 +504,28 @@
 	}
 }
 
+// reportSilent reports the targets as unreachable that the leader has not polled lately.
+func (m *model) reportSilent(l *modelLeader) {
+	f := &linker.Frame{}
+	for _, t := range l.coordinator.sortedTargets {
+		if m.now.Sub(t.reportedAt) > 2*time.Second {
+			f.Reports = append(f.Reports, linker.Report{Target: t.ID, Incarnation: t.Incarnation, Unreachable: true})
+		}
+	}
+	l.coordinator.Receive("caller", f, m.now)
+}
+
 // acknowledge removes the acknowledged ends from a target, if the target can be reached
 // and accepts the epoch.
 func (m *model) acknowledge(l *modelLeader, a linker.Ack) {
 	t := m.targets[a.Target]
-	if l.unreachable[t.id] || t.incarnation != a.Incarnation || t.epoch > l.leadership.Epoch {
+	if t == nil || l.unreachable[t.id] || t.incarnation != a.Incarnation || t.epoch > l.leadership.Epoch {
 		return
 	}
 	t.epoch = l.leadership.Epoch
 	t.ends = slices.DeleteFunc(t.ends, func(e w.End) bool {
-		if e.Seq <= a.Seq && e.Seq > t.leaseExpiredSeq && e.How == w.EndedDone {
-			m.ackedDone[e.Task] = true
+		if e.Seq <= a.Seq && e.Seq > t.leaseExpiredSeq {
+			m.acknowledgeEnd(e.Task, e.Run, t.incarnation)
 		}
 		return e.Seq <= a.Seq
 	})
@@ -477,40 +579,38 @@
 	m.store.delayed = slices.Delete(m.store.delayed, i, i+1)
 }
 
-// deliverOrder delivers or drops an order, with or without a result for the sender.
+// deliverOrder delivers or drops an order, with or without a result for the sender. A
+// start that got no answer may be carried out seconds later.
 func (m *model) deliverOrder() {
 	if len(m.orders) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(m.orders)-1).Draw(m.t, "order")
+	i := m.draw(len(m.orders), "order")
 	o := m.orders[i]
 	m.orders = slices.Delete(m.orders, i, i+1)
 	l, t := o.from, m.targets[o.target]
-	answered := rapid.Bool().Draw(m.t, "answered") && !l.frozen && !l.unreachable[t.id]
-	arrives := rapid.IntRange(0, 4).Draw(m.t, "arrives") > 0 && !l.unreachable[t.id]
+	reachable := t != nil && !l.unreachable[t.id]
+	answered := rapid.Bool().Draw(m.t, "answered") && !l.frozen && reachable
+	arrives := rapid.IntRange(0, 4).Draw(m.t, "arrives") > 0 && reachable
 	if o.stop != nil {
-		if arrives {
-			m.stopRun(t, l, o.incarnation, o.stop.Task, o.stop.Run)
-		}
-		switch {
-		case arrives && answered:
-			l.stopAnswered[o.stop.Task] = true
-			l.unresolvedStarts[o.stop.Task] = linker.Start{Target: t.id, Task: o.stop.Task, Run: o.stop.Run}
-		default:
-			m.orders = append(m.orders, o) // resent until it is answered
-		}
+		m.deliverStop(o, t, arrives, answered)
 		return
 	}
+	m.logf("start of %v as run %d on %s: arrives %v, answered %v", o.start.Task, o.start.Run, o.target, arrives, answered)
 	out := linker.Indeterminate
-	if m.now.Sub(l.polledAt[t.id]) > 2*time.Second {
+	if m.now.Sub(l.polledAt[o.target]) > 2*time.Second || l.session(o.target) != o.incarnation {
 		// The instance sends no starts to a target that it has not polled recently.
 		out, arrives = linker.NotStarted, false
 	}
 	if arrives {
-		if got := m.startRun(t, l, o); answered {
+		if got := m.startRun(t, o); answered {
 			out = got
 		}
 	}
+	if out == linker.Indeterminate && m.caps == nil {
+		o.lateAt = m.now.Add(time.Duration(rapid.IntRange(0, 12).Draw(m.t, "late")) * time.Second)
+		m.late = append(m.late, o)
+	}
 	if l.frozen || l.replaced {
 		return
 	}
@@ -518,17 +618,70 @@
 		l.replaced = true
 		return
 	}
-	l.coordinator.Receive("caller", &linker.Frame{Results: []linker.Result{{Target: t.id, Task: o.start.Task, Run: o.start.Run, Outcome: out}}}, m.now)
+	l.coordinator.Receive("caller", &linker.Frame{Results: []linker.Result{{Target: o.target, Task: o.start.Task, Run: o.start.Run, Outcome: out}}}, m.now)
 	if out == linker.Indeterminate {
-		m.orders = append(m.orders, modelOrder{from: l, target: t.id, incarnation: o.incarnation, stop: &linker.Stop{Target: t.id, Task: o.start.Task, Run: o.start.Run}})
+		m.orders = append(m.orders, modelOrder{from: l, target: o.target, incarnation: o.incarnation, stop: &linker.Stop{Target: o.target, Task: o.start.Task, Run: o.start.Run}})
+	}
+}
+
+// session returns the incarnation of a target that the instance serves, or 0. A new
+// incarnation has a new session, which drops the earlier orders.
+func (l *modelLeader) session(id w.TargetID) w.Incarnation {
+	if t := l.coordinator.targets[id]; t != nil {
+		return t.Incarnation
+	}
+	return 0
+}
+
+func (m *model) deliverStop(o modelOrder, t *modelTarget, arrives, answered bool) {
+	if o.from.session(o.target) != o.incarnation {
+		return
+	}
+	m.logf("stop of %v as run %d on %s: arrives %v, answered %v", o.stop.Task, o.stop.Run, o.target, arrives, answered)
+	if arrives {
+		m.stopRun(t, o.from, o.stop.Task, o.stop.Run)
+	}
+	if arrives && answered {
+		o.from.uncertain[uncertainKey{t.id, o.stop.Task}] = uncertainRun{o.stop.Run, o.incarnation}
+		m.dropLateRun(t, o.stop.Task, o.stop.Run)
+		return
 	}
+	m.orders = append(m.orders, o) // resent until it is answered
+}
+
+// dropLate drops the late copies of start orders to a target for which drop returns true.
+// They are those that an answered call to the target has made void: the run has ended or
+// was stopped, or the call had a higher epoch. Nothing could prevent a new incarnation
+// from carrying them out before it is called.
+func (m *model) dropLate(t *modelTarget, drop func(o *modelOrder) bool) {
+	m.late = slices.DeleteFunc(m.late, func(o modelOrder) bool { return o.target == t.id && drop(&o) })
 }
 
-func (m *model) startRun(t *modelTarget, l *modelLeader, o modelOrder) linker.Outcome {
-	id, run := o.start.Task, o.start.Run
+func (m *model) dropLateRun(t *modelTarget, id w.TaskID, run w.RunID) {
+	m.dropLate(t, func(o *modelOrder) bool { return o.start.Task == id && o.start.Run == run })
+}
+
+// deliverLate carries out the start orders whose time has come. They name only the ID
+// of their target, so its next incarnation accepts them as well, and its clock begins
+// anew, so they are not too late for it.
+func (m *model) deliverLate() {
+	due := func(o modelOrder) bool { return !m.now.Before(o.lateAt) }
+	for _, o := range m.late {
+		t := m.targets[o.target]
+		if !due(o) || t == nil {
+			continue
+		}
+		if t.incarnation != o.incarnation {
+			o.expiresAt = m.now.Add(modelMaxLease)
+		}
+		m.startRun(t, o)
+	}
+	m.late = slices.DeleteFunc(m.late, due)
+}
+
+func (m *model) startRun(t *modelTarget, o modelOrder) linker.Outcome {
+	id, run, l := o.start.Task, o.start.Run, o.from
 	switch {
-	case t.incarnation != o.incarnation:
-		return linker.IncarnationMismatch
 	case l.leadership.Epoch < t.epoch:
 		return linker.Fenced
 	case m.now.After(o.expiresAt):
@@ -537,26 +690,30 @@
 		return linker.Started
 	case run <= t.highestEnded[id] || run < t.runs[id]:
 		// The instance polls the target before it reports an outcome.
-		l.unresolvedStarts[id], l.stopAnswered[id] = *o.start, true
+		l.uncertain[uncertainKey{t.id, id}] = uncertainRun{run, o.incarnation}
 		return linker.Indeterminate
 	}
 	t.epoch = l.leadership.Epoch
 	m.starts++
 	for _, other := range m.targets {
 		if r, ok := other.runs[id]; ok {
-			m.t.Fatalf("%v starts on %s as run %d of epoch %d while it runs on %s as run %d", id, t.id, run, l.leadership.Epoch, other.id, r)
+			m.fail("%v starts on %s as run %d of epoch %d while it runs on %s as run %d", id, t.id, run, l.leadership.Epoch, other.id, r)
 		}
 	}
-	if m.ackedDone[id] {
-		m.t.Fatalf("%v starts on %s after its end was acknowledged", id, t.id)
-	}
 	if at := m.completedAt[id.Job]; !at.IsZero() && o.sent.After(at) {
-		m.t.Fatalf("%v starts on %s after its job was published as completed", id, t.id)
+		m.fail("%v starts on %s after its job was published as completed", id, t.id)
 	}
 	if in := m.cancelled[id.Job]; in > 0 && l.loadedIn > in {
-		m.t.Fatalf("%v starts on %s although its cancellation was acknowledged before epoch %d was loaded", id, t.id, l.leadership.Epoch)
+		m.fail("%v starts on %s although its cancellation was acknowledged before epoch %d was loaded", id, t.id, l.leadership.Epoch)
 	}
 	t.runs[id] = run
+	m.logf("%v starts on %s as run %d, sent %v", id, t.id, run, o.sent.Sub(m.begin))
+	m.history[id] = append(m.history[id], &modelRecord{run: run, incarnation: t.incarnation})
+	m.checkHistory(id)
+	m.checkSpread(t, id)
+	if o.lateAt.IsZero() {
+		m.checkCapacity(t, id) // nobody knew the capacity of a later incarnation
+	}
 	m.checkCap(o.version)
 	if o.expiresAt.After(t.deadline) {
 		t.deadline = o.expiresAt
@@ -564,29 +721,89 @@
 	return linker.Started
 }
 
-func (m *model) stopRun(t *modelTarget, l *modelLeader, incarnation w.Incarnation, id w.TaskID, run w.RunID) {
-	if t.incarnation != incarnation || l.leadership.Epoch < t.epoch {
+// checkSpread fails if a target runs more tasks of a step than its Spread allows.
+func (m *model) checkSpread(t *modelTarget, id w.TaskID) {
+	n := 0
+	for other := range t.runs {
+		if other.StepName() == id.StepName() {
+			n++
+		}
+	}
+	if spread := m.step(id).Spread; spread > 0 && n > spread {
+		m.fail("%v starts on %s beside %d others of its step, spread %d", id, t.id, n-1, spread)
+	}
+}
+
+func (m *model) step(id w.TaskID) *w.Step {
+	return &m.jobs[slices.IndexFunc(m.jobs, func(j w.Job) bool { return j.ID == id.Job })].Steps[id.Step]
+}
+
+// checkCapacity fails if the runs of a target exceed the capacities that it had lately.
+func (m *model) checkCapacity(t *modelTarget, id w.TaskID) {
+	limit := int64(0)
+	for i, c := range t.capacity {
+		if i == len(t.capacity)-1 || m.now.Sub(t.capacity[i+1].from) <= modelCapacityLag {
+			limit = max(limit, c.cpu)
+		}
+	}
+	if used := 1000 * int64(len(t.runs)); used > limit {
+		m.fail("%v raises the CPU in use on %s to %d, capacity %d", id, t.id, used, limit)
+	}
+}
+
+// checkHistory fails if a task started after a run of it was done, or after all its
+// attempts had failed, if these ends were acknowledged then or later.
+func (m *model) checkHistory(id w.TaskID) {
+	failed := make(map[w.RunID]bool)
+	done := false
+	for _, r := range m.history[id] {
+		switch {
+		case r.how == 0 && done:
+			m.fail("%v starts as run %d after its end was acknowledged", id, r.run)
+		case r.how == 0 && len(failed) >= modelAttempts:
+			m.fail("%v starts as run %d after %d acknowledged failures", id, r.run, len(failed))
+		case r.how == w.EndedDone:
+			done = done || r.acked
+		case r.how == w.EndedFailed && r.acked:
+			failed[r.run] = true
+		}
+	}
+}
+
+func (m *model) acknowledgeEnd(id w.TaskID, run w.RunID, n w.Incarnation) {
+	for _, r := range m.history[id] {
+		r.acked = r.acked || (r.run == run && r.incarnation == n && r.how != 0)
+	}
+	m.checkHistory(id)
+}
+
+// stopRun begins to stop a run, which may take up to the stop timeout.
+func (m *model) stopRun(t *modelTarget, l *modelLeader, id w.TaskID, run w.RunID) {
+	if l.leadership.Epoch < t.epoch {
 		return
 	}
 	t.epoch = l.leadership.Epoch
-	if t.runs[id] == run {
-		m.endRun(t, id, w.EndedStopped)
+	if _, ok := t.stopsAt[id]; t.runs[id] == run && !ok {
+		t.stopsAt[id] = m.now.Add(modelStopTimeout)
 	}
 	t.highestEnded[id] = max(t.highestEnded[id], run)
 }
 
 func (m *model) endRun(t *modelTarget, id w.TaskID, how w.Ending) {
 	t.seq++
+	m.logf("%v ends on %s as run %d: %v", id, t.id, t.runs[id], how)
 	t.ends = append(t.ends, w.End{Seq: t.seq, Task: id, Run: t.runs[id], How: how})
+	m.history[id] = append(m.history[id], &modelRecord{how: how, run: t.runs[id], incarnation: t.incarnation})
 	t.highestEnded[id] = max(t.highestEnded[id], t.runs[id])
 	delete(t.runs, id)
+	delete(t.stopsAt, id)
+	m.dropLateRun(t, id, t.highestEnded[id])
 }
 
 // pollTarget lets a leader get the runs and ends of a target and renew its lease.
 func (m *model) pollTarget() {
-	l := m.pickLeader()
-	t := m.targets[rapid.SampledFrom([]w.TargetID{"a", "b", "c"}).Draw(m.t, "target")]
-	if l == nil {
+	l, t := m.pickLeader(), m.pickTarget()
+	if l == nil || l.coordinator.targets[t.id] == nil {
 		return
 	}
 	assigned := l.coordinator.targets[t.id]
@@ -603,20 +820,24 @@
 		t.deadline = m.now.Add(modelLease)
 		r.Complete = true
 		l.polledAt[t.id] = m.now
+		m.dropLate(t, func(o *modelOrder) bool { return o.from.leadership.Epoch < l.leadership.Epoch })
 		m.retireOlderLeaders(l)
 		for id, run := range t.runs {
 			r.Runs = append(r.Runs, w.Run{Task: id, Run: run})
 		}
 		r.Ends = slices.Clone(t.ends)
 	}
+	m.logf("epoch %d polls %s: %d runs, %d ends, gone %v, unreachable %v", l.leadership.Epoch, t.id, len(r.Runs), len(r.Ends), r.Gone, r.Unreachable)
 	f := &linker.Frame{Reports: []linker.Report{r}}
 	if r.Complete {
-		for id := range l.stopAnswered {
-			if s := l.unresolvedStarts[id]; s.Target == t.id && t.runs[id] != s.Run && !slices.ContainsFunc(t.ends, func(e w.End) bool { return e.Task == id && e.Run == s.Run }) {
-				f.Results = append(f.Results, linker.Result{Target: t.id, Task: id, Run: s.Run, Outcome: linker.NotStarted})
-				delete(l.stopAnswered, id)
-				delete(l.unresolvedStarts, id)
+		for k, u := range l.uncertain {
+			if k.target != t.id || t.runs[k.task] == u.run || slices.ContainsFunc(t.ends, func(e w.End) bool { return e.Task == k.task && e.Run == u.run }) {
+				continue
 			}
+			if u.incarnation == t.incarnation {
+				f.Results = append(f.Results, linker.Result{Target: t.id, Task: k.task, Run: u.run, Outcome: linker.NotStarted})
+			}
+			delete(l.uncertain, k)
 		}
 	}
 	l.coordinator.Receive("caller", f, m.now)
@@ -626,8 +847,10 @@
 // all targets. Each target is polled by an instance that is connected to the later
 // leader, and a leader that has lost most of its instances starts nothing.
 func (m *model) retireOlderLeaders(l *modelLeader) {
-	if len(l.polledAt) < len(m.targets) {
-		return
+	for id := range m.targets {
+		if l.polledAt[id].IsZero() {
+			return
+		}
 	}
 	for _, other := range m.leaders {
 		if other.leadership.Epoch < l.leadership.Epoch {
@@ -636,10 +859,19 @@
 	}
 }
 
-// passTime advances the clock. Leases expire on targets that were not called.
+// passTime advances the clock. Leases expire on targets that were not called, and stops
+// take effect. The leaders read the list of targets every second.
 func (m *model) passTime() {
-	m.now = m.now.Add(time.Duration(rapid.IntRange(20, 3000).Draw(m.t, "ms")) * time.Millisecond)
+	m.now = m.now.Add(time.Duration(rapid.OneOf(rapid.IntRange(20, 300), rapid.IntRange(300, 3000)).Draw(m.t, "ms")) * time.Millisecond)
 	for _, t := range m.targets {
+		if last := &t.capacity[len(t.capacity)-1]; m.store.unresponsive && m.now.Sub(last.from) <= modelCapacityLag {
+			last.from = m.now // the platform's list cannot be read
+		}
+		for id, at := range t.stopsAt {
+			if !m.now.Before(at) {
+				m.endRun(t, id, w.EndedStopped)
+			}
+		}
 		if m.now.After(t.deadline) {
 			for id := range t.runs {
 				m.endRun(t, id, w.EndedLeaseExpired)
@@ -649,14 +881,75 @@
 			t.leaseExpiredSeq = t.seq
 		}
 	}
+	m.deliverLate()
+	m.listTargets()
 }
 
+// endRandomRun ends a run, or with it the members of its gang.
 func (m *model) endRandomRun() {
-	t := m.targets[rapid.SampledFrom([]w.TargetID{"a", "b", "c"}).Draw(m.t, "target")]
-	for id := range t.runs {
-		m.endRun(t, id, rapid.SampledFrom([]w.Ending{w.EndedDone, w.EndedDone, w.EndedFailed}).Draw(m.t, "how"))
+	t := m.pickTarget()
+	ids := slices.SortedFunc(maps.Keys(t.runs), func(a, b w.TaskID) int { return strings.Compare(a.String(), b.String()) })
+	if len(ids) == 0 {
 		return
 	}
+	id := rapid.SampledFrom(ids).Draw(m.t, "run")
+	how := rapid.SampledFrom([]w.Ending{w.EndedDone, w.EndedDone, w.EndedFailed}).Draw(m.t, "how")
+	if m.step(id).Gang {
+		m.endGang(id, t.runs[id], how)
+		return
+	}
+	m.endRun(t, id, how)
+}
+
+// endGang ends the run of a gang. It is done only if all its members are there.
+func (m *model) endGang(id w.TaskID, run w.RunID, how w.Ending) {
+	members := make(map[w.TaskID]*modelTarget)
+	for _, t := range m.targets {
+		for other, r := range t.runs {
+			if r == run && other.StepName() == id.StepName() {
+				members[other] = t
+			}
+		}
+	}
+	if how == w.EndedDone && len(members) < m.step(id).Count {
+		return
+	}
+	for other, t := range members {
+		if how == w.EndedFailed && other != id {
+			m.endRun(t, other, w.EndedGangMemberEnded)
+		} else {
+			m.endRun(t, other, how)
+		}
+	}
+}
+
+// changeCapacity lets a target report another capacity.
+func (m *model) changeCapacity() {
+	if m.caps != nil || m.store.unresponsive {
+		return
+	}
+	t := m.pickTarget()
+	cpu := 1000 * rapid.Int64Range(1, 4).Draw(m.t, "cpu")
+	m.logf("target %s has a capacity of %d", t.id, cpu)
+	t.capacity = append(t.capacity, modelCapacity{cpu, m.now})
+}
+
+// restartTarget lets a target start again, under the same ID or a new one.
+func (m *model) restartTarget() {
+	t := m.pickTarget()
+	id := t.id
+	if rapid.IntRange(0, 2).Draw(m.t, "renamed") == 0 {
+		id = w.TargetID(fmt.Sprintf("%s%d", t.id[:1], m.incarnations))
+	}
+	m.replaceTarget(t, id)
+}
+
+func (m *model) listTargets() {
+	for _, l := range m.leaders {
+		if !l.frozen && !l.replaced && !m.store.unresponsive {
+			m.setTargets(l)
+		}
+	}
 }
 
 // injectFault starts or ends a random fault.
@@ -664,6 +957,7 @@
 	switch rapid.IntRange(0, 5).Draw(m.t, "fault") {
 	case 0:
 		m.store.unresponsive = !m.store.unresponsive
+		m.logf("store unresponsive: %v", m.store.unresponsive)
 	case 1:
 		if l := m.pickLeader(); l != nil {
 			l.frozen = true
@@ -674,20 +968,16 @@
 				l.frozen = false
 			}
 		}
+		m.listTargets()
 	case 3:
 		if l := m.pickLeader(); l != nil {
-			id := rapid.SampledFrom([]w.TargetID{"a", "b", "c"}).Draw(m.t, "target")
+			id := m.pickTarget().id
 			l.unreachable[id] = !l.unreachable[id]
 		}
 	case 4:
 		m.takeOver()
 	case 5:
-		m.replaceTarget(m.targets[rapid.SampledFrom([]w.TargetID{"a", "b", "c"}).Draw(m.t, "target")])
-		for _, l := range m.leaders {
-			if !l.frozen {
-				m.setTargets(l)
-			}
-		}
+		m.restartTarget()
 	}
 }
 
@@ -699,10 +989,22 @@
 	starts := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
-		events := []func(){m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch, m.passTime, m.endRandomRun, m.submit, m.findJobs, m.renew, m.applyDelayed, m.injectFault, m.continueLoad, m.continueLoad, m.writeEnds, m.loseAll, m.cancel}
-		for range rapid.IntRange(20, 160).Draw(t, "steps") {
+		events := []func(){m.advance, m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch, m.saveBatch, m.passTime, m.endRandomRun, m.submit, m.findJobs, m.renew, m.applyDelayed}
+		for _, rare := range []func(){m.injectFault, m.continueLoad, m.writeEnds, m.loseAll, m.cancel, m.changeCapacity, m.restartTarget, m.endRandomRun, m.passTime} {
+			if rapid.Bool().Draw(t, "occurs") {
+				events = append(events, rare)
+			}
+		}
+		m.submit()
+		for range 4 {
+			m.advance()
+			m.saveBatch()
+			m.pollTarget()
+			m.deliverOrder()
+		}
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
 			m.event++
-			events[rapid.IntRange(0, len(events)-1).Draw(t, "event")]()
+			events[m.draw(len(events), "event")]()
 		}
 		starts += m.starts
 	})
--- /dev/null
+++ b/coordinator/restart_test.go
@@ -0,0 +1,68 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// restart lists target "a" with a new incarnation.
+func (x *testCell) restart(incarnation w.Incarnation) {
+	list := []w.Target{x.c.targets["a"].Target}
+	list[0].Incarnation = incarnation
+	x.c.SetTargets(list, false, x.now)
+}
+
+// reportSynced reports a complete list of the runs on target "a" in its incarnation.
+func (x *testCell) reportSynced(runs ...w.Run) {
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: x.c.targets["a"].Incarnation, Complete: true, Runs: runs}}})
+}
+
+// TestUnansweredStartAfterRestart guards against starting a task elsewhere while the next
+// incarnation of its target may still carry out an earlier start order.
+func TestUnansweredStartAfterRestart(t *testing.T) {
+	for name, outcome := range map[string][]linker.Result{"no result": nil, "no answer": {{Target: "a", Task: w.TaskID{Job: "j"}, Outcome: linker.Indeterminate}}} {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1, 2, nil)
+			x.reportRuns("a")
+			x.submit(singleTaskJob("j"))
+			f := x.advance(0)
+			require.Len(t, f.Starts, 1)
+			order := f.Starts[0]
+			for _, r := range outcome {
+				r.Run = order.Run
+				x.receive(&linker.Frame{Results: []linker.Result{r}})
+			}
+			x.reportRuns("b")
+			x.advance(5 * time.Second)
+			x.restart(w.Incarnation(x.now.UnixMilli()))
+			f = x.advance(0)
+			require.Empty(t, f.Starts)
+			require.Contains(t, f.Stops, linker.Stop{Target: "a", Task: order.Task, Run: order.Run})
+			for range 4 {
+				x.reportSynced()
+				require.Empty(t, x.advance(2*time.Second).Starts)
+			}
+			x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Task: order.Task, Run: order.Run, Outcome: linker.NotStarted}}})
+			require.Len(t, x.advance(0).Starts, 1)
+		})
+	}
+}
+
+// TestRunsOfRestartedTarget guards against waiting for the result of a run that ended with
+// its target.
+func TestRunsOfRestartedTarget(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	order := x.advance(0).Starts[0]
+	x.confirmStart(order)
+	x.reportRuns("a", w.Run{Task: order.Task, Run: order.Run})
+	x.reportRuns("b")
+	x.restart(2)
+	require.Len(t, x.advance(0).Starts, 1)
+}
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		tk := &sl.step.tasks[sl.index]
-		if tk.phase == starting || c.now.Sub(tk.phaseSince) < missingRunAge {
+		if tk.phase == starting || c.now.Sub(tk.phaseSince) < missingRunAge || (sl.listedAt.IsZero() && !sl.answered) {
 			continue
 		}
 		if tk.missedLists++; tk.missedLists >= missingRunLists {
@@ -64,7 +64,8 @@
 const (
 	// A run counts as lost if it is missing from missingRunLists successive complete
 	// lists of its target and its task entered its phase at least missingRunAge ago.
-	// Before that, its start order may still be in transit.
+	// Before that, its start order may still be in transit. A run that was never listed
+	// and whose start got no answer may start at any time until its stop is answered.
 	missingRunAge   = 3 * time.Second
 	missingRunLists = 3
 )
@@ -76,7 +77,7 @@
 	if old != nil {
 		c.removeSlot(t, r.Task, old)
 	}
-	sl := &slot{run: r.Run, listedAt: c.now}
+	sl := &slot{run: r.Run, listedAt: c.now, answered: true}
 	j := c.jobs[r.Task.Job]
 	if j == nil {
 		c.addSlot(t, r.Task, sl)
@@ -327,6 +328,16 @@
 	c.sendStop(t, id, tk.run)
 }
 
+// stopSlot orders the stop of a run, again if it was ordered before.
+func (c *Coordinator) stopSlot(t *target, id w.TaskID, sl *slot) {
+	tk := &sl.step.tasks[sl.index]
+	if tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
+		c.stopTask(sl.step, sl.index)
+		return
+	}
+	c.sendStop(t, id, sl.run)
+}
+
 // sendStop queues a stop order.
 func (c *Coordinator) sendStop(t *target, id w.TaskID, run w.RunID) {
 	if t.member == nil {
@@ -359,6 +370,7 @@
 	c.Meter.ObserveDuration("start", c.now.Sub(tk.phaseSince))
 	switch r.Outcome {
 	case linker.Started:
+		sl.answered = true
 		if current && tk.phase == starting {
 			c.setPhase(s, sl.index, running)
 			tk.percent = 0
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -18,6 +18,7 @@
 	resources w.Resources
 	account   *slotAccount // what it counts for its tenant, or nil if the job is not known
 	listedAt  time.Time    // last complete list of runs that contained the run
+	answered  bool         // the start order was answered, so that no copy of it is in transit
 	stopping  bool         // a stop was ordered
 }
 
@@ -104,11 +105,13 @@
 // resetTarget discards the state that belongs to an earlier incarnation of a target.
 func (c *Coordinator) resetTarget(t *target, incarnation w.Incarnation) {
 	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
-	// A start order sent around the time of the restart may have reached the new
-	// incarnation, so its slot is kept until a list of runs shows whether it did.
-	age := time.Duration(c.now.UnixMilli()-int64(incarnation))*time.Millisecond + clockSkewMargin
 	for id, sl := range t.slots {
-		if sl.step != nil && c.now.Sub(sl.step.tasks[sl.index].phaseSince) < age {
+		if sl.step != nil && (sl.listedAt.IsZero() || !sl.answered) {
+			// Orders name the ID of a target only, so the new incarnation may still
+			// carry out a start that got no answer. After it has answered the stop, it
+			// rejects the start.
+			sl.listedAt, sl.answered = time.Time{}, false
+			c.stopSlot(t, id, sl)
 			continue
 		}
 		c.loseRun(t, id, sl)
--- a/coordinator/tenants_model_test.go
+++ b/coordinator/tenants_model_test.go
@@ -13,7 +13,7 @@
 
 // config returns the newest configuration of the model.
 func (m *model) config() *w.Config {
-	cfg := &w.Config{Version: int64(max(1, len(m.caps))), Queues: []w.Queue{{Name: testQueue, Service: "s", Attempts: 9}}}
+	cfg := &w.Config{Version: int64(max(1, len(m.caps))), Queues: []w.Queue{{Name: testQueue, Service: "s", Attempts: modelAttempts}}}
 	if m.caps != nil {
 		cfg.Tenants = []w.Tenant{{Name: "t", Weight: 1, Cap: w.Resources{CPU: m.caps[len(m.caps)-1]}}}
 	}
@@ -58,7 +58,7 @@
 		running += 1000 * int64(len(t.runs))
 	}
 	if limit := slices.Max(m.caps[version-1:]); running > limit+1000 {
-		m.t.Fatalf("a start raises the running CPU to %d, cap %d", running, limit)
+		m.fail("a start raises the running CPU to %d, cap %d", running, limit)
 	}
 }
 
