coordinator: a batch acknowledges no ends of a later incarnation

Callers saw a task run again although its end was listed as done and acknowledged, or fail more often than its attempts. Cause: a batch names the received ends by target only. If a target started again under its ID while the batch was being stored, the number of the last end of the old incarnation was acknowledged to the new one, which numbers its ends from 1. It forgot ends that nobody had read; the runs then counted as missing and their tasks started again. The same holds for a target that was removed and listed again. Change: the cursor of a batch belongs to one incarnation. The new test failed without the change: "Should be empty, but was [{a 2 1}]"; now it passes.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -43,11 +43,18 @@
 	Roster        keeper.Roster // written only if RosterChanged is set
 	RosterChanged bool
 
-	endSeqs map[w.TargetID]int64 // highest sequence number of the included run ends, by target
-	states  []linker.JobState    // published once the batch is stored
+	endSeqs map[w.TargetID]endCursor // last of the included run ends, by target
+	states  []linker.JobState        // published once the batch is stored
 	roster  roster
 }
 
+// endCursor is the highest sequence number of the run ends that were received from one
+// incarnation of a target. The next incarnation numbers its ends from 1.
+type endCursor struct {
+	incarnation w.Incarnation
+	seq         int64
+}
+
 // Empty reports whether the batch writes nothing to the store.
 func (b *Batch) Empty() bool {
 	return len(b.Progress) == 0 && len(b.Remove) == 0 && len(b.RemoveEnds) == 0 && !b.RosterChanged
@@ -73,14 +80,14 @@
 	sentCalls           map[int64]*adviceCall // advice calls that were sent and not answered, by ID
 	queuedCalls         []*adviceCall         // advice calls that were not sent yet
 
-	dirty            map[w.JobID]*job     // changed since they were last included in a batch
-	endSeqs          map[w.TargetID]int64 // highest sequence number of the received ends, for the next batch
-	unstoredStates   []linker.JobState    // published once the next batch is stored
-	expiredJobs      []w.JobID            // removed with the next batch
-	endRows          map[w.JobID]bool     // jobs with a row of keeper.TableEnds
-	expiredEnds      []w.JobID            // jobs whose such rows are removed with the next batch
-	roster           roster               // roster as last stored: targets that may be running something
-	inFlight         *Batch               // batch that is being stored, or nil
+	dirty            map[w.JobID]*job         // changed since they were last included in a batch
+	endSeqs          map[w.TargetID]endCursor // last received ends, for the next batch
+	unstoredStates   []linker.JobState        // published once the next batch is stored
+	expiredJobs      []w.JobID                // removed with the next batch
+	endRows          map[w.JobID]bool         // jobs with a row of keeper.TableEnds
+	expiredEnds      []w.JobID                // jobs whose such rows are removed with the next batch
+	roster           roster                   // roster as last stored: targets that may be running something
+	inFlight         *Batch                   // batch that is being stored, or nil
 	storeSlow        bool
 	suspended        bool
 	assignmentsStale bool
@@ -133,7 +140,7 @@
 		lastRunID:       w.FirstRunID(s.Epoch),
 		sentCalls:       make(map[int64]*adviceCall),
 		dirty:           make(map[w.JobID]*job),
-		endSeqs:         make(map[w.TargetID]int64),
+		endSeqs:         make(map[w.TargetID]endCursor),
 		roster:          make(roster),
 		permittedShares: make(map[string]float64),
 		unsynced:        make(map[w.TargetID]unsyncedTarget),
@@ -451,7 +458,7 @@
 		}
 	}
 	c.dirty = make(map[w.JobID]*job)
-	c.endSeqs = make(map[w.TargetID]int64)
+	c.endSeqs = make(map[w.TargetID]endCursor)
 	c.unstoredStates = nil
 	c.expiredJobs, c.expiredEnds = nil, nil
 	return b
@@ -464,12 +471,13 @@
 		c.roster = b.roster
 		c.generation++
 	}
-	for id, seq := range b.endSeqs {
+	for id, last := range b.endSeqs {
 		t := c.targets[id]
-		if t == nil {
+		if t == nil || t.Incarnation != last.incarnation {
 			continue
 		}
-		if seq = t.ackableSeq(seq); seq <= t.ackedSeq {
+		seq := t.ackableSeq(last.seq)
+		if seq <= t.ackedSeq {
 			continue
 		}
 		t.ackedSeq = seq
--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -66,3 +66,19 @@
 	x.restart(2)
 	require.Len(t, x.advance(0).Starts, 1)
 }
+
+// TestBatchOfEarlierIncarnationAcknowledgesNothing guards against discarding ends of a
+// restarted target unread, by the numbers of ends that its earlier incarnation listed.
+func TestBatchOfEarlierIncarnationAcknowledgesNothing(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	order := x.advance(0).Starts[0]
+	x.reportEnd("a", order, w.EndedFailed)
+	x.c.progressDue = time.Time{}
+	b := x.c.Flush()
+	require.NotNil(t, b)
+	x.restart(2)
+	x.c.Stored(b)
+	require.Empty(t, x.advance(0).Acks)
+}
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -124,7 +124,7 @@
 		return
 	}
 	t.endSeq = e.Seq
-	c.endSeqs[t.ID] = e.Seq
+	c.endSeqs[t.ID] = endCursor{t.Incarnation, e.Seq}
 	c.Meter.Count("end", e.How.String())
 	sl := t.slots[e.Task]
 	if sl != nil && sl.run == e.Run {
@@ -198,7 +198,7 @@
 	before := len(t.orphans)
 	t.orphans = slices.DeleteFunc(t.orphans, func(o orphanEnd) bool { return !keep(&o) })
 	if len(t.orphans) < before {
-		c.endSeqs[t.ID] = t.endSeq
+		c.endSeqs[t.ID] = endCursor{t.Incarnation, t.endSeq}
 	}
 }
 
