coordinator: Spread counts every run of a step on a target

Callers saw a task started beside more tasks of its step than antiAffinity allows. Cause: tasksOn counted tasks by phase and target. It left out runs that still occupied the target: those of a task that was done by an earlier run and is being stopped, and those that a new leader adopts and stops because their task runs elsewhere. Change: it counts the slots of the target, which stay until the end is listed. All users (bestTarget, fitCount and with it gang plans, bookings and preemption) follow. Evidence: both new tests failed without the change: "Should be empty, but was [{a j.0.0.1  }]" and "[{a j.0.0.1  }]"; now they pass.

--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -291,12 +291,13 @@
 	}
 }
 
-// tasksOn returns how many tasks of the step are starting, running or stopping on a
-// target.
+// tasksOn returns how many tasks of the step have a run on a target that is starting,
+// running or stopping. It includes runs that are being stopped because their task is
+// done or runs elsewhere.
 func (s *step) tasksOn(t *target) int {
 	n := 0
-	for i := range s.tasks {
-		if p := s.tasks[i].phase; s.tasks[i].target == t && p != waiting && p != finished {
+	for _, sl := range t.slots {
+		if sl.step == s {
 			n++
 		}
 	}
--- /dev/null
+++ b/coordinator/spread_test.go
@@ -0,0 +1,57 @@
+package coordinator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// spreadJob returns a job with n tasks, of which at most one may run on each target.
+func spreadJob(n int) w.Job {
+	j := singleTaskJob("j")
+	j.Steps[0].Count, j.Steps[0].Spread = n, 1
+	return j
+}
+
+// startsOn returns the start orders for a target.
+func startsOn(id w.TargetID, f *linker.Frame) (starts []linker.Start) {
+	for _, s := range f.Starts {
+		if s.Target == id {
+			starts = append(starts, s)
+		}
+	}
+	return starts
+}
+
+// TestSpreadCountsRunOfFinishedTask guards against starting a task of a step beside
+// another one whose run is still being stopped, since an earlier run of it was done.
+func TestSpreadCountsRunOfFinishedTask(t *testing.T) {
+	x := newCell(t, 2, 1, &keeper.Snapshot{Jobs: []w.Job{spreadJob(2)}, Roster: keeper.Roster{Open: []w.TargetID{"a"}}})
+	x.reportRuns("a")
+	f := x.advance(0)
+	require.Len(t, f.Starts, 1)
+	x.reportEnd("a", linker.Start{Task: f.Starts[0].Task, Run: f.Starts[0].Run - 1}, w.EndedDone)
+	f = x.advance(retryPeriod)
+	require.Len(t, f.Stops, 1)
+	require.Empty(t, f.Starts)
+	x.reportEnd("a", linker.Start{Task: f.Stops[0].Task, Run: f.Stops[0].Run}, w.EndedStopped)
+	require.Len(t, x.advance(0).Starts, 1)
+}
+
+// TestSpreadCountsStoppedDuplicate guards against starting a task of a step beside a run
+// that is being stopped since its task runs elsewhere.
+func TestSpreadCountsStoppedDuplicate(t *testing.T) {
+	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{spreadJob(2)}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
+	task := w.TaskID{Job: "j"}
+	x.reportRuns("b", w.Run{Task: task, Run: 2})
+	x.reportRuns("a", w.Run{Task: task, Run: 1})
+	f := x.advance(0)
+	require.Equal(t, []linker.Stop{{Target: "a", Task: task, Run: 1}}, f.Stops)
+	require.Empty(t, startsOn("a", f))
+	x.reportEnd("a", linker.Start{Task: task, Run: 1}, w.EndedStopped)
+	require.Len(t, startsOn("a", x.advance(0)), 1)
+}
