coordinator: stops of adopted runs are repeated by another instance

Callers saw a task work on after its job was cancelled, or beside its other run. Cause: when a target is assigned to another instance, stop orders are repeated for the slots that are marked as stopping. Runs that a new leader adopts only to stop them, as duplicates or for an ended job, were not marked, so that their stop was lost with the instance. Nor did their resources count as about to be freed. Change: all stops of slots go through stopSlot, which marks them. Evidence: TestStopOfAdoptedRunIsRepeated failed without the change, '"[]" should have 2 item(s), but has 0', and passes now.

--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -88,7 +88,7 @@
 	if s == nil {
 		sl.account = endedJobAccount(j, r.Task)
 		c.addSlot(t, r.Task, sl)
-		c.sendStop(t, r.Task, r.Run)
+		c.stopSlot(t, r.Task, sl)
 		return
 	}
 	sl.step, sl.index, sl.resources = s, r.Task.Index, s.Demand()
@@ -96,7 +96,7 @@
 	tk := &s.tasks[sl.index]
 	if j.state.Final() || tk.phase != waiting {
 		// The task already runs elsewhere or no longer needs to run.
-		c.sendStop(t, r.Task, r.Run)
+		c.stopSlot(t, r.Task, sl)
 		return
 	}
 	tk.run, tk.target, tk.percent, tk.progressedAt, tk.fullRun = r.Run, t, r.Percent, c.now, false
@@ -321,19 +321,19 @@
 	}
 	c.setPhase(s, i, stopping)
 	tk.missedLists = 0
-	if sl := t.slots[id]; sl != nil && sl.run == tk.run && !sl.stopping {
-		sl.stopping = true
-		t.stoppingResources = t.stoppingResources.Add(sl.resources)
+	if sl := t.slots[id]; sl != nil && sl.run == tk.run {
+		c.stopSlot(t, id, sl)
+		return
 	}
 	c.sendStop(t, id, tk.run)
 }
 
-// stopSlot orders the stop of a run, again if it was ordered before.
+// stopSlot orders the stop of a run, again if it was ordered before. If the target is
+// assigned to another instance, the order is repeated.
 func (c *Coordinator) stopSlot(t *target, id w.TaskID, sl *slot) {
-	tk := &sl.step.tasks[sl.index]
-	if tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
-		c.stopTask(sl.step, sl.index)
-		return
+	if !sl.stopping {
+		sl.stopping = true
+		t.stoppingResources = t.stoppingResources.Add(sl.resources)
 	}
 	c.sendStop(t, id, sl.run)
 }
--- a/coordinator/spread_test.go
+++ b/coordinator/spread_test.go
@@ -55,3 +55,16 @@
 	x.reportEnd("a", linker.Start{Task: task, Run: 1}, w.EndedStopped)
 	require.Len(t, startsOn("a", x.advance(0)), 1)
 }
+
+// TestStopOfAdoptedRunIsRepeated guards against a duplicate, or a run of a cancelled job,
+// that works on because the instance that was to stop it is gone.
+func TestStopOfAdoptedRunIsRepeated(t *testing.T) {
+	snap := &keeper.Snapshot{Jobs: []w.Job{spreadJob(1), singleTaskJob("k")}, Cancelled: map[w.JobID]bool{"k": true}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}}
+	x := newCell(t, 2, 2, snap)
+	x.reportRuns("b", w.Run{Task: w.TaskID{Job: "j"}, Run: 2})
+	x.reportRuns("a", w.Run{Task: w.TaskID{Job: "j"}, Run: 1}, w.Run{Task: w.TaskID{Job: "k"}, Run: 3})
+	require.Len(t, x.advance(0).Stops, 2)
+	x.c.Leave("other")
+	x.c.Join(&linker.Hello{Instance: "other"})
+	require.Len(t, x.advance(0).Stops, 2)
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -111,7 +111,11 @@
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
 			sl.listedAt, sl.answered = time.Time{}, false
-			c.stopSlot(t, id, sl)
+			if tk := &sl.step.tasks[sl.index]; tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
+				c.stopTask(sl.step, sl.index)
+			} else {
+				c.stopSlot(t, id, sl)
+			}
 			continue
 		}
 		c.loseRun(t, id, sl)
