--- a/executor/caller.go
+++ b/executor/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/masticlead/masticlead/linker"
@@ -58,8 +59,13 @@
 	Token  string // opaque; passed in StartRequest.Ticket
 }
 
+// ErrClosed reports that a target closed or refused the connection of a request, as it
+// does when its process has ended.
+var ErrClosed = errors.New("executor: connection closed or refused by the target")
+
 // TargetClient sends requests to targets and to the advice service. Its methods
-// return an error if no reply arrives.
+// return an error if no reply arrives, which wraps ErrClosed if the target closed or
+// refused the connection.
 type TargetClient interface {
 	Start(ctx context.Context, t Target, req *StartRequest) (Reply, error)
 	Stop(ctx context.Context, t Target, task w.TaskID, run w.RunID, epoch w.Epoch) (Reply, error)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -227,3 +228,24 @@
 	require.Zero(t, first, "the target has not confirmed its incarnation to this session")
 	require.Equal(t, int64(57), s.nextCursor(t))
 }
+
+// hasReport reports whether one of the reports fulfils a condition.
+func (c *frameRecorder) hasReport(ok func(*linker.Report) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.received.Reports {
+		if ok(&c.received.Reports[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestClosedConnectionIsReported guards against a crashed target that can't be told from
+// one that is slow or cut off.
+func TestClosedConnectionIsReported(t *testing.T) {
+	for _, err := range []error{fmt.Errorf("hold: %w", ErrClosed), context.DeadlineExceeded} {
+		_, f := startExecutor(t, &fakeTargetClient{holdErr: err})
+		require.True(t, f.hasReport(func(r *linker.Report) bool { return r.Unreachable && r.Closed == errors.Is(err, ErrClosed) }), "%v", err)
+	}
+}
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -148,7 +149,9 @@
 			s.mu.Unlock()
 			s.e.Log.Debug("hold request failed", "target", s.target.ID, "error", err)
 			s.e.enqueue(func(f *linker.Frame) {
-				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true})
+				f.Reports = append(f.Reports, linker.Report{
+					Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true, Closed: errors.Is(err, ErrClosed),
+				})
 			})
 			s.sleep(retryDelay)
 			continue
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -104,6 +104,7 @@
 	Runs        []w.Run
 	Complete    bool // Runs lists all runs on the target
 	Unreachable bool // the last hold request failed
+	Closed      bool // set with Unreachable if the target closed or refused the connection
 	Gone        bool // the target answered with another incarnation
 	Latency     time.Duration
 }
