coordinator: give up tasks under which targets crash

Cause: a run that ended with its target left no mark on its task. A failed run counts, a lost one does not, and no later leader knew of it. Change: the runs that had just started on a target when it crashed are suspects. The mark is kept with the progress of the job. A suspect starts again alone: nothing else has just started on its target, and nothing starts there until it has survived, which a report 0.2 s after the start shows. Its next run is stored before it starts, so that it counts even if the leader is lost. A task under which two targets have crashed, the second one without another suspect, fails its job; a survivor is cleared. Losses at the same time as one of a target on which nothing had started are no evidence. A target whose machine runs a later one has ended, so its runs are lost at once. Ruled out: that the innocent are told apart by their age alone; with two tasks that start at the same time, TestNeighbourOfCrashingTaskCompletes needs the second start alone. Evidence: without recordCrash, TestCrashingTaskIsGivenUp fails with "4 is not less than or equal to 3" starts, TestNeighbourOfCrashingTaskCompletes, TestCrashesOutlive- Leader and TestSuspectStartsOnceStored fail. TestRunsOfRestartedTarget lets its run survive before the restart, since one that has just started is now a suspect.

--- /dev/null
+++ b/blamer/blamer.go
@@ -0,0 +1,69 @@
+// Package blamer attributes the losses of targets to the work that had just started on
+// them. It reads no clock.
+package blamer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// commonWindow is the time between two losses up to which they may have the same
+	// cause.
+	commonWindow = 300 * time.Millisecond
+	// retention is the time for which a loss counts.
+	retention = 8 * time.Second
+)
+
+// Loss is the loss of a target.
+type Loss struct {
+	Target string
+	Pool   string // service of the target
+	At     time.Time
+	// Blame is the share of each kind of work in the runs that had just started on the
+	// target. It is empty if there were none; otherwise its sum is 1.
+	Blame map[string]float64
+}
+
+// Ledger holds the losses of the last seconds, in the order of their times. Its zero
+// value is empty.
+type Ledger struct {
+	losses []Loss
+}
+
+// Add records a loss, unless one of the same target is recorded.
+func (l *Ledger) Add(loss Loss) {
+	if !slices.ContainsFunc(l.losses, func(o Loss) bool { return o.Target == loss.Target }) {
+		l.losses = append(l.losses, loss)
+	}
+}
+
+// Retract removes the loss of a target that turned out not to be lost.
+func (l *Ledger) Retract(target string) {
+	l.losses = slices.DeleteFunc(l.losses, func(o Loss) bool { return o.Target == target })
+}
+
+// Expire removes the losses that no longer count.
+func (l *Ledger) Expire(now time.Time) {
+	l.losses = slices.DeleteFunc(l.losses, func(o Loss) bool { return now.Sub(o.At) > retention })
+}
+
+// Common reports whether a loss at the given time probably has a cause outside the runs
+// on its target, such as a failed rack: another target was lost at about the same time on
+// which nothing had just started.
+func (l *Ledger) Common(at time.Time) bool {
+	return slices.ContainsFunc(l.losses, func(o Loss) bool {
+		return len(o.Blame) == 0 && o.At.Sub(at).Abs() <= commonWindow
+	})
+}
+
+// Recent returns the number of blamed losses in a pool since the given time.
+func (l *Ledger) Recent(pool string, since time.Time) int {
+	n := 0
+	for i := range l.losses {
+		if o := &l.losses[i]; o.Pool == pool && len(o.Blame) > 0 && !o.At.Before(since) {
+			n++
+		}
+	}
+	return n
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"github.com/masticlead/masticlead/blamer"
 	"github.com/masticlead/masticlead/delayer"
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
@@ -46,6 +47,20 @@
 	endSeqs map[w.TargetID]endSeq // highest sequence number of the included run ends, by target
 	states  []linker.JobState     // published once the batch is stored
 	roster  roster
+	// suspicions holds, for the included jobs, the number of changes of their crash
+	// records.
+	suspicions map[w.JobID]int
+}
+
+func (b *Batch) addProgress(j *job) {
+	b.Progress = append(b.Progress, j.progress())
+	if j.suspicions == j.suspicionsStored {
+		return
+	}
+	if b.suspicions == nil {
+		b.suspicions = make(map[w.JobID]int)
+	}
+	b.suspicions[j.ID] = j.suspicions
 }
 
 // endSeq is the sequence number of an end. Each incarnation of a target numbers its ends
@@ -126,6 +141,11 @@
 	tenants       tenancy
 	admission     *admission
 	delays        delayer.Policy // decides whether work waits for a place near its data
+
+	losses      blamer.Ledger
+	probing     []*target      // targets with a probe
+	riskBudgets map[string]int // further starts under suspicion that are allowed, by service
+	riskDue     time.Time
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -153,6 +173,7 @@
 		delays:          delayer.New(),
 		speedRatios:     make(map[ratioKey]*speedRatio),
 		speeds:          make(map[string]*serviceSpeeds),
+		riskBudgets:     make(map[string]int),
 	}
 	c.tenants.init(s.QuotaExcess)
 	return c
@@ -340,6 +361,7 @@
 		c.assignTargets()
 	}
 	c.stopStalledRuns()
+	c.checkProbes()
 	c.placeSteps()
 	c.dispatchAdviceCalls()
 	if !now.Before(c.pendingDue) {
@@ -435,7 +457,7 @@
 	c.unstoredStates = nil
 	for _, s := range b.states {
 		if j := c.dirty[s.Job]; j != nil && j.state.Final() {
-			b.Progress = append(b.Progress, j.progress())
+			b.addProgress(j)
 			delete(c.dirty, s.Job)
 		}
 	}
@@ -447,7 +469,7 @@
 	c.progressDue = c.now.Add(progressPeriod)
 	b := &Batch{endSeqs: c.endSeqs, states: c.unstoredStates, Remove: c.expiredJobs, RemoveEnds: c.expiredEnds}
 	for _, j := range c.dirty {
-		b.Progress = append(b.Progress, j.progress())
+		b.addProgress(j)
 	}
 	if !c.now.Before(c.rosterDue) {
 		// Until it is updated, the roster lists too many targets, which is safe.
@@ -471,6 +493,12 @@
 		c.roster = b.roster
 		c.generation++
 	}
+	for id, n := range b.suspicions {
+		if j := c.jobs[id]; j != nil {
+			j.suspicionsStored = n
+			c.generation++
+		}
+	}
 	for id, stored := range b.endSeqs {
 		t := c.targets[id]
 		if t == nil || t.Incarnation != stored.incarnation {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -70,13 +70,21 @@
 
 // reportRuns reports a complete list of the runs on a target.
 func (x *testCell) reportRuns(id w.TargetID, runs ...w.Run) {
-	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: 1, Complete: true, Runs: runs}}})
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: x.incarnation(id), Complete: true, Runs: runs}}})
+}
+
+// incarnation returns the incarnation of a target: 1, unless it was replaced.
+func (x *testCell) incarnation(id w.TargetID) w.Incarnation {
+	if t := x.c.targets[id]; t != nil && t.Incarnation > 1 {
+		return t.Incarnation
+	}
+	return 1
 }
 
 // reportEnd reports the end of a run.
 func (x *testCell) reportEnd(id w.TargetID, s linker.Start, how w.Ending) {
 	x.seq[id]++
-	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: 1, Ends: []w.End{
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: x.incarnation(id), Ends: []w.End{
 		{Seq: x.seq[id], Task: s.Task, Run: s.Run, How: how},
 	}}}})
 }
--- /dev/null
+++ b/coordinator/crash_test.go
@@ -0,0 +1,186 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
+	w "github.com/masticlead/masticlead/workload"
+)
+
+// syncTargets reports that targets are alive and run what the coordinator believes.
+func (x *testCell) syncTargets() {
+	for id, t := range x.c.targets {
+		if !t.health.unreachable && t.listed {
+			runs := make([]w.Run, 0, len(t.slots))
+			for task, sl := range t.slots {
+				runs = append(runs, w.Run{Task: task, Run: sl.run})
+			}
+			x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: t.Incarnation, Complete: true, Runs: runs}}})
+		}
+	}
+}
+
+// startsOf advances until a task of the job is ordered to start, for at most the given
+// time, and confirms the starts of that frame.
+func (x *testCell) startsOf(id w.JobID, within time.Duration) []linker.Start {
+	for range within / (50 * time.Millisecond) {
+		f := x.advance(50 * time.Millisecond)
+		x.syncTargets()
+		var list []linker.Start
+		if f != nil {
+			for _, s := range f.Starts {
+				x.confirmStart(s)
+				if s.Task.Job == id {
+					list = append(list, s)
+				}
+			}
+		}
+		if len(list) > 0 {
+			return list
+		}
+	}
+	return nil
+}
+
+// crash lets a target close its connection, and its machine return with a new target
+// after 3 s.
+func (x *testCell) crash(id w.TargetID) {
+	t := x.c.targets[id]
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: t.Incarnation, Unreachable: true, Closed: true}}})
+	for range 30 {
+		require.Empty(x.t, x.advance(100*time.Millisecond).Starts, "nothing starts again before the crash is certain")
+		x.syncTargets()
+	}
+	var list []w.Target
+	for other, o := range x.c.targets {
+		if o.listed && other != id {
+			list = append(list, o.Target)
+		}
+	}
+	next := t.Target
+	next.ID, next.Incarnation = id+"'", t.Incarnation+1
+	x.c.SetTargets(append(list, next), true, x.now)
+	x.syncTargets()
+}
+
+// newCrashCell returns a cell of n targets on machines of their own.
+func newCrashCell(t *testing.T, epoch w.Epoch, n int, snap *keeper.Snapshot) *testCell {
+	x := newCell(t, epoch, n, snap)
+	list := make([]w.Target, 0, n)
+	for _, o := range x.c.sortedTargets {
+		o.Machine = "m-" + string(o.ID)
+		list = append(list, o.Target)
+	}
+	x.c.SetTargets(list, true, x.now)
+	x.syncTargets()
+	x.advance(0)
+	return x
+}
+
+// Guards against a task that crashes target after target.
+func TestCrashingTaskIsGivenUp(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		x := newCrashCell(t, 1, 6, nil)
+		j := singleTaskJob("bad")
+		if gang {
+			j.Steps[0].Gang, j.Steps[0].Count = true, 2
+		}
+		x.submit(j)
+		starts := 0
+		for x.jobState("bad") != w.Failed {
+			list := x.startsOf("bad", 10*time.Second)
+			require.NotEmpty(t, list, "a suspect starts again")
+			starts++
+			require.LessOrEqual(t, starts, 3, "gang %v", gang)
+			x.crash(list[0].Target)
+		}
+		require.Equal(t, 2, starts, "gang %v", gang)
+	}
+}
+
+// Guards against jobs that fail because of a neighbour that crashes their targets.
+func TestNeighbourOfCrashingTaskCompletes(t *testing.T) {
+	x := newCrashCell(t, 1, 4, nil)
+	x.submit(singleTaskJob("bad"))
+	x.submit(singleTaskJob("good"))
+	bad := x.startsOf("bad", time.Second)
+	require.Len(t, bad, 1)
+	require.Same(t, x.c.jobs["bad"].occurrences[0].steps[0].tasks[0].target, x.c.jobs["good"].occurrences[0].steps[0].tasks[0].target)
+	x.crash(bad[0].Target)
+
+	var good []linker.Start
+	bad = x.startsOf("bad", time.Second)
+	require.Len(t, bad, 1)
+	for task, run := range map[w.JobID]*[]linker.Start{"good": &good} {
+		tk := &x.c.jobs[task].occurrences[0].steps[0].tasks[0]
+		require.NotNil(t, tk.target, "the neighbour starts again at the same time, elsewhere")
+		*run = []linker.Start{{Target: tk.target.ID, Task: x.c.jobs[task].occurrences[0].steps[0].id(0), Run: tk.run}}
+	}
+	require.NotEqual(t, bad[0].Target, good[0].Target)
+	x.crash(bad[0].Target)
+	require.Equal(t, w.Failed, x.jobState("bad"))
+	require.False(t, x.c.jobs["good"].occurrences[0].steps[0].tasks[0].suspect(), "it has survived its start")
+	x.reportEnd(good[0].Target, good[0], w.EndedDone)
+	require.Equal(t, w.Completed, x.jobState("good"))
+}
+
+// Guards against a new leader that begins to count crashes at zero.
+func TestCrashesOutliveLeader(t *testing.T) {
+	x := newCrashCell(t, 1, 4, nil)
+	j := singleTaskJob("bad")
+	x.submit(j)
+	x.crash(x.startsOf("bad", time.Second)[0].Target)
+	x.c.dirty[j.ID] = x.c.jobs[j.ID]
+	p := x.c.jobs[j.ID].progress()
+	require.Len(t, p.Steps, 1)
+
+	y := newCrashCell(t, 2, 4, &keeper.Snapshot{Jobs: []w.Job{j}, Progress: map[w.JobID]keeper.Progress{j.ID: p}})
+	y.crash(y.startsOf("bad", 20*time.Second)[0].Target)
+	require.Equal(t, w.Failed, y.jobState("bad"))
+}
+
+// Guards against a start that no later leader would know of.
+func TestSuspectStartsOnceStored(t *testing.T) {
+	x := newCrashCell(t, 1, 4, nil)
+	x.submit(singleTaskJob("bad"))
+	x.crash(x.startsOf("bad", time.Second)[0].Target)
+	r := x.c.jobs["bad"].occurrences[0].steps[0].crashes(0)
+	x.startsOf("other", 100*time.Millisecond)
+	require.Len(t, r.unclear, 1, "the next run is stored before it starts")
+	require.Equal(t, x.c.jobs["bad"].suspicions, x.c.jobs["bad"].suspicionsStored)
+
+	s := x.c.jobs["bad"].occurrences[0].steps[0]
+	s.job.suspicions++
+	require.False(t, x.c.retryReady(s, &crashRecord{crashed: []w.RunID{1}}))
+}
+
+// Guards against work that is blamed for the failure of a rack.
+func TestFailedRackIsNoEvidence(t *testing.T) {
+	x := newCrashCell(t, 1, 3, nil)
+	x.submit(singleTaskJob("j"))
+	s := x.startsOf("j", time.Second)[0]
+	for _, o := range x.c.sortedTargets {
+		if o.ID != s.Target && o.ID != "c" {
+			x.receive(&linker.Frame{Reports: []linker.Report{{Target: o.ID, Incarnation: 1, Unreachable: true, Closed: true}}})
+		}
+	}
+	x.crash(s.Target)
+	require.False(t, x.c.jobs["j"].occurrences[0].steps[0].tasks[0].suspect())
+	require.NotEmpty(t, x.startsOf("j", time.Second))
+}
+
+// Guards against runs that wait for the lease of a target whose machine is back.
+func TestReplacedTargetLosesItsRuns(t *testing.T) {
+	x := newCrashCell(t, 1, 2, nil)
+	x.submit(singleTaskJob("j"))
+	s := x.startsOf("j", time.Second)[0]
+	x.startsOf("none", time.Second) // it survives its start
+	x.crash(s.Target)
+	again := x.startsOf("j", 200*time.Millisecond)
+	require.Len(t, again, 1, "at once, not after the lease of 6 s")
+	require.False(t, again[0].Probe)
+}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -28,7 +28,7 @@
 	var list []gangShare
 	sum := 0
 	for _, t := range targets {
-		if !permitted(t) || !c.eligible(s, t) {
+		if !permitted(t) || !c.eligible(s, t) || (s.probe && len(t.suspects()) > 0) {
 			continue
 		}
 		if n := s.fitCount(t, resources(t)); n > 0 {
@@ -86,6 +86,10 @@
 	if s.waiting < s.Count || c.now.Sub(s.plannedAt) < c.gangRetryPeriod(s, timing) || !c.capAllows(s) {
 		return
 	}
+	var wait bool
+	if s.probe, wait = c.probes(s, 0); wait || (s.probe && c.riskBudgets[c.serviceOf(s.job)] <= 0) {
+		return
+	}
 	s.plannedAt = c.now
 	targets := c.candidates(s, timing != nil)
 	ticketed := func(margin time.Duration) func(*target) bool {
@@ -215,7 +219,7 @@
 	c.cancelBookingAndNominations(s)
 	s.spreadOut = s.OneRack && !oneRack(plan)
 	c.endWait(s, 0, !s.spreadOut)
-	c.lastRunID++
+	run := c.nextRun(s, 0)
 	// All members start from the same checkpoint, the latest one.
 	checkpoint := ""
 	for i := range s.tasks {
@@ -223,11 +227,14 @@
 			checkpoint = s.tasks[i].checkpoint
 		}
 	}
+	if s.probe {
+		c.riskBudgets[c.serviceOf(s.job)] -= len(plan)
+	}
 	i := 0
 	for _, sh := range plan {
 		for range sh.tasks {
 			s.tasks[i].checkpoint = checkpoint
-			c.startRun(s, i, sh.target, c.lastRunID)
+			c.startRun(s, i, sh.target, run, s.probe)
 			i++
 		}
 	}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -36,6 +36,7 @@
 	missedLists  int       // consecutive complete lists without the run
 	preemptions  int       // number of runs that were preempted
 	waitLogged   bool      // its wait for a near target was logged
+	crashRecord
 }
 
 // step is a step of one occurrence of a job.
@@ -72,6 +73,9 @@
 	expectedRunTime    time.Duration // estimated run time of a task, including backfillMargin
 	runTimeEstimatedAt time.Time     // when expectedRunTime was computed
 	account            slotAccount   // what a run of a task counts for the tenant
+	probe              bool          // the gang starts as a probe
+	probesMissing      int           // probes for which there was no target in the last placement round
+	held               int           // tasks that were kept from starting in the last placement round, see probes
 	capHeld            bool          // its tenant's cap kept it from starting in the last placement round
 	localityState
 }
@@ -104,6 +108,8 @@
 	endedAt             time.Time
 	queue               *w.Queue     // cached queue of the job, or nil
 	queueConfig         *w.Config    // configuration for which queue was looked up
+	suspicions          int          // changes of its crash records
+	suspicionsStored    int          // changes of its crash records that are in the store
 	excess              bool         // beyond its tenant's rate
 	tenantState         *tenantState // cached state of the tenant, or nil
 }
@@ -241,6 +247,8 @@
 			tk := &s.tasks[i]
 			tk.failedRuns = sp.FailedRuns[i]
 			tk.checkpoint = sp.Checkpoints[i]
+			tk.crashed, tk.unclear = sp.CrashedRuns[i], sp.UnclearRuns[i]
+			tk.retryAt = c.now.Add(tk.pause())
 			if sp.Done(i) {
 				tk.phase = finished
 				s.done++
@@ -264,13 +272,16 @@
 			var sp *keeper.StepProgress
 			for i := range s.tasks {
 				tk := &s.tasks[i]
-				if tk.phase != finished && len(tk.failedRuns) == 0 && tk.checkpoint == "" {
+				if tk.phase != finished && len(tk.failedRuns) == 0 && tk.checkpoint == "" && !tk.suspect() {
 					continue
 				}
 				if sp == nil {
 					sp = p.AddStep(o.index, s.index)
 				}
 				sp.SetTask(i, tk.phase == finished, tk.failedRuns, tk.checkpoint)
+				if tk.phase != finished {
+					sp.SetCrashes(i, tk.crashed, tk.unclear)
+				}
 			}
 		}
 	}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -71,6 +71,7 @@
 	c.updateTargetSummary()
 	c.updateSpeeds()
 	c.updateReserves()
+	c.updateRisk()
 	generation := c.generation + int64(c.now.Sub(c.startedAt)/retryPeriod)
 	fullPass := !c.now.Before(c.fullPassDue)
 	if fullPass {
@@ -179,21 +180,19 @@
 		c.placeGang(s, timing)
 		return
 	}
-	s.nearWaits = 0
+	s.nearWaits, s.held, s.probesMissing = 0, 0, 0
 	if s.Demand().Fits(c.maxFree) {
 		c.placeTasks(s, timing != nil)
+	} else {
+		c.holdProbes(s)
 	}
-	if s.waiting == s.nearWaits {
-		return
-	}
-	n := min(c.capRoom(s), s.waiting-s.nearWaits)
-	if n == 0 {
-		return
+	n := min(c.capRoom(s), s.waiting-s.nearWaits-s.held)
+	if timing != nil && (n > 0 || s.probesMissing > 0) {
+		c.refreshAdvice(s, timing, n+s.probesMissing)
 	}
-	if timing != nil {
-		c.refreshAdvice(s, timing, n)
+	if n > 0 {
+		c.preemptFor(s, timing != nil, n)
 	}
-	c.preemptFor(s, timing != nil, n)
 }
 
 // placeTasks starts waiting tasks of a step until no target is found for one.
@@ -205,6 +204,18 @@
 		if !c.capAllows(s) {
 			return
 		}
+		if probe, wait := c.probes(s, i); probe {
+			switch {
+			case wait:
+				s.held++
+			case c.placeProbe(s, i, needsAdvice):
+				s.held++
+				s.probesMissing++
+			case s.tasks[i].phase == waiting:
+				s.held++
+			}
+			continue
+		}
 		t := c.bestTarget(s, i, needsAdvice)
 		if t == nil {
 			return
@@ -224,7 +235,7 @@
 		// within seconds, so the two never share a target.
 		return false
 	}
-	return t.usableInRound && t.Service == c.serviceOf(s.job) && c.reserveAdmits(s, t) &&
+	return t.usableInRound && t.probe == nil && t.Service == c.serviceOf(s.job) && c.reserveAdmits(s, t) &&
 		(s.Label == "" || slices.Contains(t.Labels, s.Label)) && !c.blockedByNomination(s, t)
 }
 
@@ -351,11 +362,12 @@
 func (c *Coordinator) startTask(s *step, i int, t *target) {
 	c.endWait(s, i, s.near(t))
 	c.lastRunID++
-	c.startRun(s, i, t, c.lastRunID)
+	c.startRun(s, i, t, c.lastRunID, false)
 }
 
-// startRun allocates the resources of a run and queues its start order.
-func (c *Coordinator) startRun(s *step, i int, t *target, run w.RunID) {
+// startRun allocates the resources of a run and queues its start order. While a probe has
+// not survived its start, nothing else starts on its target.
+func (c *Coordinator) startRun(s *step, i int, t *target, run w.RunID, probe bool) {
 	tk := &s.tasks[i]
 	id := s.id(i)
 	tk.run, tk.target, tk.percent, tk.missedLists, tk.fullRun = run, t, 0, 0, tk.checkpoint == ""
@@ -365,8 +377,11 @@
 		s.job.stats.firstOrderAt = c.now
 		c.Meter.ObserveDuration("placement", c.now.Sub(s.readyAt))
 	}
-	c.addSlot(t, id, &slot{step: s, index: i, run: run, resources: s.Demand()})
-	order := linker.Start{Target: t.ID, Task: id, Run: run, Checkpoint: tk.checkpoint}
+	c.addSlot(t, id, &slot{step: s, index: i, run: run, resources: s.Demand(), orderedAt: c.now})
+	order := linker.Start{Target: t.ID, Task: id, Run: run, Checkpoint: tk.checkpoint, Probe: probe}
+	if probe {
+		c.probeOn(t, t.slots[id])
+	}
 	if a := s.advice[t.ID]; a != nil {
 		order.Ticket = a.ticket
 	}
--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -61,6 +61,7 @@
 	x.submit(singleTaskJob("j"))
 	order := x.advance(0).Starts[0]
 	x.confirmStart(order)
+	x.advance(survivalTime)
 	x.reportRuns("a", w.Run{Task: order.Task, Run: order.Run})
 	x.reportRuns("b")
 	x.restart(2)
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -20,6 +20,9 @@
 			continue
 		}
 		sl.listedAt = c.now
+		if sl.startedAt.IsZero() && sl.run == r.Run {
+			sl.startedAt = c.now
+		}
 		if sl.step == nil || sl.run != r.Run {
 			continue
 		}
@@ -77,7 +80,7 @@
 	if old != nil {
 		c.removeSlot(t, r.Task, old)
 	}
-	sl := &slot{run: r.Run, listedAt: c.now, answered: true}
+	sl := &slot{run: r.Run, listedAt: c.now, orderedAt: c.now, startedAt: c.now, answered: true}
 	j := c.jobs[r.Task.Job]
 	if j == nil {
 		c.addSlot(t, r.Task, sl)
@@ -108,6 +111,9 @@
 	}
 	c.setPhase(s, sl.index, running)
 	c.markStarted(j)
+	if slices.Contains(s.crashes(sl.index).unclear, r.Run) {
+		c.probeOn(t, sl)
+	}
 }
 
 func (j *job) step(id w.TaskID) *step {
@@ -220,6 +226,7 @@
 	if tk.phase == finished {
 		return
 	}
+	c.removeUnclear(s, e.Task.Index, e.Run)
 	if s.Saves && e.Checkpoint != "" && (current || tk.phase == waiting) {
 		tk.checkpoint = e.Checkpoint
 		c.dirty[j.ID] = j
@@ -243,6 +250,7 @@
 		}
 		c.taskDone(s, e.Task.Index)
 	case w.EndedFailed:
+		c.clearSuspicion(s, e.Task.Index)
 		c.recordTaskFailure(t, s, e, current)
 	default:
 		if current {
@@ -374,6 +382,10 @@
 	switch r.Outcome {
 	case linker.Started:
 		sl.answered = true
+		c.recordAnswer(t)
+		if sl.startedAt.IsZero() {
+			sl.startedAt = c.now
+		}
 		if current && tk.phase == starting {
 			c.setPhase(s, sl.index, running)
 			tk.percent = 0
@@ -400,6 +412,7 @@
 		c.removeSlot(t, r.Task, sl)
 		return
 	}
+	c.removeUnclear(s, sl.index, r.Run)
 	c.loseRun(t, r.Task, sl, r.Outcome.String())
 	if current {
 		tk.avoid = t
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -20,6 +20,8 @@
 	listedAt  time.Time    // last complete list of runs that contained the run
 	answered  bool         // the start order was answered, so that no copy of it is in transit
 	stopping  bool         // a stop was ordered
+	orderedAt time.Time    // when its start was ordered or, for a run that was found, when it was found
+	startedAt time.Time    // when the target was first known to have started it
 }
 
 type target struct {
@@ -32,8 +34,12 @@
 	member            *member
 	listed            bool      // on the platform's current list of targets
 	synced            bool      // this coordinator has received a complete list of its runs
+	replaced          bool      // its machine runs a later target
 	leaseExpired      bool      // its lease has certainly expired and its slots were released
 	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
+	answeredAt        time.Time // last answer of the target to any request
+	closedAt          time.Time // when it closed its connection, or its loss was noticed, if it has not answered since
+	probe             *slot     // run that started under suspicion, or nil, see probeOn
 	endSeq            int64     // highest sequence number of a received end
 	ackedSeq          int64     // highest acknowledged sequence number
 	health            health
@@ -55,7 +61,7 @@
 
 // usable reports whether new tasks may be placed on a target.
 func (c *Coordinator) usable(t *target) bool {
-	return t.listed && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
+	return t.listed && !t.replaced && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
 		!t.health.unreachable && c.rosterAllowsStarts(t.ID) && !c.now.Before(t.health.quarantinedUntil)
 }
 
@@ -93,6 +99,7 @@
 		t.listed = true
 		t.leaseExpired = false
 	}
+	c.releaseReplaced()
 	for _, t := range c.sortedTargets {
 		if complete && t.listed && !listed[t.ID] {
 			t.listed = false
@@ -102,9 +109,32 @@
 	slices.SortFunc(c.sortedTargets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
 
+// releaseReplaced frees the slots of the targets that don't answer and whose machines run
+// a later target, since a machine runs one target at a time.
+func (c *Coordinator) releaseReplaced() {
+	latest := make(map[string]*target, len(c.sortedTargets))
+	for _, t := range c.sortedTargets {
+		if l := latest[t.Machine]; t.Machine != "" && (l == nil || t.Incarnation > l.Incarnation) {
+			latest[t.Machine] = t
+		}
+	}
+	for _, t := range c.sortedTargets {
+		l := latest[t.Machine]
+		if l == nil || l.Incarnation == t.Incarnation || !t.health.unreachable || t.replaced {
+			continue
+		}
+		t.replaced = true
+		t.synced = false
+		c.Log.Info("target replaced on its machine", "target", t.ID, "by", l.ID, "machine", t.Machine, "slots", len(t.slots), "silent", c.now.Sub(t.reportedAt))
+		c.recordCrash(t, true)
+		c.releaseSlots(t, "replaced")
+	}
+}
+
 // resetTarget discards the state that belongs to an earlier incarnation of a target.
 func (c *Coordinator) resetTarget(t *target, incarnation w.Incarnation) {
 	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
+	c.recordCrash(t, true)
 	for id, sl := range t.slots {
 		if sl.step != nil && (sl.listedAt.IsZero() || !sl.answered) {
 			// Orders name the ID of a target only, so the new incarnation may still
@@ -134,6 +164,7 @@
 	t.endSeq, t.ackedSeq, t.orphans = 0, 0, nil
 	delete(c.endSeqs, t.ID)
 	t.synced = false
+	t.closedAt, t.answeredAt = time.Time{}, time.Time{}
 	t.health = health{}
 	t.speed.Restart()
 	t.reportedAt = c.now
@@ -144,9 +175,9 @@
 const clockSkewMargin = 1500 * time.Millisecond
 
 // releaseSlots frees all slots of a target whose runs have certainly ended.
-func (c *Coordinator) releaseSlots(t *target) {
+func (c *Coordinator) releaseSlots(t *target, reason string) {
 	for id, sl := range t.slots {
-		c.loseRun(t, id, sl, "lapsed")
+		c.loseRun(t, id, sl, reason)
 	}
 	delete(c.unsynced, t.ID)
 	c.generation++
@@ -233,10 +264,13 @@
 		}
 		t.leaseExpired = true
 		t.synced = false
+		if !t.replaced {
+			c.recordCrash(t, false)
+		}
 		if len(t.slots) > 0 {
 			c.Log.Warn("target lapsed", "target", t.ID, "slots", len(t.slots), "silent", c.now.Sub(t.reportedAt))
 		}
-		c.releaseSlots(t)
+		c.releaseSlots(t, "lapsed")
 	}
 	kept := c.sortedTargets[:0]
 	for _, t := range c.sortedTargets {
@@ -281,6 +315,9 @@
 		return
 	}
 	if r.Unreachable {
+		if r.Closed {
+			c.recordClosed(t)
+		}
 		if !t.health.unreachable {
 			t.health.unreachable = true
 			c.Log.Warn("target unreachable", "target", t.ID, "slots", len(t.slots))
@@ -293,6 +330,7 @@
 		c.Log.Info("target reachable again", "target", t.ID)
 	}
 	t.reportedAt = c.now
+	c.recordAnswer(t)
 	t.leaseExpired = false
 	for i := range r.Ends {
 		c.handleEnd(t, &r.Ends[i])
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -249,3 +249,14 @@
 		require.True(t, f.hasReport(func(r *linker.Report) bool { return r.Unreachable && r.Closed == errors.Is(err, ErrClosed) }), "%v", err)
 	}
 }
+
+// TestProbeIsFollowedByReport guards against a probe that keeps its target from other work
+// until the next list of runs.
+func TestProbeIsFollowedByReport(t *testing.T) {
+	s := &fakeTargetClient{startReply: func(int) (Reply, error) { return Reply{Outcome: linker.Started, Clock: 5}, nil }, holdReply: HoldReply{Clock: 5, Incarnation: 1}}
+	e, f := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 7, Probe: true}}})
+	require.Eventually(t, func() bool {
+		return f.hasReport(func(r *linker.Report) bool { return !r.Complete && !r.Unreachable && len(r.Ends) == 0 })
+	}, 5*time.Second, 5*time.Millisecond)
+}
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -30,6 +30,9 @@
 	// startTTL is the time on the target's clock after which the target rejects a
 	// start request that it has not begun to carry out.
 	startTTL = 2 * time.Second
+	// probeDelay is the time after the start of a probe at which the target is asked
+	// whether it is alive.
+	probeDelay = 200 * time.Millisecond
 	// fullReportInterval is the least time between two reports to the coordinator
 	// that list all runs of a target.
 	fullReportInterval = 400 * time.Millisecond
@@ -287,11 +290,30 @@
 	s.e.enqueue(func(f *linker.Frame) {
 		f.Results = append(f.Results, linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: outcome})
 	})
-	if outcome == linker.Indeterminate {
+	switch {
+	case outcome == linker.Indeterminate:
 		s.stopUntilAnswered(order.Task, order.Run)
+	case outcome == linker.Started && order.Probe:
+		s.reportAlive()
 	}
 }
 
+// reportAlive reports after probeDelay whether the target still answers.
+func (s *targetSession) reportAlive() {
+	s.sleep(probeDelay)
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	reply, err := s.e.TargetClient.Hold(ctx, s.target, &HoldRequest{Epoch: s.e.currentEpoch()})
+	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation}
+	switch {
+	case err != nil && !errors.Is(err, ErrClosed), reply.Incarnation != 0 && reply.Incarnation != s.incarnation:
+		return // the next hold request shows the state of the target
+	case err != nil:
+		report.Unreachable, report.Closed = true, true
+	}
+	s.e.enqueue(func(f *linker.Frame) { f.Reports = append(f.Reports, report) })
+}
+
 // requestStart sends a start request, and repeats it once if there is no answer.
 func (s *targetSession) requestStart(req *StartRequest) linker.Outcome {
 	const maxAttempts = 2
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -24,6 +24,10 @@
 	DoneBits    []byte            `json:"d,omitempty"` // one bit per task, set once it is done
 	FailedRuns  map[int][]w.RunID `json:"f,omitempty"` // by task, each run listed once
 	Checkpoints map[int]string    `json:"c,omitempty"`
+	// CrashedRuns are the runs under which a target crashed, and UnclearRuns those that
+	// were started although that was likely and whose fate is not known, by task.
+	CrashedRuns map[int][]w.RunID `json:"x,omitempty"`
+	UnclearRuns map[int][]w.RunID `json:"u,omitempty"`
 }
 
 // Step returns the progress of a step, or nil if there is no entry.
@@ -71,6 +75,22 @@
 	}
 }
 
+// SetCrashes records the runs of a task under which a target crashed or may have crashed.
+func (s *StepProgress) SetCrashes(task int, crashed, unclear []w.RunID) {
+	if len(crashed) > 0 {
+		if s.CrashedRuns == nil {
+			s.CrashedRuns = make(map[int][]w.RunID)
+		}
+		s.CrashedRuns[task] = slices.Clone(crashed)
+	}
+	if len(unclear) > 0 {
+		if s.UnclearRuns == nil {
+			s.UnclearRuns = make(map[int][]w.RunID)
+		}
+		s.UnclearRuns[task] = slices.Clone(unclear)
+	}
+}
+
 func decodeProgress(r *Row) (Progress, error) {
 	var p Progress
 	if err := json.Unmarshal(r.Value, &p); err != nil {
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -182,6 +182,7 @@
 	Run        w.RunID
 	Checkpoint string
 	Ticket     string
+	Probe      bool // the coordinator waits for a report that the target is alive after the start
 }
 
 // Stop orders an instance to stop a run on a target.
