coordinator: contain kinds of work that crash targets

Callers of all kinds lost nearly all service while a fifth of one small kind crashed its targets: each job of it crashed at least one target, dozens within the 3 s in which the first crash became certain. Cause: nothing related the losses of targets to the kind of work that had just started there, so that new work of that kind went on at full rate. While the losses of a queue in 8 s exceed four targets, or a twentieth of the usable ones, each of its jobs starts with a single task or gang as a probe, within the share of targets that may be at risk. The rest of a job follows once that task has survived.

--- a/blamer/blamer.go
+++ b/blamer/blamer.go
@@ -57,6 +57,18 @@
 	})
 }
 
+// Score returns the sum of the blame of a kind of work in the losses that still count and
+// have no common cause.
+func (l *Ledger) Score(kind string) float64 {
+	sum := 0.0
+	for i := range l.losses {
+		if b := l.losses[i].Blame[kind]; b > 0 && !l.Common(l.losses[i].At) {
+			sum += b
+		}
+	}
+	return sum
+}
+
 // Recent returns the number of blamed losses in a pool since the given time.
 func (l *Ledger) Recent(pool string, since time.Time) int {
 	n := 0
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -142,10 +142,11 @@
 	admission     *admission
 	delays        delayer.Policy // decides whether work waits for a place near its data
 
-	losses      blamer.Ledger
-	probing     []*target      // targets with a probe
-	riskBudgets map[string]int // further starts under suspicion that are allowed, by service
-	riskDue     time.Time
+	losses         blamer.Ledger
+	probing        []*target       // targets with a probe
+	contained      map[string]bool // queues whose jobs start with a single task
+	riskBudgets    map[string]int  // further starts under suspicion that are allowed, by service
+	containmentDue time.Time
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -173,6 +174,7 @@
 		delays:          delayer.New(),
 		speedRatios:     make(map[ratioKey]*speedRatio),
 		speeds:          make(map[string]*serviceSpeeds),
+		contained:       make(map[string]bool),
 		riskBudgets:     make(map[string]int),
 	}
 	c.tenants.init(s.QuotaExcess)
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -12,7 +12,8 @@
 // A task may crash each target that starts it. When a target crashes, the runs that had
 // just started there are suspects: their tasks start again one at a time on a target on
 // which nothing else has just started. A task under which a target crashes again is given
-// up. Only a part of the targets is used for such starts.
+// up. While many targets are lost to new work of a queue, each of its jobs first starts
+// a single task, and only a part of the targets is used for such starts.
 
 const (
 	// survivalTime is the time after the start of a run for which its target must still
@@ -22,14 +23,19 @@
 	// if the last one had no other suspect. Without that, one more.
 	maxCrashes = 2
 	// minRiskShare is the share of a service's targets that may be lost to, or used for,
-	// starts of suspects at the same time. It grows with the share of the capacity that
-	// is free, to at most maxRiskShare.
+	// starts of suspects and first tasks at the same time. It grows with the share of
+	// the capacity that is free, to at most maxRiskShare.
 	minRiskShare = 0.25
 	maxRiskShare = 0.75
 	// returnTime is the time within which a crashed target is usually back.
 	returnTime = 4 * time.Second
-	// riskPeriod is the time between two updates of the risk budgets.
-	riskPeriod = 50 * time.Millisecond
+	// minContainedLosses and containedShare give the number of targets that are lost
+	// to new work of a queue before its jobs start with a single task: the larger of
+	// the number and the share of the usable targets.
+	minContainedLosses = 4
+	containedShare     = 0.05
+	// containmentPeriod is the time between two updates of the contained queues.
+	containmentPeriod = 50 * time.Millisecond
 )
 
 // crashRecord is what is known of the targets that were lost under a task or, for a
@@ -206,6 +212,7 @@
 
 // clearSuspicion removes the suspicion of a task whose run has survived its start.
 func (c *Coordinator) clearSuspicion(s *step, i int) {
+	s.job.survived = true
 	if r := s.crashes(i); r.suspect() {
 		*r = crashRecord{}
 		c.changeSuspicion(s.job)
@@ -242,12 +249,13 @@
 	c.Meter.Count("crash", "probe")
 }
 
-// updateRisk updates the number of starts under suspicion that are allowed by service.
-func (c *Coordinator) updateRisk() {
-	if c.now.Before(c.riskDue) {
+// updateContainment updates the contained queues, and the number of starts under
+// suspicion that are allowed by service.
+func (c *Coordinator) updateContainment() {
+	if c.now.Before(c.containmentDue) {
 		return
 	}
-	c.riskDue = c.now.Add(riskPeriod)
+	c.containmentDue = c.now.Add(containmentPeriod)
 	c.losses.Expire(c.now)
 	usable, usedCPU, totalCPU := make(map[string]int), make(map[string]int64), make(map[string]int64)
 	for _, t := range c.sortedTargets {
@@ -257,6 +265,15 @@
 			totalCPU[t.Service] += t.Capacity.CPU
 		}
 	}
+	for i := range c.cfg.Queues {
+		q := &c.cfg.Queues[i]
+		limit := math.Max(minContainedLosses, containedShare*float64(usable[q.Service]))
+		if contained := c.losses.Score(q.Name) >= limit; contained != c.contained[q.Name] {
+			c.contained[q.Name] = contained
+			c.Log.Warn("jobs of a queue start with a single task, or no longer do", "queue", q.Name, "contained", contained,
+				"losses", c.losses.Score(q.Name), "limit", limit, "usable", usable[q.Service])
+		}
+	}
 	clear(c.riskBudgets)
 	for service, n := range usable {
 		lost := c.losses.Recent(service, c.now.Add(-returnTime))
@@ -271,10 +288,40 @@
 	}
 }
 
+// jobSurvived reports whether a run of the job has survived its start, or is about to
+// show whether it does.
+func (c *Coordinator) jobSurvived(j *job) (survived, open bool) {
+	if j.survived {
+		return true, false
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				tk := &s.tasks[i]
+				if tk.phase != starting && tk.phase != running {
+					j.survived = j.survived || tk.phase == finished
+					continue
+				}
+				open = true
+				if sl := tk.target.slots[s.id(i)]; sl != nil && sl.run == tk.run && tk.target.survived(sl) {
+					j.survived = true
+				}
+			}
+		}
+	}
+	return j.survived, open
+}
+
 // probes reports whether a waiting task must start as a probe, or must wait.
 func (c *Coordinator) probes(s *step, i int) (probe, wait bool) {
-	r := s.crashes(i)
-	return r.suspect(), r.suspect() && !c.retryReady(s, r)
+	if r := s.crashes(i); r.suspect() {
+		return true, !c.retryReady(s, r)
+	}
+	if !c.contained[s.job.Queue] {
+		return false, false
+	}
+	survived, open := c.jobSurvived(s.job)
+	return !survived, !survived && open
 }
 
 // retryReady reports whether a suspect may start again. Its next run must be in the store
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -1,6 +1,9 @@
 package coordinator
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -184,3 +187,74 @@
 	require.Len(t, again, 1, "at once, not after the lease of 6 s")
 	require.False(t, again[0].Probe)
 }
+
+// crashTargets crashes the targets on which a deadly task has started in this step, and
+// lets the machines of earlier ones return with new targets.
+func (x *replay) crashTargets(deadly func(w.TaskID) bool) (crashed int) {
+	for _, r := range slices.Clone(x.runs) {
+		if _, down := x.down[r.Target]; down || !deadly(r.Task) {
+			continue
+		}
+		crashed++
+		x.down[r.Target] = x.now.Add(3 * time.Second)
+		x.runs = slices.DeleteFunc(x.runs, func(o *replayRun) bool { return o.Target == r.Target })
+		x.receive(&linker.Frame{Reports: []linker.Report{{Target: r.Target, Incarnation: x.incarnation(r.Target), Unreachable: true, Closed: true}}})
+	}
+	if x.now.UnixMilli()%1000 != 0 {
+		return crashed
+	}
+	var list []w.Target
+	for _, t := range x.c.sortedTargets {
+		back, down := x.down[t.ID]
+		if t.listed && (!down || x.now.Before(back)) {
+			list = append(list, t.Target)
+		} else if t.listed {
+			next := t.Target
+			next.ID, next.Incarnation = w.TargetID(fmt.Sprint(t.Machine, "-", t.Incarnation+1)), t.Incarnation+1
+			x.speed[next.ID] = 1
+			list = append(list, next)
+		}
+	}
+	x.c.SetTargets(list, true, x.now)
+	return crashed
+}
+
+// TestCrashingKindIsContained guards against one kind of work that takes nearly all
+// targets from the others: for 20 s, a fifth of the urgent jobs crash their targets.
+func TestCrashingKindIsContained(t *testing.T) {
+	play := func(contain bool) (share float64, crashed int) {
+		x := newReplay(t, slices.Repeat([]float64{1}, 48), 6)
+		x.down = make(map[w.TargetID]time.Time)
+		for _, o := range x.c.sortedTargets {
+			o.Machine = string(o.ID)
+		}
+		arrivals := rand.New(rand.NewPCG(5, 5))
+		deadly := make(map[w.JobID]bool)
+		for tick := range 40 * 50 {
+			if !contain {
+				x.c.containmentDue = x.now.Add(time.Hour)
+				x.c.riskBudgets["s"] = 48
+			}
+			if tick < 30*50 {
+				if arrivals.Float64() < 0.6 {
+					id := w.JobID(fmt.Sprintf("urgent%d", len(x.arrived)))
+					deadly[id] = tick > 2*50 && tick < 22*50 && arrivals.Float64() < 0.2
+					x.job("urgent", w.Step{Count: 2, Estimate: 700 * time.Millisecond, Need: w.Resources{CPU: 1400}})
+				}
+				if arrivals.Float64() < 0.12 {
+					x.job("batch", w.Step{Count: 15, Estimate: 1900 * time.Millisecond, Need: w.Resources{CPU: 1000}})
+				}
+			}
+			x.step()
+			crashed += x.crashTargets(func(id w.TaskID) bool { return deadly[id.Job] && id.Index == 0 })
+		}
+		for id, j := range x.c.jobs {
+			require.False(t, j.state == w.Failed && !deadly[id], "%s failed without cause", id)
+		}
+		return float64(x.inGoal["batch"]) / float64(x.total["batch"]), crashed
+	}
+	before, crashedBefore := play(false)
+	after, crashed := play(true)
+	t.Logf("batch jobs in their goal: %.3f, %.3f contained; crashed targets: %d, %d contained", before, after, crashedBefore, crashed)
+	require.Greater(t, after, before+0.1)
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -108,6 +108,7 @@
 	endedAt             time.Time
 	queue               *w.Queue     // cached queue of the job, or nil
 	queueConfig         *w.Config    // configuration for which queue was looked up
+	survived            bool         // one of its runs has survived its start, see jobSurvived
 	suspicions          int          // changes of its crash records
 	suspicionsStored    int          // changes of its crash records that are in the store
 	excess              bool         // beyond its tenant's rate
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -71,7 +71,7 @@
 	c.updateTargetSummary()
 	c.updateSpeeds()
 	c.updateReserves()
-	c.updateRisk()
+	c.updateContainment()
 	generation := c.generation + int64(c.now.Sub(c.startedAt)/retryPeriod)
 	fullPass := !c.now.Before(c.fullPassDue)
 	if fullPass {
--- a/coordinator/speed_test.go
+++ b/coordinator/speed_test.go
@@ -27,6 +27,7 @@
 	arrived map[w.JobID]time.Time
 	inGoal  map[string]int
 	total   map[string]int
+	down    map[w.TargetID]time.Time // when crashed targets return
 	orders  []string                 // start orders
 	spent   map[string]time.Duration // time from arrival to end of all jobs, by queue
 }
@@ -115,7 +116,9 @@
 		return
 	}
 	for _, t := range x.c.sortedTargets {
-		x.reportRuns(t.ID, lists[t.ID]...)
+		if _, down := x.down[t.ID]; !down {
+			x.reportRuns(t.ID, lists[t.ID]...)
+		}
 	}
 }
 
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -191,6 +191,7 @@
 	if s == nil {
 		return
 	}
+	s.job.survived = s.job.survived || t.survived(sl)
 	tk := &s.tasks[sl.index]
 	if tk.target == t && tk.run == sl.run && tk.phase != finished {
 		s.job.stats.lostRuns++
