executor: a paused process acknowledges nothing and extends no lease

A target that restarts under its ID numbers its ends from 1 again, and its clock starts anew. The cursor was sent for as long as no hold request had failed, however long ago the last reply was. An instance that was frozen between a reply and the next request sent the cursor of the earlier incarnation to the new one, which discards its ends up to it: tasks that ended there as done, and that another instance had not read yet, run again, and failed runs are not counted. A reply that arrived during a freeze was also believed when it was read after it, since it can win over the timer: it made the incarnation and the reading of the clock count as fresh.

The deadline of the leases was sent even after failed requests. With the earlier incarnation's clock, a new one gets the longest lease that it grants (10 s by default), while the coordinator counts on 6 s. And an answer to a start or stop made the next hold request extend the leases, although the coordinator learns of no answered hold and counts the leases as expired.

Cursor and deadline are now sent only if this incarnation answered the last hold request within 2 s, and a reply that is read after the timeout of its request counts as none.

The test failed before at both places (the first without the check of late replies, the second without the age):

Should be zero, but was 57 Messages: the reply is older than the pause

A process on a machine that was suspended is not covered: the monotonic clock stops with it.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -22,7 +22,9 @@
 	startCalls int
 	holdReply  HoldReply
 	holdErr    error
-	cursors    []int64 // AckCursor of each hold request
+	pause      time.Duration // simulates a pause of the process during the next hold request
+	paused     int           // number of hold requests up to the one with the pause
+	requests   []HoldRequest
 	stopCalls  int
 }
 
@@ -41,34 +43,46 @@
 }
 
 func (s *fakeTargetClient) Hold(ctx context.Context, _ Target, c *HoldRequest) (HoldReply, error) {
+	s.mu.Lock()
+	pause := s.pause
+	s.pause = 0
+	s.mu.Unlock()
+	delay := min(c.Wait, 20*time.Millisecond)
+	if pause > 0 {
+		time.Sleep(pause)
+		delay, ctx = 0, context.Background()
+	}
 	select {
-	case <-time.After(min(c.Wait, 20*time.Millisecond)):
+	case <-time.After(delay):
 	case <-ctx.Done():
 		return HoldReply{}, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cursors = append(s.cursors, c.AckCursor)
+	s.requests = append(s.requests, *c)
+	if pause > 0 {
+		s.paused = len(s.requests)
+	}
 	return s.holdReply, s.holdErr
 }
 
-// nextCursor returns the cursor of a hold request that is sent from now on.
-func (s *fakeTargetClient) nextCursor(t *testing.T) int64 {
+// nextHold returns a hold request that is sent from now on.
+func (s *fakeTargetClient) nextHold(t *testing.T) HoldRequest {
 	t.Helper()
 	s.mu.Lock()
-	n := len(s.cursors)
+	n := len(s.requests)
 	s.mu.Unlock()
-	var cursor int64
+	var req HoldRequest
 	require.Eventually(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if len(s.cursors) < n+2 {
+		if len(s.requests) < n+2 {
 			return false
 		}
-		cursor = s.cursors[n+1]
+		req = s.requests[n+1]
 		return true
 	}, 2*time.Second, 5*time.Millisecond)
-	return cursor
+	return req
 }
 
 func (s *fakeTargetClient) Advise(context.Context, string, []w.TargetID) ([]Ticket, error) {
@@ -215,15 +229,49 @@
 	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
 	e, _ := startExecutor(t, s)
 	e.Receive(&linker.Frame{Acks: []linker.Ack{{Target: "a", Incarnation: 1, Seq: 57}}})
-	require.Equal(t, int64(57), s.nextCursor(t))
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
 	s.mu.Lock()
 	s.holdErr = errNoReply
 	s.mu.Unlock()
-	require.Zero(t, s.nextCursor(t), "the target may have restarted since it answered last")
+	req := s.nextHold(t)
+	require.Zero(t, req.AckCursor, "the target may have restarted since it answered last")
+	require.Zero(t, req.Deadline, "a new incarnation would extend its leases to the maximum")
 	s.mu.Lock()
 	s.holdErr = nil
-	first := s.cursors[0]
+	first := s.requests[0]
 	s.mu.Unlock()
-	require.Zero(t, first, "the target has not confirmed its incarnation to this session")
-	require.Equal(t, int64(57), s.nextCursor(t))
+	require.Zero(t, first.AckCursor, "the target has not confirmed its incarnation to this session")
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
+}
+
+// TestPausedInstanceAcknowledgesNothing guards against an instance that was paused, and
+// that acknowledges the unread ends of a target that restarted under its ID meanwhile, or
+// extends its leases.
+func TestPausedInstanceAcknowledgesNothing(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+	e, _ := startExecutor(t, s)
+	e.Receive(&linker.Frame{Acks: []linker.Ack{{Target: "a", Incarnation: 1, Seq: 57}}})
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
+	s.mu.Lock()
+	s.pause = idlePollWait + callTimeout + 100*time.Millisecond
+	s.mu.Unlock()
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.paused > 0 && len(s.requests) > s.paused
+	}, 4*time.Second, 5*time.Millisecond)
+	s.mu.Lock()
+	req := s.requests[s.paused]
+	s.mu.Unlock()
+	require.Zero(t, req.AckCursor, "the reply is older than the pause")
+	require.Zero(t, req.Deadline)
+
+	// The process is paused between a reply and the next request.
+	session := newTargetSession(e, linker.AssignedTarget{ID: "a", Incarnation: 1, Acked: 57})
+	session.recordHold(&HoldReply{Clock: 1000, Incarnation: 1})
+	require.Equal(t, int64(57), session.nextHold(false).AckCursor)
+	session.confirmedAt = session.confirmedAt.Add(-startTTL - time.Second)
+	req = session.nextHold(false)
+	require.Zero(t, req.AckCursor)
+	require.Zero(t, req.Deadline)
 }
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -49,9 +50,9 @@
 	receivedSeq   int64
 	clockMs       int64 // target's clock at clockReadAt
 	clockReadAt   time.Time
-	leaseDeadline int64 // latest lease deadline sent, on the target's clock, in ms
-	responsive    bool  // no hold request has failed since the last reply
-	confirmed     bool  // the last hold request was answered by this incarnation
+	leaseDeadline int64     // latest lease deadline sent, on the target's clock, in ms
+	responsive    bool      // no hold request has failed since the last reply
+	confirmedAt   time.Time // when this incarnation answered the last hold request; zero if that failed
 	uncertainRuns map[w.TaskID]uncertainRun
 	holdSeq       int64 // number of the last hold request
 }
@@ -109,42 +110,17 @@
 	var lastFullReport time.Time
 	hasRuns := false
 	for s.ctx.Err() == nil {
-		s.mu.Lock()
-		req := HoldRequest{Epoch: s.e.currentEpoch()}
-		if s.confirmed {
-			// After a failed request the target may have restarted under its ID. The new
-			// incarnation numbers its ends from 1 and would discard those up to the cursor.
-			req.AckCursor = s.ackedSeq
-		}
-		if now := s.targetNow(); now > 0 {
-			// The leases of an unresponsive target are not extended, so that the
-			// time at which they expire is known.
-			if lease := s.e.currentLease(); s.responsive && lease > 0 && !s.clockStale() {
-				s.leaseDeadline = max(s.leaseDeadline, now+lease.Milliseconds())
-			}
-			req.Deadline = s.leaseDeadline
-		}
-		switch {
-		case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || len(s.uncertainRuns) > 0 || !s.responsive:
-		case hasRuns:
-			req.Wait = activePollWait
-		default:
-			req.Wait = idlePollWait
-		}
-		s.holdSeq++
-		holdSeq := s.holdSeq
-		s.mu.Unlock()
-
+		req := s.nextHold(hasRuns)
 		sent := time.Now()
-		ctx, cancel := context.WithTimeout(s.ctx, req.Wait+callTimeout)
-		reply, err := s.e.TargetClient.Hold(ctx, s.target, &req)
-		cancel()
+		reply, err := call(s.ctx, req.Wait+callTimeout, func(ctx context.Context) (HoldReply, error) {
+			return s.e.TargetClient.Hold(ctx, s.target, &req)
+		})
 		if s.ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			s.mu.Lock()
-			s.responsive, s.confirmed = false, false
+			s.responsive, s.confirmedAt = false, time.Time{}
 			s.mu.Unlock()
 			s.e.Log.Debug("hold request failed", "target", s.target.ID, "error", err)
 			s.e.enqueue(func(f *linker.Frame) {
@@ -155,7 +131,7 @@
 		}
 		if reply.Incarnation != 0 && reply.Incarnation != s.incarnation {
 			s.mu.Lock()
-			s.confirmed = false
+			s.confirmedAt = time.Time{}
 			s.mu.Unlock()
 			s.e.enqueue(func(f *linker.Frame) {
 				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: reply.Incarnation, Gone: true})
@@ -165,17 +141,8 @@
 		}
 		hasRuns = len(reply.Runs) > 0
 		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait}
-		s.mu.Lock()
-		s.recordReply(reply.Clock)
-		s.confirmed = true
-		for i := range reply.Ends {
-			if reply.Ends[i].Seq > s.receivedSeq {
-				s.receivedSeq = reply.Ends[i].Seq
-				report.Ends = append(report.Ends, reply.Ends[i])
-			}
-		}
-		resolved := s.resolveUncertainRuns(&reply, holdSeq)
-		s.mu.Unlock()
+		var resolved []linker.Result
+		report.Ends, resolved = s.recordHold(&reply)
 		if time.Since(lastFullReport) >= fullReportInterval {
 			report.Runs, report.Complete = reply.Runs, true
 			lastFullReport = time.Now()
@@ -190,6 +157,50 @@
 	}
 }
 
+// nextHold returns the next hold request.
+func (s *targetSession) nextHold(hasRuns bool) HoldRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req := HoldRequest{Epoch: s.e.currentEpoch()}
+	if !s.confirmedAt.IsZero() && time.Since(s.confirmedAt) <= startTTL {
+		// Otherwise the target may have restarted under its ID. The new incarnation
+		// numbers its ends from 1 and would discard those up to the cursor, and its
+		// clock started anew, so that its leases would become too long.
+		req.AckCursor = s.ackedSeq
+		// The leases of an unresponsive target are not extended, so that the time at
+		// which they expire is known.
+		if now, lease := s.targetNow(), s.e.currentLease(); now > 0 && lease > 0 && !s.clockStale() {
+			s.leaseDeadline = max(s.leaseDeadline, now+lease.Milliseconds())
+		}
+		req.Deadline = s.leaseDeadline
+	}
+	switch {
+	case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || len(s.uncertainRuns) > 0 || !s.responsive:
+	case hasRuns:
+		req.Wait = activePollWait
+	default:
+		req.Wait = idlePollWait
+	}
+	s.holdSeq++
+	return req
+}
+
+// recordHold processes the reply to the last hold request. It returns the ends that were
+// not received before, and the results of the uncertain runs that will not start.
+func (s *targetSession) recordHold(reply *HoldReply) (ends []w.End, resolved []linker.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordReply(reply.Clock)
+	s.confirmedAt = time.Now()
+	for i := range reply.Ends {
+		if reply.Ends[i].Seq > s.receivedSeq {
+			s.receivedSeq = reply.Ends[i].Seq
+			ends = append(ends, reply.Ends[i])
+		}
+	}
+	return ends, s.resolveUncertainRuns(reply)
+}
+
 // waitForAcks delays the next hold request until new end events are stored, because the
 // target answers immediately while any of them is unacknowledged.
 func (s *targetSession) waitForAcks() {
@@ -232,10 +243,10 @@
 // returns a NotStarted result for each: those that are absent from the reply to a hold
 // request that was sent after the target had answered the stop request or rejected the
 // start request as superseded.
-func (s *targetSession) resolveUncertainRuns(reply *HoldReply, holdSeq int64) []linker.Result {
+func (s *targetSession) resolveUncertainRuns(reply *HoldReply) []linker.Result {
 	var out []linker.Result
 	for id, u := range s.uncertainRuns {
-		if holdSeq <= u.afterHold {
+		if s.holdSeq <= u.afterHold {
 			continue
 		}
 		listed := false
@@ -293,9 +304,9 @@
 func (s *targetSession) requestStart(req *StartRequest) linker.Outcome {
 	const maxAttempts = 2
 	for attempt := range maxAttempts {
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		reply, err := s.e.TargetClient.Start(ctx, s.target, req)
-		cancel()
+		reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
+			return s.e.TargetClient.Start(ctx, s.target, req)
+		})
 		if err != nil {
 			s.e.Log.Debug("start request failed", "task", req.Task, "target", s.target.ID, "run", req.Run, "error", err)
 			continue
@@ -316,6 +327,22 @@
 	return linker.Indeterminate
 }
 
+// errLateReply reports a reply that was read after the request's timeout.
+var errLateReply = errors.New("executor: reply read too late")
+
+// call makes a request with a timeout. A reply that a process reads after a pause may
+// still win over the timer, although what it says no longer holds.
+func call[T any](ctx context.Context, timeout time.Duration, request func(context.Context) (T, error)) (T, error) {
+	deadline := time.Now().Add(timeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	reply, err := request(ctx)
+	if err == nil && time.Now().After(deadline) {
+		err = errLateReply
+	}
+	return reply, err
+}
+
 func (s *targetSession) stop(order linker.Stop) {
 	defer s.e.wg.Done()
 	s.stopUntilAnswered(order.Task, order.Run)
@@ -325,9 +352,9 @@
 // that the run either ends or never starts.
 func (s *targetSession) stopUntilAnswered(task w.TaskID, run w.RunID) {
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		_, err := s.e.TargetClient.Stop(ctx, s.target, task, run, s.e.currentEpoch())
-		cancel()
+		_, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
+			return s.e.TargetClient.Stop(ctx, s.target, task, run, s.e.currentEpoch())
+		})
 		if err == nil {
 			s.mu.Lock()
 			s.responsive = true
