linker: results name the incarnation of the target

A result named the target but not the incarnation that the session was for. After a restart of the target, a start order that may have reached the new incarnation keeps its slot; a result of the earlier incarnation's session that was processed later (the run is not in its lists, or the target rejected the start) freed the slot, and the task was started elsewhere beside the run that the new incarnation had begun or could still begin.

Results now carry the incarnation, and the coordinator drops those of another one. Results of earlier builds, and those of orders that had no session, carry none and count as before.

The test failed before with a second start on the other target:

Should be empty, but was [{b j.0.0.0  }]

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -210,6 +210,24 @@
 	require.Equal(t, []linker.AssignedTarget{{ID: "a", Address: "x", Incarnation: 2}}, f.Assign.Targets)
 }
 
+// TestResultOfEarlierIncarnationIsIgnored guards against running a task twice: a start order
+// may have reached the new incarnation of its target, and the session of the earlier one
+// reports that the run has not started.
+func TestResultOfEarlierIncarnationIsIgnored(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.reportRuns("a")
+	x.reportRuns("b")
+	x.submit(singleTaskJob("j"))
+	start := x.advance(0).Starts[0]
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: start.Target, Incarnation: 2, Gone: true}}})
+	result := linker.Result{Target: start.Target, Incarnation: 1, Task: start.Task, Run: start.Run, Outcome: linker.NotStarted}
+	x.receive(&linker.Frame{Results: []linker.Result{result}})
+	require.Empty(t, x.advance(0).Starts)
+	result.Incarnation = 2
+	x.receive(&linker.Frame{Results: []linker.Result{result}})
+	require.Len(t, x.advance(0).Starts, 1)
+}
+
 // TestOrphanEndExpires guards against a target that keeps its ends forever because one
 // of them belongs to a job whose rows were removed.
 func TestOrphanEndExpires(t *testing.T) {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -339,7 +339,7 @@
 // HandleResult processes the result of a start or stop order.
 func (c *Coordinator) HandleResult(r *linker.Result) {
 	t := c.targets[r.Target]
-	if t == nil {
+	if t == nil || (r.Incarnation != 0 && r.Incarnation != t.Incarnation) {
 		return
 	}
 	sl := t.slots[r.Task]
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -261,7 +261,7 @@
 			continue
 		}
 		delete(s.uncertainRuns, id)
-		out = append(out, linker.Result{Target: s.target.ID, Task: id, Run: u.run, Outcome: linker.NotStarted})
+		out = append(out, linker.Result{Target: s.target.ID, Incarnation: s.incarnation, Task: id, Run: u.run, Outcome: linker.NotStarted})
 	}
 	return out
 }
@@ -293,7 +293,7 @@
 		return
 	}
 	s.e.enqueue(func(f *linker.Frame) {
-		f.Results = append(f.Results, linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: outcome})
+		f.Results = append(f.Results, linker.Result{Target: order.Target, Incarnation: s.incarnation, Task: order.Task, Run: order.Run, Outcome: outcome})
 	})
 	if outcome == linker.Indeterminate {
 		s.stopUntilAnswered(order.Task, order.Run)
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -162,9 +162,10 @@
 
 // Result reports the outcome of a start or stop order.
 type Result struct {
-	Target w.TargetID
-	Task   w.TaskID
-	Run    w.RunID
+	Target      w.TargetID
+	Incarnation w.Incarnation // 0 if the target is not assigned to the instance
+	Task        w.TaskID
+	Run         w.RunID
 	Outcome
 }
 
