executor: a truncated list of ends does not show that a run is gone

A target lists at most 500 ends. A run that ended after 500 others that are not acknowledged, as while the store is away, is neither among the runs nor among the ends. The executor reported such a run as not started if its start or stop was uncertain, and the coordinator counted it as lost after three lists, or a new one took the target for read: its task ran again although it had ended as done.

Replies now say whether there may be further ends. Such a reply settles no uncertain run, and its report is not a complete list. Reports are still sent, since the coordinator counts the leases of a target without reports as expired. The price: the progress of the runs on such a target is not followed until its ends are acknowledged.

The test failed before with

Should be empty, but was [NotStarted]

--- a/executor/caller.go
+++ b/executor/caller.go
@@ -50,6 +50,7 @@
 	Incarnation w.Incarnation
 	Runs        []w.Run
 	Ends        []w.End
+	MoreEnds    bool // the target may have further ends than Ends
 }
 
 // Ticket is the advice service's permission to start tasks of one step on a target.
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -187,6 +187,23 @@
 	}
 }
 
+// TestTruncatedEndsAreNotComplete guards against running a task twice: it has ended after
+// more other runs than its target lists, and counts as not started or missing.
+func TestTruncatedEndsAreNotComplete(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1, Ends: []w.End{{Seq: 1}}, MoreEnds: true}}
+	s.startReply = func(int) (Reply, error) { return Reply{Outcome: linker.Superseded, Clock: 1001}, nil }
+	e, c := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+	time.Sleep(600 * time.Millisecond)
+	require.Empty(t, c.outcomes())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Greater(t, len(c.received.Reports), 1, "the coordinator would count the leases as expired")
+	for _, r := range c.received.Reports {
+		require.False(t, r.Complete)
+	}
+}
+
 // TestUnansweredStartIsResolved guards against a task that stays in the starting state
 // forever because its start request never reached the target.
 func TestUnansweredStartIsResolved(t *testing.T) {
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -143,11 +143,13 @@
 		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait}
 		var resolved []linker.Result
 		report.Ends, resolved = s.recordHold(&reply)
-		if time.Since(lastFullReport) >= fullReportInterval {
-			report.Runs, report.Complete = reply.Runs, true
+		full := time.Since(lastFullReport) >= fullReportInterval
+		if full {
+			// A run that is not listed may have ended if there are further ends.
+			report.Runs, report.Complete = reply.Runs, !reply.MoreEnds
 			lastFullReport = time.Now()
 		}
-		if report.Complete || len(report.Ends) > 0 || len(resolved) > 0 {
+		if full || len(report.Ends) > 0 || len(resolved) > 0 {
 			s.e.enqueue(func(f *linker.Frame) {
 				f.Reports = append(f.Reports, report)
 				f.Results = append(f.Results, resolved...)
@@ -198,7 +200,10 @@
 			ends = append(ends, reply.Ends[i])
 		}
 	}
-	return ends, s.resolveUncertainRuns(reply)
+	if !reply.MoreEnds {
+		resolved = s.resolveUncertainRuns(reply)
+	}
+	return ends, resolved
 }
 
 // waitForAcks delays the next hold request until new end events are stored, because the
