coordinator: ends of unknown jobs are kept until the store was read

The end of a run whose job is not known waits until the job is found in the store, and is discarded and acknowledged after 15 s, since then the job must have been removed. But that holds only if the store was read meanwhile. A job that was stored during a takeover, and started by the earlier leader, is found by the scan of the store; if the store was silent for 15 s after that, the end was acknowledged unread, and the task ran again once the job was found.

The leader now tells the coordinator when a scan of the jobs began that succeeded, and an end is discarded only if that was after the end arrived. Jobs are stored before they are handed to a leader, so such a scan finds the job if it still exists.

TestOrphanEndExpires expected the end to be discarded without a scan. It now expects it to be kept for 30 s without one, and to be discarded after one; it failed before with

Should be zero, but was 1

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -67,6 +67,7 @@
 	now                 time.Time
 	startedAt           time.Time
 	renewedAt           time.Time // when the last request that confirmed the leadership was sent
+	jobsReadAt          time.Time // see JobsRead
 	cfg                 *w.Config
 	jobs                map[w.JobID]*job
 	targets             map[w.TargetID]*target
@@ -213,6 +214,10 @@
 	c.adoptOrphans(j.ID)
 }
 
+// JobsRead records that all jobs that were in the store at the given time were passed to
+// AddJob.
+func (c *Coordinator) JobsRead(at time.Time) { c.jobsReadAt = at }
+
 // Renewed records that the store confirmed the leadership in response to a request sent
 // at the given time.
 func (c *Coordinator) Renewed(sent time.Time) {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -229,18 +229,24 @@
 }
 
 // TestOrphanEndExpires guards against a target that keeps its ends forever because one
-// of them belongs to a job whose rows were removed.
+// of them belongs to a job whose rows were removed, and against an end that is discarded
+// while the store can't be read and its job may still be found.
 func TestOrphanEndExpires(t *testing.T) {
 	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: keeper.Roster{Open: []w.TargetID{"a"}}})
 	x.reportEnd("a", linker.Start{Task: w.TaskID{Job: "removed"}, Run: 5}, w.EndedDone)
 	x.reportRuns("a")
 	require.Empty(t, x.advance(0).Acks)
-	acks := 0
-	for range 6 {
-		x.reportRuns("a")
-		acks += len(x.advance(5 * time.Second).Acks)
+	acks := func() int {
+		n := 0
+		for range 6 {
+			x.reportRuns("a")
+			n += len(x.advance(5 * time.Second).Acks)
+		}
+		return n
 	}
-	require.Positive(t, acks)
+	require.Zero(t, acks())
+	x.c.JobsRead(x.now)
+	require.Positive(t, acks())
 }
 
 // TestRunBeforeItsJob guards against running a task twice: a run started by the earlier
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -146,7 +146,7 @@
 }
 
 // orphanTimeout is the time after which a job that was not found is assumed to have
-// been removed from the store.
+// been removed from the store, if the store was read meanwhile.
 const orphanTimeout = 15 * time.Second
 
 // ackableSeq returns the highest sequence number, at most seq, up to which the ends of
@@ -187,7 +187,9 @@
 // that they are acknowledged and their targets can discard them, too.
 func (c *Coordinator) expireOrphans() {
 	for _, t := range c.sortedTargets {
-		c.filterOrphans(t, func(o *orphanEnd) bool { return c.now.Sub(o.receivedAt) < orphanTimeout })
+		c.filterOrphans(t, func(o *orphanEnd) bool {
+			return c.now.Sub(o.receivedAt) < orphanTimeout || !c.jobsReadAt.After(o.receivedAt)
+		})
 	}
 }
 
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -644,6 +644,7 @@
 func (l *leader) scanJobs(versions map[string]keeper.Version) {
 	for l.ctx.Err() == nil {
 		l.in.sleep(jobScanInterval)
+		start := time.Now()
 		updates, err := l.in.Keeper.Updates(l.ctx, versions)
 		if errors.Is(err, keeper.ErrHistoryTruncated) {
 			s, err := l.in.Keeper.Load(l.ctx)
@@ -668,7 +669,10 @@
 			continue
 		}
 		l.reportUndecodable(updates.DecodeErrors)
-		l.post(func(c *coordinator.Coordinator) { l.applyUpdates(c, updates) })
+		l.post(func(c *coordinator.Coordinator) {
+			l.applyUpdates(c, updates)
+			c.JobsRead(start)
+		})
 	}
 }
 
