executor: no lease is extended after a pause as long as the heartbeat timeout

An instance extended the leases of a target in the first hold request after a pause of up to 2 s. The coordinator counts on renewals that end with the instance's connection, after 0.6 s: it takes the leases of a silent target for expired 6.18 s + 1.8 s after the last report, which may be 0.4 s older than the last reply. With an extension 1.9 s after that reply, the lease ends up to 8.1 s after it on a clock that is 2% slow, 0.5 s later than the coordinator's 7.6 s; if nobody else reaches the target, its tasks are started elsewhere meanwhile. The figures are computed, not measured.

Leases and cursors are now sent only within the heartbeat timeout after the last reply. An instance that takes longer between two hold requests has lost its connection as well, and extends the leases in the request after the next reply.

With the earlier bound the test fails with

Should be zero, but was 57

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -287,7 +287,7 @@
 	session := newTargetSession(e, linker.AssignedTarget{ID: "a", Incarnation: 1, Acked: 57})
 	session.recordHold(&HoldReply{Clock: 1000, Incarnation: 1})
 	require.Equal(t, int64(57), session.nextHold(false).AckCursor)
-	session.confirmedAt = session.confirmedAt.Add(-startTTL - time.Second)
+	session.confirmedAt = session.confirmedAt.Add(-linker.HeartbeatTimeout)
 	req = session.nextHold(false)
 	require.Zero(t, req.AckCursor)
 	require.Zero(t, req.Deadline)
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -164,7 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req := HoldRequest{Epoch: s.e.currentEpoch()}
-	if !s.confirmedAt.IsZero() && time.Since(s.confirmedAt) <= startTTL {
+	if !s.confirmedAt.IsZero() && time.Since(s.confirmedAt) <= linker.HeartbeatTimeout {
 		// Otherwise the target may have restarted under its ID. The new incarnation
 		// numbers its ends from 1 and would discard those up to the cursor, and its
 		// clock started anew, so that its leases would become too long.
