--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -51,12 +51,12 @@
 			continue
 		}
 		tk := &sl.step.tasks[sl.index]
-		if tk.phase == starting || c.now.Sub(tk.phaseSince) < missingRunAge {
+		if tk.phase == starting || c.now.Sub(tk.phaseSince) < missingRunAge || (sl.listedAt.IsZero() && !sl.answered) {
 			continue
 		}
 		if tk.missedLists++; tk.missedLists >= missingRunLists {
 			c.Log.Warn("run missing from the lists of its target", "task", id, "target", t.ID, "run", sl.run)
-			c.loseRun(t, id, sl)
+			c.loseRun(t, id, sl, "unlisted")
 		}
 	}
 }
@@ -64,7 +64,8 @@
 const (
 	// A run counts as lost if it is missing from missingRunLists successive complete
 	// lists of its target and its task entered its phase at least missingRunAge ago.
-	// Before that, its start order may still be in transit.
+	// Before that, its start order may still be in transit. A run that was never listed
+	// and whose start got no answer may start at any time until its stop is answered.
 	missingRunAge   = 3 * time.Second
 	missingRunLists = 3
 )
@@ -76,7 +77,7 @@
 	if old != nil {
 		c.removeSlot(t, r.Task, old)
 	}
-	sl := &slot{run: r.Run, listedAt: c.now}
+	sl := &slot{run: r.Run, listedAt: c.now, answered: true}
 	j := c.jobs[r.Task.Job]
 	if j == nil {
 		c.addSlot(t, r.Task, sl)
@@ -87,7 +88,7 @@
 	if s == nil {
 		sl.account = endedJobAccount(j, r.Task)
 		c.addSlot(t, r.Task, sl)
-		c.sendStop(t, r.Task, r.Run)
+		c.stopSlot(t, r.Task, sl)
 		return
 	}
 	sl.step, sl.index, sl.resources = s, r.Task.Index, s.Demand()
@@ -95,7 +96,10 @@
 	tk := &s.tasks[sl.index]
 	if j.state.Final() || tk.phase != waiting {
 		// The task already runs elsewhere or no longer needs to run.
-		c.sendStop(t, r.Task, r.Run)
+		c.Meter.Count("adopted", "stopped")
+		c.Log.Info("stopped a run found on a target", "task", r.Task, "run", r.Run, "target", t.ID, "incarnation", t.Incarnation,
+			"state", j.state, "phase", tk.phase, "currentRun", tk.run, "epoch", c.Epoch)
+		c.stopSlot(t, r.Task, sl)
 		return
 	}
 	tk.run, tk.target, tk.percent, tk.progressedAt, tk.fullRun = r.Run, t, r.Percent, c.now, false
@@ -322,11 +326,21 @@
 	}
 	c.setPhase(s, i, stopping)
 	tk.missedLists = 0
-	if sl := t.slots[id]; sl != nil && sl.run == tk.run && !sl.stopping {
+	if sl := t.slots[id]; sl != nil && sl.run == tk.run {
+		c.stopSlot(t, id, sl)
+		return
+	}
+	c.sendStop(t, id, tk.run)
+}
+
+// stopSlot orders the stop of a run, again if it was ordered before. If the target is
+// assigned to another instance, the order is repeated.
+func (c *Coordinator) stopSlot(t *target, id w.TaskID, sl *slot) {
+	if !sl.stopping {
 		sl.stopping = true
 		t.stoppingResources = t.stoppingResources.Add(sl.resources)
 	}
-	c.sendStop(t, id, tk.run)
+	c.sendStop(t, id, sl.run)
 }
 
 // sendStop queues a stop order.
@@ -361,6 +375,7 @@
 	c.Meter.ObserveDuration("start", c.now.Sub(tk.phaseSince))
 	switch r.Outcome {
 	case linker.Started:
+		sl.answered = true
 		if current && tk.phase == starting {
 			c.setPhase(s, sl.index, running)
 			tk.percent = 0
@@ -387,7 +402,7 @@
 		c.removeSlot(t, r.Task, sl)
 		return
 	}
-	c.loseRun(t, r.Task, sl)
+	c.loseRun(t, r.Task, sl, r.Outcome.String())
 	if current {
 		tk.avoid = t
 	}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -18,6 +18,7 @@
 	resources w.Resources
 	account   *slotAccount // what it counts for its tenant, or nil if the job is not known
 	listedAt  time.Time    // last complete list of runs that contained the run
+	answered  bool         // the start order was answered, so that no copy of it is in transit
 	stopping  bool         // a stop was ordered
 }
 
@@ -104,14 +105,20 @@
 // resetTarget discards the state that belongs to an earlier incarnation of a target.
 func (c *Coordinator) resetTarget(t *target, incarnation w.Incarnation) {
 	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
-	// A start order sent around the time of the restart may have reached the new
-	// incarnation, so its slot is kept until a list of runs shows whether it did.
-	age := time.Duration(c.now.UnixMilli()-int64(incarnation))*time.Millisecond + clockSkewMargin
 	for id, sl := range t.slots {
-		if sl.step != nil && c.now.Sub(sl.step.tasks[sl.index].phaseSince) < age {
+		if sl.step != nil && (sl.listedAt.IsZero() || !sl.answered) {
+			// Orders name the ID of a target only, so the new incarnation may still
+			// carry out a start that got no answer. After it has answered the stop, it
+			// rejects the start.
+			sl.listedAt, sl.answered = time.Time{}, false
+			if tk := &sl.step.tasks[sl.index]; tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
+				c.stopTask(sl.step, sl.index)
+			} else {
+				c.stopSlot(t, id, sl)
+			}
 			continue
 		}
-		c.loseRun(t, id, sl)
+		c.loseRun(t, id, sl, "restarted")
 	}
 	if c.Epoch > 1 && c.now.Sub(c.startedAt) < handoverMargin {
 		// The new incarnation has not seen any epoch yet. Until this coordinator has
@@ -139,15 +146,15 @@
 // releaseSlots frees all slots of a target whose runs have certainly ended.
 func (c *Coordinator) releaseSlots(t *target) {
 	for id, sl := range t.slots {
-		c.loseRun(t, id, sl)
+		c.loseRun(t, id, sl, "lapsed")
 	}
 	delete(c.unsynced, t.ID)
 	c.generation++
 }
 
 // loseRun frees a slot whose run ended without a known result, and puts its task back
-// into the waiting phase.
-func (c *Coordinator) loseRun(t *target, id w.TaskID, sl *slot) {
+// into the waiting phase. The reason is logged and counted.
+func (c *Coordinator) loseRun(t *target, id w.TaskID, sl *slot, reason string) {
 	c.removeSlot(t, id, sl)
 	s := sl.step
 	if s == nil {
@@ -156,6 +163,9 @@
 	tk := &s.tasks[sl.index]
 	if tk.target == t && tk.run == sl.run && tk.phase != finished {
 		s.job.stats.lostRuns++
+		c.Meter.Count("lost", reason)
+		c.Log.Info("run lost", "task", id, "run", sl.run, "target", t.ID, "incarnation", t.Incarnation, "reason", reason,
+			"phase", tk.phase, "age", c.now.Sub(tk.phaseSince), "listed", !sl.listedAt.IsZero(), "epoch", c.Epoch)
 		c.setPhase(s, sl.index, waiting)
 		if s.Gang {
 			c.stopGang(s)
@@ -251,6 +261,10 @@
 func (c *Coordinator) HandleReport(m *member, r *linker.Report) {
 	t := c.targets[r.Target]
 	if t == nil || t.member != m {
+		if len(r.Ends) > 0 {
+			c.Meter.Count("endsDropped", "member")
+			c.Log.Info("dropped ends reported by another instance", "target", r.Target, "instance", m.id, "ends", len(r.Ends), "first", r.Ends[0].Task)
+		}
 		return
 	}
 	if r.Gone || r.Incarnation > t.Incarnation {
@@ -260,6 +274,10 @@
 		return
 	}
 	if r.Incarnation != t.Incarnation {
+		if len(r.Ends) > 0 {
+			c.Meter.Count("endsDropped", "incarnation")
+			c.Log.Warn("dropped ends of an earlier incarnation", "target", t.ID, "incarnation", r.Incarnation, "current", t.Incarnation, "ends", len(r.Ends), "first", r.Ends[0].Task)
+		}
 		return
 	}
 	if r.Unreachable {
