--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -150,7 +150,7 @@
 }
 
 // orphanTimeout is the time after which a job that was not found is assumed to have
-// been removed from the store.
+// been removed from the store, if the store was read meanwhile.
 const orphanTimeout = 15 * time.Second
 
 // ackableSeq returns the highest sequence number, at most seq, up to which the ends of
@@ -191,7 +191,9 @@
 // that they are acknowledged and their targets can discard them, too.
 func (c *Coordinator) expireOrphans() {
 	for _, t := range c.sortedTargets {
-		c.filterOrphans(t, func(o *orphanEnd) bool { return c.now.Sub(o.receivedAt) < orphanTimeout })
+		c.filterOrphans(t, func(o *orphanEnd) bool {
+			return c.now.Sub(o.receivedAt) < orphanTimeout || !c.jobsReadAt.After(o.receivedAt)
+		})
 	}
 }
 
@@ -353,7 +355,7 @@
 // HandleResult processes the result of a start or stop order.
 func (c *Coordinator) HandleResult(r *linker.Result) {
 	t := c.targets[r.Target]
-	if t == nil {
+	if t == nil || (r.Incarnation != 0 && r.Incarnation != t.Incarnation) {
 		return
 	}
 	sl := t.slots[r.Task]
