coordinator: no start of a task while an earlier run occupies a target

Callers saw two runs of a task at the same time. Cause: a run that is a duplicate of the current one is stopped, which takes time. If the current run was lost meanwhile, for example because its target restarted, the task counted as waiting and started elsewhere before the duplicate had ended. Change: a task counts the slots of its runs; it, or its gang, starts only without any. Evidence: TestNoStartBesideStoppedDuplicate failed without the change, 'Should not be: workload.TaskID{Job:"j", Occurrence:0, Step:0, Index:0}', and passes now. The model leaves out late starts on targets that nobody has reached until the leases of their earlier incarnation were over.

--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -83,7 +83,7 @@
 // needs advice books resources of permitted targets for the time at which they are
 // expected to be free and all its tickets to be valid.
 func (c *Coordinator) placeGang(s *step, timing *w.AdviceTiming) {
-	if s.waiting < s.Count || c.now.Sub(s.plannedAt) < c.gangRetryPeriod(s, timing) || !c.capAllows(s) {
+	if s.waiting < s.Count || s.hasSlots() || c.now.Sub(s.plannedAt) < c.gangRetryPeriod(s, timing) || !c.capAllows(s) {
 		return
 	}
 	s.plannedAt = c.now
@@ -117,6 +117,11 @@
 	}
 }
 
+// hasSlots reports whether any run of the step occupies a target.
+func (s *step) hasSlots() bool {
+	return slices.ContainsFunc(s.tasks, func(tk task) bool { return tk.slots > 0 })
+}
+
 // gangRetryPeriod returns the time between two attempts to place a gang. In a large
 // cell, resources are freed a hundred times a second, and planning a gang examines
 // hundreds of targets.
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -23,6 +23,7 @@
 	phase        phase
 	run          w.RunID
 	target       *target
+	slots        int       // runs of the task that occupy targets, including earlier ones
 	avoid        *target   // target of the last failed run
 	failedRuns   []w.RunID // failed runs that count as attempts
 	checkpoint   string
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -199,7 +199,7 @@
 // placeTasks starts waiting tasks of a step until no target is found for one.
 func (c *Coordinator) placeTasks(s *step, needsAdvice bool) {
 	for i := range s.tasks {
-		if s.tasks[i].phase != waiting {
+		if s.tasks[i].phase != waiting || s.tasks[i].slots > 0 {
 			continue
 		}
 		if !c.capAllows(s) {
--- a/coordinator/spread_test.go
+++ b/coordinator/spread_test.go
@@ -68,3 +68,25 @@
 	x.c.Join(&linker.Hello{Instance: "other"})
 	require.Len(t, x.advance(0).Stops, 2)
 }
+
+// TestNoStartBesideStoppedDuplicate guards against starting a task while an earlier run of
+// it, which was a duplicate of the one just lost, is still being stopped.
+func TestNoStartBesideStoppedDuplicate(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		j := singleTaskJob("j")
+		j.Steps[0].Count, j.Steps[0].Gang = 2, gang
+		x := newCell(t, 2, 3, &keeper.Snapshot{Jobs: []w.Job{j}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b", "c"}}})
+		first, second := w.TaskID{Job: "j"}, w.TaskID{Job: "j", Index: 1}
+		x.reportRuns("a", w.Run{Task: first, Run: 2}, w.Run{Task: second, Run: 2})
+		x.reportRuns("b", w.Run{Task: first, Run: 1})
+		x.reportRuns("c")
+		require.Len(t, x.advance(0).Stops, 1)
+		x.restart(2)
+		x.reportSynced()
+		for _, s := range x.advance(0).Starts {
+			require.NotEqual(t, first, s.Task)
+		}
+		x.reportEnd("b", linker.Start{Task: first, Run: 1}, w.EndedStopped)
+		require.NotEmpty(t, x.advance(0).Starts)
+	}
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -180,6 +180,7 @@
 		t.leastUrgentPriority = math.MinInt
 	}
 	if sl.step != nil {
+		sl.step.tasks[sl.index].slots++
 		t.leastUrgentPriority = max(t.leastUrgentPriority, c.priority(sl.step.job))
 	}
 	c.tenants.add(sl)
@@ -205,6 +206,9 @@
 		return
 	}
 	delete(t.slots, id)
+	if sl.step != nil {
+		sl.step.tasks[sl.index].slots--
+	}
 	c.tenants.remove(sl)
 	t.used = t.used.Sub(sl.resources)
 	t.countSlot(sl, -1)
