coordinator: the end of a duplicate leaves a lasting task running

Callers saw two runs of a task that lasts. Cause: when a run of it ended as done, the task counted as waiting and started again, also if the run was an earlier one and the current one still worked. Change: only the end of the current run does that, as for all other ends.

--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -228,7 +228,9 @@
 			c.recordRun(s, e.Task.Index)
 		}
 		if s.Lasting {
-			c.requeueTask(s, e.Task.Index)
+			if current {
+				c.requeueTask(s, e.Task.Index)
+			}
 			return
 		}
 		if s.Gang {
--- a/coordinator/spread_test.go
+++ b/coordinator/spread_test.go
@@ -90,3 +90,19 @@
 		require.NotEmpty(t, x.advance(0).Starts)
 	}
 }
+
+// TestDuplicateOfLastingTaskEnds guards against starting a task again that still runs,
+// because a duplicate of it ended.
+func TestDuplicateOfLastingTaskEnds(t *testing.T) {
+	j := singleTaskJob("j")
+	j.Steps[0].Lasting = true
+	x := newCell(t, 2, 3, &keeper.Snapshot{Jobs: []w.Job{j}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b", "c"}}})
+	task := w.TaskID{Job: "j"}
+	x.reportRuns("a", w.Run{Task: task, Run: 2})
+	x.reportRuns("b", w.Run{Task: task, Run: 1})
+	x.reportRuns("c")
+	x.advance(0)
+	x.reportEnd("b", linker.Start{Task: task, Run: 1}, w.EndedDone)
+	require.Empty(t, x.advance(retryPeriod).Starts)
+	require.Equal(t, running, x.c.jobs["j"].step(task).tasks[0].phase)
+}
