coordinator: a gang that an earlier run has done stops its later run

Callers saw members of a gang work on after their gang was done. Cause: completeGang marked all members as done, so the end of the job, which stops what is starting or running, passed over a later run of them. Their resources stayed in use until it ended by itself. Change: runs other than the one that has ended are stopped first, as for single tasks. Evidence: TestGangDoneByEarlierRun failed without the change, '"[]" should have 2 item(s), but has 0', and passes now.

--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -234,7 +234,7 @@
 			return
 		}
 		if s.Gang {
-			c.completeGang(s)
+			c.completeGang(s, e.Run)
 			return
 		}
 		if !current && (tk.phase == running || tk.phase == starting) {
@@ -293,10 +293,13 @@
 	}
 }
 
-// completeGang marks all tasks of a gang as done. The gang ends as a whole, so the end
-// of one member stands for all.
-func (c *Coordinator) completeGang(s *step) {
+// completeGang marks all tasks of a gang as done and stops its other runs. A run of the
+// gang ends as a whole, so the end of one member stands for all.
+func (c *Coordinator) completeGang(s *step, run w.RunID) {
 	for i := range s.tasks {
+		if tk := &s.tasks[i]; tk.run != run && (tk.phase == starting || tk.phase == running) {
+			c.stopTask(s, i)
+		}
 		if s.tasks[i].phase != finished {
 			c.taskDone(s, i)
 		}
--- a/coordinator/spread_test.go
+++ b/coordinator/spread_test.go
@@ -106,3 +106,15 @@
 	require.Empty(t, x.advance(retryPeriod).Starts)
 	require.Equal(t, running, x.c.jobs["j"].step(task).tasks[0].phase)
 }
+
+// TestGangDoneByEarlierRun guards against members that work on although an earlier run of
+// their gang was done.
+func TestGangDoneByEarlierRun(t *testing.T) {
+	j := singleTaskJob("j")
+	j.Steps[0].Count, j.Steps[0].Gang = 2, true
+	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{j}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
+	x.reportRuns("a", w.Run{Task: w.TaskID{Job: "j"}, Run: 2}, w.Run{Task: w.TaskID{Job: "j", Index: 1}, Run: 2})
+	x.reportEnd("b", linker.Start{Task: w.TaskID{Job: "j"}, Run: 1}, w.EndedDone)
+	require.Len(t, x.advance(0).Stops, 2)
+	require.Equal(t, w.Completed, x.jobState("j"))
+}
