--- a/workload/workload.go
+++ b/workload/workload.go
@@ -60,11 +60,12 @@
 	return Resources{r.CPU - o.CPU, r.Mem - o.Mem, r.GPU - o.GPU}
 }
 
-// maxResource limits each resource that one task can request, so that sums over
-// all tasks of a cell do not overflow 64 bits.
+// maxResource limits each resource that one task can request or one target can have, so
+// that sums over all tasks or targets of a cell do not overflow 64 bits.
 const maxResource = 1 << 32
 
-func (r Resources) valid() bool {
+// Valid reports whether one task can request r, and one target can have it.
+func (r Resources) Valid() bool {
 	for _, v := range [...]int64{r.CPU, r.Mem, r.GPU} {
 		if v < 0 || v > maxResource {
 			return false
@@ -154,7 +155,7 @@
 	left := MaxTasks / j.Occurrences()
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		if s.Count <= 0 || s.Count > left || !s.Need.valid() || s.Estimate < 0 {
+		if s.Count <= 0 || s.Count > left || !s.Need.Valid() || s.Estimate < 0 {
 			return fmt.Errorf("workload: job %s, step %d: task count %d, resources %v or run time estimate out of range: %w", j.ID, i, s.Count, s.Need, ErrInvalid)
 		}
 		left -= s.Count
