platform: entries that name no target are logged and counted

Callers: an entry that names no target was skipped without a trace. If it had overwritten the entry of a target, nothing showed why the target got no work. Cause: Directory.Targets dropped the reason.

--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -88,7 +88,7 @@
 			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m}
 			inst := &instance.Instance{
 				Name: s.InstanceName, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Cores: s.Cores,
-				Keeper: k, Directory: &platform.Directory{Store: store}, Store: store, ConfigReads: configReads(store),
+				Keeper: k, Directory: &platform.Directory{Store: store, Log: log, Meter: m}, Store: store, ConfigReads: configReads(store),
 				TargetClient: targetClient, Gateway: g, Front: &platform.Handler{Gateway: g}, Log: log,
 				Meter: m, MetricsAddr: s.MetricsAddr,
 			}
