instance: the leader's loops go on after a panic; failed reads of targets show

Callers: a panic while the leader read the list of targets ended that loop for the rest of the leadership: the leader went on to lead with the targets of the last read. The same held for the loops that renew the leadership and look for stored jobs. A list that could not be read left no line either. Cause: the loops were started without the restart that the loops of the instance have, and pollTargets dropped the error. Fix: they are started again until the leadership ends; the first failed read of the list and the next good one are logged, each failed read is counted. Evidence: without the change TestLeaderKeepsFollowingTargets fails: no read follows the one that panicked within 5 s. Result: it passes, with the tests of ./instance (-race).

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -116,8 +116,8 @@
 		RestoreTime: bounds.RestoreTime, QuotaExcess: bounds.QuotaExcess, RemoteFactor: bounds.RemoteFactor,
 		Retention: bounds.StateRetention + retentionMargin, LoadProgress: l.monitor.Advance, Log: in.Log, Meter: in.Meter,
 	}, start)
-	l.spawn(l.renew)
-	l.spawn(l.watchRenewals)
+	l.spawnLoop(l.renew)
+	l.spawnLoop(l.watchRenewals)
 	for {
 		s, updates, err := l.load()
 		if err == nil {
@@ -186,7 +186,7 @@
 	}
 	l.reportUndecodable(s.DecodeErrors)
 	l.reportUndecodable(updates.DecodeErrors)
-	l.spawn(func() { l.scanJobs(s.Versions) })
+	l.spawnLoop(func() { l.scanJobs(s.Versions) })
 	l.mu.Lock()
 	l.loadedAt = time.Now()
 	l.mu.Unlock()
@@ -197,6 +197,11 @@
 
 func (l *leader) spawn(f func()) { l.in.spawn(f) }
 
+// spawnLoop runs a loop until the leadership ends, and starts it again whenever it panics.
+func (l *leader) spawnLoop(loop func()) {
+	l.spawn(func() { l.in.restartOnPanic(loop) })
+}
+
 // stop ends the leadership and closes the connections to the instances.
 func (l *leader) stop(reason string) {
 	l.stopOnce.Do(func() {
@@ -305,7 +310,7 @@
 }
 
 func (l *leader) decide() {
-	l.spawn(l.pollTargets)
+	l.spawnLoop(l.pollTargets)
 	saved := make(chan *coordinator.Batch, 1)
 	tick := time.NewTicker(maxRoundInterval)
 	defer tick.Stop()
@@ -599,17 +604,30 @@
 	best.Send(&linker.Frame{Retire: true})
 }
 
-// pollTargets periodically reads the platform's list of targets.
+// pollTargets periodically reads the platform's list of targets. While it can't be read,
+// the coordinator keeps the targets that it knows.
 func (l *leader) pollTargets() {
-	var lastFailure time.Time
+	var lastFailure, failingSince time.Time
 	for l.ctx.Err() == nil {
 		targets, err := l.in.Directory.Targets(l.ctx)
 		now := time.Now()
+		if l.ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			lastFailure = now
+			l.in.Meter.Count("unread", "targets")
+			if failingSince.IsZero() {
+				failingSince = now
+				l.in.Log.Warn("list of targets not read", "epoch", l.leadership.Epoch, "error", err)
+			}
 			l.in.sleep(retryDelay)
 			continue
 		}
+		if !failingSince.IsZero() {
+			l.in.Log.Info("list of targets read again", "epoch", l.leadership.Epoch, "targets", len(targets), "after", now.Sub(failingSince))
+			failingSince = time.Time{}
+		}
 		complete := now.Sub(lastFailure) > outageGracePeriod
 		l.post(func(c *coordinator.Coordinator) { c.SetTargets(targets, complete, time.Now()) })
 		l.in.sleep(targetsInterval)
--- a/instance/leader_test.go
+++ b/instance/leader_test.go
@@ -1,8 +1,12 @@
 package instance
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"log/slog"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +64,45 @@
 	in.wg.Wait()
 }
 
+// failingDirectory panics at the first read of the list of targets and fails the second.
+type failingDirectory struct {
+	staticConfig
+	reads atomic.Int32
+}
+
+func (d *failingDirectory) Targets(context.Context) ([]w.Target, error) {
+	switch d.reads.Add(1) {
+	case 1:
+		panic("unexpected")
+	case 2:
+		return nil, errors.New("unreadable")
+	}
+	return []w.Target{{ID: "t"}}, nil
+}
+
+// TestLeaderKeepsFollowingTargets guards against a leader that stops following the list of
+// targets after a panic or an error in a read of it.
+func TestLeaderKeepsFollowingTargets(t *testing.T) {
+	k := &keeper.Keeper{Store: emptyStore{}, Partitions: 1}
+	d := new(failingDirectory)
+	var logged bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&logged, nil))
+	in := &Instance{Keeper: k, Directory: d, Gateway: &gateway.Gateway{Keeper: k, Log: log}, Log: log}
+	in.Gateway.Init()
+	in.SetBounds(Bounds{StopTimeout: 200 * time.Millisecond, MaxLease: 10 * time.Second, StateRetention: time.Minute})
+	in.ctx, in.cancel = context.WithCancel(t.Context())
+	l, err := newLeader(in, keeper.Leadership{Epoch: 2, Version: 1})
+	require.NoError(t, err)
+	l.spawn(l.run)
+	require.Eventually(t, func() bool { return d.reads.Load() >= 4 }, 5*time.Second, time.Millisecond)
+	l.stop("end of test")
+	in.cancel()
+	in.wg.Wait()
+	require.Equal(t, 1, strings.Count(logged.String(), "list of targets not read"))
+	require.Equal(t, 1, strings.Count(logged.String(), "list of targets read again"))
+	require.Contains(t, logged.String(), "target listed")
+}
+
 // TestRestartOnPanic guards against a panic in a loop that ends the process or the
 // loop.
 func TestRestartOnPanic(t *testing.T) {
