executor: a panic in a request to a target doesn't end the process

Callers: none have met it; no reply is known that causes a panic. But an entry of another writer can direct the calls of an instance to any server, and a panic while its reply is decoded would end the process, and after it each process that the target is assigned to next. Cause: the goroutines of the executor had no recovery, unlike those of the instance, the links and the leader. Fix: a panic in a request is logged with its stack and counts as no reply, so that a start is stopped before its outcome is reported. Evidence: without the change TestPanicInRequestIsNoAnswer ends the test process ("panic: unexpected"). Result: it passes, with the tests of ./executor (-race).

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,6 +18,7 @@
 	Log          *slog.Logger
 	Send         func(*linker.Frame)
 
+	client   recoveringClient
 	mu       sync.Mutex
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -33,6 +34,7 @@
 // Run starts the executor and returns. Close stops it.
 func (e *Executor) Run() {
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.client = recoveringClient{e.TargetClient, e.Log}
 	e.sessions = make(map[w.TargetID]*targetSession)
 	e.outReady = make(chan struct{}, 1)
 	e.asks = make(chan linker.Ask, 64)
@@ -172,7 +174,7 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(e.ctx, adviceTimeout)
-		tickets, err := e.TargetClient.Advise(ctx, a.Step, a.Targets)
+		tickets, err := e.client.Advise(ctx, a.Step, a.Targets)
 		cancel()
 		advice := linker.Advice{ID: a.ID, Failed: err != nil}
 		if err != nil {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -199,3 +199,15 @@
 	require.Zero(t, first, "the target has not confirmed its incarnation to this session")
 	require.Equal(t, int64(57), s.nextCursor(t))
 }
+
+// TestPanicInRequestIsNoAnswer guards against a reply that ends the process.
+func TestPanicInRequestIsNoAnswer(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+	s.startReply = func(int) (Reply, error) { panic("unexpected") }
+	e, c := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+	require.Eventually(t, func() bool {
+		o := c.outcomes()
+		return len(o) == 2 && o[0] == linker.Indeterminate && o[1] == linker.NotStarted
+	}, 3*time.Second, 10*time.Millisecond)
+}
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -137,7 +137,7 @@
 
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(s.ctx, req.Wait+callTimeout)
-		reply, err := s.e.TargetClient.Hold(ctx, s.target, &req)
+		reply, err := s.e.client.Hold(ctx, s.target, &req)
 		cancel()
 		if s.ctx.Err() != nil {
 			return
@@ -274,7 +274,7 @@
 		const maxAttempts = 2
 		for range maxAttempts {
 			ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-			reply, err := s.e.TargetClient.Start(ctx, s.target, &req)
+			reply, err := s.e.client.Start(ctx, s.target, &req)
 			cancel()
 			if err == nil {
 				s.mu.Lock()
@@ -311,7 +311,7 @@
 func (s *targetSession) stopUntilAnswered(task w.TaskID, run w.RunID) {
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		_, err := s.e.TargetClient.Stop(ctx, s.target, task, run, s.e.currentEpoch())
+		_, err := s.e.client.Stop(ctx, s.target, task, run, s.e.currentEpoch())
 		cancel()
 		if err == nil {
 			s.mu.Lock()
