keeper: odd rows among the heartbeats don't keep a dead leader

Callers: one row of another form among the reports of unreachable leaders, or in the place of the heartbeat, made each read of the leader's health fail. No instance took over from a leader that died then, as long as the row was there. A heartbeat that names 1,000,000,000 instances made others look at it again after 29 days. Cause: LeaderHealth failed for the whole table, and the number of instances had no bound. Fix: a report that can't be decoded reports nothing; a heartbeat that can't, or whose numbers are out of range, counts as written in epoch 0. The elector takes that for a leader without a heartbeat, whose silence counts from the loss of its connection; a leader that lives overwrites the row within 0.3 s.

--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -219,11 +219,27 @@
 	if row == nil {
 		return heartbeat, nil
 	}
-	if err := json.Unmarshal(row.Value, &heartbeat); err != nil {
-		return heartbeat, fmt.Errorf("keeper: decode heartbeat: %w", err)
+	return decodeHeartbeat(row), nil
+}
+
+const (
+	// maxInstances bounds the number of instances in a row, from which the periods of
+	// reads and reports follow.
+	maxInstances = 10_000
+	// maxSentAtMs is about 139 years, whatever the store's clock counts from.
+	maxSentAtMs = 1 << 42
+)
+
+// decodeHeartbeat decodes the heartbeat row. One that can't be decoded counts as written
+// in epoch 0, so that its leader can be replaced.
+func decodeHeartbeat(row *Row) Heartbeat {
+	var h Heartbeat
+	err := json.Unmarshal(row.Value, &h)
+	if err != nil || max(h.Members, h.Instances) > maxInstances || h.SentAtMs < 0 || h.SentAtMs > maxSentAtMs {
+		h = Heartbeat{}
 	}
-	heartbeat.Version = row.Version
-	return heartbeat, nil
+	h.Version = row.Version
+	return h
 }
 
 // LeaderHealth reads the leader's heartbeat and the unreachable reports.
@@ -237,17 +253,14 @@
 	for i := range rows {
 		r := &rows[i]
 		if r.Name == heartbeatName {
-			if err := json.Unmarshal(r.Value, &heartbeat); err != nil {
-				return heartbeat, nil, fmt.Errorf("keeper: decode heartbeat: %w", err)
-			}
-			heartbeat.Version = r.Version
+			heartbeat = decodeHeartbeat(r)
 			continue
 		}
 		report := UnreachableReport{Instance: w.InstanceID(r.Name), Version: r.Version}
-		if err := json.Unmarshal(r.Value, &report); err != nil {
-			return heartbeat, nil, fmt.Errorf("keeper: decode unreachable report %s: %w", r.Name, err)
+		// A row that can't be decoded reports nothing.
+		if json.Unmarshal(r.Value, &report) == nil {
+			reports = append(reports, report)
 		}
-		reports = append(reports, report)
 	}
 	return heartbeat, reports, nil
 }
--- a/keeper/takeover_test.go
+++ b/keeper/takeover_test.go
@@ -200,3 +200,25 @@
 	require.Equal(t, w.TenantName("a"), snap.Jobs[0].Tenant)
 	require.Empty(t, snap.Jobs[0].Spec)
 }
+
+// TestOddHeartbeatsHideNoLeader guards against a row among the heartbeats that keeps every
+// instance from replacing a dead leader, or from looking again for hours.
+func TestOddHeartbeatsHideNoLeader(t *testing.T) {
+	for _, odd := range []string{"[", "7", `{"epoch":"1"}`, `{"members":1e9}`, `{"instances":1000000000}`, `{"at":9000000000000000000}`, `{"epoch":1e400}`} {
+		s, k, _ := newLeader(t)
+		s.rows[Key{Table: tableHeartbeats, Name: "lost/b"}] = Row{Key: Key{Table: tableHeartbeats, Name: "lost/b"}, Value: []byte(odd), Version: 8}
+		require.NoError(t, k.ReportUnreachable(t.Context(), "c", 1))
+		heartbeat, reports, err := k.LeaderHealth(t.Context())
+		require.NoError(t, err, odd)
+		require.Equal(t, w.Epoch(1), heartbeat.Epoch)
+		require.Contains(t, reports, UnreachableReport{Instance: "lost/c", Epoch: 1, Version: s.ver})
+
+		s.rows[heartbeatKey] = Row{Key: heartbeatKey, Value: []byte(odd), Version: 9}
+		heartbeat, _, err = k.LeaderHealth(t.Context())
+		require.NoError(t, err, odd)
+		require.Equal(t, Heartbeat{Version: 9}, heartbeat, odd)
+		heartbeat, err = k.Heartbeat(t.Context())
+		require.NoError(t, err, odd)
+		require.Equal(t, Heartbeat{Version: 9}, heartbeat, odd)
+	}
+}
