keeper: a leader row that can't be read is replaced

Callers: with a leader row of another writer in the place of that of the leader, the leader ended at its next renewal and no instance could take over: reads and watches of the row failed without end. Jobs stood still. Cause: the row is the only source of the epoch, and an epoch beyond those whose run IDs fit into 64 bits, or none, was taken as it stood. Fix: for such a row the epoch comes from the heartbeat, which a takeover writes in the same transaction and renewals only under the version of the leader row. The leadership that is read then names no instance, and is replaced like a dead one under the version of the odd row. If both rows are odd, no epoch is known and reads fail as before.

--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -50,16 +50,39 @@
 	if err != nil {
 		return Leadership{}, fmt.Errorf("keeper: read leader: %w", err)
 	}
-	return decodeLeader(row)
+	return k.leaderOf(ctx, row)
 }
 
+// leaderOf returns the leadership in a leader row. If the row can't be decoded, it returns
+// one of the epoch of the last heartbeat that names no instance, so that the next leader
+// can replace the row.
+func (k *Keeper) leaderOf(ctx context.Context, row *Row) (Leadership, error) {
+	l, err := decodeLeader(row)
+	if err == nil {
+		return l, nil
+	}
+	heartbeat, readErr := k.Heartbeat(ctx)
+	if readErr != nil || heartbeat.Epoch == 0 {
+		return Leadership{}, errors.Join(err, readErr)
+	}
+	return Leadership{Epoch: heartbeat.Epoch, Version: row.Version}, nil
+}
+
+// maxEpoch is the highest epoch whose run IDs don't overflow.
+const maxEpoch = 1 << 36
+
+var errLeaderOutOfRange = errors.New("keeper: epoch or number of instances of the leader row out of range")
+
 func decodeLeader(row *Row) (Leadership, error) {
 	var l Leadership
 	if row == nil {
 		return l, nil
 	}
 	if err := json.Unmarshal(row.Value, &l); err != nil {
-		return l, fmt.Errorf("keeper: decode leader: %w", err)
+		return Leadership{}, fmt.Errorf("keeper: decode leader: %w", err)
+	}
+	if l.Epoch <= 0 || l.Epoch > maxEpoch || l.Instances > maxInstances {
+		return Leadership{}, errLeaderOutOfRange
 	}
 	l.Version = row.Version
 	return l, nil
@@ -114,7 +137,7 @@
 	}
 	for i := range rows {
 		if rows[i].Key == leaderKey && !rows[i].Deleted {
-			l, err := decodeLeader(&rows[i])
+			l, err := k.leaderOf(ctx, &rows[i])
 			if err != nil {
 				return nil, after, err
 			}
@@ -235,7 +258,7 @@
 func decodeHeartbeat(row *Row) Heartbeat {
 	var h Heartbeat
 	err := json.Unmarshal(row.Value, &h)
-	if err != nil || max(h.Members, h.Instances) > maxInstances || h.SentAtMs < 0 || h.SentAtMs > maxSentAtMs {
+	if err != nil || h.Epoch < 0 || h.Epoch > maxEpoch || max(h.Members, h.Instances) > maxInstances || h.SentAtMs < 0 || h.SentAtMs > maxSentAtMs {
 		h = Heartbeat{}
 	}
 	h.Version = row.Version
--- a/keeper/takeover_test.go
+++ b/keeper/takeover_test.go
@@ -141,7 +141,7 @@
 	require.Equal(t, map[string]Version{TableJobs: 3}, versions)
 }
 
-// historyStore returns fixed changes of the jobs, and fails for one table.
+// historyStore returns fixed changes of the jobs or the leader row, and fails for one table.
 type historyStore struct {
 	Store
 	rows  []Row
@@ -152,7 +152,7 @@
 	if table == s.fails {
 		return nil, 0, ErrOutcomeUnknown
 	}
-	if table != TableJobs {
+	if table != TableJobs && table != TableControl {
 		return nil, 1, nil
 	}
 	return s.rows, 10, nil
@@ -222,3 +222,23 @@
 		require.Equal(t, Heartbeat{Version: 9}, heartbeat, odd)
 	}
 }
+
+// TestOddLeaderRowIsReplaced guards against a leader row that no instance can read or
+// replace.
+func TestOddLeaderRowIsReplaced(t *testing.T) {
+	for _, odd := range []string{"[", "{}", `{"epoch":"1"}`, `{"epoch":9000000000000000000}`, `{"epoch":-1}`, `{"epoch":7,"instances":1000000000}`} {
+		s, k, leadership := newLeader(t)
+		s.ver++
+		s.rows[leaderKey] = Row{Key: leaderKey, Value: []byte(odd), Version: s.ver}
+		require.Error(t, k.Renew(t.Context(), leadership, 1, 1), "the leader ends")
+		read, err := k.Leader(t.Context())
+		require.NoError(t, err, odd)
+		require.Equal(t, Leadership{Epoch: 1, Version: s.ver}, read, odd)
+		watched, _, err := (&Keeper{Store: historyStore{Store: s, rows: []Row{s.rows[leaderKey]}}}).WatchLeader(t.Context(), 0, 0)
+		require.NoError(t, err, odd)
+		require.Equal(t, &read, watched, odd)
+		next, err := k.TakeOver(t.Context(), read, Leadership{Instance: "b"})
+		require.NoError(t, err, odd)
+		require.Equal(t, w.Epoch(2), next.Epoch)
+	}
+}
