keeper: a roster that can't be read delays old jobs, not all leaders

Callers: with a roster row of another form no instance could load the cell, so that nothing was started or shown as ended until somebody removed the row. Cause: Load failed, although it leaves out other rows that it can't decode. An empty roster in its place would be unsafe: it says that nothing may run. Fix: such a roster is loaded as one entry that stands for all targets that the earlier leader may have used. The next batch replaces the row. The error is logged and counted like that of other rows. Result: TestOddRosterIsLoaded and TestUnknownRosterHoldsUpOldJobs pass, with the tests of ./keeper and of rosters in ./coordinator (-race).

--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -33,6 +33,25 @@
 	require.NotEqual(t, waiting, x.c.jobs["there"].occurrences[0].steps[0].tasks[0].phase, "the lease has certainly expired")
 }
 
+// TestUnknownRosterHoldsUpOldJobs guards against running a task twice when the roster of
+// the earlier coordinator can't be read.
+func TestUnknownRosterHoldsUpOldJobs(t *testing.T) {
+	x := newCell(t, 2, 1, &keeper.Snapshot{Jobs: []w.Job{singleTaskJob("old")}, Roster: keeper.Roster{Open: []w.TargetID{keeper.UnknownTarget}}})
+	x.submit(singleTaskJob("new"))
+	x.reportRuns("a")
+	f := x.advance(0)
+	require.Len(t, f.Starts, 1)
+	require.Equal(t, w.JobID("new"), f.Starts[0].Task.Job)
+	_, _, unlimited := x.c.unsyncedCapacity()
+	require.True(t, unlimited)
+	for range 17 {
+		x.reportRuns("a", w.Run{Task: f.Starts[0].Task, Run: f.Starts[0].Run})
+		require.Empty(t, x.advance(500*time.Millisecond).Starts)
+	}
+	x.reportRuns("a", w.Run{Task: f.Starts[0].Task, Run: f.Starts[0].Run})
+	require.Len(t, x.advance(time.Second).Starts, 1, "the leases of the earlier coordinator have certainly expired")
+}
+
 // TestClosedListing guards against a roster that omits a target which the platform no
 // longer lists but on which tasks are running.
 func TestClosedListing(t *testing.T) {
--- a/coordinator/tenants.go
+++ b/coordinator/tenants.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/limiter"
 	"github.com/masticlead/masticlead/sharer"
 	w "github.com/masticlead/masticlead/workload"
@@ -400,10 +401,14 @@
 
 // unsyncedCapacity returns the capacity of the unsynced targets by service. Targets that
 // are no longer listed may belong to any service; each counts as large as the largest
-// target that is known. Without a known target the capacity is unlimited.
+// target that is known. Without a known target, or if the roster was not readable, the
+// capacity is unlimited.
 func (c *Coordinator) unsyncedCapacity() (capacity map[string]w.Resources, unlisted w.Resources, unlimited bool) {
 	capacity = make(map[string]w.Resources)
 	unknown := 0
+	if _, ok := c.unsynced[keeper.UnknownTarget]; ok {
+		return nil, unlisted, true
+	}
 	for id := range c.unsynced {
 		if t := c.targets[id]; t != nil {
 			capacity[t.Service] = capacity[t.Service].Add(t.Capacity)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -196,6 +196,20 @@
 	require.Error(t, err)
 }
 
+// TestOddRosterIsLoaded guards against a roster row that keeps every instance from leading,
+// and against one that is taken for a roster without targets.
+func TestOddRosterIsLoaded(t *testing.T) {
+	for _, odd := range []string{"[", `{"open":1}`, `{"closed":[]}`, "7"} {
+		s, k, _ := newLeader(t)
+		key := Key{Table: TableControl, Name: rosterName}
+		s.rows[key] = Row{Key: key, Value: []byte(odd), Version: 9}
+		snap, err := k.Load(t.Context())
+		require.NoError(t, err, odd)
+		require.Len(t, snap.DecodeErrors, 1, odd)
+		require.Equal(t, Roster{Open: []w.TargetID{UnknownTarget}}, snap.Roster, odd)
+	}
+}
+
 // TestSaveUsesOnePartition guards against saves of progress that span partitions:
 // in a slow store they took twice as long and delayed the jobs accepted in those
 // partitions.
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -118,7 +118,8 @@
 		s.saveSeqVersion = saveSeq.Version
 	}
 	if s.Roster, err = decodeRoster(roster); err != nil {
-		return nil, err
+		s.DecodeErrors = append(s.DecodeErrors, err)
+		s.Roster = Roster{Open: []w.TargetID{UnknownTarget}}
 	}
 	slices.SortFunc(s.Jobs, func(a, b w.Job) int {
 		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), strings.Compare(string(a.ID), string(b.ID)))
--- a/keeper/roster.go
+++ b/keeper/roster.go
@@ -16,6 +16,11 @@
 	Closed map[w.TargetID][]string `json:"closed,omitempty"`
 }
 
+// UnknownTarget stands in a roster for all targets of a row that can't be decoded. No
+// target has this identifier, so whatever the targets may run counts as running until
+// their leases have ended.
+const UnknownTarget w.TargetID = ""
+
 // decodeRoster decodes the roster row. Earlier versions stored only a list of
 // targets, which are open.
 func decodeRoster(row *Row) (Roster, error) {
