coordinator: a target that never answers delays no handover

Callers: an entry of another writer with a valid address at which nobody answers was kept in the roster as long as it was listed. Each new leader then waited until the leases that such a target may hold had ended (8 s) before it started jobs of the leader before it. Cause: the roster named all listed targets, although starts need a target that has answered. Fix: a target that has not answered the coordinator for a lease since it was listed is left out. Until then it stays in, so that new targets are used as soon as before. What an earlier leader may have started there is covered by the roster that was loaded, for as long as its leases may last. A target that answers later enters the roster before its first start, as starts need its stored entry.

--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -37,13 +37,15 @@
 }
 
 // requiredRoster returns the roster that must be stored: the targets on which tasks may
-// be started, and those on which tasks may still be running.
+// be started, and those on which tasks may still be running. A target that has not answered
+// for a lease since it was first listed is not in it, since the next coordinator waits for
+// the leases of all that are.
 func (c *Coordinator) requiredRoster() roster {
 	r := make(roster, len(c.sortedTargets))
 	bytes := 0
 	for _, t := range c.sortedTargets {
 		switch {
-		case t.listed:
+		case t.listed && (t.reached || !t.leaseExpired):
 			r[t.ID] = rosterEntry{}
 		case len(t.slots) > 0:
 			e := t.closedEntry()
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -33,6 +33,27 @@
 	require.NotEqual(t, waiting, x.c.jobs["there"].occurrences[0].steps[0].tasks[0].phase, "the lease has certainly expired")
 }
 
+// TestUnreachableEntryDoesNotHoldUpHandover guards against an entry at whose address nobody
+// answers, and which delays the jobs of the earlier coordinator at each handover.
+func TestUnreachableEntryDoesNotHoldUpHandover(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.reportRuns("a")
+	list := []w.Target{x.c.targets["a"].Target, x.c.targets["b"].Target}
+	for range 9 {
+		x.receive(&linker.Frame{Reports: []linker.Report{{Target: "b", Incarnation: 1, Unreachable: true}}})
+		x.reportRuns("a")
+		x.c.SetTargets(list, true, x.now)
+		x.advance(time.Second)
+	}
+	next := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{singleTaskJob("k")}, Roster: x.c.roster.toKeeper()})
+	next.reportRuns("a")
+	require.Len(t, next.advance(0).Starts, 1)
+
+	x.reportRuns("b")
+	x.advance(0)
+	require.True(t, x.c.usable(x.c.targets["b"]), "a target that answers late is used")
+}
+
 // TestUnknownRosterHoldsUpOldJobs guards against running a task twice when the roster of
 // the earlier coordinator can't be read.
 func TestUnknownRosterHoldsUpOldJobs(t *testing.T) {
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -31,6 +31,7 @@
 	member            *member
 	listed            bool      // on the platform's current list of targets
 	synced            bool      // this coordinator has received a complete list of its runs
+	reached           bool      // it has answered this coordinator, possibly in an earlier incarnation
 	leaseExpired      bool      // its lease has certainly expired and its slots were released
 	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
 	endSeq            int64     // highest sequence number of a received end
@@ -274,7 +275,7 @@
 		c.generation++
 		c.Log.Info("target reachable again", "target", t.ID)
 	}
-	t.reportedAt = c.now
+	t.reportedAt, t.reached = c.now, true
 	t.leaseExpired = false
 	for i := range r.Ends {
 		c.handleEnd(t, &r.Ends[i])
