coordinator: a target that never answers counts for no tenant's share

Callers: an entry of another writer with a large capacity and an address at which nobody answers raised the capacity that tenants share. The resource of which it names much then counted for nothing: a tenant with half of the CPU went before one with a quarter of the memory. Cause: sortByShare added up the capacity of all listed targets. Fix: as in the roster, a target counts that has answered, or that was first listed less than a lease ago.

--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -45,7 +45,7 @@
 	bytes := 0
 	for _, t := range c.sortedTargets {
 		switch {
-		case t.listed && (t.reached || !t.leaseExpired):
+		case t.listed && t.mayAnswer():
 			r[t.ID] = rosterEntry{}
 		case len(t.slots) > 0:
 			e := t.closedEntry()
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -53,6 +53,10 @@
 // free returns the resources that no run occupies.
 func (t *target) free() w.Resources { return t.Capacity.Sub(t.used) }
 
+// mayAnswer reports whether the target has answered this coordinator, or was first listed
+// less than a lease ago. Other entries of the list may name a target that isn't there.
+func (t *target) mayAnswer() bool { return t.reached || !t.leaseExpired }
+
 // usable reports whether new tasks may be placed on a target.
 func (c *Coordinator) usable(t *target) bool {
 	return t.listed && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
--- a/coordinator/tenants.go
+++ b/coordinator/tenants.go
@@ -450,7 +450,7 @@
 	}
 	var capacity w.Resources
 	for _, t := range c.sortedTargets {
-		if t.listed {
+		if t.listed && t.mayAnswer() {
 			capacity = capacity.Add(t.Capacity)
 		}
 	}
--- a/coordinator/tenants_test.go
+++ b/coordinator/tenants_test.go
@@ -357,3 +357,29 @@
 	x.submit(tenantJob("new", "t", 9))
 	require.Equal(t, map[w.JobID]int{"new": 4}, startsOf(x.advance(0)))
 }
+
+// TestUnreachableEntryChangesNoShares guards against an entry at whose address nobody
+// answers, and whose capacity makes the use of one resource count for nothing.
+func TestUnreachableEntryChangesNoShares(t *testing.T) {
+	x := newTenantCell(t, 2, w.Tenant{Name: "cpu", Weight: 1}, w.Tenant{Name: "mem", Weight: 1})
+	list := []w.Target{x.c.targets["a"].Target, x.c.targets["b"].Target, {ID: "z", Service: "s", Address: "x", Incarnation: 1, Capacity: w.Resources{CPU: 1 << 32}}}
+	for range 9 {
+		x.reportRuns("a")
+		x.reportRuns("b")
+		x.c.SetTargets(list, true, x.now)
+		x.advance(time.Second)
+	}
+	x.submit(tenantJob("c", "cpu", 8))
+	memory := tenantJob("m", "mem", 1)
+	memory.Steps[0].Need = w.Resources{CPU: 100, Mem: 4000}
+	x.submit(memory)
+	require.Len(t, x.advance(0).Starts, 9)
+	for _, tenant := range []w.TenantName{"cpu", "mem"} {
+		blocked := tenantJob(w.JobID("blocked "+tenant), tenant, 1)
+		blocked.Steps[0].Need = w.Resources{CPU: 9000}
+		x.submit(blocked)
+	}
+	x.advance(time.Second)
+	x.c.sortByShare()
+	require.Equal(t, w.TenantName("mem"), x.c.backlog[0].job.Tenant, "half of the CPU is more than a quarter of the memory")
+}
