instance: errors that quote a row are logged briefly

Callers: a row with a number of 60,000 digits left a line of 60,158 bytes each time that it was read. Lines beyond 256 KB in 50 ms are dropped, so that a few such rows hide others. Cause: errors of json quote the number, and were logged in full. Evidence: without the change TestLongRowIsLoggedBriefly fails: 60158 bytes. Result: it passes, with the tests of ./instance (-race).

--- a/instance/config.go
+++ b/instance/config.go
@@ -57,7 +57,7 @@
 			if after != previous {
 				current = false
 				in.Meter.Count("unread", "configuration")
-				in.Log.Error("configuration not read", "error", err)
+				in.Log.Error("configuration not read", "error", brief(err))
 			}
 			if errors.Is(err, keeper.ErrHistoryTruncated) {
 				synced = false
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -619,7 +619,7 @@
 			l.in.Meter.Count("unread", "targets")
 			if failingSince.IsZero() {
 				failingSince = now
-				l.in.Log.Warn("list of targets not read", "epoch", l.leadership.Epoch, "error", err)
+				l.in.Log.Warn("list of targets not read", "epoch", l.leadership.Epoch, "error", brief(err))
 			}
 			l.in.sleep(retryDelay)
 			continue
@@ -634,11 +634,20 @@
 	}
 }
 
+// maxLoggedError bounds the length in bytes of errors that may quote a row.
+const maxLoggedError = 300
+
+// brief returns the beginning of an error's text.
+func brief(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxLoggedError)]
+}
+
 // reportUndecodable logs and counts rows of the store that could not be decoded.
 func (l *leader) reportUndecodable(errs []error) {
 	for _, err := range errs {
 		l.in.Meter.Count("unread", "row")
-		l.in.Log.Error("row of the store not read", "epoch", l.leadership.Epoch, "error", err)
+		l.in.Log.Error("row of the store not read", "epoch", l.leadership.Epoch, "error", brief(err))
 	}
 }
 
--- a/instance/leader_test.go
+++ b/instance/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"strings"
@@ -117,3 +118,13 @@
 	})
 	require.Equal(t, 3, runs)
 }
+
+// TestLongRowIsLoggedBriefly guards against a number of another writer that fills the log.
+func TestLongRowIsLoggedBriefly(t *testing.T) {
+	var logged bytes.Buffer
+	l := &leader{in: &Instance{Log: slog.New(slog.NewTextHandler(&logged, nil))}}
+	var row struct{ N int }
+	l.reportUndecodable([]error{json.Unmarshal([]byte(`{"N":1`+strings.Repeat("0", 60_000)+`}`), &row)})
+	require.Contains(t, logged.String(), "row of the store not read")
+	require.Less(t, logged.Len(), 500)
+}
