--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -32,6 +32,7 @@
 	member            *member
 	listed            bool      // on the platform's current list of targets
 	synced            bool      // this coordinator has received a complete list of its runs
+	reached           bool      // it has answered this coordinator, possibly in an earlier incarnation
 	leaseExpired      bool      // its lease has certainly expired and its slots were released
 	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
 	endSeq            int64     // highest sequence number of a received end
@@ -53,6 +54,10 @@
 // free returns the resources that no run occupies.
 func (t *target) free() w.Resources { return t.Capacity.Sub(t.used) }
 
+// mayAnswer reports whether the target has answered this coordinator, or was first listed
+// less than a lease ago. Other entries of the list may name a target that isn't there.
+func (t *target) mayAnswer() bool { return t.reached || !t.leaseExpired }
+
 // usable reports whether new tasks may be placed on a target.
 func (c *Coordinator) usable(t *target) bool {
 	return t.listed && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
@@ -296,7 +301,7 @@
 		c.generation++
 		c.Log.Info("target reachable again", "target", t.ID)
 	}
-	t.reportedAt = c.now
+	t.reportedAt, t.reached = c.now, true
 	t.leaseExpired = false
 	for i := range r.Ends {
 		c.handleEnd(t, &r.Ends[i])
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -113,7 +113,7 @@
 		req := s.nextHold(hasRuns)
 		sent := time.Now()
 		reply, err := call(s.ctx, req.Wait+callTimeout, func(ctx context.Context) (HoldReply, error) {
-			return s.e.TargetClient.Hold(ctx, s.target, &req)
+			return s.e.client.Hold(ctx, s.target, &req)
 		})
 		if s.ctx.Err() != nil {
 			return
@@ -310,7 +310,7 @@
 	const maxAttempts = 2
 	for attempt := range maxAttempts {
 		reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
-			return s.e.TargetClient.Start(ctx, s.target, req)
+			return s.e.client.Start(ctx, s.target, req)
 		})
 		if err != nil {
 			s.e.Log.Debug("start request failed", "task", req.Task, "target", s.target.ID, "run", req.Run, "error", err)
@@ -358,7 +358,7 @@
 func (s *targetSession) stopUntilAnswered(task w.TaskID, run w.RunID) {
 	for s.ctx.Err() == nil {
 		_, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
-			return s.e.TargetClient.Stop(ctx, s.target, task, run, s.e.currentEpoch())
+			return s.e.client.Stop(ctx, s.target, task, run, s.e.currentEpoch())
 		})
 		if err == nil {
 			s.mu.Lock()
