--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -156,7 +156,7 @@
 }
 
 // orphanTimeout is the time after which a job that was not found is assumed to have
-// been removed from the store.
+// been removed from the store, if the store was read meanwhile.
 const orphanTimeout = 15 * time.Second
 
 // ackableSeq returns the highest sequence number, at most seq, up to which the ends of
@@ -197,7 +197,9 @@
 // that they are acknowledged and their targets can discard them, too.
 func (c *Coordinator) expireOrphans() {
 	for _, t := range c.sortedTargets {
-		c.filterOrphans(t, func(o *orphanEnd) bool { return c.now.Sub(o.receivedAt) < orphanTimeout })
+		c.filterOrphans(t, func(o *orphanEnd) bool {
+			return c.now.Sub(o.receivedAt) < orphanTimeout || !c.jobsReadAt.After(o.receivedAt)
+		})
 	}
 }
 
@@ -238,11 +240,13 @@
 			c.recordRun(s, e.Task.Index)
 		}
 		if s.Lasting {
-			c.requeueTask(s, e.Task.Index)
+			if current {
+				c.requeueTask(s, e.Task.Index)
+			}
 			return
 		}
 		if s.Gang {
-			c.completeGang(s)
+			c.completeGang(s, e.Run)
 			return
 		}
 		if !current && (tk.phase == running || tk.phase == starting) {
@@ -302,10 +306,13 @@
 	}
 }
 
-// completeGang marks all tasks of a gang as done. The gang ends as a whole, so the end
-// of one member stands for all.
-func (c *Coordinator) completeGang(s *step) {
+// completeGang marks all tasks of a gang as done and stops its other runs. A run of the
+// gang ends as a whole, so the end of one member stands for all.
+func (c *Coordinator) completeGang(s *step, run w.RunID) {
 	for i := range s.tasks {
+		if tk := &s.tasks[i]; tk.run != run && (tk.phase == starting || tk.phase == running) {
+			c.stopTask(s, i)
+		}
 		if s.tasks[i].phase != finished {
 			c.taskDone(s, i)
 		}
@@ -361,7 +368,7 @@
 // HandleResult processes the result of a start or stop order.
 func (c *Coordinator) HandleResult(r *linker.Result) {
 	t := c.targets[r.Target]
-	if t == nil {
+	if t == nil || (r.Incarnation != 0 && r.Incarnation != t.Incarnation) {
 		return
 	}
 	sl := t.slots[r.Task]
--- a/coordinator/spread_test.go
+++ b/coordinator/spread_test.go
@@ -68,3 +68,55 @@
 	x.c.Join(&linker.Hello{Instance: "other"})
 	require.Len(t, x.advance(0).Stops, 2)
 }
+
+// TestNoStartBesideStoppedDuplicate guards against starting a task while an earlier run of
+// it, which was a duplicate of the one just lost, is still being stopped.
+func TestNoStartBesideStoppedDuplicate(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		j := singleTaskJob("j")
+		j.Steps[0].Count, j.Steps[0].Gang = 2, gang
+		x := newCell(t, 2, 3, &keeper.Snapshot{Jobs: []w.Job{j}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b", "c"}}})
+		first, second := w.TaskID{Job: "j"}, w.TaskID{Job: "j", Index: 1}
+		x.reportRuns("a", w.Run{Task: first, Run: 2}, w.Run{Task: second, Run: 2})
+		x.reportRuns("b", w.Run{Task: first, Run: 1})
+		x.reportRuns("c")
+		require.Len(t, x.advance(0).Stops, 1)
+		x.advance(survivalTime)
+		x.reportRuns("a", w.Run{Task: first, Run: 2}, w.Run{Task: second, Run: 2})
+		x.restart(2)
+		x.reportSynced()
+		for _, s := range x.advance(0).Starts {
+			require.NotEqual(t, first, s.Task)
+		}
+		x.reportEnd("b", linker.Start{Task: first, Run: 1}, w.EndedStopped)
+		require.NotEmpty(t, x.advance(0).Starts)
+	}
+}
+
+// TestDuplicateOfLastingTaskEnds guards against starting a task again that still runs,
+// because a duplicate of it ended.
+func TestDuplicateOfLastingTaskEnds(t *testing.T) {
+	j := singleTaskJob("j")
+	j.Steps[0].Lasting = true
+	x := newCell(t, 2, 3, &keeper.Snapshot{Jobs: []w.Job{j}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b", "c"}}})
+	task := w.TaskID{Job: "j"}
+	x.reportRuns("a", w.Run{Task: task, Run: 2})
+	x.reportRuns("b", w.Run{Task: task, Run: 1})
+	x.reportRuns("c")
+	x.advance(0)
+	x.reportEnd("b", linker.Start{Task: task, Run: 1}, w.EndedDone)
+	require.Empty(t, x.advance(retryPeriod).Starts)
+	require.Equal(t, running, x.c.jobs["j"].step(task).tasks[0].phase)
+}
+
+// TestGangDoneByEarlierRun guards against members that work on although an earlier run of
+// their gang was done.
+func TestGangDoneByEarlierRun(t *testing.T) {
+	j := singleTaskJob("j")
+	j.Steps[0].Count, j.Steps[0].Gang = 2, true
+	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{j}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
+	x.reportRuns("a", w.Run{Task: w.TaskID{Job: "j"}, Run: 2}, w.Run{Task: w.TaskID{Job: "j", Index: 1}, Run: 2})
+	x.reportEnd("b", linker.Start{Task: w.TaskID{Job: "j"}, Run: 1}, w.EndedDone)
+	require.Len(t, x.advance(0).Stops, 2)
+	require.Equal(t, w.Completed, x.jobState("j"))
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -35,6 +35,7 @@
 	listed            bool      // on the platform's current list of targets
 	synced            bool      // this coordinator has received a complete list of its runs
 	replaced          bool      // its machine runs a later target
+	reached           bool      // it has answered this coordinator, possibly in an earlier incarnation
 	leaseExpired      bool      // its lease has certainly expired and its slots were released
 	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
 	answeredAt        time.Time // last answer of the target to any request
@@ -59,6 +60,10 @@
 // free returns the resources that no run occupies.
 func (t *target) free() w.Resources { return t.Capacity.Sub(t.used) }
 
+// mayAnswer reports whether the target has answered this coordinator, or was first listed
+// less than a lease ago. Other entries of the list may name a target that isn't there.
+func (t *target) mayAnswer() bool { return t.reached || !t.leaseExpired }
+
 // usable reports whether new tasks may be placed on a target.
 func (c *Coordinator) usable(t *target) bool {
 	return t.listed && !t.replaced && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
@@ -215,6 +220,7 @@
 		t.leastUrgentPriority = math.MinInt
 	}
 	if sl.step != nil {
+		sl.step.tasks[sl.index].slots++
 		t.leastUrgentPriority = max(t.leastUrgentPriority, c.priority(sl.step.job))
 	}
 	c.tenants.add(sl)
@@ -240,6 +246,9 @@
 		return
 	}
 	delete(t.slots, id)
+	if sl.step != nil {
+		sl.step.tasks[sl.index].slots--
+	}
 	c.tenants.remove(sl)
 	t.used = t.used.Sub(sl.resources)
 	t.countSlot(sl, -1)
@@ -330,7 +339,7 @@
 		c.generation++
 		c.Log.Info("target reachable again", "target", t.ID)
 	}
-	t.reportedAt = c.now
+	t.reportedAt, t.reached = c.now, true
 	c.recordAnswer(t)
 	t.leaseExpired = false
 	for i := range r.Ends {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -23,7 +23,9 @@
 	startCalls int
 	holdReply  HoldReply
 	holdErr    error
-	cursors    []int64 // AckCursor of each hold request
+	pause      time.Duration // simulates a pause of the process during the next hold request
+	paused     int           // number of hold requests up to the one with the pause
+	requests   []HoldRequest
 	stopCalls  int
 }
 
@@ -42,34 +44,46 @@
 }
 
 func (s *fakeTargetClient) Hold(ctx context.Context, _ Target, c *HoldRequest) (HoldReply, error) {
+	s.mu.Lock()
+	pause := s.pause
+	s.pause = 0
+	s.mu.Unlock()
+	delay := min(c.Wait, 20*time.Millisecond)
+	if pause > 0 {
+		time.Sleep(pause)
+		delay, ctx = 0, context.Background()
+	}
 	select {
-	case <-time.After(min(c.Wait, 20*time.Millisecond)):
+	case <-time.After(delay):
 	case <-ctx.Done():
 		return HoldReply{}, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cursors = append(s.cursors, c.AckCursor)
+	s.requests = append(s.requests, *c)
+	if pause > 0 {
+		s.paused = len(s.requests)
+	}
 	return s.holdReply, s.holdErr
 }
 
-// nextCursor returns the cursor of a hold request that is sent from now on.
-func (s *fakeTargetClient) nextCursor(t *testing.T) int64 {
+// nextHold returns a hold request that is sent from now on.
+func (s *fakeTargetClient) nextHold(t *testing.T) HoldRequest {
 	t.Helper()
 	s.mu.Lock()
-	n := len(s.cursors)
+	n := len(s.requests)
 	s.mu.Unlock()
-	var cursor int64
+	var req HoldRequest
 	require.Eventually(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if len(s.cursors) < n+2 {
+		if len(s.requests) < n+2 {
 			return false
 		}
-		cursor = s.cursors[n+1]
+		req = s.requests[n+1]
 		return true
 	}, 2*time.Second, 5*time.Millisecond)
-	return cursor
+	return req
 }
 
 func (s *fakeTargetClient) Advise(context.Context, string, []w.TargetID) ([]Ticket, error) {
@@ -174,6 +188,23 @@
 	}
 }
 
+// TestTruncatedEndsAreNotComplete guards against running a task twice: it has ended after
+// more other runs than its target lists, and counts as not started or missing.
+func TestTruncatedEndsAreNotComplete(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1, Ends: []w.End{{Seq: 1}}, MoreEnds: true}}
+	s.startReply = func(int) (Reply, error) { return Reply{Outcome: linker.Superseded, Clock: 1001}, nil }
+	e, c := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+	time.Sleep(600 * time.Millisecond)
+	require.Empty(t, c.outcomes())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Greater(t, len(c.received.Reports), 1, "the coordinator would count the leases as expired")
+	for _, r := range c.received.Reports {
+		require.False(t, r.Complete)
+	}
+}
+
 // TestUnansweredStartIsResolved guards against a task that stays in the starting state
 // forever because its start request never reached the target.
 func TestUnansweredStartIsResolved(t *testing.T) {
@@ -216,17 +247,63 @@
 	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
 	e, _ := startExecutor(t, s)
 	e.Receive(&linker.Frame{Acks: []linker.Ack{{Target: "a", Incarnation: 1, Seq: 57}}})
-	require.Equal(t, int64(57), s.nextCursor(t))
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
 	s.mu.Lock()
 	s.holdErr = errNoReply
 	s.mu.Unlock()
-	require.Zero(t, s.nextCursor(t), "the target may have restarted since it answered last")
+	req := s.nextHold(t)
+	require.Zero(t, req.AckCursor, "the target may have restarted since it answered last")
+	require.Zero(t, req.Deadline, "a new incarnation would extend its leases to the maximum")
 	s.mu.Lock()
 	s.holdErr = nil
-	first := s.cursors[0]
+	first := s.requests[0]
+	s.mu.Unlock()
+	require.Zero(t, first.AckCursor, "the target has not confirmed its incarnation to this session")
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
+}
+
+// TestPausedInstanceAcknowledgesNothing guards against an instance that was paused, and
+// that acknowledges the unread ends of a target that restarted under its ID meanwhile, or
+// extends its leases.
+func TestPausedInstanceAcknowledgesNothing(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+	e, _ := startExecutor(t, s)
+	e.Receive(&linker.Frame{Acks: []linker.Ack{{Target: "a", Incarnation: 1, Seq: 57}}})
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
+	s.mu.Lock()
+	s.pause = idlePollWait + callTimeout + 100*time.Millisecond
 	s.mu.Unlock()
-	require.Zero(t, first, "the target has not confirmed its incarnation to this session")
-	require.Equal(t, int64(57), s.nextCursor(t))
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.paused > 0 && len(s.requests) > s.paused
+	}, 4*time.Second, 5*time.Millisecond)
+	s.mu.Lock()
+	req := s.requests[s.paused]
+	s.mu.Unlock()
+	require.Zero(t, req.AckCursor, "the reply is older than the pause")
+	require.Zero(t, req.Deadline)
+
+	// The process is paused between a reply and the next request.
+	session := newTargetSession(e, linker.AssignedTarget{ID: "a", Incarnation: 1, Acked: 57})
+	session.recordHold(&HoldReply{Clock: 1000, Incarnation: 1})
+	require.Equal(t, int64(57), session.nextHold(false).AckCursor)
+	session.confirmedAt = session.confirmedAt.Add(-linker.HeartbeatTimeout)
+	req = session.nextHold(false)
+	require.Zero(t, req.AckCursor)
+	require.Zero(t, req.Deadline)
+}
+
+// TestPanicInRequestIsNoAnswer guards against a reply that ends the process.
+func TestPanicInRequestIsNoAnswer(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+	s.startReply = func(int) (Reply, error) { panic("unexpected") }
+	e, c := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+	require.Eventually(t, func() bool {
+		o := c.outcomes()
+		return len(o) == 2 && o[0] == linker.Indeterminate && o[1] == linker.NotStarted
+	}, 3*time.Second, 10*time.Millisecond)
 }
 
 // hasReport reports whether one of the reports fulfils a condition.
