coordinator: targets that were cut off are no evidence against their runs

Callers would see a job as failed although none of its runs ever started: a target is cut off just before a start order, the start gets no answer, and the target returns as another incarnation. That counted as a crash under the run; after the second such target the job failed. Cause: recordCrash took each new incarnation, or replacement, for proof that the target had crashed just after the start. A process that ends closes its connections, which the executors report; a target that was cut off is silent. Change: a run counts as crashed only if its target closed its connection. If it was silent, the fate of runs that it had confirmed is unclear, as after a lease has expired, and runs that it had not confirmed are no suspects. Evidence: TestUnstartedRunIsNoCrash failed without the change, "Should not be: 0x4" (the state failed) after two targets; the tests of the package pass.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -108,6 +108,7 @@
 
 // recordClosed records that a target closed its connection, as it does when it crashes.
 func (c *Coordinator) recordClosed(t *target) {
+	t.closed = true
 	if !t.closedAt.IsZero() {
 		return
 	}
@@ -135,7 +136,7 @@
 
 // recordAnswer records that a target has answered.
 func (c *Coordinator) recordAnswer(t *target) {
-	t.answeredAt, t.replaced = c.now, false
+	t.answeredAt, t.replaced, t.closed = c.now, false, false
 	if !t.closedAt.IsZero() {
 		t.closedAt = time.Time{}
 		c.losses.Retract(string(t.ID))
@@ -143,7 +144,9 @@
 }
 
 // recordCrash records, before its runs are lost, that a target has ended. If it is not
-// certain that it has crashed, as it may be cut off, the fate of its runs is unclear.
+// certain that it has crashed, or it did not close its connection, as it may have been cut
+// off before, the fate of its runs is unclear. Runs that may not even have reached it are
+// then no suspects.
 func (c *Coordinator) recordCrash(t *target, certain bool) {
 	if t.State == w.TargetDraining {
 		return
@@ -164,11 +167,11 @@
 		if sl.step.job.state.Final() || slices.Contains(r.crashed, sl.run) {
 			continue
 		}
-		if common && !slices.Contains(r.unclear, sl.run) {
+		if (common || (!t.closed && sl.startedAt.IsZero())) && !slices.Contains(r.unclear, sl.run) {
 			continue
 		}
 		c.removeUnclear(sl.step, sl.index, sl.run)
-		if certain && !common {
+		if certain && !common && t.closed {
 			r.crashed = append(r.crashed, sl.run)
 		} else {
 			r.unclear = append(r.unclear, sl.run)
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -258,3 +258,34 @@
 	t.Logf("batch jobs in their goal: %.3f, %.3f contained; crashed targets: %d, %d contained", before, after, crashedBefore, crashed)
 	require.Greater(t, after, before+0.1)
 }
+
+// Guards against jobs that fail although none of their runs started: twice, the target is
+// cut off before the start order arrives and returns as another incarnation.
+func TestUnstartedRunIsNoCrash(t *testing.T) {
+	x := newCrashCell(t, 1, 4, nil)
+	x.submit(singleTaskJob("j"))
+	for range 2 {
+		var list []linker.Start
+		for k := 0; k < 200 && len(list) == 0; k++ {
+			x.syncTargets()
+			list = x.advance(50 * time.Millisecond).Starts
+		}
+		require.Len(t, list, 1)
+		s := list[0]
+		x.receive(&linker.Frame{
+			Results: []linker.Result{{Target: s.Target, Task: s.Task, Run: s.Run, Outcome: linker.Indeterminate}},
+			Reports: []linker.Report{{Target: s.Target, Incarnation: x.incarnation(s.Target), Unreachable: true}},
+		})
+		for range 40 {
+			x.advance(100 * time.Millisecond)
+			x.syncTargets()
+		}
+		next := x.c.targets[s.Target].Target
+		next.Incarnation++
+		x.c.SetTargets([]w.Target{next}, false, x.now)
+		x.receive(&linker.Frame{Results: []linker.Result{{Target: s.Target, Task: s.Task, Run: s.Run, Outcome: linker.NotStarted}}})
+		x.syncTargets()
+	}
+	require.NotEqual(t, w.Failed, x.jobState("j"))
+	require.Empty(t, x.c.jobs["j"].occurrences[0].steps[0].crashes(0).crashed)
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -39,6 +39,7 @@
 	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
 	answeredAt        time.Time // last answer of the target to any request
 	closedAt          time.Time // when it closed its connection, or its loss was noticed, if it has not answered since
+	closed            bool      // it closed its connection and has not answered since
 	probe             *slot     // run that started under suspicion, or nil, see probeOn
 	endSeq            int64     // highest sequence number of a received end
 	ackedSeq          int64     // highest acknowledged sequence number
@@ -164,7 +165,7 @@
 	t.endSeq, t.ackedSeq, t.orphans = 0, 0, nil
 	delete(c.endSeqs, t.ID)
 	t.synced = false
-	t.closedAt, t.answeredAt = time.Time{}, time.Time{}
+	t.closedAt, t.closed, t.answeredAt = time.Time{}, false, time.Time{}
 	t.health = health{}
 	t.speed.Restart()
 	t.reportedAt = c.now
