coordinator: runs that a new leader finds at work are no suspects

Callers would see long work wait and start alone after a leader was lost together with a target, and such jobs fail after one further loss. Cause: a run counts as just started from the time at which the coordinator first knows of it. For a new leader that holds for every run in the cell, so that each target that is lost within about 0.5 s of the handover was blamed on all its runs, however long they had worked. Change: the start of a run that was found is estimated from its progress and the estimated run time of its step. Evidence: TestFoundRunAtWorkIsNoSuspect failed without the change, "Should be false"; it passes now.

--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -289,3 +289,18 @@
 	require.NotEqual(t, w.Failed, x.jobState("j"))
 	require.Empty(t, x.c.jobs["j"].occurrences[0].steps[0].crashes(0).crashed)
 }
+
+// Guards against work that is suspected since its target crashes shortly after a new
+// leader has found it there.
+func TestFoundRunAtWorkIsNoSuspect(t *testing.T) {
+	j := singleTaskJob("j")
+	j.Steps[0].Estimate = 4 * time.Second
+	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{j}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
+	x.c.targets["a"].Machine = "m"
+	x.reportRuns("a", w.Run{Task: w.TaskID{Job: "j"}, Run: 5, Percent: 50})
+	x.reportRuns("b")
+	x.advance(50 * time.Millisecond)
+	x.crash("a")
+	require.False(t, x.c.jobs["j"].occurrences[0].steps[0].crashes(0).suspect())
+	require.Len(t, x.startsOf("j", time.Second), 1)
+}
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -95,6 +95,7 @@
 		return
 	}
 	sl.step, sl.index, sl.resources = s, r.Task.Index, s.Demand()
+	sl.startedAt = c.now.Add(-time.Duration(r.Percent) * s.Estimate / 100)
 	c.addSlot(t, r.Task, sl)
 	tk := &s.tasks[sl.index]
 	if j.state.Final() || tk.phase != waiting {
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -21,7 +21,7 @@
 	answered  bool         // the start order was answered, so that no copy of it is in transit
 	stopping  bool         // a stop was ordered
 	orderedAt time.Time    // when its start was ordered or, for a run that was found, when it was found
-	startedAt time.Time    // when the target was first known to have started it
+	startedAt time.Time    // when the target was first known to have started it, or an estimate for a run that was found
 }
 
 type target struct {
