coordinator: a restarted target is told again of starts that may come late

Callers saw a task run twice after a target had started again under its ID. Cause: a target rejects a start whose run it has stopped or ended, but the next incarnation knows nothing of that. A copy of a start order that got no answer can reach it seconds later, even if the old one had answered the stop, or a second attempt of the order. Its task may run elsewhere by then. Change: the coordinator keeps the starts that it has ordered within 15 s by target, and when the target restarts it orders their stops from the new incarnation. A run that was neither listed nor answered counts as lost by its absence from lists after that time. What remains: a copy that is carried out before the stop arrives, and orders of an earlier leader that the new one does not know. Evidence: TestStopsAreRepeatedAfterRestart failed without the change (case recent, "expected: true, actual: false"), and passes now.

--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -366,6 +366,8 @@
 		c.Meter.ObserveDuration("placement", c.now.Sub(s.readyAt))
 	}
 	c.addSlot(t, id, &slot{step: s, index: i, run: run, resources: s.Demand()})
+	t.forgetStarts(c.now)
+	t.recentStarts = append(t.recentStarts, recentStart{id, run, c.now})
 	order := linker.Start{Target: t.ID, Task: id, Run: run, Checkpoint: tk.checkpoint}
 	if a := s.advice[t.ID]; a != nil {
 		order.Ticket = a.ticket
--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -53,6 +54,34 @@
 	}
 }
 
+// TestStopsAreRepeatedAfterRestart guards against a late copy of a start order that the
+// next incarnation carries out, because it does not know the stop that the earlier one
+// answered, nor that the run has ended.
+func TestStopsAreRepeatedAfterRestart(t *testing.T) {
+	for name, age := range map[string]time.Duration{"recent": 5 * time.Second, "old": lateStartAge + time.Second} {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1, 1, nil)
+			x.reportRuns("a")
+			j := singleTaskJob("j")
+			j.Steps[0].Count = 2
+			x.submit(j)
+			f := x.advance(0)
+			require.Len(t, f.Starts, 2)
+			x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Task: f.Starts[0].Task, Run: f.Starts[0].Run, Outcome: linker.NotStarted}}})
+			x.confirmStart(f.Starts[1])
+			x.reportEnd("a", f.Starts[1], w.EndedDone)
+			x.c.Advance(x.now.Add(age))
+			x.now = x.now.Add(age)
+			x.restart(2)
+			stops := x.advance(0).Stops
+			for _, s := range f.Starts {
+				stop := linker.Stop{Target: "a", Task: s.Task, Run: s.Run}
+				require.Equal(t, name == "recent", slices.Contains(stops, stop))
+			}
+		})
+	}
+}
+
 // TestRunsOfRestartedTarget guards against waiting for the result of a run that ended with
 // its target.
 func TestRunsOfRestartedTarget(t *testing.T) {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -51,7 +51,11 @@
 			continue
 		}
 		tk := &sl.step.tasks[sl.index]
-		if tk.phase == starting || c.now.Sub(tk.phaseSince) < missingRunAge || (sl.listedAt.IsZero() && !sl.answered) {
+		age := missingRunAge
+		if sl.listedAt.IsZero() && !sl.answered {
+			age = lateStartAge
+		}
+		if tk.phase == starting || c.now.Sub(tk.phaseSince) < age {
 			continue
 		}
 		if tk.missedLists++; tk.missedLists >= missingRunLists {
@@ -65,7 +69,7 @@
 	// A run counts as lost if it is missing from missingRunLists successive complete
 	// lists of its target and its task entered its phase at least missingRunAge ago.
 	// Before that, its start order may still be in transit. A run that was never listed
-	// and whose start got no answer may start at any time until its stop is answered.
+	// and whose start got no answer may start until lateStartAge or the answer to its stop.
 	missingRunAge   = 3 * time.Second
 	missingRunLists = 3
 )
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -40,16 +40,35 @@
 	orphans           []orphanEnd // ends of jobs that are not known yet
 	nominatedStep     *step       // step that preempted runs here and may use their resources first, until nominatedUntil
 	nominatedUntil    time.Time
-	bookings          []booking   // resources kept for the planned starts of gangs
-	stoppingResources w.Resources // resources of runs that are being stopped
-	claimed           w.Resources // resources for which earlier steps of this placement round have requested advice
-	reserved          bool        // only for the highest priority of its service, see reserve
-	usableInRound     bool        // result of usable at the start of this placement round
+	bookings          []booking     // resources kept for the planned starts of gangs
+	recentStarts      []recentStart // starts ordered within lateStartAge, by time
+	stoppingResources w.Resources   // resources of runs that are being stopped
+	claimed           w.Resources   // resources for which earlier steps of this placement round have requested advice
+	reserved          bool          // only for the highest priority of its service, see reserve
+	usableInRound     bool          // result of usable at the start of this placement round
 	// leastUrgentPriority is an upper bound of the priority values of its runs.
 	leastUrgentPriority int
 	speedState
 }
 
+// recentStart is a start that was ordered a short time ago. A copy of the order that got
+// no answer may still be carried out, also by the next incarnation of the target.
+type recentStart struct {
+	task w.TaskID
+	run  w.RunID
+	at   time.Time
+}
+
+// lateStartAge is the time after which a start order is no longer carried out.
+const lateStartAge = 15 * time.Second
+
+// forgetStarts removes the starts that are no longer recent.
+func (t *target) forgetStarts(now time.Time) {
+	for len(t.recentStarts) > 0 && now.Sub(t.recentStarts[0].at) > lateStartAge {
+		t.recentStarts = t.recentStarts[1:]
+	}
+}
+
 // free returns the resources that no run occupies.
 func (t *target) free() w.Resources { return t.Capacity.Sub(t.used) }
 
@@ -120,6 +139,13 @@
 		}
 		c.loseRun(t, id, sl)
 	}
+	t.forgetStarts(c.now)
+	for _, s := range t.recentStarts {
+		// The new incarnation knows nothing of stops that the old one has answered.
+		if sl := t.slots[s.task]; sl == nil || sl.run != s.run {
+			c.sendStop(t, s.task, s.run)
+		}
+	}
 	if c.Epoch > 1 && c.now.Sub(c.startedAt) < handoverMargin {
 		// The new incarnation has not seen any epoch yet. Until this coordinator has
 		// called it, an earlier coordinator that has not noticed its replacement may
