--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -428,13 +428,14 @@
 
 // submit stores a job and hands it to one of the leaders, if any is active.
 func (m *model) submit() {
-	if m.store.unresponsive || len(m.jobs) >= 6 {
+	if m.store.unresponsive || len(m.jobs) >= 10 {
 		return
 	}
 	j := singleTaskJob(w.JobID(fmt.Sprint("j", len(m.jobs))))
 	if m.caps == nil {
 		j.Steps[0].Count, j.Steps[0].Spread = rapid.IntRange(1, 4).Draw(m.t, "tasks"), rapid.IntRange(0, 2).Draw(m.t, "spread")
 		j.Steps[0].Gang = rapid.IntRange(0, 3).Draw(m.t, "gang") == 0
+		j.Queue = rapid.SampledFrom([]string{testQueue, "low"}).Draw(m.t, "queue")
 	} else {
 		j.Steps[0].Count = rapid.IntRange(1, 2).Draw(m.t, "tasks")
 		j.Tenant, j.Steps[0].Gang = "t", rapid.Bool().Draw(m.t, "gang")
@@ -1011,7 +1012,7 @@
 			m.pollTarget()
 			m.deliverOrder()
 		}
-		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+		for range 20 + m.draw(400, "steps") {
 			m.event++
 			events[m.draw(len(events), "event")]()
 		}
--- a/coordinator/tenants_model_test.go
+++ b/coordinator/tenants_model_test.go
@@ -13,7 +13,7 @@
 
 // config returns the newest configuration of the model.
 func (m *model) config() *w.Config {
-	cfg := &w.Config{Version: int64(max(1, len(m.caps))), Queues: []w.Queue{{Name: testQueue, Service: "s", Attempts: modelAttempts}}}
+	cfg := &w.Config{Version: int64(max(1, len(m.caps))), Queues: []w.Queue{{Name: testQueue, Service: "s", Attempts: modelAttempts}, {Name: "low", Service: "s", Attempts: modelAttempts, Priority: 1}}}
 	if m.caps != nil {
 		cfg.Tenants = []w.Tenant{{Name: "t", Weight: 1, Cap: w.Resources{CPU: m.caps[len(m.caps)-1]}}}
 	}
