linker: a start result tells whether an earlier request is unanswered

After a restart of a target, the coordinator starts a run's task elsewhere at once if the earlier incarnation had listed the run and its start had been answered, since then no copy of the order is in transit. But a start request is repeated once: if the first request got no answer and the second did, the first may still be carried out, and by the new incarnation, whose clock and fence begin anew. The task then runs twice.

The result now says that an earlier request got no answer, and such a run is stopped at the new incarnation before its task starts elsewhere, like one whose start was not answered at all.

TestUnansweredRequestAfterRestart failed before with

Should be empty, but was [{b j.0.0.0  }]

What remains: a run of this kind that has ended before the restart is not stopped at the new incarnation, which may carry out the first request.

--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// TestUnansweredRequestAfterRestart guards against starting a task elsewhere while the next
+// incarnation of its target may still carry out the first of two start requests, of which
+// the earlier incarnation answered the second.
+func TestUnansweredRequestAfterRestart(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	order := x.advance(0).Starts[0]
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Task: order.Task, Run: order.Run, Outcome: linker.Started, Unanswered: true}}})
+	x.reportRuns("a", w.Run{Task: order.Task, Run: order.Run})
+	x.reportRuns("b")
+	x.restart(2)
+	f := x.advance(0)
+	require.Empty(t, f.Starts)
+	require.Equal(t, []linker.Stop{{Target: "a", Task: order.Task, Run: order.Run}}, f.Stops)
+}
+
 // TestRunsOfRestartedTarget guards against waiting for the result of a run that ended with
 // its target.
 func TestRunsOfRestartedTarget(t *testing.T) {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -375,7 +375,7 @@
 	c.Meter.ObserveDuration("start", c.now.Sub(tk.phaseSince))
 	switch r.Outcome {
 	case linker.Started:
-		sl.answered = true
+		sl.answered = !r.Unanswered
 		if current && tk.phase == starting {
 			c.setPhase(s, sl.index, running)
 			tk.percent = 0
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -187,6 +187,24 @@
 	}
 }
 
+// TestResultNamesUnansweredRequest guards against a start that counts as settled although
+// the first request for it may still be carried out.
+func TestResultNamesUnansweredRequest(t *testing.T) {
+	for lost := range 2 {
+		s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+		s.startReply = func(n int) (Reply, error) {
+			if n <= lost {
+				return Reply{}, errNoReply
+			}
+			return Reply{Outcome: linker.Started, Clock: 1001}, nil
+		}
+		e, c := startExecutor(t, s)
+		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+		require.Eventually(t, func() bool { return len(c.outcomes()) == 1 }, 2*time.Second, 5*time.Millisecond)
+		require.Equal(t, linker.Result{Target: "a", Incarnation: 1, Task: w.TaskID{Job: "j"}, Run: 5, Unanswered: lost > 0}, c.received.Results[0])
+	}
+}
+
 // TestTruncatedEndsAreNotComplete guards against running a task twice: it has ended after
 // more other runs than its target lists, and counts as not started or missing.
 func TestTruncatedEndsAreNotComplete(t *testing.T) {
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -285,11 +285,11 @@
 		Task: order.Task, Run: order.Run, Spec: spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 		Epoch: s.e.currentEpoch(), Deadline: now + startTTL.Milliseconds(),
 	}
-	outcome := linker.NotStarted
+	result := linker.Result{Target: order.Target, Incarnation: s.incarnation, Task: order.Task, Run: order.Run, Outcome: linker.NotStarted}
 	if now > 0 {
-		outcome = s.requestStart(&req)
+		result.Outcome, result.Unanswered = s.requestStart(&req)
 	}
-	if outcome == linker.Superseded {
+	if result.Outcome == linker.Superseded {
 		// An earlier attempt may have started the run, which has ended since. The next
 		// hold reply shows whether it did.
 		s.mu.Lock()
@@ -297,16 +297,15 @@
 		s.mu.Unlock()
 		return
 	}
-	s.e.enqueue(func(f *linker.Frame) {
-		f.Results = append(f.Results, linker.Result{Target: order.Target, Incarnation: s.incarnation, Task: order.Task, Run: order.Run, Outcome: outcome})
-	})
-	if outcome == linker.Indeterminate {
+	s.e.enqueue(func(f *linker.Frame) { f.Results = append(f.Results, result) })
+	if result.Outcome == linker.Indeterminate {
 		s.stopUntilAnswered(order.Task, order.Run)
 	}
 }
 
-// requestStart sends a start request, and repeats it once if there is no answer.
-func (s *targetSession) requestStart(req *StartRequest) linker.Outcome {
+// requestStart sends a start request, and repeats it once if there is no answer. It also
+// reports whether a request got no answer.
+func (s *targetSession) requestStart(req *StartRequest) (outcome linker.Outcome, unanswered bool) {
 	const maxAttempts = 2
 	for attempt := range maxAttempts {
 		reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
@@ -323,13 +322,13 @@
 		case linker.NotStarted, linker.InsufficientResources, linker.InvalidTicket, linker.TargetUnavailable:
 			if attempt > 0 {
 				// The target may still carry out the request that it did not answer.
-				return linker.Indeterminate
+				return linker.Indeterminate, true
 			}
 		default:
 		}
-		return reply.Outcome
+		return reply.Outcome, attempt > 0
 	}
-	return linker.Indeterminate
+	return linker.Indeterminate, true
 }
 
 // errLateReply reports a reply that was read after the request's timeout.
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -167,6 +167,7 @@
 	Task        w.TaskID
 	Run         w.RunID
 	Outcome
+	Unanswered bool // an earlier request for the order got no answer, and may still be carried out
 }
 
 // Spec is the specification that the tasks of a job are started with.
