--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -378,6 +378,8 @@
 		c.Meter.ObserveDuration("placement", c.now.Sub(s.readyAt))
 	}
 	c.addSlot(t, id, &slot{step: s, index: i, run: run, resources: s.Demand(), orderedAt: c.now})
+	t.forgetStarts(c.now)
+	t.recentStarts = append(t.recentStarts, recentStart{id, run, c.now})
 	order := linker.Start{Target: t.ID, Task: id, Run: run, Checkpoint: tk.checkpoint, Probe: probe}
 	if probe {
 		c.probeOn(t, t.slots[id])
