executor: a start that was never sent doesn't wait for its target

Cause: a request without an answer was unanswered, also if no connection had been established, so its run counted as possibly started until the lease had ended. Change: such errors wrap executor.ErrNotSent. If no attempt of a start was sent, the run has not started; a rejection that follows an attempt that was not sent is final.

--- a/executor/caller.go
+++ b/executor/caller.go
@@ -60,13 +60,18 @@
 	Token  string // opaque; passed in StartRequest.Ticket
 }
 
-// ErrClosed reports that a target closed or refused the connection of a request, as it
-// does when its process has ended.
-var ErrClosed = errors.New("executor: connection closed or refused by the target")
+// Errors of a request to a target.
+var (
+	// ErrClosed reports that the target closed or refused the connection, as it does when
+	// its process has ended.
+	ErrClosed = errors.New("executor: connection closed or refused by the target")
+	// ErrNotSent reports that no connection was established, so that the target has not
+	// received the request.
+	ErrNotSent = errors.New("executor: request not sent")
+)
 
 // TargetClient sends requests to targets and to the advice service. Its methods
-// return an error if no reply arrives, which wraps ErrClosed if the target closed or
-// refused the connection.
+// return an error if no reply arrives, which may wrap ErrClosed and ErrNotSent.
 type TargetClient interface {
 	Start(ctx context.Context, t Target, req *StartRequest) (Reply, error)
 	Stop(ctx context.Context, t Target, task w.TaskID, run w.RunID, epoch w.Epoch) (Reply, error)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -355,3 +355,27 @@
 		return f.hasReport(func(r *linker.Report) bool { return !r.Complete && !r.Unreachable && len(r.Ends) == 0 })
 	}, 5*time.Second, 5*time.Millisecond)
 }
+
+// TestUnsentStartIsNotStarted guards against tasks that wait for the lease of a target
+// whose process has ended.
+func TestUnsentStartIsNotStarted(t *testing.T) {
+	for _, c := range []struct {
+		errs []error
+		want linker.Outcome
+	}{
+		{[]error{ErrNotSent, ErrNotSent}, linker.NotStarted},
+		{[]error{ErrNotSent, errNoReply}, linker.Indeterminate},
+		{[]error{errNoReply, ErrNotSent}, linker.Indeterminate},
+		{[]error{ErrNotSent, nil}, linker.InvalidTicket},
+	} {
+		s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+		s.startReply = func(n int) (Reply, error) {
+			err := c.errs[min(n, len(c.errs))-1]
+			return Reply{Outcome: linker.InvalidTicket}, err
+		}
+		e, f := startExecutor(t, s)
+		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+		require.Eventually(t, func() bool { return len(f.outcomes()) > 0 }, 2*time.Second, 5*time.Millisecond)
+		require.Equal(t, c.want, f.outcomes()[0], "%v", c.errs)
+	}
+}
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -331,12 +331,13 @@
 // reports whether a request got no answer.
 func (s *targetSession) requestStart(req *StartRequest) (outcome linker.Outcome, unanswered bool) {
 	const maxAttempts = 2
-	for attempt := range maxAttempts {
+	for range maxAttempts {
 		reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
 			return s.e.client.Start(ctx, s.target, req)
 		})
 		if err != nil {
 			s.e.Log.Debug("start request failed", "task", req.Task, "target", s.target.ID, "run", req.Run, "error", err)
+			unanswered = unanswered || !errors.Is(err, ErrNotSent)
 			continue
 		}
 		s.mu.Lock()
@@ -344,15 +345,18 @@
 		s.mu.Unlock()
 		switch reply.Outcome {
 		case linker.NotStarted, linker.InsufficientResources, linker.InvalidTicket, linker.TargetUnavailable:
-			if attempt > 0 {
+			if unanswered {
 				// The target may still carry out the request that it did not answer.
 				return linker.Indeterminate, true
 			}
 		default:
 		}
-		return reply.Outcome, attempt > 0
+		return reply.Outcome, unanswered
 	}
-	return linker.Indeterminate, true
+	if unanswered {
+		return linker.Indeterminate, true
+	}
+	return linker.NotStarted, false
 }
 
 // errLateReply reports a reply that was read after the request's timeout.
