coordinator: a restarted target gets starts once the list shows it

Callers may see a task on a target without the required label, or beyond its capacity. Cause: a target may start again as another kind. If the answer to a call showed the new incarnation before the platform's list did, its runs were listed and it got starts by the labels and the capacity of the incarnation before. Change: a target is usable only in the incarnation that the list has shown last. Evidence: TestRestartedTargetWaitsForList failed without the change, 'Should be empty, but was [{a j.0.0.0  }]', and passes now.

--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -111,3 +111,16 @@
 	x.c.Stored(b)
 	require.Empty(t, x.advance(0).Acks)
 }
+
+// TestRestartedTargetWaitsForList guards against placing a task by the labels and the
+// capacity of the incarnation before, which may be of another kind.
+func TestRestartedTargetWaitsForList(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: 2, Gone: true}}})
+	x.reportSynced()
+	require.Empty(t, x.advance(0).Starts)
+	x.restart(2)
+	require.Len(t, x.advance(0).Starts, 1)
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -30,12 +30,13 @@
 	fillSlots         int // slots of tasks that run on idle CPU only
 	servingSlots      int // slots of serving tasks, which have a tail latency goal
 	member            *member
-	listed            bool      // on the platform's current list of targets
-	synced            bool      // this coordinator has received a complete list of its runs
-	leaseExpired      bool      // its lease has certainly expired and its slots were released
-	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
-	endSeq            int64     // highest sequence number of a received end
-	ackedSeq          int64     // highest acknowledged sequence number
+	listed            bool          // on the platform's current list of targets
+	listedIncarnation w.Incarnation // incarnation whose capacity and labels the list has shown
+	synced            bool          // this coordinator has received a complete list of its runs
+	leaseExpired      bool          // its lease has certainly expired and its slots were released
+	reportedAt        time.Time     // last report of a reachable target, or when the target was added or reset
+	endSeq            int64         // highest sequence number of a received end
+	ackedSeq          int64         // highest acknowledged sequence number
 	health            health
 	orphans           []orphanEnd // ends of jobs that are not known yet
 	nominatedStep     *step       // step that preempted runs here and may use their resources first, until nominatedUntil
@@ -74,7 +75,7 @@
 
 // usable reports whether new tasks may be placed on a target.
 func (c *Coordinator) usable(t *target) bool {
-	return t.listed && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
+	return t.listed && t.listedIncarnation == t.Incarnation && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
 		!t.health.unreachable && c.rosterAllowsStarts(t.ID) && !c.now.Before(t.health.quarantinedUntil)
 }
 
@@ -107,6 +108,10 @@
 			c.generation++
 		}
 		if n.Incarnation >= t.Incarnation {
+			if t.listedIncarnation != n.Incarnation {
+				t.listedIncarnation = n.Incarnation
+				c.generation++
+			}
 			t.Target = *n
 		}
 		t.listed = true
