coordinator: a target counts as replaced once the later one has answered

Callers would see a task run twice: a target fails to answer one request, and another row names its machine with a later start. Its runs were released at once and started elsewhere although it was only slow. Such a row may be an odd one of another writer, or that of the previous target if the clock went back between the two starts. Cause: releaseReplaced trusted the rows alone. Change: the later target must have answered, and later than the other one. The check runs when a target is synced as well as with each list, so a crashed target is still released within the time in which its successor answers first. Evidence: TestLivingTargetIsNotReplaced failed without the change, "Should be empty, but was [{b j.0.0.0  false}]"; it passes now.

--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -67,6 +67,7 @@
 	next := t.Target
 	next.ID, next.Incarnation = id+"'", t.Incarnation+1
 	x.c.SetTargets(append(list, next), true, x.now)
+	require.Empty(x.t, x.advance(0).Starts, "nothing starts again before the next target has answered")
 	x.syncTargets()
 }
 
@@ -304,3 +305,21 @@
 	require.False(t, x.c.jobs["j"].occurrences[0].steps[0].crashes(0).suspect())
 	require.Len(t, x.startsOf("j", time.Second), 1)
 }
+
+// Guards against running the tasks of a target twice that is only slow to answer, because
+// another row of its machine has a later start: an odd row, or one from before a clock
+// went back.
+func TestLivingTargetIsNotReplaced(t *testing.T) {
+	x := newCrashCell(t, 1, 2, nil)
+	other := x.c.targets["a"].Target
+	other.ID, other.Incarnation = "odd", 1000
+	x.c.SetTargets([]w.Target{other}, false, x.now)
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "odd", Incarnation: 1000, Unreachable: true}}})
+	x.submit(singleTaskJob("j"))
+	s := x.startsOf("j", time.Second)
+	require.Equal(t, w.TargetID("a"), s[0].Target)
+	x.startsOf("none", time.Second)
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: 1, Unreachable: true}}})
+	x.c.SetTargets([]w.Target{other}, false, x.now)
+	require.Empty(t, x.advance(0).Starts)
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -115,23 +115,30 @@
 func (c *Coordinator) releaseReplaced() {
 	latest := make(map[string]*target, len(c.sortedTargets))
 	for _, t := range c.sortedTargets {
-		if l := latest[t.Machine]; t.Machine != "" && (l == nil || t.Incarnation > l.Incarnation) {
+		if l := latest[t.Machine]; !t.answeredAt.IsZero() && (l == nil || t.Incarnation > l.Incarnation) {
 			latest[t.Machine] = t
 		}
 	}
 	for _, t := range c.sortedTargets {
-		l := latest[t.Machine]
-		if l == nil || l.Incarnation == t.Incarnation || !t.health.unreachable || t.replaced {
-			continue
+		if l := latest[t.Machine]; l != nil {
+			c.releaseIfReplaced(t, l)
 		}
-		t.replaced = true
-		t.synced = false
-		c.Log.Info("target replaced on its machine", "target", t.ID, "by", l.ID, "machine", t.Machine, "slots", len(t.slots), "silent", c.now.Sub(t.reportedAt))
-		c.recordCrash(t, true)
-		c.releaseSlots(t, "replaced")
 	}
 }
 
+// releaseIfReplaced frees the slots of a target that doesn't answer if a later one on its
+// machine has answered since. Its row alone is no proof, as other writers leave rows, too.
+func (c *Coordinator) releaseIfReplaced(t, by *target) {
+	if t.Machine == "" || t.Machine != by.Machine || by.Incarnation <= t.Incarnation || !by.answeredAt.After(t.answeredAt) || !t.health.unreachable || t.replaced {
+		return
+	}
+	t.replaced = true
+	t.synced = false
+	c.Log.Info("target replaced on its machine", "target", t.ID, "by", by.ID, "machine", t.Machine, "slots", len(t.slots), "silent", c.now.Sub(t.reportedAt))
+	c.recordCrash(t, true)
+	c.releaseSlots(t, "replaced")
+}
+
 // resetTarget discards the state that belongs to an earlier incarnation of a target.
 func (c *Coordinator) resetTarget(t *target, incarnation w.Incarnation) {
 	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
@@ -345,5 +352,8 @@
 		t.synced = true
 		delete(c.unsynced, t.ID)
 		c.generation++
+		for _, o := range c.sortedTargets {
+			c.releaseIfReplaced(o, t)
+		}
 	}
 }
