executor, coordinator: an answer to a repeated start leaves the first request open

Callers would see a task run twice: a start request gets no answer, its repetition does, the target lists the run and then starts again under its ID. The task is started elsewhere, and the new incarnation carries out the first request, whose deadline on the clock of the previous one does not stop it. Cause: the answer to the repetition was taken for the outcome of both requests, as before for rejections. A started run counted as answered, so that its slot was freed at the restart without a stop that fences its number. Change: the result says that it answers a repetition. Such a run keeps its slot over a restart and is stopped there first, like one without an answer. Evidence: TestRepeatedStartAfterRestart failed without the change, "Should be empty, but was [{b j.0.0.0  false}]", TestStartedByRepeatIsReported with "expected: true, actual: false"; both pass now.

--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -68,6 +68,26 @@
 	require.Len(t, x.advance(0).Starts, 1)
 }
 
+// TestRepeatedStartAfterRestart guards against starting a task elsewhere while the next
+// incarnation of its target may still carry out a start request that got no answer,
+// although the previous one answered its repetition and listed the run.
+func TestRepeatedStartAfterRestart(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	order := x.advance(0).Starts[0]
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Task: order.Task, Run: order.Run, Outcome: linker.Started, Repeated: true}}})
+	x.advance(survivalTime)
+	x.reportRuns("a", w.Run{Task: order.Task, Run: order.Run})
+	x.reportRuns("b")
+	x.restart(2)
+	f := x.advance(0)
+	require.Empty(t, f.Starts)
+	require.Contains(t, f.Stops, linker.Stop{Target: "a", Task: order.Task, Run: order.Run})
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Task: order.Task, Run: order.Run, Outcome: linker.NotStarted}}})
+	require.Len(t, x.advance(0).Starts, 1)
+}
+
 // TestBatchOfEarlierIncarnationAcknowledgesNothing guards against discarding ends of a
 // restarted target unread, by the numbers of ends that its earlier incarnation listed.
 func TestBatchOfEarlierIncarnationAcknowledgesNothing(t *testing.T) {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -382,7 +382,7 @@
 	c.Meter.ObserveDuration("start", c.now.Sub(tk.phaseSince))
 	switch r.Outcome {
 	case linker.Started:
-		sl.answered = true
+		sl.answered = !r.Repeated
 		c.recordAnswer(t)
 		if sl.startedAt.IsZero() {
 			sl.startedAt = c.now
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -18,7 +18,7 @@
 	resources w.Resources
 	account   *slotAccount // what it counts for its tenant, or nil if the job is not known
 	listedAt  time.Time    // last complete list of runs that contained the run
-	answered  bool         // the start order was answered, so that no copy of it is in transit
+	answered  bool         // the start order was answered at once, so that no copy of it is in transit
 	stopping  bool         // a stop was ordered
 	orderedAt time.Time    // when its start was ordered or, for a run that was found, when it was found
 	startedAt time.Time    // when the target was first known to have started it, or an estimate for a run that was found
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -174,6 +174,26 @@
 	}
 }
 
+// TestStartedByRepeatIsReported guards against an answer to a repeated start request that
+// is taken for one to the first, which the next incarnation may still carry out.
+func TestStartedByRepeatIsReported(t *testing.T) {
+	for _, failures := range []int{0, 1} {
+		s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+		s.startReply = func(n int) (Reply, error) {
+			if n <= failures {
+				return Reply{}, errNoReply
+			}
+			return Reply{Outcome: linker.Started, Clock: 1001}, nil
+		}
+		e, c := startExecutor(t, s)
+		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+		require.Eventually(t, func() bool { return len(c.outcomes()) == 1 }, 2*time.Second, 5*time.Millisecond)
+		c.mu.Lock()
+		require.Equal(t, failures > 0, c.received.Results[0].Repeated)
+		c.mu.Unlock()
+	}
+}
+
 // TestUnansweredStartIsResolved guards against a task that stays in the starting state
 // forever because its start request never reached the target.
 func TestUnansweredStartIsResolved(t *testing.T) {
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -275,9 +275,9 @@
 		Task: order.Task, Run: order.Run, Spec: spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 		Epoch: s.e.currentEpoch(), Deadline: now + startTTL.Milliseconds(),
 	}
-	outcome := linker.NotStarted
+	outcome, repeated := linker.NotStarted, false
 	if now > 0 {
-		outcome = s.requestStart(&req)
+		outcome, repeated = s.requestStart(&req)
 	}
 	if outcome == linker.Superseded {
 		// An earlier attempt may have started the run, which has ended since. The next
@@ -288,7 +288,7 @@
 		return
 	}
 	s.e.enqueue(func(f *linker.Frame) {
-		f.Results = append(f.Results, linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: outcome})
+		f.Results = append(f.Results, linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: outcome, Repeated: repeated})
 	})
 	switch {
 	case outcome == linker.Indeterminate:
@@ -314,8 +314,9 @@
 	s.e.enqueue(func(f *linker.Frame) { f.Reports = append(f.Reports, report) })
 }
 
-// requestStart sends a start request, and repeats it once if there is no answer.
-func (s *targetSession) requestStart(req *StartRequest) linker.Outcome {
+// requestStart sends a start request, and repeats it once if there is no answer. It
+// reports whether the answer is one to the repetition.
+func (s *targetSession) requestStart(req *StartRequest) (outcome linker.Outcome, repeated bool) {
 	const maxAttempts = 2
 	for attempt := range maxAttempts {
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
@@ -332,13 +333,13 @@
 		case linker.NotStarted, linker.InsufficientResources, linker.InvalidTicket, linker.TargetUnavailable:
 			if attempt > 0 {
 				// The target may still carry out the request that it did not answer.
-				return linker.Indeterminate
+				return linker.Indeterminate, true
 			}
 		default:
 		}
-		return reply.Outcome
+		return reply.Outcome, attempt > 0
 	}
-	return linker.Indeterminate
+	return linker.Indeterminate, true
 }
 
 func (s *targetSession) stop(order linker.Stop) {
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -167,6 +167,7 @@
 	Task   w.TaskID
 	Run    w.RunID
 	Outcome
+	Repeated bool // an earlier request got no answer, so that the target may still carry it out
 }
 
 // Spec is the specification that the tasks of a job are started with.
