coordinator: look at the tasks of a contained job once per placement round

Cause: jobSurvived goes over all tasks of the job, and was called for each of its waiting tasks. Change: the result is kept for the placement round, and updated by starts.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -297,6 +297,9 @@
 	if j.survived {
 		return true, false
 	}
+	if j.survivalRound == c.tenants.round {
+		return false, j.open
+	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for i := range s.tasks {
@@ -312,6 +315,7 @@
 			}
 		}
 	}
+	j.survivalRound, j.open = c.tenants.round, open
 	return j.survived, open
 }
 
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -323,3 +323,27 @@
 	x.c.SetTargets([]w.Target{other}, false, x.now)
 	require.Empty(t, x.advance(0).Starts)
 }
+
+// Guards against rounds of decisions that take time with the square of the tasks of a
+// contained job.
+func TestContainedJobIsExaminedOnce(t *testing.T) {
+	round := func(tasks int) time.Duration {
+		x := newCrashCell(t, 1, 1, nil)
+		x.c.contained[testQueue], x.c.riskBudgets["s"] = true, 1
+		x.c.containmentDue = x.now.Add(time.Hour)
+		j := singleTaskJob("j")
+		j.Steps[0].Count = tasks
+		x.submit(j)
+		require.Len(t, x.advance(0).Starts, 1)
+		best := time.Hour
+		for range 10 {
+			x.now = x.now.Add(retryPeriod)
+			start := time.Now()
+			x.c.Advance(x.now)
+			best = min(best, time.Since(start))
+		}
+		return best
+	}
+	few, many := round(1000), round(10_000)
+	require.Less(t, many, 40*few, "ten times the tasks: %v, %v", few, many)
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -109,6 +109,8 @@
 	queue               *w.Queue     // cached queue of the job, or nil
 	queueConfig         *w.Config    // configuration for which queue was looked up
 	survived            bool         // one of its runs has survived its start, see jobSurvived
+	survivalRound       int64        // placement round in which jobSurvived last looked at all tasks
+	open                bool         // result of that: a task was starting or running, or has started since
 	suspicions          int          // changes of its crash records
 	suspicionsStored    int          // changes of its crash records that are in the store
 	excess              bool         // beyond its tenant's rate
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -372,6 +372,7 @@
 	id := s.id(i)
 	tk.run, tk.target, tk.percent, tk.missedLists, tk.fullRun = run, t, 0, 0, tk.checkpoint == ""
 	c.setPhase(s, i, starting)
+	s.job.open = true
 	s.job.stats.runs++
 	if s.job.stats.firstOrderAt.IsZero() {
 		s.job.stats.firstOrderAt = c.now
