coordinator: urgent suspects preempt less urgent runs

Callers of urgent queues would wait for as long as less urgent work fills the cell, if one of their tasks is a suspect or their queue is contained: in the test an unsuspicious task preempts at once, a suspect had not started after 30 s. Cause: placeStep takes the tasks that may start only as probes out of the number for which runs are preempted, also those that lack only a target. Change: while starts under suspicion are allowed, one such task at a time may preempt. The nomination of the target also keeps other starts away from it. Evidence: TestUrgentSuspectPreempts failed without the change, '"[]" should have 1 item(s), but has 0'; it passes now.

--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -347,3 +347,26 @@
 	few, many := round(1000), round(10_000)
 	require.Less(t, many, 40*few, "ten times the tasks: %v, %v", few, many)
 }
+
+// Guards against an urgent suspect that waits for as long as less urgent work fills the
+// cell.
+func TestUrgentSuspectPreempts(t *testing.T) {
+	x := newCrashCell(t, 1, 1, nil)
+	low := singleTaskJob("low")
+	low.Steps[0].Need.CPU = 8000
+	x.submit(low)
+	require.Len(t, x.startsOf("low", time.Second), 1)
+	x.startsOf("none", time.Second)
+	u := singleTaskJob("u")
+	u.Queue = "urgent"
+	x.submit(u)
+	x.c.jobs["u"].occurrences[0].steps[0].crashes(0).crashed = []w.RunID{1}
+	for range 10 {
+		x.syncTargets()
+		if stops := x.advance(50 * time.Millisecond).Stops; len(stops) > 0 {
+			x.reportEnd(stops[0].Target, linker.Start{Task: stops[0].Task, Run: stops[0].Run}, w.EndedStopped)
+			break
+		}
+	}
+	require.Len(t, x.startsOf("u", time.Second), 1)
+}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -190,6 +190,9 @@
 	if timing != nil && (n > 0 || s.probesMissing > 0) {
 		c.refreshAdvice(s, timing, n+s.probesMissing)
 	}
+	if n == 0 && s.probesMissing > 0 && c.riskBudgets[c.serviceOf(s.job)] > 0 {
+		n = min(1, c.capRoom(s))
+	}
 	if n > 0 {
 		c.preemptFor(s, timing != nil, n)
 	}
