coordinator: an answer of the next incarnation shows no survival

A job counted as harmless, and a suspected gang as cleared, although its target had crashed: the run had been listed but its start had got no answer, so that its slot was kept over the restart together with the time of its start. The first answer of the next incarnation then came long enough after that time. Change: the time is reset together with the time of the last list. Evidence: TestAnswerOfNextIncarnationIsNoSurvival failed without the change, "Should be false"; it passes now.

--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -370,3 +370,17 @@
 	}
 	require.Len(t, x.startsOf("u", time.Second), 1)
 }
+
+// Guards against a job that counts as harmless since the next incarnation of a target
+// answers, on which its run had been listed but whose start had got no answer.
+func TestAnswerOfNextIncarnationIsNoSurvival(t *testing.T) {
+	x := newCrashCell(t, 1, 1, nil)
+	x.submit(singleTaskJob("j"))
+	s := x.advance(0).Starts[0]
+	x.syncTargets()
+	x.restart(2)
+	x.advance(time.Second)
+	x.reportRuns("a")
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Task: s.Task, Run: s.Run, Outcome: linker.NotStarted}}})
+	require.False(t, x.c.jobs["j"].survived)
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -148,7 +148,7 @@
 			// Orders name the ID of a target only, so the new incarnation may still
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
-			sl.listedAt, sl.answered = time.Time{}, false
+			sl.listedAt, sl.startedAt, sl.answered = time.Time{}, time.Time{}, false
 			if tk := &sl.step.tasks[sl.index]; tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
 				c.stopTask(sl.step, sl.index)
 			} else {
