--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -67,6 +67,7 @@
 	next := t.Target
 	next.ID, next.Incarnation = id+"'", t.Incarnation+1
 	x.c.SetTargets(append(list, next), true, x.now)
+	require.Empty(x.t, x.advance(0).Starts, "nothing starts again before the next target has answered")
 	x.syncTargets()
 }
 
@@ -304,3 +305,82 @@
 	require.False(t, x.c.jobs["j"].occurrences[0].steps[0].crashes(0).suspect())
 	require.Len(t, x.startsOf("j", time.Second), 1)
 }
+
+// Guards against running the tasks of a target twice that is only slow to answer, because
+// another row of its machine has a later start: an odd row, or one from before a clock
+// went back.
+func TestLivingTargetIsNotReplaced(t *testing.T) {
+	x := newCrashCell(t, 1, 2, nil)
+	other := x.c.targets["a"].Target
+	other.ID, other.Incarnation = "odd", 1000
+	x.c.SetTargets([]w.Target{other}, false, x.now)
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "odd", Incarnation: 1000, Unreachable: true}}})
+	x.submit(singleTaskJob("j"))
+	s := x.startsOf("j", time.Second)
+	require.Equal(t, w.TargetID("a"), s[0].Target)
+	x.startsOf("none", time.Second)
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: 1, Unreachable: true}}})
+	x.c.SetTargets([]w.Target{other}, false, x.now)
+	require.Empty(t, x.advance(0).Starts)
+}
+
+// Guards against rounds of decisions that take time with the square of the tasks of a
+// contained job.
+func TestContainedJobIsExaminedOnce(t *testing.T) {
+	round := func(tasks int) time.Duration {
+		x := newCrashCell(t, 1, 1, nil)
+		x.c.contained[testQueue], x.c.riskBudgets["s"] = true, 1
+		x.c.containmentDue = x.now.Add(time.Hour)
+		j := singleTaskJob("j")
+		j.Steps[0].Count = tasks
+		x.submit(j)
+		require.Len(t, x.advance(0).Starts, 1)
+		best := time.Hour
+		for range 10 {
+			x.now = x.now.Add(retryPeriod)
+			start := time.Now()
+			x.c.Advance(x.now)
+			best = min(best, time.Since(start))
+		}
+		return best
+	}
+	few, many := round(1000), round(10_000)
+	require.Less(t, many, 40*few, "ten times the tasks: %v, %v", few, many)
+}
+
+// Guards against an urgent suspect that waits for as long as less urgent work fills the
+// cell.
+func TestUrgentSuspectPreempts(t *testing.T) {
+	x := newCrashCell(t, 1, 1, nil)
+	low := singleTaskJob("low")
+	low.Steps[0].Need.CPU = 8000
+	x.submit(low)
+	require.Len(t, x.startsOf("low", time.Second), 1)
+	x.startsOf("none", time.Second)
+	u := singleTaskJob("u")
+	u.Queue = "urgent"
+	x.submit(u)
+	x.c.jobs["u"].occurrences[0].steps[0].crashes(0).crashed = []w.RunID{1}
+	for range 10 {
+		x.syncTargets()
+		if stops := x.advance(50 * time.Millisecond).Stops; len(stops) > 0 {
+			x.reportEnd(stops[0].Target, linker.Start{Task: stops[0].Task, Run: stops[0].Run}, w.EndedStopped)
+			break
+		}
+	}
+	require.Len(t, x.startsOf("u", time.Second), 1)
+}
+
+// Guards against a job that counts as harmless since the next incarnation of a target
+// answers, on which its run had been listed but whose start had got no answer.
+func TestAnswerOfNextIncarnationIsNoSurvival(t *testing.T) {
+	x := newCrashCell(t, 1, 1, nil)
+	x.submit(singleTaskJob("j"))
+	s := x.advance(0).Starts[0]
+	x.syncTargets()
+	x.restart(2)
+	x.advance(time.Second)
+	x.reportRuns("a")
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Task: s.Task, Run: s.Run, Outcome: linker.NotStarted}}})
+	require.False(t, x.c.jobs["j"].survived)
+}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -190,6 +190,9 @@
 	if timing != nil && (n > 0 || s.probesMissing > 0) {
 		c.refreshAdvice(s, timing, n+s.probesMissing)
 	}
+	if n == 0 && s.probesMissing > 0 && c.riskBudgets[c.serviceOf(s.job)] > 0 {
+		n = min(1, c.capRoom(s))
+	}
 	if n > 0 {
 		c.preemptFor(s, timing != nil, n)
 	}
@@ -372,6 +375,7 @@
 	id := s.id(i)
 	tk.run, tk.target, tk.percent, tk.missedLists, tk.fullRun = run, t, 0, 0, tk.checkpoint == ""
 	c.setPhase(s, i, starting)
+	s.job.open = true
 	s.job.stats.runs++
 	if s.job.stats.firstOrderAt.IsZero() {
 		s.job.stats.firstOrderAt = c.now
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -18,7 +18,7 @@
 	resources w.Resources
 	account   *slotAccount // what it counts for its tenant, or nil if the job is not known
 	listedAt  time.Time    // last complete list of runs that contained the run
-	answered  bool         // the start order was answered, so that no copy of it is in transit
+	answered  bool         // the start order was answered at once, so that no copy of it is in transit
 	stopping  bool         // a stop was ordered
 	orderedAt time.Time    // when its start was ordered or, for a run that was found, when it was found
 	startedAt time.Time    // when the target was first known to have started it, or an estimate for a run that was found
@@ -144,23 +144,30 @@
 func (c *Coordinator) releaseReplaced() {
 	latest := make(map[string]*target, len(c.sortedTargets))
 	for _, t := range c.sortedTargets {
-		if l := latest[t.Machine]; t.Machine != "" && (l == nil || t.Incarnation > l.Incarnation) {
+		if l := latest[t.Machine]; !t.answeredAt.IsZero() && (l == nil || t.Incarnation > l.Incarnation) {
 			latest[t.Machine] = t
 		}
 	}
 	for _, t := range c.sortedTargets {
-		l := latest[t.Machine]
-		if l == nil || l.Incarnation == t.Incarnation || !t.health.unreachable || t.replaced {
-			continue
+		if l := latest[t.Machine]; l != nil {
+			c.releaseIfReplaced(t, l)
 		}
-		t.replaced = true
-		t.synced = false
-		c.Log.Info("target replaced on its machine", "target", t.ID, "by", l.ID, "machine", t.Machine, "slots", len(t.slots), "silent", c.now.Sub(t.reportedAt))
-		c.recordCrash(t, true)
-		c.releaseSlots(t, "replaced")
 	}
 }
 
+// releaseIfReplaced frees the slots of a target that doesn't answer if a later one on its
+// machine has answered since. Its row alone is no proof, as other writers leave rows, too.
+func (c *Coordinator) releaseIfReplaced(t, by *target) {
+	if t.Machine == "" || t.Machine != by.Machine || by.Incarnation <= t.Incarnation || !by.answeredAt.After(t.answeredAt) || !t.health.unreachable || t.replaced {
+		return
+	}
+	t.replaced = true
+	t.synced = false
+	c.Log.Info("target replaced on its machine", "target", t.ID, "by", by.ID, "machine", t.Machine, "slots", len(t.slots), "silent", c.now.Sub(t.reportedAt))
+	c.recordCrash(t, true)
+	c.releaseSlots(t, "replaced")
+}
+
 // resetTarget discards the state that belongs to an earlier incarnation of a target.
 func (c *Coordinator) resetTarget(t *target, incarnation w.Incarnation) {
 	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
@@ -170,7 +177,7 @@
 			// Orders name the ID of a target only, so the new incarnation may still
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
-			sl.listedAt, sl.answered = time.Time{}, false
+			sl.listedAt, sl.startedAt, sl.answered = time.Time{}, time.Time{}, false
 			if tk := &sl.step.tasks[sl.index]; tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
 				c.stopTask(sl.step, sl.index)
 			} else {
@@ -385,5 +392,8 @@
 		t.synced = true
 		delete(c.unsynced, t.ID)
 		c.generation++
+		for _, o := range c.sortedTargets {
+			c.releaseIfReplaced(o, t)
+		}
 	}
 }
