coordinator, gateway: refuse jobs of a contained queue that can't be tried in time

Cause: nothing limited what was accepted for a contained queue. Change: the leader measures the rate at which jobs of a contained queue are first tried and, while more than 2 s of them wait, allows the instances that rate, split by arrivals as for tenants. The rest is refused at once with a time to retry; a job that may be stored is not refused. Result: TestContainedQueueIsLimited, TestCrashingQueueRefused.

--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -14,6 +14,7 @@
 type admission struct {
 	tenants   map[w.TenantName]*w.Tenant // empty if the configuration has none
 	allocator *throttler.Allocator
+	queues    *throttler.Allocator         // of the contained queues, by name
 	waiting   map[w.TenantName]waitingJobs // as of the last update of the allowances
 }
 
@@ -22,7 +23,7 @@
 type waitingJobs struct{ all, excess int }
 
 func newAdmission(now time.Time) *admission {
-	return &admission{allocator: throttler.NewAllocator(now)}
+	return &admission{allocator: throttler.NewAllocator(now), queues: throttler.NewAllocator(now)}
 }
 
 // configure applies the tenants of a configuration. Of entries with the same name, the
@@ -42,6 +43,9 @@
 	if !again && c.admission.tenants[j.Tenant] != nil {
 		c.admission.allocator.Admitted(j.Tenant, instance, c.now)
 	}
+	if !again && c.contained[j.Queue] {
+		c.admission.queues.Admitted(w.TenantName(j.Queue), instance, c.now)
+	}
 }
 
 // countRefusals counts the jobs that an instance refused because of an allowance.
@@ -50,7 +54,10 @@
 		return
 	}
 	for _, r := range s.Refusals {
-		if c.admission.tenants[r.Tenant] != nil {
+		switch {
+		case r.Queue != "" && c.contained[r.Queue]:
+			c.admission.queues.Refused(w.TenantName(r.Queue), instance, r.Jobs, c.now)
+		case r.Queue == "" && c.admission.tenants[r.Tenant] != nil:
 			c.admission.allocator.Refused(r.Tenant, instance, r.Jobs, c.now)
 		}
 	}
@@ -72,7 +79,8 @@
 	}
 }
 
-// publishAllowances sends the allowances of the tenants under pressure to all members.
+// publishAllowances sends the allowances of the tenants and contained queues under pressure
+// to all members.
 // They are repeated with each update while a tenant is limited, since instances drop
 // allowances that are not renewed.
 func (c *Coordinator) publishAllowances() {
@@ -91,13 +99,18 @@
 	before := c.admission.limited(loads)
 	allowances := c.admission.allocator.Allocate(loads, instances, c.now)
 	c.logLimited(loads, before)
+	queues := c.admission.queues.Allocate(c.containedLoads(), instances, c.now)
 	for _, m := range c.sortedMembers {
-		list := allowances[m.id]
-		if len(list) == 0 && !m.limited {
+		a := &linker.Allowances{Tenants: allowances[m.id]}
+		for _, q := range queues[m.id] {
+			a.Queues = append(a.Queues, linker.QueueAllowance{Queue: string(q.Tenant), JobsPerSec: q.JobsPerSec})
+		}
+		limited := len(a.Tenants)+len(a.Queues) > 0
+		if !limited && !m.limited {
 			continue
 		}
-		m.limited = len(list) > 0
-		m.nextFrame().Allowances = &linker.Allowances{Tenants: list}
+		m.limited = limited
+		m.nextFrame().Allowances = a
 	}
 }
 
--- a/coordinator/admission_test.go
+++ b/coordinator/admission_test.go
@@ -81,6 +81,27 @@
 	require.Nil(t, x.advance(pendingPeriod).Allowances)
 }
 
+// TestContainedQueueIsLimited guards against a queue whose jobs crash targets and that
+// accepts more of them than can be tried.
+func TestContainedQueueIsLimited(t *testing.T) {
+	x := newCell(t, 1, 0, nil)
+	x.advance(time.Second)
+	x.c.contained[testQueue] = true
+	for i := range 30 {
+		x.submit(singleTaskJob(w.JobID(fmt.Sprint(i))))
+	}
+	f := x.advance(time.Second)
+	require.NotNil(t, f.Allowances)
+	require.Len(t, f.Allowances.Queues, 1)
+	require.Equal(t, testQueue, f.Allowances.Queues[0].Queue)
+	require.InDelta(t, 1, f.Allowances.Queues[0].JobsPerSec, 0.01, "no job was tried in the last second")
+	x.c.contained[testQueue] = false
+	f = x.advance(time.Second)
+	require.NotNil(t, f.Allowances)
+	require.Empty(t, f.Allowances.Queues)
+	require.Nil(t, x.advance(time.Second).Allowances)
+}
+
 // TestManyTenants guards against work by tenant that grows with the 10,000 keys of
 // 2,000 tenants: an unknown tenant must take no memory, and an update little time.
 func TestManyTenants(t *testing.T) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -148,6 +148,11 @@
 	contained      map[string]bool // queues whose jobs start with a single task
 	riskBudgets    map[string]int  // further starts under suspicion that are allowed, by service
 	containmentDue time.Time
+
+	// Rates at which the jobs of contained queues are tried, by queue.
+	probeRates      map[string]float64
+	firstProbes     map[string]int // first starts of jobs as probes since probesCountedAt
+	probesCountedAt time.Time
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -176,6 +181,8 @@
 		speedRatios:     make(map[ratioKey]*speedRatio),
 		speeds:          make(map[string]*serviceSpeeds),
 		contained:       make(map[string]bool),
+		probeRates:      make(map[string]float64),
+		firstProbes:     make(map[string]int),
 		riskBudgets:     make(map[string]int),
 	}
 	c.tenants.init(s.QuotaExcess)
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/masticlead/masticlead/blamer"
+	"github.com/masticlead/masticlead/throttler"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -277,6 +278,14 @@
 				"losses", c.losses.Score(q.Name), "limit", limit, "usable", usable[q.Service])
 		}
 	}
+	n := 0
+	for _, contained := range c.contained {
+		if contained {
+			n++
+		}
+	}
+	c.Meter.SetGauge("queuesContained", float64(n))
+	c.Meter.SetGauge("targetsProbed", float64(len(c.probing)))
 	clear(c.riskBudgets)
 	for service, n := range usable {
 		lost := c.losses.Recent(service, c.now.Add(-returnTime))
@@ -291,6 +300,55 @@
 	}
 }
 
+// probeRateWeight is the weight of the last second in the moving average of the rate at
+// which jobs of a contained queue are tried.
+const probeRateWeight = 0.3
+
+// updateProbeRates updates the rates at which the jobs of contained queues are tried.
+func (c *Coordinator) updateProbeRates() {
+	if c.now.Sub(c.probesCountedAt) < time.Second {
+		return
+	}
+	elapsed := c.now.Sub(c.probesCountedAt).Seconds()
+	c.probesCountedAt = c.now
+	for queue := range c.probeRates {
+		if !c.contained[queue] {
+			delete(c.probeRates, queue)
+		}
+	}
+	for queue, contained := range c.contained {
+		if !contained {
+			continue
+		}
+		rate := float64(c.firstProbes[queue]) / elapsed
+		if old, ok := c.probeRates[queue]; ok {
+			rate = old + probeRateWeight*(rate-old)
+		}
+		c.probeRates[queue] = rate
+	}
+	clear(c.firstProbes)
+}
+
+// containedLoads returns the rates at which the jobs of contained queues are tried, and
+// the numbers of those that wait. Jobs beyond that rate would wait for longer and longer.
+func (c *Coordinator) containedLoads() []throttler.TenantLoad {
+	c.updateProbeRates()
+	if len(c.probeRates) == 0 {
+		return nil
+	}
+	waiting := make(map[string]int)
+	for _, j := range c.jobs {
+		if !j.started && !j.state.Final() {
+			waiting[j.Queue]++
+		}
+	}
+	var loads []throttler.TenantLoad
+	for queue, rate := range c.probeRates {
+		loads = append(loads, throttler.TenantLoad{Name: w.TenantName(queue), Weight: max(1, rate), WaitingExcess: waiting[queue]})
+	}
+	return loads
+}
+
 // jobSurvived reports whether a run of the job has survived its start, or is about to
 // show whether it does.
 func (c *Coordinator) jobSurvived(j *job) (survived, open bool) {
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -386,6 +386,9 @@
 	t.recentStarts = append(t.recentStarts, recentStart{id, run, c.now})
 	order := linker.Start{Target: t.ID, Task: id, Run: run, Checkpoint: tk.checkpoint, Probe: probe}
 	if probe {
+		if s.job.stats.runs == 1 {
+			c.firstProbes[s.job.Queue]++
+		}
 		c.probeOn(t, t.slots[id])
 	}
 	if a := s.advice[t.ID]; a != nil {
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -18,11 +18,16 @@
 // its jobs wait.
 const reasonTenantRate = "tenantRate"
 
+// reasonQueueCrashes is the reason of refusals because jobs of the queue crash targets, and
+// more of them wait than can be tried.
+const reasonQueueCrashes = "queueCrashes"
+
 // admission holds what the gateway needs to admit jobs by tenant and to explain
 // refusals.
 type admission struct {
 	unclear  map[w.JobID]time.Time // when submissions without a known outcome failed; guarded by Gateway.mu
 	throttle *throttler.Throttle
+	queues   *throttler.Throttle // by name of the queue
 
 	mu        sync.Mutex
 	config    *w.Config // as of the last call of noteConfig
@@ -31,6 +36,7 @@
 
 func (a *admission) init() {
 	a.throttle = throttler.NewThrottle(rand.Float64)
+	a.queues = throttler.NewThrottle(rand.Float64)
 	a.unclear = make(map[w.JobID]time.Time)
 }
 
@@ -49,24 +55,40 @@
 
 // applyAllowances applies the allowances in a frame from the coordinator.
 func (g *Gateway) applyAllowances(f *linker.Frame) {
-	if f.Allowances != nil {
-		g.admission.throttle.Apply(f.Allowances.Tenants, time.Now())
+	if f.Allowances == nil {
+		return
+	}
+	g.admission.throttle.Apply(f.Allowances.Tenants, time.Now())
+	queues := make([]linker.Allowance, len(f.Allowances.Queues))
+	for i, q := range f.Allowances.Queues {
+		queues[i] = linker.Allowance{Tenant: w.TenantName(q.Queue), JobsPerSec: q.JobsPerSec}
 	}
+	g.admission.queues.Apply(queues, time.Now())
 }
 
-// TakeRefusals returns the number of jobs refused by tenant because of an allowance
-// since the last call.
+// TakeRefusals returns the number of jobs refused by tenant and by queue because of an
+// allowance since the last call.
 func (g *Gateway) TakeRefusals() []linker.Refusals {
 	g.noteConfig()
-	return g.admission.throttle.TakeRefusals()
+	out := g.admission.throttle.TakeRefusals()
+	for _, r := range g.admission.queues.TakeRefusals() {
+		out = append(out, linker.Refusals{Queue: string(r.Tenant), Jobs: r.Jobs})
+	}
+	return out
 }
 
-// admit returns a RefusedError if the job's tenant exceeds its allowance, or if its cap can
-// never admit the job. A job that is known to be stored is always admitted: its caller has
+// admit returns a RefusedError if the job's queue or tenant exceeds its allowance, or if
+// the tenant's cap can never admit the job. A job that is known to be stored is always admitted: its caller has
 // sent it again because it got no response, and a refusal would say that the job never
 // runs.
 func (g *Gateway) admit(ctx context.Context, j *w.Job) error {
-	if j.Tenant == "" || g.knows(j.ID) {
+	if g.knows(j.ID) {
+		return nil
+	}
+	if retryAfter, ok := g.admission.queues.Admit(w.TenantName(j.Queue), time.Now()); !ok {
+		return &RefusedError{Reason: reasonQueueCrashes, Overload: true, RetryAfter: retryAfter}
+	}
+	if j.Tenant == "" {
 		return nil
 	}
 	if err := g.checkCap(ctx, j); err != nil {
@@ -125,9 +147,13 @@
 	g.Meter.Count("request", reason)
 	g.countTenant(j.Tenant, reason)
 	attributes := append([]any{"job", j.ID, "queue", j.Queue}, g.configAttributes(j.Tenant, reason)...)
-	if reason == reasonTenantRate && refused != nil {
+	switch {
+	case reason == reasonTenantRate && refused != nil:
 		g.Log.Info("job over its tenant's rate refused", append(attributes, "retryAfter", refused.RetryAfter)...)
 		return
+	case reason == reasonQueueCrashes && refused != nil:
+		g.Log.Info("job of a queue that crashes targets refused", append(attributes, "retryAfter", refused.RetryAfter)...)
+		return
 	}
 	g.Log.Warn("job not accepted", append(attributes, "took", took, "error", err)...)
 }
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -58,3 +58,32 @@
 	g.Receive(&linker.Frame{Allowances: &linker.Allowances{}})
 	require.Equal(t, "storeAway", reason("hot", "j5").Reason)
 }
+
+// TestCrashingQueueRefused guards against jobs that wait although more of their queue wait
+// than can be tried, a job that is stored already and refused as new, and a refusal of
+// another queue.
+func TestCrashingQueueRefused(t *testing.T) {
+	g := &Gateway{
+		Keeper: &keeper.Keeper{Store: unresponsiveStore{}}, Log: slog.New(slog.DiscardHandler),
+		StoreFailingFor: func() time.Duration { return time.Second }, StoreUnreachableFor: func() time.Duration { return time.Second },
+	}
+	g.Init()
+	g.Configure(&w.Config{Version: 1})
+	reason := func(queue string, id w.JobID) string {
+		g.lastProbe.Store(time.Now().UnixNano())
+		var refused *RefusedError
+		require.ErrorAs(t, g.Submit(t.Context(), &w.Queue{Name: queue}, &w.Job{ID: id, Steps: []w.Step{{Count: 1}}}), &refused)
+		require.Positive(t, refused.RetryAfter)
+		return refused.Reason
+	}
+	g.Receive(&linker.Frame{States: []linker.JobState{{Job: "stored", State: w.Queued}}, Allowances: &linker.Allowances{
+		Queues: []linker.QueueAllowance{{Queue: "bad", JobsPerSec: 0.2}},
+	}})
+	require.Equal(t, "storeAway", reason("bad", "j1"), "the bucket holds one job")
+	require.Equal(t, "queueCrashes", reason("bad", "j2"))
+	require.Equal(t, []linker.Refusals{{Queue: "bad", Jobs: 1}}, g.TakeRefusals())
+	require.Equal(t, "storeAway", reason("bad", "stored"))
+	require.Equal(t, "storeAway", reason("good", "j3"))
+	g.Receive(&linker.Frame{Allowances: &linker.Allowances{}})
+	require.Equal(t, "storeAway", reason("bad", "j4"))
+}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -89,9 +89,10 @@
 	Refusals []Refusals
 }
 
-// Refusals is the number of jobs of a tenant that an instance refused.
+// Refusals is the number of jobs of a tenant or a queue that an instance refused.
 type Refusals struct {
 	Tenant w.TenantName
+	Queue  string // set instead of Tenant for an allowance of the queue
 	Jobs   int
 }
 
@@ -249,9 +250,17 @@
 	JobsPerSec float64
 }
 
-// Allowances lists all tenants whose rate is limited.
+// QueueAllowance limits the rate at which an instance accepts jobs of a queue whose jobs
+// crash targets.
+type QueueAllowance struct {
+	Queue      string
+	JobsPerSec float64
+}
+
+// Allowances lists all tenants and queues whose rate is limited.
 type Allowances struct {
 	Tenants []Allowance
+	Queues  []QueueAllowance
 }
 
 // PendingCounts lists all queues with pending jobs.
