coordinator: a late start may hold the longest lease of its target

Callers saw a task run twice: on a target that was cut off since it had started again, and on another one. Cause: the runs of a silent target count as gone 8 s after its last report, which covers the leases that instances extend. The deadline in a start order is a time on the clock of the incarnation that it was meant for. A later incarnation, whose clock begins anew, takes it for a time far ahead, so a start that it carries out late holds a lease of maxHoldMs. Change: if a target restarts while starts to it have no answer, its runs count as gone no earlier than the latest such start (15 s) and the longest lease after that. Evidence: the model now keeps leaders from a target until its leases have expired. It failed without the change after about 7,000 sequences: "j9.0.0.1 starts on a as run of epoch 3 while it runs on c3 as run". TestLateStartOutlivesSilence failed, "Should be empty, but was [{b j.0.0.0  }]", and passes now. 20,000 sequences with 87,225 starts broke no rule.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -22,6 +22,7 @@
 	Epoch       w.Epoch
 	Self        w.InstanceID
 	Lease       time.Duration // time for which a target that is not called keeps running its tasks
+	MaxLease    time.Duration // longest lease that a target grants
 	StopTimeout time.Duration // upper bound of the time to stop a run
 	RestoreTime time.Duration // time to restore a run from a checkpoint
 	Retention   time.Duration // time for which the state of an ended job is kept
--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -332,7 +332,7 @@
 func (m *model) lead(l *modelLeader, updates *keeper.Updates) {
 	l.leadership.InitSaves(l.snapshot)
 	l.coordinator = New(Settings{
-		Epoch: l.leadership.Epoch, Self: "self", Lease: modelLease, StopTimeout: modelStopTimeout,
+		Epoch: l.leadership.Epoch, Self: "self", Lease: modelLease, MaxLease: modelMaxLease, StopTimeout: modelStopTimeout,
 		Retention: time.Hour, Log: slog.New(slog.DiscardHandler),
 	}, m.now)
 	l.coordinator.Load(l.snapshot)
@@ -626,7 +626,7 @@
 			out = got
 		}
 	}
-	if out == linker.Indeterminate && m.caps == nil {
+	if out == linker.Indeterminate && m.caps == nil && !m.now.After(o.expiresAt) {
 		o.lateAt = m.now.Add(time.Duration(rapid.IntRange(0, 12).Draw(m.t, "late")) * time.Second)
 		m.late = append(m.late, o)
 	}
@@ -670,21 +670,34 @@
 
 // deliverLate carries out the start orders whose time has come. They name only the ID
 // of their target, so its next incarnation accepts them as well, and its clock begins
-// anew, so they are not too late for it. Those to a target that nobody has reached until
-// the leases of its earlier incarnation were over are left out.
+// anew, so they are not too late for it. Those are left out whose run the leader has given
+// up because the target was silent until its leases had expired.
 func (m *model) deliverLate() {
-	due := func(o modelOrder) bool { return !m.now.Before(o.lateAt) }
+	var rest []modelOrder
 	for _, o := range m.late {
 		t := m.targets[o.target]
-		if !due(o) || t == nil || o.from.silent(t.id, modelLease, m.now) {
-			continue
-		}
-		if t.incarnation != o.incarnation {
-			o.expiresAt = m.now.Add(modelMaxLease)
+		switch {
+		case t == nil || o.from.gaveUp(&o, m.now):
+		case m.now.Before(o.lateAt):
+			rest = append(rest, o)
+		default:
+			if t.incarnation != o.incarnation {
+				o.expiresAt = m.now.Add(modelMaxLease)
+			}
+			m.startRun(t, o)
 		}
-		m.startRun(t, o)
 	}
-	m.late = slices.DeleteFunc(m.late, due)
+	m.late = rest
+}
+
+// gaveUp reports whether a leader has released the run of an order to a silent target.
+func (l *modelLeader) gaveUp(o *modelOrder, now time.Time) bool {
+	t := l.coordinator.targets[o.target]
+	if t == nil {
+		return true
+	}
+	sl := t.slots[o.start.Task]
+	return l.silent(t.ID, modelLease, now) && (sl == nil || sl.run != o.start.Run)
 }
 
 func (m *model) startRun(t *modelTarget, o modelOrder) linker.Outcome {
@@ -815,8 +828,13 @@
 
 // pollTarget lets a leader get the runs and ends of a target and renew its lease.
 func (m *model) pollTarget() {
-	l, t := m.pickLeader(), m.pickTarget()
-	if l == nil || l.coordinator.targets[t.id] == nil {
+	if l, t := m.pickLeader(), m.pickTarget(); l != nil {
+		m.poll(l, t)
+	}
+}
+
+func (m *model) poll(l *modelLeader, t *modelTarget) {
+	if l.coordinator.targets[t.id] == nil {
 		return
 	}
 	assigned := l.coordinator.targets[t.id]
@@ -875,7 +893,30 @@
 // passTime advances the clock. Leases expire on targets that were not called, and stops
 // take effect. The leaders read the list of targets every second.
 func (m *model) passTime() {
-	m.now = m.now.Add(time.Duration(rapid.OneOf(rapid.IntRange(20, 300), rapid.IntRange(300, 3000)).Draw(m.t, "ms")) * time.Millisecond)
+	m.elapse(time.Duration(rapid.OneOf(rapid.IntRange(20, 300), rapid.IntRange(300, 3000)).Draw(m.t, "ms")) * time.Millisecond)
+}
+
+// isolateTarget keeps a leader from a target until the leases there have expired.
+func (m *model) isolateTarget() {
+	l, t := m.pickLeader(), m.pickTarget()
+	if l == nil || l.unreachable[t.id] {
+		return
+	}
+	l.unreachable[t.id] = true
+	for range 4 {
+		m.endRandomRun()
+		m.elapse(2500 * time.Millisecond)
+		for _, id := range slices.Sorted(maps.Keys(m.targets)) {
+			m.poll(l, m.targets[id])
+		}
+		m.advance()
+		m.saveBatch()
+	}
+	delete(l.unreachable, t.id)
+}
+
+func (m *model) elapse(d time.Duration) {
+	m.now = m.now.Add(d)
 	for _, t := range m.targets {
 		for id, at := range t.stopsAt {
 			if !m.now.Before(at) {
@@ -1000,7 +1041,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		events := []func(){m.advance, m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch, m.saveBatch, m.passTime, m.endRandomRun, m.submit, m.findJobs, m.renew, m.applyDelayed}
-		for _, rare := range []func(){m.injectFault, m.continueLoad, m.writeEnds, m.loseAll, m.cancel, m.changeCapacity, m.restartTarget, m.endRandomRun, m.passTime} {
+		for _, rare := range []func(){m.injectFault, m.continueLoad, m.writeEnds, m.loseAll, m.cancel, m.changeCapacity, m.restartTarget, m.isolateTarget, m.endRandomRun, m.passTime} {
 			if rapid.Bool().Draw(t, "occurs") {
 				events = append(events, rare)
 			}
--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -124,3 +124,21 @@
 	x.restart(2)
 	require.Len(t, x.advance(0).Starts, 1)
 }
+
+// TestLateStartOutlivesSilence guards against starting a task elsewhere while its target,
+// which was silent since its restart, may have carried out an earlier start late and with
+// its longest lease.
+func TestLateStartOutlivesSilence(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.c.MaxLease = 10 * time.Second
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	require.Len(t, x.advance(0).Starts, 1)
+	x.restart(2)
+	for range 24 {
+		x.reportRuns("b")
+		require.Empty(t, x.advance(time.Second).Starts)
+	}
+	x.reportRuns("b")
+	require.Len(t, x.advance(2*time.Second).Starts, 1)
+}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -35,6 +35,7 @@
 	synced            bool          // this coordinator has received a complete list of its runs
 	leaseExpired      bool          // its lease has certainly expired and its slots were released
 	reportedAt        time.Time     // last report of a reachable target, or when the target was added or reset
+	lateLeaseEnd      time.Time     // when the leases of starts that were carried out late have certainly expired
 	endSeq            int64         // highest sequence number of a received end
 	ackedSeq          int64         // highest acknowledged sequence number
 	health            health
@@ -135,6 +136,9 @@
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
 			sl.listedAt, sl.answered = time.Time{}, false
+			// The deadline of the start is a time on the clock of the old incarnation,
+			// so the new one grants its longest lease.
+			t.lateLeaseEnd = c.now.Add(lateStartAge + c.MaxLease*103/100)
 			if tk := &sl.step.tasks[sl.index]; tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
 				c.stopTask(sl.step, sl.index)
 			} else {
@@ -260,7 +264,7 @@
 		}
 	}
 	for _, t := range c.sortedTargets {
-		if t.leaseExpired || c.now.Sub(t.reportedAt) < c.maxLease()+renewalMargin {
+		if t.leaseExpired || c.now.Sub(t.reportedAt) < c.maxLease()+renewalMargin || c.now.Before(t.lateLeaseEnd) {
 			continue
 		}
 		t.leaseExpired = true
