--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -43,6 +43,7 @@
 	closedAt          time.Time     // when it closed its connection, or its loss was noticed, if it has not answered since
 	closed            bool          // it closed its connection and has not answered since
 	probe             *slot         // run that started under suspicion, or nil, see probeOn
+	lateLeaseEnd      time.Time     // when the leases of starts that were carried out late have certainly expired
 	endSeq            int64         // highest sequence number of a received end
 	ackedSeq          int64         // highest acknowledged sequence number
 	health            health
@@ -178,6 +179,9 @@
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
 			sl.listedAt, sl.startedAt, sl.answered = time.Time{}, time.Time{}, false
+			// The deadline of the start is a time on the clock of the old incarnation,
+			// so the new one grants its longest lease.
+			t.lateLeaseEnd = c.now.Add(lateStartAge + c.MaxLease*103/100)
 			if tk := &sl.step.tasks[sl.index]; tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
 				c.stopTask(sl.step, sl.index)
 			} else {
@@ -308,7 +312,7 @@
 		}
 	}
 	for _, t := range c.sortedTargets {
-		if t.leaseExpired || c.now.Sub(t.reportedAt) < c.maxLease()+renewalMargin {
+		if t.leaseExpired || c.now.Sub(t.reportedAt) < c.maxLease()+renewalMargin || c.now.Before(t.lateLeaseEnd) {
 			continue
 		}
 		t.leaseExpired = true
