coordinator, executor: survival of a start is measured where the target answers

Callers would see a task crash target after target (BUDGET): after a pause of the leader, its crash record was empty again. Change: results and reports carry the time at which the executor got the answer, and the two are compared if both come from the executor that calls the target now. Otherwise, as with instances of earlier versions, the leader's times are used. A pause of the executor's instance between the two answers has the same effect as before. Evidence: TestLateReportShowsNoSurvival failed without the change, "expected: 0x4, actual: 0x2" (running instead of failed); it passes now.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -71,8 +71,11 @@
 }
 
 // survived reports whether the target of a slot has answered long enough after the start
-// of its run.
+// of its run. The times at the member are not changed by reports that wait to be processed.
 func (t *target) survived(sl *slot) bool {
+	if sl.startedBy > 0 && t.answeredBy > 0 {
+		return t.answeredBy-sl.startedBy >= survivalTime
+	}
 	return !sl.startedAt.IsZero() && t.answeredAt.Sub(sl.startedAt) >= survivalTime
 }
 
@@ -134,8 +137,9 @@
 	c.losses.Add(loss)
 }
 
-// recordAnswer records that a target has answered.
-func (c *Coordinator) recordAnswer(t *target) {
+// recordAnswer records that a target has answered, at the given time at its member.
+func (c *Coordinator) recordAnswer(t *target, at time.Duration) {
+	t.answeredBy = max(t.answeredBy, at)
 	t.answeredAt, t.replaced, t.closed = c.now, false, false
 	if !t.closedAt.IsZero() {
 		t.closedAt = time.Time{}
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -384,3 +384,25 @@
 	x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Task: s.Task, Run: s.Run, Outcome: linker.NotStarted}}})
 	require.False(t, x.c.jobs["j"].survived)
 }
+
+// Guards against a suspect that is cleared by a report from before the crash, which a
+// paused leader processes late.
+func TestLateReportShowsNoSurvival(t *testing.T) {
+	x := newCrashCell(t, 1, 4, nil)
+	x.submit(singleTaskJob("bad"))
+	x.crash(x.startsOf("bad", time.Second)[0].Target)
+	var s linker.Start
+	for s.Target == "" {
+		x.syncTargets()
+		if f := x.advance(50 * time.Millisecond); len(f.Starts) > 0 {
+			s = f.Starts[0]
+		}
+	}
+	const started = 5 * time.Second
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: s.Target, Task: s.Task, Run: s.Run, Outcome: linker.Started, At: started}}})
+	x.now = x.now.Add(time.Second)
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: s.Target, Incarnation: x.incarnation(s.Target), At: started + 25*time.Millisecond}}})
+	x.advance(0)
+	x.crash(s.Target)
+	require.Equal(t, w.Failed, x.jobState("bad"))
+}
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -128,10 +128,12 @@
 		}
 		if t.member != best {
 			t.member = best
+			t.answeredBy = 0
 			c.generation++
 			// Orders sent through the previous instance may be lost or still in
 			// transit, so stop the runs that are starting and repeat the stop orders.
 			for id, sl := range t.slots {
+				sl.startedBy = 0
 				if sl.step != nil && sl.step.tasks[sl.index].phase == starting && sl.step.tasks[sl.index].target == t {
 					c.stopTask(sl.step, sl.index)
 				} else if sl.stopping {
@@ -187,6 +189,9 @@
 		m.nextFrame().Received = append(m.nextFrame().Received, id)
 	}
 	for i := range f.Results {
+		if t := c.targets[f.Results[i].Target]; t == nil || t.member != m {
+			f.Results[i].At = 0
+		}
 		c.HandleResult(&f.Results[i])
 	}
 	for i := range f.Reports {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -383,9 +383,9 @@
 	switch r.Outcome {
 	case linker.Started:
 		sl.answered = !r.Repeated
-		c.recordAnswer(t)
+		c.recordAnswer(t, r.At)
 		if sl.startedAt.IsZero() {
-			sl.startedAt = c.now
+			sl.startedAt, sl.startedBy = c.now, r.At
 		}
 		if current && tk.phase == starting {
 			c.setPhase(s, sl.index, running)
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -16,12 +16,13 @@
 	index     int
 	run       w.RunID
 	resources w.Resources
-	account   *slotAccount // what it counts for its tenant, or nil if the job is not known
-	listedAt  time.Time    // last complete list of runs that contained the run
-	answered  bool         // the start order was answered at once, so that no copy of it is in transit
-	stopping  bool         // a stop was ordered
-	orderedAt time.Time    // when its start was ordered or, for a run that was found, when it was found
-	startedAt time.Time    // when the target was first known to have started it, or an estimate for a run that was found
+	account   *slotAccount  // what it counts for its tenant, or nil if the job is not known
+	listedAt  time.Time     // last complete list of runs that contained the run
+	answered  bool          // the start order was answered at once, so that no copy of it is in transit
+	stopping  bool          // a stop was ordered
+	orderedAt time.Time     // when its start was ordered or, for a run that was found, when it was found
+	startedAt time.Time     // when the target was first known to have started it, or an estimate for a run that was found
+	startedBy time.Duration // time at the target's member at which it answered the start, or 0 if it is not known
 }
 
 type target struct {
@@ -32,17 +33,18 @@
 	fillSlots         int // slots of tasks that run on idle CPU only
 	servingSlots      int // slots of serving tasks, which have a tail latency goal
 	member            *member
-	listed            bool      // on the platform's current list of targets
-	synced            bool      // this coordinator has received a complete list of its runs
-	replaced          bool      // its machine runs a later target
-	leaseExpired      bool      // its lease has certainly expired and its slots were released
-	reportedAt        time.Time // last report of a reachable target, or when the target was added or reset
-	answeredAt        time.Time // last answer of the target to any request
-	closedAt          time.Time // when it closed its connection, or its loss was noticed, if it has not answered since
-	closed            bool      // it closed its connection and has not answered since
-	probe             *slot     // run that started under suspicion, or nil, see probeOn
-	endSeq            int64     // highest sequence number of a received end
-	ackedSeq          int64     // highest acknowledged sequence number
+	listed            bool          // on the platform's current list of targets
+	synced            bool          // this coordinator has received a complete list of its runs
+	replaced          bool          // its machine runs a later target
+	leaseExpired      bool          // its lease has certainly expired and its slots were released
+	reportedAt        time.Time     // last report of a reachable target, or when the target was added or reset
+	answeredAt        time.Time     // last answer of the target to any request
+	answeredBy        time.Duration // time of that answer at its member, or 0 if it is not known
+	closedAt          time.Time     // when it closed its connection, or its loss was noticed, if it has not answered since
+	closed            bool          // it closed its connection and has not answered since
+	probe             *slot         // run that started under suspicion, or nil, see probeOn
+	endSeq            int64         // highest sequence number of a received end
+	ackedSeq          int64         // highest acknowledged sequence number
 	health            health
 	orphans           []orphanEnd // ends of jobs that are not known yet
 	nominatedStep     *step       // step that preempted runs here and may use their resources first, until nominatedUntil
@@ -148,7 +150,7 @@
 			// Orders name the ID of a target only, so the new incarnation may still
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
-			sl.listedAt, sl.startedAt, sl.answered = time.Time{}, time.Time{}, false
+			sl.listedAt, sl.startedAt, sl.startedBy, sl.answered = time.Time{}, time.Time{}, 0, false
 			if tk := &sl.step.tasks[sl.index]; tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
 				c.stopTask(sl.step, sl.index)
 			} else {
@@ -172,7 +174,7 @@
 	t.endSeq, t.ackedSeq, t.orphans = 0, 0, nil
 	delete(c.endSeqs, t.ID)
 	t.synced = false
-	t.closedAt, t.closed, t.answeredAt = time.Time{}, false, time.Time{}
+	t.closedAt, t.closed, t.answeredAt, t.answeredBy = time.Time{}, false, time.Time{}, 0
 	t.health = health{}
 	t.speed.Restart()
 	t.reportedAt = c.now
@@ -339,7 +341,7 @@
 		c.Log.Info("target reachable again", "target", t.ID)
 	}
 	t.reportedAt = c.now
-	c.recordAnswer(t)
+	c.recordAnswer(t, r.At)
 	t.leaseExpired = false
 	for i := range r.Ends {
 		c.handleEnd(t, &r.Ends[i])
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,6 +18,8 @@
 	Log          *slog.Logger
 	Send         func(*linker.Frame)
 
+	startedAt time.Time
+
 	mu       sync.Mutex
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -33,6 +35,7 @@
 // Run starts the executor and returns. Close stops it.
 func (e *Executor) Run() {
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.startedAt = time.Now()
 	e.sessions = make(map[w.TargetID]*targetSession)
 	e.outReady = make(chan struct{}, 1)
 	e.asks = make(chan linker.Ask, 64)
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		hasRuns = len(reply.Runs) > 0
-		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait}
+		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
 		s.mu.Lock()
 		s.recordReply(reply.Clock)
 		s.confirmed = true
@@ -287,9 +287,8 @@
 		s.mu.Unlock()
 		return
 	}
-	s.e.enqueue(func(f *linker.Frame) {
-		f.Results = append(f.Results, linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: outcome, Repeated: repeated})
-	})
+	result := linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: outcome, Repeated: repeated, At: time.Since(s.e.startedAt)}
+	s.e.enqueue(func(f *linker.Frame) { f.Results = append(f.Results, result) })
 	switch {
 	case outcome == linker.Indeterminate:
 		s.stopUntilAnswered(order.Task, order.Run)
@@ -304,7 +303,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	reply, err := s.e.TargetClient.Hold(ctx, s.target, &HoldRequest{Epoch: s.e.currentEpoch()})
-	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation}
+	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, At: time.Since(s.e.startedAt)}
 	switch {
 	case err != nil && !errors.Is(err, ErrClosed), reply.Incarnation != 0 && reply.Incarnation != s.incarnation:
 		return // the next hold request shows the state of the target
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -107,6 +107,7 @@
 	Closed      bool // set with Unreachable if the target closed or refused the connection
 	Gone        bool // the target answered with another incarnation
 	Latency     time.Duration
+	At          time.Duration // when the target answered, since the executor was started
 }
 
 // Call is a call to the store that an instance relays through the coordinator
@@ -167,7 +168,8 @@
 	Task   w.TaskID
 	Run    w.RunID
 	Outcome
-	Repeated bool // an earlier request got no answer, so that the target may still carry it out
+	Repeated bool          // an earlier request got no answer, so that the target may still carry it out
+	At       time.Duration // when the target answered, since the executor was started
 }
 
 // Spec is the specification that the tasks of a job are started with.
