blamer: scores take time with the number of losses, not with its square

After the loss of many targets the leader would be slow for as long as the losses count: a score compared each loss with all others to find those with a common cause, for each queue every 50 ms. Change: the times of the losses without blame are kept in order and searched. TestLedger is unchanged.

--- a/blamer/blamer.go
+++ b/blamer/blamer.go
@@ -28,33 +28,47 @@
 // Ledger holds the losses of the last seconds, in the order of their times. Its zero
 // value is empty.
 type Ledger struct {
-	losses []Loss
+	losses    []Loss
+	blameless []time.Time // times of the losses without blame, in ascending order
 }
 
 // Add records a loss, unless one of the same target is recorded.
 func (l *Ledger) Add(loss Loss) {
 	if !slices.ContainsFunc(l.losses, func(o Loss) bool { return o.Target == loss.Target }) {
 		l.losses = append(l.losses, loss)
+		l.update()
 	}
 }
 
+// update brings the times of the losses without blame up to date.
+func (l *Ledger) update() {
+	l.blameless = l.blameless[:0]
+	for i := range l.losses {
+		if len(l.losses[i].Blame) == 0 {
+			l.blameless = append(l.blameless, l.losses[i].At)
+		}
+	}
+	slices.SortFunc(l.blameless, time.Time.Compare)
+}
+
 // Retract removes the loss of a target that turned out not to be lost.
 func (l *Ledger) Retract(target string) {
 	l.losses = slices.DeleteFunc(l.losses, func(o Loss) bool { return o.Target == target })
+	l.update()
 }
 
 // Expire removes the losses that no longer count.
 func (l *Ledger) Expire(now time.Time) {
 	l.losses = slices.DeleteFunc(l.losses, func(o Loss) bool { return now.Sub(o.At) > retention })
+	l.update()
 }
 
 // Common reports whether a loss at the given time probably has a cause outside the runs
 // on its target, such as a failed rack: another target was lost at about the same time on
 // which nothing had just started.
 func (l *Ledger) Common(at time.Time) bool {
-	return slices.ContainsFunc(l.losses, func(o Loss) bool {
-		return len(o.Blame) == 0 && o.At.Sub(at).Abs() <= commonWindow
-	})
+	i, _ := slices.BinarySearchFunc(l.blameless, at.Add(-commonWindow), time.Time.Compare)
+	return i < len(l.blameless) && !l.blameless[i].After(at.Add(commonWindow))
 }
 
 // Score returns the sum of the blame of a kind of work in the losses that still count and
