--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -202,7 +202,10 @@
 		e, c := startExecutor(t, s)
 		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
 		require.Eventually(t, func() bool { return len(c.outcomes()) == 1 }, 2*time.Second, 5*time.Millisecond)
-		require.Equal(t, linker.Result{Target: "a", Incarnation: 1, Task: w.TaskID{Job: "j"}, Run: 5, Unanswered: lost > 0}, c.received.Results[0])
+		got := c.received.Results[0]
+		require.Positive(t, got.At)
+		got.At = 0
+		require.Equal(t, linker.Result{Target: "a", Incarnation: 1, Task: w.TaskID{Job: "j"}, Run: 5, Unanswered: lost > 0}, got)
 	}
 }
 
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		hasRuns = len(reply.Runs) > 0
-		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait}
+		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
 		var resolved []linker.Result
 		report.Ends, resolved = s.recordHold(&reply)
 		full := time.Since(lastFullReport) >= fullReportInterval
@@ -302,6 +302,7 @@
 		s.mu.Unlock()
 		return
 	}
+	result.At = time.Since(s.e.startedAt)
 	s.e.enqueue(func(f *linker.Frame) { f.Results = append(f.Results, result) })
 	switch {
 	case result.Outcome == linker.Indeterminate:
@@ -317,7 +318,7 @@
 	reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (HoldReply, error) {
 		return s.e.client.Hold(ctx, s.target, &HoldRequest{Epoch: s.e.currentEpoch()})
 	})
-	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation}
+	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, At: time.Since(s.e.startedAt)}
 	switch {
 	case err != nil && !errors.Is(err, ErrClosed), reply.Incarnation != 0 && reply.Incarnation != s.incarnation:
 		return // the next hold request shows the state of the target
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -108,6 +108,7 @@
 	Closed      bool // set with Unreachable if the target closed or refused the connection
 	Gone        bool // the target answered with another incarnation
 	Latency     time.Duration
+	At          time.Duration // when the target answered, since the executor was started
 }
 
 // Call is a call to the store that an instance relays through the coordinator
@@ -169,7 +170,8 @@
 	Task        w.TaskID
 	Run         w.RunID
 	Outcome
-	Unanswered bool // an earlier request for the order got no answer, and may still be carried out
+	Unanswered bool          // an earlier request for the order got no answer, and may still be carried out
+	At         time.Duration // when the target answered, since the executor was started
 }
 
 // Spec is the specification that the tasks of a job are started with.
