--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -20,6 +20,9 @@
 			continue
 		}
 		sl.listedAt = c.now
+		if sl.startedAt.IsZero() && sl.run == r.Run {
+			sl.startedAt = c.now
+		}
 		if sl.step == nil || sl.run != r.Run {
 			continue
 		}
@@ -81,7 +84,7 @@
 	if old != nil {
 		c.removeSlot(t, r.Task, old)
 	}
-	sl := &slot{run: r.Run, listedAt: c.now, answered: true}
+	sl := &slot{run: r.Run, listedAt: c.now, orderedAt: c.now, startedAt: c.now, answered: true}
 	j := c.jobs[r.Task.Job]
 	if j == nil {
 		c.addSlot(t, r.Task, sl)
@@ -96,6 +99,7 @@
 		return
 	}
 	sl.step, sl.index, sl.resources = s, r.Task.Index, s.Demand()
+	sl.startedAt = c.now.Add(-time.Duration(r.Percent) * s.Estimate / 100)
 	c.addSlot(t, r.Task, sl)
 	tk := &s.tasks[sl.index]
 	if j.state.Final() || tk.phase != waiting {
@@ -112,6 +116,9 @@
 	}
 	c.setPhase(s, sl.index, running)
 	c.markStarted(j)
+	if slices.Contains(s.crashes(sl.index).unclear, r.Run) {
+		c.probeOn(t, sl)
+	}
 }
 
 func (j *job) step(id w.TaskID) *step {
@@ -226,6 +233,7 @@
 	if tk.phase == finished {
 		return
 	}
+	c.removeUnclear(s, e.Task.Index, e.Run)
 	if s.Saves && e.Checkpoint != "" && (current || tk.phase == waiting) {
 		tk.checkpoint = e.Checkpoint
 		c.dirty[j.ID] = j
@@ -251,6 +259,7 @@
 		}
 		c.taskDone(s, e.Task.Index)
 	case w.EndedFailed:
+		c.clearSuspicion(s, e.Task.Index)
 		c.recordTaskFailure(t, s, e, current)
 	default:
 		if current {
@@ -385,6 +394,10 @@
 	switch r.Outcome {
 	case linker.Started:
 		sl.answered = !r.Unanswered
+		c.recordAnswer(t, r.At)
+		if sl.startedAt.IsZero() {
+			sl.startedAt, sl.startedBy = c.now, r.At
+		}
 		if current && tk.phase == starting {
 			c.setPhase(s, sl.index, running)
 			tk.percent = 0
@@ -411,6 +424,7 @@
 		c.removeSlot(t, r.Task, sl)
 		return
 	}
+	c.removeUnclear(s, sl.index, r.Run)
 	c.loseRun(t, r.Task, sl, r.Outcome.String())
 	if current {
 		tk.avoid = t
--- a/coordinator/spread_test.go
+++ b/coordinator/spread_test.go
@@ -81,6 +81,8 @@
 		x.reportRuns("b", w.Run{Task: first, Run: 1})
 		x.reportRuns("c")
 		require.Len(t, x.advance(0).Stops, 1)
+		x.advance(survivalTime)
+		x.reportRuns("a", w.Run{Task: first, Run: 2}, w.Run{Task: second, Run: 2})
 		x.restart(2)
 		x.reportSynced()
 		for _, s := range x.advance(0).Starts {
--- a/executor/caller.go
+++ b/executor/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/masticlead/masticlead/linker"
@@ -59,8 +60,18 @@
 	Token  string // opaque; passed in StartRequest.Ticket
 }
 
+// Errors of a request to a target.
+var (
+	// ErrClosed reports that the target closed or refused the connection, as it does when
+	// its process has ended.
+	ErrClosed = errors.New("executor: connection closed or refused by the target")
+	// ErrNotSent reports that no connection was established, so that the target has not
+	// received the request.
+	ErrNotSent = errors.New("executor: request not sent")
+)
+
 // TargetClient sends requests to targets and to the advice service. Its methods
-// return an error if no reply arrives.
+// return an error if no reply arrives, which may wrap ErrClosed and ErrNotSent.
 type TargetClient interface {
 	Start(ctx context.Context, t Target, req *StartRequest) (Reply, error)
 	Stop(ctx context.Context, t Target, task w.TaskID, run w.RunID, epoch w.Epoch) (Reply, error)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,23 +18,25 @@
 	Log          *slog.Logger
 	Send         func(*linker.Frame)
 
-	client   recoveringClient
-	mu       sync.Mutex
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
-	epoch    atomic.Int64 // w.Epoch
-	lease    atomic.Int64 // time.Duration
-	sessions map[w.TargetID]*targetSession
-	outFrame *linker.Frame
-	outReady chan struct{}
-	asks     chan linker.Ask
+	client    recoveringClient
+	startedAt time.Time
+	mu        sync.Mutex
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+	epoch     atomic.Int64 // w.Epoch
+	lease     atomic.Int64 // time.Duration
+	sessions  map[w.TargetID]*targetSession
+	outFrame  *linker.Frame
+	outReady  chan struct{}
+	asks      chan linker.Ask
 }
 
 // Run starts the executor and returns. Close stops it.
 func (e *Executor) Run() {
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.client = recoveringClient{e.TargetClient, e.Log}
+	e.startedAt = time.Now()
 	e.sessions = make(map[w.TargetID]*targetSession)
 	e.outReady = make(chan struct{}, 1)
 	e.asks = make(chan linker.Ask, 64)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -201,7 +202,10 @@
 		e, c := startExecutor(t, s)
 		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
 		require.Eventually(t, func() bool { return len(c.outcomes()) == 1 }, 2*time.Second, 5*time.Millisecond)
-		require.Equal(t, linker.Result{Target: "a", Incarnation: 1, Task: w.TaskID{Job: "j"}, Run: 5, Unanswered: lost > 0}, c.received.Results[0])
+		got := c.received.Results[0]
+		require.Positive(t, got.At)
+		got.At = 0
+		require.Equal(t, linker.Result{Target: "a", Incarnation: 1, Task: w.TaskID{Job: "j"}, Run: 5, Unanswered: lost > 0}, got)
 	}
 }
 
@@ -322,3 +326,59 @@
 		return len(o) == 2 && o[0] == linker.Indeterminate && o[1] == linker.NotStarted
 	}, 3*time.Second, 10*time.Millisecond)
 }
+
+// hasReport reports whether one of the reports fulfils a condition.
+func (c *frameRecorder) hasReport(ok func(*linker.Report) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.received.Reports {
+		if ok(&c.received.Reports[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestClosedConnectionIsReported guards against a crashed target that can't be told from
+// one that is slow or cut off.
+func TestClosedConnectionIsReported(t *testing.T) {
+	for _, err := range []error{fmt.Errorf("hold: %w", ErrClosed), context.DeadlineExceeded} {
+		_, f := startExecutor(t, &fakeTargetClient{holdErr: err})
+		require.True(t, f.hasReport(func(r *linker.Report) bool { return r.Unreachable && r.Closed == errors.Is(err, ErrClosed) }), "%v", err)
+	}
+}
+
+// TestProbeIsFollowedByReport guards against a probe that keeps its target from other work
+// until the next list of runs.
+func TestProbeIsFollowedByReport(t *testing.T) {
+	s := &fakeTargetClient{startReply: func(int) (Reply, error) { return Reply{Outcome: linker.Started, Clock: 5}, nil }, holdReply: HoldReply{Clock: 5, Incarnation: 1}}
+	e, f := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 7, Probe: true}}})
+	require.Eventually(t, func() bool {
+		return f.hasReport(func(r *linker.Report) bool { return !r.Complete && !r.Unreachable && len(r.Ends) == 0 })
+	}, 5*time.Second, 5*time.Millisecond)
+}
+
+// TestUnsentStartIsNotStarted guards against tasks that wait for the lease of a target
+// whose process has ended.
+func TestUnsentStartIsNotStarted(t *testing.T) {
+	for _, c := range []struct {
+		errs []error
+		want linker.Outcome
+	}{
+		{[]error{ErrNotSent, ErrNotSent}, linker.NotStarted},
+		{[]error{ErrNotSent, errNoReply}, linker.Indeterminate},
+		{[]error{errNoReply, ErrNotSent}, linker.Indeterminate},
+		{[]error{ErrNotSent, nil}, linker.InvalidTicket},
+	} {
+		s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+		s.startReply = func(n int) (Reply, error) {
+			err := c.errs[min(n, len(c.errs))-1]
+			return Reply{Outcome: linker.InvalidTicket}, err
+		}
+		e, f := startExecutor(t, s)
+		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+		require.Eventually(t, func() bool { return len(f.outcomes()) > 0 }, 2*time.Second, 5*time.Millisecond)
+		require.Equal(t, c.want, f.outcomes()[0], "%v", c.errs)
+	}
+}
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -30,6 +30,9 @@
 	// startTTL is the time on the target's clock after which the target rejects a
 	// start request that it has not begun to carry out.
 	startTTL = 2 * time.Second
+	// probeDelay is the time after the start of a probe at which the target is asked
+	// whether it is alive.
+	probeDelay = 200 * time.Millisecond
 	// fullReportInterval is the least time between two reports to the coordinator
 	// that list all runs of a target.
 	fullReportInterval = 400 * time.Millisecond
@@ -124,7 +127,9 @@
 			s.mu.Unlock()
 			s.e.Log.Debug("hold request failed", "target", s.target.ID, "error", err)
 			s.e.enqueue(func(f *linker.Frame) {
-				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true})
+				f.Reports = append(f.Reports, linker.Report{
+					Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true, Closed: errors.Is(err, ErrClosed),
+				})
 			})
 			s.sleep(retryDelay)
 			continue
@@ -140,7 +145,7 @@
 			continue
 		}
 		hasRuns = len(reply.Runs) > 0
-		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait}
+		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
 		var resolved []linker.Result
 		report.Ends, resolved = s.recordHold(&reply)
 		full := time.Since(lastFullReport) >= fullReportInterval
@@ -297,22 +302,43 @@
 		s.mu.Unlock()
 		return
 	}
+	result.At = time.Since(s.e.startedAt)
 	s.e.enqueue(func(f *linker.Frame) { f.Results = append(f.Results, result) })
-	if result.Outcome == linker.Indeterminate {
+	switch {
+	case result.Outcome == linker.Indeterminate:
 		s.stopUntilAnswered(order.Task, order.Run)
+	case result.Outcome == linker.Started && order.Probe:
+		s.reportAlive()
+	}
+}
+
+// reportAlive reports after probeDelay whether the target still answers.
+func (s *targetSession) reportAlive() {
+	s.sleep(probeDelay)
+	reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (HoldReply, error) {
+		return s.e.client.Hold(ctx, s.target, &HoldRequest{Epoch: s.e.currentEpoch()})
+	})
+	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, At: time.Since(s.e.startedAt)}
+	switch {
+	case err != nil && !errors.Is(err, ErrClosed), reply.Incarnation != 0 && reply.Incarnation != s.incarnation:
+		return // the next hold request shows the state of the target
+	case err != nil:
+		report.Unreachable, report.Closed = true, true
 	}
+	s.e.enqueue(func(f *linker.Frame) { f.Reports = append(f.Reports, report) })
 }
 
 // requestStart sends a start request, and repeats it once if there is no answer. It also
 // reports whether a request got no answer.
 func (s *targetSession) requestStart(req *StartRequest) (outcome linker.Outcome, unanswered bool) {
 	const maxAttempts = 2
-	for attempt := range maxAttempts {
+	for range maxAttempts {
 		reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
 			return s.e.client.Start(ctx, s.target, req)
 		})
 		if err != nil {
 			s.e.Log.Debug("start request failed", "task", req.Task, "target", s.target.ID, "run", req.Run, "error", err)
+			unanswered = unanswered || !errors.Is(err, ErrNotSent)
 			continue
 		}
 		s.mu.Lock()
@@ -320,15 +346,18 @@
 		s.mu.Unlock()
 		switch reply.Outcome {
 		case linker.NotStarted, linker.InsufficientResources, linker.InvalidTicket, linker.TargetUnavailable:
-			if attempt > 0 {
+			if unanswered {
 				// The target may still carry out the request that it did not answer.
 				return linker.Indeterminate, true
 			}
 		default:
 		}
-		return reply.Outcome, attempt > 0
+		return reply.Outcome, unanswered
+	}
+	if unanswered {
+		return linker.Indeterminate, true
 	}
-	return linker.Indeterminate, true
+	return linker.NotStarted, false
 }
 
 // errLateReply reports a reply that was read after the request's timeout.
