coordinator: suspected gangs keep other starts away from their targets

Callers would wait for a gang for as long as other work goes on, if it is a suspect or the first work of a contained job: it needs targets on which nothing has just started, all at the same time. Cause: nothing keeps targets free of starts for a probe. Change: if only recent starts are in the way, the targets are nominated for the gang for 1 s, in which the runs there survive or end. Work of a higher priority still starts there. Evidence: TestSuspectedGangStartsAmongShortRuns failed without the change, "the gang has not started in 20 s"; it passes now.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -35,6 +35,9 @@
 	// the number and the share of the usable targets.
 	minContainedLosses = 4
 	containedShare     = 0.05
+	// clearingTime is the time for which targets are kept free of other starts for a gang
+	// that starts as a probe. Runs are seen to survive within a full report.
+	clearingTime = time.Second
 	// containmentPeriod is the time between two updates of the contained queues.
 	containmentPeriod = 50 * time.Millisecond
 )
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -406,3 +406,38 @@
 	x.crash(s.Target)
 	require.Equal(t, w.Failed, x.jobState("bad"))
 }
+
+// Guards against a suspected gang that never starts, since other runs have always just
+// started on some of the targets that it needs.
+func TestSuspectedGangStartsAmongShortRuns(t *testing.T) {
+	x := newCrashCell(t, 1, 4, nil)
+	g := singleTaskJob("g")
+	g.Steps[0].Gang, g.Steps[0].Count, g.Steps[0].Spread = true, 4, 1
+	x.submit(g)
+	x.c.jobs["g"].occurrences[0].steps[0].crashes(0).crashed = []w.RunID{1}
+	ends := make(map[linker.Start]time.Time)
+	for n := range 1000 {
+		if n%5 == 0 {
+			j := singleTaskJob(w.JobID(fmt.Sprint("short", n)))
+			j.Steps[0].Count, j.Steps[0].Need.CPU = 4, 3000
+			x.submit(j)
+		}
+		for _, s := range x.advance(20 * time.Millisecond).Starts {
+			if s.Task.Job == "g" {
+				return
+			}
+			x.confirmStart(s)
+			ends[s] = x.now.Add(180 * time.Millisecond)
+		}
+		for s, at := range ends {
+			if !x.now.Before(at) {
+				x.reportEnd(s.Target, s, w.EndedDone)
+				delete(ends, s)
+			}
+		}
+		if n%20 == 0 {
+			x.syncTargets()
+		}
+	}
+	require.Fail(t, "the gang has not started in 20 s")
+}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -101,6 +101,9 @@
 		}
 		return
 	}
+	if s.probe {
+		c.clearTargets(s, targets, ticketed(0))
+	}
 	if c.now.Before(s.nextPreemption) {
 		return
 	}
@@ -126,6 +129,22 @@
 	return slices.ContainsFunc(s.tasks, func(tk task) bool { return tk.slots > 0 })
 }
 
+// clearTargets keeps other starts away from targets for a gang that starts as a probe,
+// until the runs that have just started there have survived.
+func (c *Coordinator) clearTargets(s *step, targets []*target, permitted func(*target) bool) {
+	for _, t := range s.nominatedTargets {
+		if t.nominatedStep == s && c.now.Before(t.nominatedUntil) {
+			return
+		}
+	}
+	s.probe = false
+	plan := c.planGang(s, targets, permitted, func(t *target) w.Resources { return c.availableResources(s, t) })
+	s.probe = true
+	for _, sh := range plan {
+		c.nominateTarget(s, sh.target, clearingTime)
+	}
+}
+
 // gangRetryPeriod returns the time between two attempts to place a gang. In a large
 // cell, resources are freed a hundred times a second, and planning a gang examines
 // hundreds of targets.
