coordinator: the pause of a suspect doesn't grow with changes of the leader

Callers of an innocent suspect would wait 30 s, anew from each load, after a few handovers. Cause: each leader reserves the next run of a suspect in the store before it starts it, and the next leader counts it, as it can't know whether it started. Change: runs whose fate is not known extend the pause to 2 s at most; 8 s follow two crashes that are certain. Result: TestPauseOfSuspect; before, five unclear runs gave 30 s. Found in review.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -53,17 +53,16 @@
 
 func (r *crashRecord) suspect() bool { return len(r.crashed)+len(r.unclear) > 0 }
 
-// pause returns the time before the next start of a suspect.
+// pause returns the time before the next start of a suspect. Runs whose fate is not known
+// don't extend it further, since leaders that were replaced leave such runs behind.
 func (r *crashRecord) pause() time.Duration {
-	switch n := len(r.crashed) + len(r.unclear); {
-	case n <= 1:
+	switch {
+	case len(r.crashed)+len(r.unclear) <= 1:
 		return 0
-	case n == 2:
+	case len(r.crashed) < maxCrashes:
 		return 2 * time.Second
-	case n == 3:
-		return 8 * time.Second
 	}
-	return 30 * time.Second
+	return 8 * time.Second
 }
 
 // crashes returns the crash record that counts for a task.
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -441,3 +441,15 @@
 	}
 	require.Fail(t, "the gang has not started in 20 s")
 }
+
+// Guards against a suspect that waits longer after each change of the leader.
+func TestPauseOfSuspect(t *testing.T) {
+	runs := []w.RunID{1, 2, 3, 4, 5}
+	for _, c := range []struct {
+		crashed, unclear int
+		want             time.Duration
+	}{{0, 0, 0}, {1, 0, 0}, {0, 1, 0}, {1, 1, 2 * time.Second}, {0, 5, 2 * time.Second}, {1, 5, 2 * time.Second}, {2, 0, 8 * time.Second}} {
+		r := crashRecord{crashed: runs[:c.crashed], unclear: runs[:c.unclear]}
+		require.Equal(t, c.want, r.pause(), "%+v", c)
+	}
+}
