--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"github.com/masticlead/masticlead/blamer"
 	"github.com/masticlead/masticlead/delayer"
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
@@ -44,14 +45,28 @@
 	Roster        keeper.Roster // written only if RosterChanged is set
 	RosterChanged bool
 
-	endSeqs map[w.TargetID]endCursor // last of the included run ends, by target
-	states  []linker.JobState        // published once the batch is stored
+	endSeqs map[w.TargetID]endSeq // highest sequence number of the included run ends, by target
+	states  []linker.JobState     // published once the batch is stored
 	roster  roster
+	// suspicions holds, for the included jobs, the number of changes of their crash
+	// records.
+	suspicions map[w.JobID]int
 }
 
-// endCursor is the highest sequence number of the run ends that were received from one
-// incarnation of a target. The next incarnation numbers its ends from 1.
-type endCursor struct {
+func (b *Batch) addProgress(j *job) {
+	b.Progress = append(b.Progress, j.progress())
+	if j.suspicions == j.suspicionsStored {
+		return
+	}
+	if b.suspicions == nil {
+		b.suspicions = make(map[w.JobID]int)
+	}
+	b.suspicions[j.ID] = j.suspicions
+}
+
+// endSeq is the sequence number of an end. Each incarnation of a target numbers its ends
+// from 1.
+type endSeq struct {
 	incarnation w.Incarnation
 	seq         int64
 }
@@ -68,6 +83,7 @@
 	now                 time.Time
 	startedAt           time.Time
 	renewedAt           time.Time // when the last request that confirmed the leadership was sent
+	jobsReadAt          time.Time // see JobsRead
 	cfg                 *w.Config
 	jobs                map[w.JobID]*job
 	targets             map[w.TargetID]*target
@@ -81,14 +97,14 @@
 	sentCalls           map[int64]*adviceCall // advice calls that were sent and not answered, by ID
 	queuedCalls         []*adviceCall         // advice calls that were not sent yet
 
-	dirty            map[w.JobID]*job         // changed since they were last included in a batch
-	endSeqs          map[w.TargetID]endCursor // last received ends, for the next batch
-	unstoredStates   []linker.JobState        // published once the next batch is stored
-	expiredJobs      []w.JobID                // removed with the next batch
-	endRows          map[w.JobID]bool         // jobs with a row of keeper.TableEnds
-	expiredEnds      []w.JobID                // jobs whose such rows are removed with the next batch
-	roster           roster                   // roster as last stored: targets that may be running something
-	inFlight         *Batch                   // batch that is being stored, or nil
+	dirty            map[w.JobID]*job      // changed since they were last included in a batch
+	endSeqs          map[w.TargetID]endSeq // highest sequence number of the received ends, for the next batch
+	unstoredStates   []linker.JobState     // published once the next batch is stored
+	expiredJobs      []w.JobID             // removed with the next batch
+	endRows          map[w.JobID]bool      // jobs with a row of keeper.TableEnds
+	expiredEnds      []w.JobID             // jobs whose such rows are removed with the next batch
+	roster           roster                // roster as last stored: targets that may be running something
+	inFlight         *Batch                // batch that is being stored, or nil
 	storeSlow        bool
 	suspended        bool
 	assignmentsStale bool
@@ -127,6 +143,17 @@
 	tenants       tenancy
 	admission     *admission
 	delays        delayer.Policy // decides whether work waits for a place near its data
+
+	losses         blamer.Ledger
+	probing        []*target       // targets with a probe
+	contained      map[string]bool // queues whose jobs start with a single task
+	riskBudgets    map[string]int  // further starts under suspicion that are allowed, by service
+	containmentDue time.Time
+
+	// Rates at which the jobs of contained queues are tried, by queue.
+	probeRates      map[string]float64
+	firstProbes     map[string]int // first starts of jobs as probes since probesCountedAt
+	probesCountedAt time.Time
 }
 
 // New returns a coordinator without jobs, targets or members.
@@ -141,7 +168,7 @@
 		lastRunID:       w.FirstRunID(s.Epoch),
 		sentCalls:       make(map[int64]*adviceCall),
 		dirty:           make(map[w.JobID]*job),
-		endSeqs:         make(map[w.TargetID]endCursor),
+		endSeqs:         make(map[w.TargetID]endSeq),
 		roster:          make(roster),
 		permittedShares: make(map[string]float64),
 		unsynced:        make(map[w.TargetID]unsyncedTarget),
@@ -154,6 +181,10 @@
 		delays:          delayer.New(),
 		speedRatios:     make(map[ratioKey]*speedRatio),
 		speeds:          make(map[string]*serviceSpeeds),
+		contained:       make(map[string]bool),
+		probeRates:      make(map[string]float64),
+		firstProbes:     make(map[string]int),
+		riskBudgets:     make(map[string]int),
 	}
 	c.tenants.init(s.QuotaExcess)
 	return c
@@ -214,6 +245,10 @@
 	c.adoptOrphans(j.ID)
 }
 
+// JobsRead records that all jobs that were in the store at the given time were passed to
+// AddJob.
+func (c *Coordinator) JobsRead(at time.Time) { c.jobsReadAt = at }
+
 // Renewed records that the store confirmed the leadership in response to a request sent
 // at the given time.
 func (c *Coordinator) Renewed(sent time.Time) {
@@ -341,6 +376,7 @@
 		c.assignTargets()
 	}
 	c.stopStalledRuns()
+	c.checkProbes()
 	c.placeSteps()
 	c.dispatchAdviceCalls()
 	if !now.Before(c.pendingDue) {
@@ -436,7 +472,7 @@
 	c.unstoredStates = nil
 	for _, s := range b.states {
 		if j := c.dirty[s.Job]; j != nil && j.state.Final() {
-			b.Progress = append(b.Progress, j.progress())
+			b.addProgress(j)
 			delete(c.dirty, s.Job)
 		}
 	}
@@ -448,7 +484,7 @@
 	c.progressDue = c.now.Add(progressPeriod)
 	b := &Batch{endSeqs: c.endSeqs, states: c.unstoredStates, Remove: c.expiredJobs, RemoveEnds: c.expiredEnds}
 	for _, j := range c.dirty {
-		b.Progress = append(b.Progress, j.progress())
+		b.addProgress(j)
 	}
 	if !c.now.Before(c.rosterDue) {
 		// Until it is updated, the roster lists too many targets, which is safe.
@@ -459,7 +495,7 @@
 		}
 	}
 	c.dirty = make(map[w.JobID]*job)
-	c.endSeqs = make(map[w.TargetID]endCursor)
+	c.endSeqs = make(map[w.TargetID]endSeq)
 	c.unstoredStates = nil
 	c.expiredJobs, c.expiredEnds = nil, nil
 	return b
@@ -472,12 +508,18 @@
 		c.roster = b.roster
 		c.generation++
 	}
-	for id, last := range b.endSeqs {
+	for id, n := range b.suspicions {
+		if j := c.jobs[id]; j != nil {
+			j.suspicionsStored = n
+			c.generation++
+		}
+	}
+	for id, stored := range b.endSeqs {
 		t := c.targets[id]
-		if t == nil || t.Incarnation != last.incarnation {
+		if t == nil || t.Incarnation != stored.incarnation {
 			continue
 		}
-		seq := t.ackableSeq(last.seq)
+		seq := t.ackableSeq(stored.seq)
 		if seq <= t.ackedSeq {
 			continue
 		}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -70,13 +70,21 @@
 
 // reportRuns reports a complete list of the runs on a target.
 func (x *testCell) reportRuns(id w.TargetID, runs ...w.Run) {
-	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: 1, Complete: true, Runs: runs}}})
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: x.incarnation(id), Complete: true, Runs: runs}}})
+}
+
+// incarnation returns the incarnation of a target: 1, unless it was replaced.
+func (x *testCell) incarnation(id w.TargetID) w.Incarnation {
+	if t := x.c.targets[id]; t != nil && t.Incarnation > 1 {
+		return t.Incarnation
+	}
+	return 1
 }
 
 // reportEnd reports the end of a run.
 func (x *testCell) reportEnd(id w.TargetID, s linker.Start, how w.Ending) {
 	x.seq[id]++
-	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: 1, Ends: []w.End{
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: x.incarnation(id), Ends: []w.End{
 		{Seq: x.seq[id], Task: s.Task, Run: s.Run, How: how},
 	}}}})
 }
@@ -191,19 +199,62 @@
 	require.Equal(t, w.Completed, x.jobState("j"))
 }
 
+// TestSavedEndsOfEarlierIncarnationAreNotAcknowledged guards against ends of a restarted
+// target that are discarded unread: the batch with the ends of the earlier incarnation is
+// stored after the restart, and its sequence numbers are acknowledged to the new one.
+func TestSavedEndsOfEarlierIncarnationAreNotAcknowledged(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	start := x.advance(0).Starts[0]
+	x.seq["a"] = 56
+	x.reportEnd("a", start, w.EndedDone)
+	x.c.progressDue = time.Time{}
+	b := x.c.Flush()
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: 2, Gone: true}}})
+	x.c.Stored(b)
+	f := x.advance(0)
+	require.Empty(t, f.Acks)
+	require.Equal(t, []linker.AssignedTarget{{ID: "a", Address: "x", Incarnation: 2}}, f.Assign.Targets)
+}
+
+// TestResultOfEarlierIncarnationIsIgnored guards against running a task twice: a start order
+// may have reached the new incarnation of its target, and the session of the earlier one
+// reports that the run has not started.
+func TestResultOfEarlierIncarnationIsIgnored(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.reportRuns("a")
+	x.reportRuns("b")
+	x.submit(singleTaskJob("j"))
+	start := x.advance(0).Starts[0]
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: start.Target, Incarnation: 2, Gone: true}}})
+	result := linker.Result{Target: start.Target, Incarnation: 1, Task: start.Task, Run: start.Run, Outcome: linker.NotStarted}
+	x.receive(&linker.Frame{Results: []linker.Result{result}})
+	require.Empty(t, x.advance(0).Starts)
+	result.Incarnation = 2
+	x.receive(&linker.Frame{Results: []linker.Result{result}})
+	require.Len(t, x.advance(0).Starts, 1)
+}
+
 // TestOrphanEndExpires guards against a target that keeps its ends forever because one
-// of them belongs to a job whose rows were removed.
+// of them belongs to a job whose rows were removed, and against an end that is discarded
+// while the store can't be read and its job may still be found.
 func TestOrphanEndExpires(t *testing.T) {
 	x := newCell(t, 2, 1, &keeper.Snapshot{Roster: keeper.Roster{Open: []w.TargetID{"a"}}})
 	x.reportEnd("a", linker.Start{Task: w.TaskID{Job: "removed"}, Run: 5}, w.EndedDone)
 	x.reportRuns("a")
 	require.Empty(t, x.advance(0).Acks)
-	acks := 0
-	for range 6 {
-		x.reportRuns("a")
-		acks += len(x.advance(5 * time.Second).Acks)
+	acks := func() int {
+		n := 0
+		for range 6 {
+			x.reportRuns("a")
+			n += len(x.advance(5 * time.Second).Acks)
+		}
+		return n
 	}
-	require.Positive(t, acks)
+	require.Zero(t, acks())
+	x.c.JobsRead(x.now)
+	require.Positive(t, acks())
 }
 
 // TestRunBeforeItsJob guards against running a task twice: a run started by the earlier
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -33,6 +33,46 @@
 	require.NotEqual(t, waiting, x.c.jobs["there"].occurrences[0].steps[0].tasks[0].phase, "the lease has certainly expired")
 }
 
+// TestUnreachableEntryDoesNotHoldUpHandover guards against an entry at whose address nobody
+// answers, and which delays the jobs of the earlier coordinator at each handover.
+func TestUnreachableEntryDoesNotHoldUpHandover(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.reportRuns("a")
+	list := []w.Target{x.c.targets["a"].Target, x.c.targets["b"].Target}
+	for range 9 {
+		x.receive(&linker.Frame{Reports: []linker.Report{{Target: "b", Incarnation: 1, Unreachable: true}}})
+		x.reportRuns("a")
+		x.c.SetTargets(list, true, x.now)
+		x.advance(time.Second)
+	}
+	next := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{singleTaskJob("k")}, Roster: x.c.roster.toKeeper()})
+	next.reportRuns("a")
+	require.Len(t, next.advance(0).Starts, 1)
+
+	x.reportRuns("b")
+	x.advance(0)
+	require.True(t, x.c.usable(x.c.targets["b"]), "a target that answers late is used")
+}
+
+// TestUnknownRosterHoldsUpOldJobs guards against running a task twice when the roster of
+// the earlier coordinator can't be read.
+func TestUnknownRosterHoldsUpOldJobs(t *testing.T) {
+	x := newCell(t, 2, 1, &keeper.Snapshot{Jobs: []w.Job{singleTaskJob("old")}, Roster: keeper.Roster{Open: []w.TargetID{keeper.UnknownTarget}}})
+	x.submit(singleTaskJob("new"))
+	x.reportRuns("a")
+	f := x.advance(0)
+	require.Len(t, f.Starts, 1)
+	require.Equal(t, w.JobID("new"), f.Starts[0].Task.Job)
+	_, _, unlimited := x.c.unsyncedCapacity()
+	require.True(t, unlimited)
+	for range 17 {
+		x.reportRuns("a", w.Run{Task: f.Starts[0].Task, Run: f.Starts[0].Run})
+		require.Empty(t, x.advance(500*time.Millisecond).Starts)
+	}
+	x.reportRuns("a", w.Run{Task: f.Starts[0].Task, Run: f.Starts[0].Run})
+	require.Len(t, x.advance(time.Second).Starts, 1, "the leases of the earlier coordinator have certainly expired")
+}
+
 // TestClosedListing guards against a roster that omits a target which the platform no
 // longer lists but on which tasks are running.
 func TestClosedListing(t *testing.T) {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -20,6 +20,9 @@
 			continue
 		}
 		sl.listedAt = c.now
+		if sl.startedAt.IsZero() && sl.run == r.Run {
+			sl.startedAt = c.now
+		}
 		if sl.step == nil || sl.run != r.Run {
 			continue
 		}
@@ -60,7 +63,7 @@
 		}
 		if tk.missedLists++; tk.missedLists >= missingRunLists {
 			c.Log.Warn("run missing from the lists of its target", "task", id, "target", t.ID, "run", sl.run)
-			c.loseRun(t, id, sl)
+			c.loseRun(t, id, sl, "unlisted")
 		}
 	}
 }
@@ -81,7 +84,7 @@
 	if old != nil {
 		c.removeSlot(t, r.Task, old)
 	}
-	sl := &slot{run: r.Run, listedAt: c.now, answered: true}
+	sl := &slot{run: r.Run, listedAt: c.now, orderedAt: c.now, startedAt: c.now, answered: true}
 	j := c.jobs[r.Task.Job]
 	if j == nil {
 		c.addSlot(t, r.Task, sl)
@@ -96,10 +99,14 @@
 		return
 	}
 	sl.step, sl.index, sl.resources = s, r.Task.Index, s.Demand()
+	sl.startedAt = c.now.Add(-time.Duration(r.Percent) * s.Estimate / 100)
 	c.addSlot(t, r.Task, sl)
 	tk := &s.tasks[sl.index]
 	if j.state.Final() || tk.phase != waiting {
 		// The task already runs elsewhere or no longer needs to run.
+		c.Meter.Count("adopted", "stopped")
+		c.Log.Info("stopped a run found on a target", "task", r.Task, "run", r.Run, "target", t.ID, "incarnation", t.Incarnation,
+			"state", j.state, "phase", tk.phase, "currentRun", tk.run, "epoch", c.Epoch)
 		c.stopSlot(t, r.Task, sl)
 		return
 	}
@@ -109,6 +116,9 @@
 	}
 	c.setPhase(s, sl.index, running)
 	c.markStarted(j)
+	if slices.Contains(s.crashes(sl.index).unclear, r.Run) {
+		c.probeOn(t, sl)
+	}
 }
 
 func (j *job) step(id w.TaskID) *step {
@@ -128,7 +138,7 @@
 		return
 	}
 	t.endSeq = e.Seq
-	c.endSeqs[t.ID] = endCursor{t.Incarnation, e.Seq}
+	c.endSeqs[t.ID] = endSeq{t.Incarnation, e.Seq}
 	c.Meter.Count("end", e.How.String())
 	sl := t.slots[e.Task]
 	if sl != nil && sl.run == e.Run {
@@ -151,7 +161,7 @@
 }
 
 // orphanTimeout is the time after which a job that was not found is assumed to have
-// been removed from the store.
+// been removed from the store, if the store was read meanwhile.
 const orphanTimeout = 15 * time.Second
 
 // ackableSeq returns the highest sequence number, at most seq, up to which the ends of
@@ -192,7 +202,9 @@
 // that they are acknowledged and their targets can discard them, too.
 func (c *Coordinator) expireOrphans() {
 	for _, t := range c.sortedTargets {
-		c.filterOrphans(t, func(o *orphanEnd) bool { return c.now.Sub(o.receivedAt) < orphanTimeout })
+		c.filterOrphans(t, func(o *orphanEnd) bool {
+			return c.now.Sub(o.receivedAt) < orphanTimeout || !c.jobsReadAt.After(o.receivedAt)
+		})
 	}
 }
 
@@ -202,7 +214,7 @@
 	before := len(t.orphans)
 	t.orphans = slices.DeleteFunc(t.orphans, func(o orphanEnd) bool { return !keep(&o) })
 	if len(t.orphans) < before {
-		c.endSeqs[t.ID] = endCursor{t.Incarnation, t.endSeq}
+		c.endSeqs[t.ID] = endSeq{t.Incarnation, t.endSeq}
 	}
 }
 
@@ -221,6 +233,7 @@
 	if tk.phase == finished {
 		return
 	}
+	c.removeUnclear(s, e.Task.Index, e.Run)
 	if s.Saves && e.Checkpoint != "" && (current || tk.phase == waiting) {
 		tk.checkpoint = e.Checkpoint
 		c.dirty[j.ID] = j
@@ -246,6 +259,7 @@
 		}
 		c.taskDone(s, e.Task.Index)
 	case w.EndedFailed:
+		c.clearSuspicion(s, e.Task.Index)
 		c.recordTaskFailure(t, s, e, current)
 	default:
 		if current {
@@ -359,7 +373,7 @@
 // HandleResult processes the result of a start or stop order.
 func (c *Coordinator) HandleResult(r *linker.Result) {
 	t := c.targets[r.Target]
-	if t == nil {
+	if t == nil || (r.Incarnation != 0 && r.Incarnation != t.Incarnation) {
 		return
 	}
 	sl := t.slots[r.Task]
@@ -379,7 +393,11 @@
 	c.Meter.ObserveDuration("start", c.now.Sub(tk.phaseSince))
 	switch r.Outcome {
 	case linker.Started:
-		sl.answered = true
+		sl.answered = !r.Unanswered
+		c.recordAnswer(t, r.At)
+		if sl.startedAt.IsZero() {
+			sl.startedAt, sl.startedBy = c.now, r.At
+		}
 		if current && tk.phase == starting {
 			c.setPhase(s, sl.index, running)
 			tk.percent = 0
@@ -406,7 +424,8 @@
 		c.removeSlot(t, r.Task, sl)
 		return
 	}
-	c.loseRun(t, r.Task, sl)
+	c.removeUnclear(s, sl.index, r.Run)
+	c.loseRun(t, r.Task, sl, r.Outcome.String())
 	if current {
 		tk.avoid = t
 	}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -16,10 +16,13 @@
 	index     int
 	run       w.RunID
 	resources w.Resources
-	account   *slotAccount // what it counts for its tenant, or nil if the job is not known
-	listedAt  time.Time    // last complete list of runs that contained the run
-	answered  bool         // the start order was answered, so that no copy of it is in transit
-	stopping  bool         // a stop was ordered
+	account   *slotAccount  // what it counts for its tenant, or nil if the job is not known
+	listedAt  time.Time     // last complete list of runs that contained the run
+	answered  bool          // the start order was answered at once, so that no copy of it is in transit
+	stopping  bool          // a stop was ordered
+	orderedAt time.Time     // when its start was ordered or, for a run that was found, when it was found
+	startedAt time.Time     // when the target was first known to have started it, or an estimate for a run that was found
+	startedBy time.Duration // time at the target's member at which it answered the start, or 0 if it is not known
 }
 
 type target struct {
@@ -33,8 +36,15 @@
 	listed            bool          // on the platform's current list of targets
 	listedIncarnation w.Incarnation // incarnation whose capacity and labels the list has shown
 	synced            bool          // this coordinator has received a complete list of its runs
+	replaced          bool          // its machine runs a later target
+	reached           bool          // it has answered this coordinator, possibly in an earlier incarnation
 	leaseExpired      bool          // its lease has certainly expired and its slots were released
 	reportedAt        time.Time     // last report of a reachable target, or when the target was added or reset
+	answeredAt        time.Time     // last answer of the target to any request
+	answeredBy        time.Duration // time of that answer at its member, or 0 if it is not known
+	closedAt          time.Time     // when it closed its connection, or its loss was noticed, if it has not answered since
+	closed            bool          // it closed its connection and has not answered since
+	probe             *slot         // run that started under suspicion, or nil, see probeOn
 	lateLeaseEnd      time.Time     // when the leases of starts that were carried out late have certainly expired
 	endSeq            int64         // highest sequence number of a received end
 	ackedSeq          int64         // highest acknowledged sequence number
@@ -74,9 +84,13 @@
 // free returns the resources that no run occupies.
 func (t *target) free() w.Resources { return t.Capacity.Sub(t.used) }
 
+// mayAnswer reports whether the target has answered this coordinator, or was first listed
+// less than a lease ago. Other entries of the list may name a target that isn't there.
+func (t *target) mayAnswer() bool { return t.reached || !t.leaseExpired }
+
 // usable reports whether new tasks may be placed on a target.
 func (c *Coordinator) usable(t *target) bool {
-	return t.listed && t.listedIncarnation == t.Incarnation && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
+	return t.listed && !t.replaced && t.listedIncarnation == t.Incarnation && t.State == w.TargetReady && t.synced && t.member != nil && t.unknownSlots == 0 &&
 		!t.health.unreachable && c.rosterAllowsStarts(t.ID) && !c.now.Before(t.health.quarantinedUntil)
 }
 
@@ -118,6 +132,7 @@
 		t.listed = true
 		t.leaseExpired = false
 	}
+	c.releaseReplaced()
 	for _, t := range c.sortedTargets {
 		if complete && t.listed && !listed[t.ID] {
 			t.listed = false
@@ -127,15 +142,45 @@
 	slices.SortFunc(c.sortedTargets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
 
+// releaseReplaced frees the slots of the targets that don't answer and whose machines run
+// a later target, since a machine runs one target at a time.
+func (c *Coordinator) releaseReplaced() {
+	latest := make(map[string]*target, len(c.sortedTargets))
+	for _, t := range c.sortedTargets {
+		if l := latest[t.Machine]; !t.answeredAt.IsZero() && (l == nil || t.Incarnation > l.Incarnation) {
+			latest[t.Machine] = t
+		}
+	}
+	for _, t := range c.sortedTargets {
+		if l := latest[t.Machine]; l != nil {
+			c.releaseIfReplaced(t, l)
+		}
+	}
+}
+
+// releaseIfReplaced frees the slots of a target that doesn't answer if a later one on its
+// machine has answered since. Its row alone is no proof, as other writers leave rows, too.
+func (c *Coordinator) releaseIfReplaced(t, by *target) {
+	if t.Machine == "" || t.Machine != by.Machine || by.Incarnation <= t.Incarnation || !by.answeredAt.After(t.answeredAt) || !t.health.unreachable || t.replaced {
+		return
+	}
+	t.replaced = true
+	t.synced = false
+	c.Log.Info("target replaced on its machine", "target", t.ID, "by", by.ID, "machine", t.Machine, "slots", len(t.slots), "silent", c.now.Sub(t.reportedAt))
+	c.recordCrash(t, true)
+	c.releaseSlots(t, "replaced")
+}
+
 // resetTarget discards the state that belongs to an earlier incarnation of a target.
 func (c *Coordinator) resetTarget(t *target, incarnation w.Incarnation) {
 	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
+	c.recordCrash(t, true)
 	for id, sl := range t.slots {
 		if sl.step != nil && (sl.listedAt.IsZero() || !sl.answered) {
 			// Orders name the ID of a target only, so the new incarnation may still
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
-			sl.listedAt, sl.answered = time.Time{}, false
+			sl.listedAt, sl.startedAt, sl.startedBy, sl.answered = time.Time{}, time.Time{}, 0, false
 			// The deadline of the start is a time on the clock of the old incarnation,
 			// so the new one grants its longest lease.
 			t.lateLeaseEnd = c.now.Add(lateStartAge + c.MaxLease*103/100)
@@ -146,7 +191,7 @@
 			}
 			continue
 		}
-		c.loseRun(t, id, sl)
+		c.loseRun(t, id, sl, "restarted")
 	}
 	t.forgetStarts(c.now)
 	for _, s := range t.recentStarts {
@@ -169,6 +214,7 @@
 	t.endSeq, t.ackedSeq, t.orphans = 0, 0, nil
 	delete(c.endSeqs, t.ID)
 	t.synced = false
+	t.closedAt, t.closed, t.answeredAt, t.answeredBy = time.Time{}, false, time.Time{}, 0
 	t.health = health{}
 	t.speed.Restart()
 	t.reportedAt = c.now
@@ -179,25 +225,29 @@
 const clockSkewMargin = 1500 * time.Millisecond
 
 // releaseSlots frees all slots of a target whose runs have certainly ended.
-func (c *Coordinator) releaseSlots(t *target) {
+func (c *Coordinator) releaseSlots(t *target, reason string) {
 	for id, sl := range t.slots {
-		c.loseRun(t, id, sl)
+		c.loseRun(t, id, sl, reason)
 	}
 	delete(c.unsynced, t.ID)
 	c.generation++
 }
 
 // loseRun frees a slot whose run ended without a known result, and puts its task back
-// into the waiting phase.
-func (c *Coordinator) loseRun(t *target, id w.TaskID, sl *slot) {
+// into the waiting phase. The reason is logged and counted.
+func (c *Coordinator) loseRun(t *target, id w.TaskID, sl *slot, reason string) {
 	c.removeSlot(t, id, sl)
 	s := sl.step
 	if s == nil {
 		return
 	}
+	s.job.survived = s.job.survived || t.survived(sl)
 	tk := &s.tasks[sl.index]
 	if tk.target == t && tk.run == sl.run && tk.phase != finished {
 		s.job.stats.lostRuns++
+		c.Meter.Count("lost", reason)
+		c.Log.Info("run lost", "task", id, "run", sl.run, "target", t.ID, "incarnation", t.Incarnation, "reason", reason,
+			"phase", tk.phase, "age", c.now.Sub(tk.phaseSince), "listed", !sl.listedAt.IsZero(), "epoch", c.Epoch)
 		c.setPhase(s, sl.index, waiting)
 		if s.Gang {
 			c.stopGang(s)
@@ -269,10 +319,13 @@
 		}
 		t.leaseExpired = true
 		t.synced = false
+		if !t.replaced {
+			c.recordCrash(t, false)
+		}
 		if len(t.slots) > 0 {
 			c.Log.Warn("target lapsed", "target", t.ID, "slots", len(t.slots), "silent", c.now.Sub(t.reportedAt))
 		}
-		c.releaseSlots(t)
+		c.releaseSlots(t, "lapsed")
 	}
 	kept := c.sortedTargets[:0]
 	for _, t := range c.sortedTargets {
@@ -297,6 +350,10 @@
 func (c *Coordinator) HandleReport(m *member, r *linker.Report) {
 	t := c.targets[r.Target]
 	if t == nil || t.member != m {
+		if len(r.Ends) > 0 {
+			c.Meter.Count("endsDropped", "member")
+			c.Log.Info("dropped ends reported by another instance", "target", r.Target, "instance", m.id, "ends", len(r.Ends), "first", r.Ends[0].Task)
+		}
 		return
 	}
 	if r.Gone || r.Incarnation > t.Incarnation {
@@ -306,9 +363,16 @@
 		return
 	}
 	if r.Incarnation != t.Incarnation {
+		if len(r.Ends) > 0 {
+			c.Meter.Count("endsDropped", "incarnation")
+			c.Log.Warn("dropped ends of an earlier incarnation", "target", t.ID, "incarnation", r.Incarnation, "current", t.Incarnation, "ends", len(r.Ends), "first", r.Ends[0].Task)
+		}
 		return
 	}
 	if r.Unreachable {
+		if r.Closed {
+			c.recordClosed(t)
+		}
 		if !t.health.unreachable {
 			t.health.unreachable = true
 			c.Log.Warn("target unreachable", "target", t.ID, "slots", len(t.slots))
@@ -320,7 +384,8 @@
 		c.generation++
 		c.Log.Info("target reachable again", "target", t.ID)
 	}
-	t.reportedAt = c.now
+	t.reportedAt, t.reached = c.now, true
+	c.recordAnswer(t, r.At)
 	t.leaseExpired = false
 	for i := range r.Ends {
 		c.handleEnd(t, &r.Ends[i])
@@ -333,5 +398,8 @@
 		t.synced = true
 		delete(c.unsynced, t.ID)
 		c.generation++
+		for _, o := range c.sortedTargets {
+			c.releaseIfReplaced(o, t)
+		}
 	}
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -22,7 +23,9 @@
 	startCalls int
 	holdReply  HoldReply
 	holdErr    error
-	cursors    []int64 // AckCursor of each hold request
+	pause      time.Duration // simulates a pause of the process during the next hold request
+	paused     int           // number of hold requests up to the one with the pause
+	requests   []HoldRequest
 	stopCalls  int
 }
 
@@ -41,34 +44,46 @@
 }
 
 func (s *fakeTargetClient) Hold(ctx context.Context, _ Target, c *HoldRequest) (HoldReply, error) {
+	s.mu.Lock()
+	pause := s.pause
+	s.pause = 0
+	s.mu.Unlock()
+	delay := min(c.Wait, 20*time.Millisecond)
+	if pause > 0 {
+		time.Sleep(pause)
+		delay, ctx = 0, context.Background()
+	}
 	select {
-	case <-time.After(min(c.Wait, 20*time.Millisecond)):
+	case <-time.After(delay):
 	case <-ctx.Done():
 		return HoldReply{}, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cursors = append(s.cursors, c.AckCursor)
+	s.requests = append(s.requests, *c)
+	if pause > 0 {
+		s.paused = len(s.requests)
+	}
 	return s.holdReply, s.holdErr
 }
 
-// nextCursor returns the cursor of a hold request that is sent from now on.
-func (s *fakeTargetClient) nextCursor(t *testing.T) int64 {
+// nextHold returns a hold request that is sent from now on.
+func (s *fakeTargetClient) nextHold(t *testing.T) HoldRequest {
 	t.Helper()
 	s.mu.Lock()
-	n := len(s.cursors)
+	n := len(s.requests)
 	s.mu.Unlock()
-	var cursor int64
+	var req HoldRequest
 	require.Eventually(t, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if len(s.cursors) < n+2 {
+		if len(s.requests) < n+2 {
 			return false
 		}
-		cursor = s.cursors[n+1]
+		req = s.requests[n+1]
 		return true
 	}, 2*time.Second, 5*time.Millisecond)
-	return cursor
+	return req
 }
 
 func (s *fakeTargetClient) Advise(context.Context, string, []w.TargetID) ([]Ticket, error) {
@@ -145,6 +160,72 @@
 	require.NotContains(t, c.outcomes(), linker.NotStarted)
 }
 
+// TestRejectedRepeatIsNotCalledNotStarted guards against running a task twice: the first
+// start request is carried out after the repeated one was rejected.
+func TestRejectedRepeatIsNotCalledNotStarted(t *testing.T) {
+	for _, outcome := range []linker.Outcome{linker.NotStarted, linker.InsufficientResources, linker.InvalidTicket, linker.TargetUnavailable} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			id := w.TaskID{Job: "j"}
+			s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+			s.startReply = func(n int) (Reply, error) {
+				if n == 1 {
+					return Reply{}, errNoReply
+				}
+				s.holdReply.Runs = []w.Run{{Task: id, Run: 5}}
+				return Reply{Outcome: outcome, Clock: 1001}, nil
+			}
+			e, c := startExecutor(t, s)
+			e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: id, Run: 5}}})
+			time.Sleep(200 * time.Millisecond)
+			require.Equal(t, []linker.Outcome{linker.Indeterminate}, c.outcomes())
+			s.mu.Lock()
+			require.Equal(t, 1, s.stopCalls)
+			s.holdReply.Runs = nil
+			s.mu.Unlock()
+			require.Eventually(t, func() bool { return len(c.outcomes()) == 2 }, 2*time.Second, 5*time.Millisecond)
+			require.Equal(t, linker.NotStarted, c.outcomes()[1])
+		})
+	}
+}
+
+// TestResultNamesUnansweredRequest guards against a start that counts as settled although
+// the first request for it may still be carried out.
+func TestResultNamesUnansweredRequest(t *testing.T) {
+	for lost := range 2 {
+		s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+		s.startReply = func(n int) (Reply, error) {
+			if n <= lost {
+				return Reply{}, errNoReply
+			}
+			return Reply{Outcome: linker.Started, Clock: 1001}, nil
+		}
+		e, c := startExecutor(t, s)
+		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+		require.Eventually(t, func() bool { return len(c.outcomes()) == 1 }, 2*time.Second, 5*time.Millisecond)
+		got := c.received.Results[0]
+		require.Positive(t, got.At)
+		got.At = 0
+		require.Equal(t, linker.Result{Target: "a", Incarnation: 1, Task: w.TaskID{Job: "j"}, Run: 5, Unanswered: lost > 0}, got)
+	}
+}
+
+// TestTruncatedEndsAreNotComplete guards against running a task twice: it has ended after
+// more other runs than its target lists, and counts as not started or missing.
+func TestTruncatedEndsAreNotComplete(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1, Ends: []w.End{{Seq: 1}}, MoreEnds: true}}
+	s.startReply = func(int) (Reply, error) { return Reply{Outcome: linker.Superseded, Clock: 1001}, nil }
+	e, c := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+	time.Sleep(600 * time.Millisecond)
+	require.Empty(t, c.outcomes())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Greater(t, len(c.received.Reports), 1, "the coordinator would count the leases as expired")
+	for _, r := range c.received.Reports {
+		require.False(t, r.Complete)
+	}
+}
+
 // TestUnansweredStartIsResolved guards against a task that stays in the starting state
 // forever because its start request never reached the target.
 func TestUnansweredStartIsResolved(t *testing.T) {
@@ -187,15 +268,117 @@
 	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
 	e, _ := startExecutor(t, s)
 	e.Receive(&linker.Frame{Acks: []linker.Ack{{Target: "a", Incarnation: 1, Seq: 57}}})
-	require.Equal(t, int64(57), s.nextCursor(t))
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
 	s.mu.Lock()
 	s.holdErr = errNoReply
 	s.mu.Unlock()
-	require.Zero(t, s.nextCursor(t), "the target may have restarted since it answered last")
+	req := s.nextHold(t)
+	require.Zero(t, req.AckCursor, "the target may have restarted since it answered last")
+	require.Zero(t, req.Deadline, "a new incarnation would extend its leases to the maximum")
 	s.mu.Lock()
 	s.holdErr = nil
-	first := s.cursors[0]
+	first := s.requests[0]
+	s.mu.Unlock()
+	require.Zero(t, first.AckCursor, "the target has not confirmed its incarnation to this session")
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
+}
+
+// TestPausedInstanceAcknowledgesNothing guards against an instance that was paused, and
+// that acknowledges the unread ends of a target that restarted under its ID meanwhile, or
+// extends its leases.
+func TestPausedInstanceAcknowledgesNothing(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+	e, _ := startExecutor(t, s)
+	e.Receive(&linker.Frame{Acks: []linker.Ack{{Target: "a", Incarnation: 1, Seq: 57}}})
+	require.Equal(t, int64(57), s.nextHold(t).AckCursor)
+	s.mu.Lock()
+	s.pause = idlePollWait + callTimeout + 100*time.Millisecond
 	s.mu.Unlock()
-	require.Zero(t, first, "the target has not confirmed its incarnation to this session")
-	require.Equal(t, int64(57), s.nextCursor(t))
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.paused > 0 && len(s.requests) > s.paused
+	}, 4*time.Second, 5*time.Millisecond)
+	s.mu.Lock()
+	req := s.requests[s.paused]
+	s.mu.Unlock()
+	require.Zero(t, req.AckCursor, "the reply is older than the pause")
+	require.Zero(t, req.Deadline)
+
+	// The process is paused between a reply and the next request.
+	session := newTargetSession(e, linker.AssignedTarget{ID: "a", Incarnation: 1, Acked: 57})
+	session.recordHold(&HoldReply{Clock: 1000, Incarnation: 1})
+	require.Equal(t, int64(57), session.nextHold(false).AckCursor)
+	session.confirmedAt = session.confirmedAt.Add(-linker.HeartbeatTimeout)
+	req = session.nextHold(false)
+	require.Zero(t, req.AckCursor)
+	require.Zero(t, req.Deadline)
+}
+
+// TestPanicInRequestIsNoAnswer guards against a reply that ends the process.
+func TestPanicInRequestIsNoAnswer(t *testing.T) {
+	s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+	s.startReply = func(int) (Reply, error) { panic("unexpected") }
+	e, c := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+	require.Eventually(t, func() bool {
+		o := c.outcomes()
+		return len(o) == 2 && o[0] == linker.Indeterminate && o[1] == linker.NotStarted
+	}, 3*time.Second, 10*time.Millisecond)
+}
+
+// hasReport reports whether one of the reports fulfils a condition.
+func (c *frameRecorder) hasReport(ok func(*linker.Report) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.received.Reports {
+		if ok(&c.received.Reports[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestClosedConnectionIsReported guards against a crashed target that can't be told from
+// one that is slow or cut off.
+func TestClosedConnectionIsReported(t *testing.T) {
+	for _, err := range []error{fmt.Errorf("hold: %w", ErrClosed), context.DeadlineExceeded} {
+		_, f := startExecutor(t, &fakeTargetClient{holdErr: err})
+		require.True(t, f.hasReport(func(r *linker.Report) bool { return r.Unreachable && r.Closed == errors.Is(err, ErrClosed) }), "%v", err)
+	}
+}
+
+// TestProbeIsFollowedByReport guards against a probe that keeps its target from other work
+// until the next list of runs.
+func TestProbeIsFollowedByReport(t *testing.T) {
+	s := &fakeTargetClient{startReply: func(int) (Reply, error) { return Reply{Outcome: linker.Started, Clock: 5}, nil }, holdReply: HoldReply{Clock: 5, Incarnation: 1}}
+	e, f := startExecutor(t, s)
+	e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 7, Probe: true}}})
+	require.Eventually(t, func() bool {
+		return f.hasReport(func(r *linker.Report) bool { return !r.Complete && !r.Unreachable && len(r.Ends) == 0 })
+	}, 5*time.Second, 5*time.Millisecond)
+}
+
+// TestUnsentStartIsNotStarted guards against tasks that wait for the lease of a target
+// whose process has ended.
+func TestUnsentStartIsNotStarted(t *testing.T) {
+	for _, c := range []struct {
+		errs []error
+		want linker.Outcome
+	}{
+		{[]error{ErrNotSent, ErrNotSent}, linker.NotStarted},
+		{[]error{ErrNotSent, errNoReply}, linker.Indeterminate},
+		{[]error{errNoReply, ErrNotSent}, linker.Indeterminate},
+		{[]error{ErrNotSent, nil}, linker.InvalidTicket},
+	} {
+		s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+		s.startReply = func(n int) (Reply, error) {
+			err := c.errs[min(n, len(c.errs))-1]
+			return Reply{Outcome: linker.InvalidTicket}, err
+		}
+		e, f := startExecutor(t, s)
+		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 5}}})
+		require.Eventually(t, func() bool { return len(f.outcomes()) > 0 }, 2*time.Second, 5*time.Millisecond)
+		require.Equal(t, c.want, f.outcomes()[0], "%v", c.errs)
+	}
 }
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	// startTTL is the time on the target's clock after which the target rejects a
 	// start request that it has not begun to carry out.
 	startTTL = 2 * time.Second
+	// probeDelay is the time after the start of a probe at which the target is asked
+	// whether it is alive.
+	probeDelay = 200 * time.Millisecond
 	// fullReportInterval is the least time between two reports to the coordinator
 	// that list all runs of a target.
 	fullReportInterval = 400 * time.Millisecond
@@ -49,9 +53,9 @@
 	receivedSeq   int64
 	clockMs       int64 // target's clock at clockReadAt
 	clockReadAt   time.Time
-	leaseDeadline int64 // latest lease deadline sent, on the target's clock, in ms
-	responsive    bool  // no hold request has failed since the last reply
-	confirmed     bool  // the last hold request was answered by this incarnation
+	leaseDeadline int64     // latest lease deadline sent, on the target's clock, in ms
+	responsive    bool      // no hold request has failed since the last reply
+	confirmedAt   time.Time // when this incarnation answered the last hold request; zero if that failed
 	uncertainRuns map[w.TaskID]uncertainRun
 	holdSeq       int64 // number of the last hold request
 }
@@ -109,53 +113,30 @@
 	var lastFullReport time.Time
 	hasRuns := false
 	for s.ctx.Err() == nil {
-		s.mu.Lock()
-		req := HoldRequest{Epoch: s.e.currentEpoch()}
-		if s.confirmed {
-			// After a failed request the target may have restarted under its ID. The new
-			// incarnation numbers its ends from 1 and would discard those up to the cursor.
-			req.AckCursor = s.ackedSeq
-		}
-		if now := s.targetNow(); now > 0 {
-			// The leases of an unresponsive target are not extended, so that the
-			// time at which they expire is known.
-			if lease := s.e.currentLease(); s.responsive && lease > 0 && !s.clockStale() {
-				s.leaseDeadline = max(s.leaseDeadline, now+lease.Milliseconds())
-			}
-			req.Deadline = s.leaseDeadline
-		}
-		switch {
-		case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || len(s.uncertainRuns) > 0 || !s.responsive:
-		case hasRuns:
-			req.Wait = activePollWait
-		default:
-			req.Wait = idlePollWait
-		}
-		s.holdSeq++
-		holdSeq := s.holdSeq
-		s.mu.Unlock()
-
+		req := s.nextHold(hasRuns)
 		sent := time.Now()
-		ctx, cancel := context.WithTimeout(s.ctx, req.Wait+callTimeout)
-		reply, err := s.e.TargetClient.Hold(ctx, s.target, &req)
-		cancel()
+		reply, err := call(s.ctx, req.Wait+callTimeout, func(ctx context.Context) (HoldReply, error) {
+			return s.e.client.Hold(ctx, s.target, &req)
+		})
 		if s.ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			s.mu.Lock()
-			s.responsive, s.confirmed = false, false
+			s.responsive, s.confirmedAt = false, time.Time{}
 			s.mu.Unlock()
 			s.e.Log.Debug("hold request failed", "target", s.target.ID, "error", err)
 			s.e.enqueue(func(f *linker.Frame) {
-				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true})
+				f.Reports = append(f.Reports, linker.Report{
+					Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true, Closed: errors.Is(err, ErrClosed),
+				})
 			})
 			s.sleep(retryDelay)
 			continue
 		}
 		if reply.Incarnation != 0 && reply.Incarnation != s.incarnation {
 			s.mu.Lock()
-			s.confirmed = false
+			s.confirmedAt = time.Time{}
 			s.mu.Unlock()
 			s.e.enqueue(func(f *linker.Frame) {
 				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: reply.Incarnation, Gone: true})
@@ -164,23 +145,16 @@
 			continue
 		}
 		hasRuns = len(reply.Runs) > 0
-		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait}
-		s.mu.Lock()
-		s.recordReply(reply.Clock)
-		s.confirmed = true
-		for i := range reply.Ends {
-			if reply.Ends[i].Seq > s.receivedSeq {
-				s.receivedSeq = reply.Ends[i].Seq
-				report.Ends = append(report.Ends, reply.Ends[i])
-			}
-		}
-		resolved := s.resolveUncertainRuns(&reply, holdSeq)
-		s.mu.Unlock()
-		if time.Since(lastFullReport) >= fullReportInterval {
-			report.Runs, report.Complete = reply.Runs, true
+		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
+		var resolved []linker.Result
+		report.Ends, resolved = s.recordHold(&reply)
+		full := time.Since(lastFullReport) >= fullReportInterval
+		if full {
+			// A run that is not listed may have ended if there are further ends.
+			report.Runs, report.Complete = reply.Runs, !reply.MoreEnds
 			lastFullReport = time.Now()
 		}
-		if report.Complete || len(report.Ends) > 0 || len(resolved) > 0 {
+		if full || len(report.Ends) > 0 || len(resolved) > 0 {
 			s.e.enqueue(func(f *linker.Frame) {
 				f.Reports = append(f.Reports, report)
 				f.Results = append(f.Results, resolved...)
@@ -190,6 +164,53 @@
 	}
 }
 
+// nextHold returns the next hold request.
+func (s *targetSession) nextHold(hasRuns bool) HoldRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req := HoldRequest{Epoch: s.e.currentEpoch()}
+	if !s.confirmedAt.IsZero() && time.Since(s.confirmedAt) <= linker.HeartbeatTimeout {
+		// Otherwise the target may have restarted under its ID. The new incarnation
+		// numbers its ends from 1 and would discard those up to the cursor, and its
+		// clock started anew, so that its leases would become too long.
+		req.AckCursor = s.ackedSeq
+		// The leases of an unresponsive target are not extended, so that the time at
+		// which they expire is known.
+		if now, lease := s.targetNow(), s.e.currentLease(); now > 0 && lease > 0 && !s.clockStale() {
+			s.leaseDeadline = max(s.leaseDeadline, now+lease.Milliseconds())
+		}
+		req.Deadline = s.leaseDeadline
+	}
+	switch {
+	case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || len(s.uncertainRuns) > 0 || !s.responsive:
+	case hasRuns:
+		req.Wait = activePollWait
+	default:
+		req.Wait = idlePollWait
+	}
+	s.holdSeq++
+	return req
+}
+
+// recordHold processes the reply to the last hold request. It returns the ends that were
+// not received before, and the results of the uncertain runs that will not start.
+func (s *targetSession) recordHold(reply *HoldReply) (ends []w.End, resolved []linker.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordReply(reply.Clock)
+	s.confirmedAt = time.Now()
+	for i := range reply.Ends {
+		if reply.Ends[i].Seq > s.receivedSeq {
+			s.receivedSeq = reply.Ends[i].Seq
+			ends = append(ends, reply.Ends[i])
+		}
+	}
+	if !reply.MoreEnds {
+		resolved = s.resolveUncertainRuns(reply)
+	}
+	return ends, resolved
+}
+
 // waitForAcks delays the next hold request until new end events are stored, because the
 // target answers immediately while any of them is unacknowledged.
 func (s *targetSession) waitForAcks() {
@@ -232,10 +253,10 @@
 // returns a NotStarted result for each: those that are absent from the reply to a hold
 // request that was sent after the target had answered the stop request or rejected the
 // start request as superseded.
-func (s *targetSession) resolveUncertainRuns(reply *HoldReply, holdSeq int64) []linker.Result {
+func (s *targetSession) resolveUncertainRuns(reply *HoldReply) []linker.Result {
 	var out []linker.Result
 	for id, u := range s.uncertainRuns {
-		if holdSeq <= u.afterHold {
+		if s.holdSeq <= u.afterHold {
 			continue
 		}
 		listed := false
@@ -250,7 +271,7 @@
 			continue
 		}
 		delete(s.uncertainRuns, id)
-		out = append(out, linker.Result{Target: s.target.ID, Task: id, Run: u.run, Outcome: linker.NotStarted})
+		out = append(out, linker.Result{Target: s.target.ID, Incarnation: s.incarnation, Task: id, Run: u.run, Outcome: linker.NotStarted})
 	}
 	return out
 }
@@ -269,36 +290,90 @@
 		Task: order.Task, Run: order.Run, Spec: spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 		Epoch: s.e.currentEpoch(), Deadline: now + startTTL.Milliseconds(),
 	}
-	result := linker.Result{Target: order.Target, Task: order.Task, Run: order.Run, Outcome: linker.NotStarted}
+	result := linker.Result{Target: order.Target, Incarnation: s.incarnation, Task: order.Task, Run: order.Run, Outcome: linker.NotStarted}
 	if now > 0 {
-		const maxAttempts = 2
-		for range maxAttempts {
-			ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-			reply, err := s.e.TargetClient.Start(ctx, s.target, &req)
-			cancel()
-			if err == nil {
-				s.mu.Lock()
-				s.recordReply(reply.Clock)
-				if reply.Outcome == linker.Superseded {
-					// An earlier attempt may have started the run, which has
-					// ended since. The next hold reply shows whether it did.
-					s.uncertainRuns[order.Task] = uncertainRun{run: order.Run, afterHold: s.holdSeq}
-					s.mu.Unlock()
-					return
-				}
-				s.mu.Unlock()
-				result.Outcome = reply.Outcome
-				s.e.enqueue(func(f *linker.Frame) { f.Results = append(f.Results, result) })
-				return
-			}
-			s.e.Log.Debug("start request failed", "task", order.Task, "target", order.Target, "run", order.Run, "error", err)
-		}
-		result.Outcome = linker.Indeterminate
+		result.Outcome, result.Unanswered = s.requestStart(&req)
+	}
+	if result.Outcome == linker.Superseded {
+		// An earlier attempt may have started the run, which has ended since. The next
+		// hold reply shows whether it did.
+		s.mu.Lock()
+		s.uncertainRuns[order.Task] = uncertainRun{run: order.Run, afterHold: s.holdSeq}
+		s.mu.Unlock()
+		return
 	}
+	result.At = time.Since(s.e.startedAt)
 	s.e.enqueue(func(f *linker.Frame) { f.Results = append(f.Results, result) })
-	if result.Outcome == linker.Indeterminate {
+	switch {
+	case result.Outcome == linker.Indeterminate:
 		s.stopUntilAnswered(order.Task, order.Run)
+	case result.Outcome == linker.Started && order.Probe:
+		s.reportAlive()
+	}
+}
+
+// reportAlive reports after probeDelay whether the target still answers.
+func (s *targetSession) reportAlive() {
+	s.sleep(probeDelay)
+	reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (HoldReply, error) {
+		return s.e.client.Hold(ctx, s.target, &HoldRequest{Epoch: s.e.currentEpoch()})
+	})
+	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, At: time.Since(s.e.startedAt)}
+	switch {
+	case err != nil && !errors.Is(err, ErrClosed), reply.Incarnation != 0 && reply.Incarnation != s.incarnation:
+		return // the next hold request shows the state of the target
+	case err != nil:
+		report.Unreachable, report.Closed = true, true
+	}
+	s.e.enqueue(func(f *linker.Frame) { f.Reports = append(f.Reports, report) })
+}
+
+// requestStart sends a start request, and repeats it once if there is no answer. It also
+// reports whether a request got no answer.
+func (s *targetSession) requestStart(req *StartRequest) (outcome linker.Outcome, unanswered bool) {
+	const maxAttempts = 2
+	for range maxAttempts {
+		reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
+			return s.e.client.Start(ctx, s.target, req)
+		})
+		if err != nil {
+			s.e.Log.Debug("start request failed", "task", req.Task, "target", s.target.ID, "run", req.Run, "error", err)
+			unanswered = unanswered || !errors.Is(err, ErrNotSent)
+			continue
+		}
+		s.mu.Lock()
+		s.recordReply(reply.Clock)
+		s.mu.Unlock()
+		switch reply.Outcome {
+		case linker.NotStarted, linker.InsufficientResources, linker.InvalidTicket, linker.TargetUnavailable:
+			if unanswered {
+				// The target may still carry out the request that it did not answer.
+				return linker.Indeterminate, true
+			}
+		default:
+		}
+		return reply.Outcome, unanswered
+	}
+	if unanswered {
+		return linker.Indeterminate, true
+	}
+	return linker.NotStarted, false
+}
+
+// errLateReply reports a reply that was read after the request's timeout.
+var errLateReply = errors.New("executor: reply read too late")
+
+// call makes a request with a timeout. A reply that a process reads after a pause may
+// still win over the timer, although what it says no longer holds.
+func call[T any](ctx context.Context, timeout time.Duration, request func(context.Context) (T, error)) (T, error) {
+	deadline := time.Now().Add(timeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	reply, err := request(ctx)
+	if err == nil && time.Now().After(deadline) {
+		err = errLateReply
 	}
+	return reply, err
 }
 
 func (s *targetSession) stop(order linker.Stop) {
@@ -310,9 +385,9 @@
 // that the run either ends or never starts.
 func (s *targetSession) stopUntilAnswered(task w.TaskID, run w.RunID) {
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		_, err := s.e.TargetClient.Stop(ctx, s.target, task, run, s.e.currentEpoch())
-		cancel()
+		_, err := call(s.ctx, callTimeout, func(ctx context.Context) (Reply, error) {
+			return s.e.client.Stop(ctx, s.target, task, run, s.e.currentEpoch())
+		})
 		if err == nil {
 			s.mu.Lock()
 			s.responsive = true
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -69,6 +69,9 @@
 	cancel      context.CancelFunc
 	events      chan func(*coordinator.Coordinator)
 	coordinator *coordinator.Coordinator
+	// memberConns are the connections of the coordinator's members. It is used by events
+	// and the goroutine that executes them only.
+	memberConns map[w.InstanceID]*linker.Conn
 	// stopOnce is needed besides ctx, which is cancelled with the instance as well.
 	stopOnce sync.Once
 
@@ -103,8 +106,8 @@
 func newLeader(in *Instance, leadership keeper.Leadership) (*leader, error) {
 	l := &leader{
 		in: in, leadership: leadership, events: make(chan func(*coordinator.Coordinator), eventQueueSize),
-		joinedAt: make(map[w.InstanceID]time.Time),
-		conns:    make(map[w.InstanceID]*linker.Conn), status: make(map[w.InstanceID]memberStatus), lastRenewal: time.Now(),
+		joinedAt: make(map[w.InstanceID]time.Time), memberConns: make(map[w.InstanceID]*linker.Conn),
+		conns: make(map[w.InstanceID]*linker.Conn), status: make(map[w.InstanceID]memberStatus), lastRenewal: time.Now(),
 	}
 	l.ctx, l.cancel = context.WithCancel(in.ctx)
 	in.loading.Store(l)
@@ -116,8 +119,8 @@
 		RestoreTime: bounds.RestoreTime, QuotaExcess: bounds.QuotaExcess, RemoteFactor: bounds.RemoteFactor,
 		Retention: bounds.StateRetention + retentionMargin, LoadProgress: l.monitor.Advance, Log: in.Log, Meter: in.Meter,
 	}, start)
-	l.spawn(l.renew)
-	l.spawn(l.watchRenewals)
+	l.spawnLoop(l.renew)
+	l.spawnLoop(l.watchRenewals)
 	for {
 		s, updates, err := l.load()
 		if err == nil {
@@ -186,7 +189,7 @@
 	}
 	l.reportUndecodable(s.DecodeErrors)
 	l.reportUndecodable(updates.DecodeErrors)
-	l.spawn(func() { l.scanJobs(s.Versions) })
+	l.spawnLoop(func() { l.scanJobs(s.Versions) })
 	l.mu.Lock()
 	l.loadedAt = time.Now()
 	l.mu.Unlock()
@@ -197,6 +200,11 @@
 
 func (l *leader) spawn(f func()) { l.in.spawn(f) }
 
+// spawnLoop runs a loop until the leadership ends, and starts it again whenever it panics.
+func (l *leader) spawnLoop(loop func()) {
+	l.spawn(func() { l.in.restartOnPanic(loop) })
+}
+
 // stop ends the leadership and closes the connections to the instances.
 func (l *leader) stop(reason string) {
 	l.stopOnce.Do(func() {
@@ -237,7 +245,10 @@
 	if l.ctx.Err() != nil {
 		conn.Close()
 	}
-	l.post(func(c *coordinator.Coordinator) { c.Join(h) })
+	l.post(func(c *coordinator.Coordinator) {
+		l.memberConns[h.Instance] = conn
+		c.Join(h)
+	})
 }
 
 func (l *leader) leave(id w.InstanceID, conn *linker.Conn, err error) {
@@ -251,11 +262,19 @@
 	l.mu.Unlock()
 	if current {
 		l.in.Log.Info("connection to an instance closed", "instance", id, "error", err)
-		l.post(func(c *coordinator.Coordinator) { c.Leave(id) })
 	}
+	l.post(func(c *coordinator.Coordinator) {
+		if l.memberConns[id] == conn {
+			delete(l.memberConns, id)
+			c.Leave(id)
+		}
+	})
 }
 
-func (l *leader) receive(id w.InstanceID, f *linker.Frame) {
+// receive processes a frame of an instance. Frames of an earlier connection are dropped:
+// the coordinator has reassigned the targets, and would take note of the ends in some of
+// these frames only.
+func (l *leader) receive(id w.InstanceID, conn *linker.Conn, f *linker.Frame) {
 	if f.Status != nil {
 		l.mu.Lock()
 		old := l.status[id]
@@ -271,7 +290,11 @@
 			return
 		}
 	}
-	l.post(func(c *coordinator.Coordinator) { c.Receive(id, f, time.Now()) })
+	l.post(func(c *coordinator.Coordinator) {
+		if l.memberConns[id] == conn {
+			c.Receive(id, f, time.Now())
+		}
+	})
 }
 
 // serveCalls makes calls to the store on behalf of an instance that can't reach it.
@@ -305,7 +328,7 @@
 }
 
 func (l *leader) decide() {
-	l.spawn(l.pollTargets)
+	l.spawnLoop(l.pollTargets)
 	saved := make(chan *coordinator.Batch, 1)
 	tick := time.NewTicker(maxRoundInterval)
 	defer tick.Stop()
@@ -414,11 +437,8 @@
 }
 
 func (l *leader) sendFrames() {
-	frames := l.coordinator.Frames()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, f := range frames {
-		if c := l.conns[id]; c != nil {
+	for id, f := range l.coordinator.Frames() {
+		if c := l.memberConns[id]; c != nil {
 			for _, part := range f.Split() {
 				c.Send(part)
 			}
@@ -599,28 +619,50 @@
 	best.Send(&linker.Frame{Retire: true})
 }
 
-// pollTargets periodically reads the platform's list of targets.
+// pollTargets periodically reads the platform's list of targets. While it can't be read,
+// the coordinator keeps the targets that it knows.
 func (l *leader) pollTargets() {
-	var lastFailure time.Time
+	var lastFailure, failingSince time.Time
 	for l.ctx.Err() == nil {
 		targets, err := l.in.Directory.Targets(l.ctx)
 		now := time.Now()
+		if l.ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			lastFailure = now
+			l.in.Meter.Count("unread", "targets")
+			if failingSince.IsZero() {
+				failingSince = now
+				l.in.Log.Warn("list of targets not read", "epoch", l.leadership.Epoch, "error", brief(err))
+			}
 			l.in.sleep(retryDelay)
 			continue
 		}
+		if !failingSince.IsZero() {
+			l.in.Log.Info("list of targets read again", "epoch", l.leadership.Epoch, "targets", len(targets), "after", now.Sub(failingSince))
+			failingSince = time.Time{}
+		}
 		complete := now.Sub(lastFailure) > outageGracePeriod
 		l.post(func(c *coordinator.Coordinator) { c.SetTargets(targets, complete, time.Now()) })
 		l.in.sleep(targetsInterval)
 	}
 }
 
+// maxLoggedError bounds the length in bytes of errors that may quote a row.
+const maxLoggedError = 300
+
+// brief returns the beginning of an error's text.
+func brief(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxLoggedError)]
+}
+
 // reportUndecodable logs and counts rows of the store that could not be decoded.
 func (l *leader) reportUndecodable(errs []error) {
 	for _, err := range errs {
 		l.in.Meter.Count("unread", "row")
-		l.in.Log.Error("row of the store not read", "epoch", l.leadership.Epoch, "error", err)
+		l.in.Log.Error("row of the store not read", "epoch", l.leadership.Epoch, "error", brief(err))
 	}
 }
 
@@ -629,6 +671,7 @@
 func (l *leader) scanJobs(versions map[string]keeper.Version) {
 	for l.ctx.Err() == nil {
 		l.in.sleep(jobScanInterval)
+		start := time.Now()
 		updates, err := l.in.Keeper.Updates(l.ctx, versions)
 		if errors.Is(err, keeper.ErrHistoryTruncated) {
 			s, err := l.in.Keeper.Load(l.ctx)
@@ -653,7 +696,10 @@
 			continue
 		}
 		l.reportUndecodable(updates.DecodeErrors)
-		l.post(func(c *coordinator.Coordinator) { l.applyUpdates(c, updates) })
+		l.post(func(c *coordinator.Coordinator) {
+			l.applyUpdates(c, updates)
+			c.JobsRead(start)
+		})
 	}
 }
 
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -50,16 +50,39 @@
 	if err != nil {
 		return Leadership{}, fmt.Errorf("keeper: read leader: %w", err)
 	}
-	return decodeLeader(row)
+	return k.leaderOf(ctx, row)
 }
 
+// leaderOf returns the leadership in a leader row. If the row can't be decoded, it returns
+// one of the epoch of the last heartbeat that names no instance, so that the next leader
+// can replace the row.
+func (k *Keeper) leaderOf(ctx context.Context, row *Row) (Leadership, error) {
+	l, err := decodeLeader(row)
+	if err == nil {
+		return l, nil
+	}
+	heartbeat, readErr := k.Heartbeat(ctx)
+	if readErr != nil || heartbeat.Epoch == 0 {
+		return Leadership{}, errors.Join(err, readErr)
+	}
+	return Leadership{Epoch: heartbeat.Epoch, Version: row.Version}, nil
+}
+
+// maxEpoch is the highest epoch whose run IDs don't overflow.
+const maxEpoch = 1 << 36
+
+var errLeaderOutOfRange = errors.New("keeper: epoch or number of instances of the leader row out of range")
+
 func decodeLeader(row *Row) (Leadership, error) {
 	var l Leadership
 	if row == nil {
 		return l, nil
 	}
 	if err := json.Unmarshal(row.Value, &l); err != nil {
-		return l, fmt.Errorf("keeper: decode leader: %w", err)
+		return Leadership{}, fmt.Errorf("keeper: decode leader: %w", err)
+	}
+	if l.Epoch <= 0 || l.Epoch > maxEpoch || l.Instances > maxInstances {
+		return Leadership{}, errLeaderOutOfRange
 	}
 	l.Version = row.Version
 	return l, nil
@@ -114,7 +137,7 @@
 	}
 	for i := range rows {
 		if rows[i].Key == leaderKey && !rows[i].Deleted {
-			l, err := decodeLeader(&rows[i])
+			l, err := k.leaderOf(ctx, &rows[i])
 			if err != nil {
 				return nil, after, err
 			}
@@ -219,11 +242,27 @@
 	if row == nil {
 		return heartbeat, nil
 	}
-	if err := json.Unmarshal(row.Value, &heartbeat); err != nil {
-		return heartbeat, fmt.Errorf("keeper: decode heartbeat: %w", err)
+	return decodeHeartbeat(row), nil
+}
+
+const (
+	// maxInstances bounds the number of instances in a row, from which the periods of
+	// reads and reports follow.
+	maxInstances = 10_000
+	// maxSentAtMs is about 139 years, whatever the store's clock counts from.
+	maxSentAtMs = 1 << 42
+)
+
+// decodeHeartbeat decodes the heartbeat row. One that can't be decoded counts as written
+// in epoch 0, so that its leader can be replaced.
+func decodeHeartbeat(row *Row) Heartbeat {
+	var h Heartbeat
+	err := json.Unmarshal(row.Value, &h)
+	if err != nil || h.Epoch < 0 || h.Epoch > maxEpoch || max(h.Members, h.Instances) > maxInstances || h.SentAtMs < 0 || h.SentAtMs > maxSentAtMs {
+		h = Heartbeat{}
 	}
-	heartbeat.Version = row.Version
-	return heartbeat, nil
+	h.Version = row.Version
+	return h
 }
 
 // LeaderHealth reads the leader's heartbeat and the unreachable reports.
@@ -237,17 +276,14 @@
 	for i := range rows {
 		r := &rows[i]
 		if r.Name == heartbeatName {
-			if err := json.Unmarshal(r.Value, &heartbeat); err != nil {
-				return heartbeat, nil, fmt.Errorf("keeper: decode heartbeat: %w", err)
-			}
-			heartbeat.Version = r.Version
+			heartbeat = decodeHeartbeat(r)
 			continue
 		}
 		report := UnreachableReport{Instance: w.InstanceID(r.Name), Version: r.Version}
-		if err := json.Unmarshal(r.Value, &report); err != nil {
-			return heartbeat, nil, fmt.Errorf("keeper: decode unreachable report %s: %w", r.Name, err)
+		// A row that can't be decoded reports nothing.
+		if json.Unmarshal(r.Value, &report) == nil {
+			reports = append(reports, report)
 		}
-		reports = append(reports, report)
 	}
 	return heartbeat, reports, nil
 }
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -89,9 +89,10 @@
 	Refusals []Refusals
 }
 
-// Refusals is the number of jobs of a tenant that an instance refused.
+// Refusals is the number of jobs of a tenant or a queue that an instance refused.
 type Refusals struct {
 	Tenant w.TenantName
+	Queue  string // set instead of Tenant for an allowance of the queue
 	Jobs   int
 }
 
@@ -104,8 +105,10 @@
 	Runs        []w.Run
 	Complete    bool // Runs lists all runs on the target
 	Unreachable bool // the last hold request failed
+	Closed      bool // set with Unreachable if the target closed or refused the connection
 	Gone        bool // the target answered with another incarnation
 	Latency     time.Duration
+	At          time.Duration // when the target answered, since the executor was started
 }
 
 // Call is a call to the store that an instance relays through the coordinator
@@ -162,10 +165,13 @@
 
 // Result reports the outcome of a start or stop order.
 type Result struct {
-	Target w.TargetID
-	Task   w.TaskID
-	Run    w.RunID
+	Target      w.TargetID
+	Incarnation w.Incarnation // 0 if the target is not assigned to the instance
+	Task        w.TaskID
+	Run         w.RunID
 	Outcome
+	Unanswered bool          // an earlier request for the order got no answer, and may still be carried out
+	At         time.Duration // when the target answered, since the executor was started
 }
 
 // Spec is the specification that the tasks of a job are started with.
@@ -181,6 +187,7 @@
 	Run        w.RunID
 	Checkpoint string
 	Ticket     string
+	Probe      bool // the coordinator waits for a report that the target is alive after the start
 }
 
 // Stop orders an instance to stop a run on a target.
@@ -245,9 +252,17 @@
 	JobsPerSec float64
 }
 
-// Allowances lists all tenants whose rate is limited.
+// QueueAllowance limits the rate at which an instance accepts jobs of a queue whose jobs
+// crash targets.
+type QueueAllowance struct {
+	Queue      string
+	JobsPerSec float64
+}
+
+// Allowances lists all tenants and queues whose rate is limited.
 type Allowances struct {
 	Tenants []Allowance
+	Queues  []QueueAllowance
 }
 
 // PendingCounts lists all queues with pending jobs.
