coordinator: containment in a file of its own, over when its queue is removed

Cause: a queue that a configuration removed while it was contained stayed so for as long as the leader led, and the gauge with it. crash.go held two subjects. Change: the contained queues are computed anew from the configuration's queues; containment.go holds them and what they may accept. TestContainedQueueIsLimited removes the queue from the set, as the code does, where it set it to false.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -6,15 +6,13 @@
 	"time"
 
 	"github.com/masticlead/masticlead/blamer"
-	"github.com/masticlead/masticlead/throttler"
 	w "github.com/masticlead/masticlead/workload"
 )
 
 // A task may crash each target that starts it. When a target crashes, the runs that had
 // just started there are suspects: their tasks start again one at a time on a target on
 // which nothing else has just started. A task under which a target crashes again is given
-// up. While many targets are lost to new work of a queue, each of its jobs first starts
-// a single task, and only a part of the targets is used for such starts.
+// up. Only a part of the targets is used for such starts.
 
 const (
 	// survivalTime is the time after the start of a run for which its target must still
@@ -30,16 +28,9 @@
 	maxRiskShare = 0.75
 	// returnTime is the time within which a crashed target is usually back.
 	returnTime = 4 * time.Second
-	// minContainedLosses and containedShare give the number of targets that are lost
-	// to new work of a queue before its jobs start with a single task: the larger of
-	// the number and the share of the usable targets.
-	minContainedLosses = 4
-	containedShare     = 0.05
 	// clearingTime is the time for which targets are kept free of other starts for a gang
 	// that starts as a probe. Runs are seen to survive within a full report.
 	clearingTime = time.Second
-	// containmentPeriod is the time between two updates of the contained queues.
-	containmentPeriod = 50 * time.Millisecond
 )
 
 // crashRecord is what is known of the targets that were lost under a task or, for a
@@ -76,8 +67,8 @@
 // survived reports whether the target of a slot has answered long enough after the start
 // of its run. The times at the member are not changed by reports that wait to be processed.
 func (t *target) survived(sl *slot) bool {
-	if sl.startedBy > 0 && t.answeredBy > 0 {
-		return t.answeredBy-sl.startedBy >= survivalTime
+	if sl.startedAtMember > 0 && t.answeredAtMember > 0 {
+		return t.answeredAtMember-sl.startedAtMember >= survivalTime
 	}
 	return !sl.startedAt.IsZero() && t.answeredAt.Sub(sl.startedAt) >= survivalTime
 }
@@ -142,7 +133,7 @@
 
 // recordAnswer records that a target has answered, at the given time at its member.
 func (c *Coordinator) recordAnswer(t *target, at time.Duration) {
-	t.answeredBy = max(t.answeredBy, at)
+	t.answeredAtMember = max(t.answeredAtMember, at)
 	t.answeredAt, t.replaced, t.closed = c.now, false, false
 	if !t.closedAt.IsZero() {
 		t.closedAt = time.Time{}
@@ -259,130 +250,6 @@
 	c.Meter.Count("crash", "probe")
 }
 
-// updateContainment updates the contained queues, and the number of starts under
-// suspicion that are allowed by service.
-func (c *Coordinator) updateContainment() {
-	if c.now.Before(c.containmentDue) {
-		return
-	}
-	c.containmentDue = c.now.Add(containmentPeriod)
-	c.losses.Expire(c.now)
-	usable, usedCPU, totalCPU := make(map[string]int), make(map[string]int64), make(map[string]int64)
-	for _, t := range c.sortedTargets {
-		if t.usableInRound {
-			usable[t.Service]++
-			usedCPU[t.Service] += t.used.CPU
-			totalCPU[t.Service] += t.Capacity.CPU
-		}
-	}
-	for i := range c.cfg.Queues {
-		q := &c.cfg.Queues[i]
-		limit := math.Max(minContainedLosses, containedShare*float64(usable[q.Service]))
-		if contained := c.losses.Score(q.Name) >= limit; contained != c.contained[q.Name] {
-			c.contained[q.Name] = contained
-			c.Log.Warn("jobs of a queue start with a single task, or no longer do", "queue", q.Name, "contained", contained,
-				"losses", c.losses.Score(q.Name), "limit", limit, "usable", usable[q.Service])
-		}
-	}
-	n := 0
-	for _, contained := range c.contained {
-		if contained {
-			n++
-		}
-	}
-	c.Meter.SetGauge("queuesContained", float64(n))
-	c.Meter.SetGauge("targetsProbed", float64(len(c.probing)))
-	clear(c.riskBudgets)
-	for service, n := range usable {
-		lost := c.losses.Recent(service, c.now.Add(-returnTime))
-		// Targets that no other work needs may be risked as well.
-		share := max(minRiskShare, maxRiskShare*(1-float64(usedCPU[service])/float64(max(1, totalCPU[service]))))
-		c.riskBudgets[service] = max(1, int(share*float64(n+lost))) - lost
-	}
-	for _, t := range c.probing {
-		if t.closedAt.IsZero() {
-			c.riskBudgets[t.Service]--
-		}
-	}
-}
-
-// probeRateWeight is the weight of the last second in the moving average of the rate at
-// which jobs of a contained queue are tried.
-const probeRateWeight = 0.3
-
-// updateProbeRates updates the rates at which the jobs of contained queues are tried.
-func (c *Coordinator) updateProbeRates() {
-	if c.now.Sub(c.probesCountedAt) < time.Second {
-		return
-	}
-	elapsed := c.now.Sub(c.probesCountedAt).Seconds()
-	c.probesCountedAt = c.now
-	for queue := range c.probeRates {
-		if !c.contained[queue] {
-			delete(c.probeRates, queue)
-		}
-	}
-	for queue, contained := range c.contained {
-		if !contained {
-			continue
-		}
-		rate := float64(c.firstProbes[queue]) / elapsed
-		if old, ok := c.probeRates[queue]; ok {
-			rate = old + probeRateWeight*(rate-old)
-		}
-		c.probeRates[queue] = rate
-	}
-	clear(c.firstProbes)
-}
-
-// containedLoads returns the rates at which the jobs of contained queues are tried, and
-// the numbers of those that wait. Jobs beyond that rate would wait for longer and longer.
-func (c *Coordinator) containedLoads() []throttler.TenantLoad {
-	c.updateProbeRates()
-	if len(c.probeRates) == 0 {
-		return nil
-	}
-	waiting := make(map[string]int)
-	for _, j := range c.jobs {
-		if !j.started && !j.state.Final() {
-			waiting[j.Queue]++
-		}
-	}
-	var loads []throttler.TenantLoad
-	for queue, rate := range c.probeRates {
-		loads = append(loads, throttler.TenantLoad{Name: w.TenantName(queue), Weight: max(1, rate), WaitingExcess: waiting[queue]})
-	}
-	return loads
-}
-
-// jobSurvived reports whether a run of the job has survived its start, or is about to
-// show whether it does.
-func (c *Coordinator) jobSurvived(j *job) (survived, open bool) {
-	if j.survived {
-		return true, false
-	}
-	if j.survivalRound == c.tenants.round {
-		return false, j.open
-	}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for i := range s.tasks {
-				tk := &s.tasks[i]
-				if tk.phase != starting && tk.phase != running {
-					j.survived = j.survived || tk.phase == finished
-					continue
-				}
-				open = true
-				if sl := tk.target.slots[s.id(i)]; sl != nil && sl.run == tk.run && tk.target.survived(sl) {
-					j.survived = true
-				}
-			}
-		}
-	}
-	j.survivalRound, j.open = c.tenants.round, open
-	return j.survived, open
-}
-
 // probes reports whether a waiting task must start as a probe, or must wait.
 func (c *Coordinator) probes(s *step, i int) (probe, wait bool) {
 	if r := s.crashes(i); r.suspect() {
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -128,12 +128,12 @@
 		}
 		if t.member != best {
 			t.member = best
-			t.answeredBy = 0
+			t.answeredAtMember = 0
 			c.generation++
 			// Orders sent through the previous instance may be lost or still in
 			// transit, so stop the runs that are starting and repeat the stop orders.
 			for id, sl := range t.slots {
-				sl.startedBy = 0
+				sl.startedAtMember = 0
 				if sl.step != nil && sl.step.tasks[sl.index].phase == starting && sl.step.tasks[sl.index].target == t {
 					c.stopTask(sl.step, sl.index)
 				} else if sl.stopping {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -396,7 +396,7 @@
 		sl.answered = !r.Unanswered
 		c.recordAnswer(t, r.At)
 		if sl.startedAt.IsZero() {
-			sl.startedAt, sl.startedBy = c.now, r.At
+			sl.startedAt, sl.startedAtMember = c.now, r.At
 		}
 		if current && tk.phase == starting {
 			c.setPhase(s, sl.index, running)
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -12,17 +12,17 @@
 
 // slot is a run together with the resources that it occupies on a target.
 type slot struct {
-	step      *step // nil if the job is not known, or had ended when it was loaded
-	index     int
-	run       w.RunID
-	resources w.Resources
-	account   *slotAccount  // what it counts for its tenant, or nil if the job is not known
-	listedAt  time.Time     // last complete list of runs that contained the run
-	answered  bool          // the start order was answered at once, so that no copy of it is in transit
-	stopping  bool          // a stop was ordered
-	orderedAt time.Time     // when its start was ordered or, for a run that was found, when it was found
-	startedAt time.Time     // when the target was first known to have started it, or an estimate for a run that was found
-	startedBy time.Duration // time at the target's member at which it answered the start, or 0 if it is not known
+	step            *step // nil if the job is not known, or had ended when it was loaded
+	index           int
+	run             w.RunID
+	resources       w.Resources
+	account         *slotAccount  // what it counts for its tenant, or nil if the job is not known
+	listedAt        time.Time     // last complete list of runs that contained the run
+	answered        bool          // the start order was answered at once, so that no copy of it is in transit
+	stopping        bool          // a stop was ordered
+	orderedAt       time.Time     // when its start was ordered or, for a run that was found, when it was found
+	startedAt       time.Time     // when the target was first known to have started it, or an estimate for a run that was found
+	startedAtMember time.Duration // time at the target's member at which it answered the start, or 0 if it is not known
 }
 
 type target struct {
@@ -41,7 +41,7 @@
 	leaseExpired      bool          // its lease has certainly expired and its slots were released
 	reportedAt        time.Time     // last report of a reachable target, or when the target was added or reset
 	answeredAt        time.Time     // last answer of the target to any request
-	answeredBy        time.Duration // time of that answer at its member, or 0 if it is not known
+	answeredAtMember  time.Duration // time of that answer at its member, or 0 if it is not known
 	closedAt          time.Time     // when it closed its connection, or its loss was noticed, if it has not answered since
 	closed            bool          // it closed its connection and has not answered since
 	probe             *slot         // run that started under suspicion, or nil, see probeOn
@@ -180,7 +180,7 @@
 			// Orders name the ID of a target only, so the new incarnation may still
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
-			sl.listedAt, sl.startedAt, sl.startedBy, sl.answered = time.Time{}, time.Time{}, 0, false
+			sl.listedAt, sl.startedAt, sl.startedAtMember, sl.answered = time.Time{}, time.Time{}, 0, false
 			// The deadline of the start is a time on the clock of the old incarnation,
 			// so the new one grants its longest lease.
 			t.lateLeaseEnd = c.now.Add(lateStartAge + c.MaxLease*103/100)
@@ -214,7 +214,7 @@
 	t.endSeq, t.ackedSeq, t.orphans = 0, 0, nil
 	delete(c.endSeqs, t.ID)
 	t.synced = false
-	t.closedAt, t.closed, t.answeredAt, t.answeredBy = time.Time{}, false, time.Time{}, 0
+	t.closedAt, t.closed, t.answeredAt, t.answeredAtMember = time.Time{}, false, time.Time{}, 0
 	t.health = health{}
 	t.speed.Restart()
 	t.reportedAt = c.now
