--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -55,7 +55,7 @@
 	_, _ = fmt.Fprintf(r.f, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (r *recorder) begin(k *worker, x *run, spec string) {
+func (r *recorder) begin(k *worker, x *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := &runRecord{task: x.task, worker: k.id, id: x.id, begin: x.started}
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -218,7 +218,7 @@
 		}
 		x := &run{task: req.Task, id: req.RunID, started: time.Now(), duration: k.p.duration(req.Task, req.Spec), cpu: k.p.cpu(req.Task)}
 		k.runs[req.Task] = x
-		k.p.rec.begin(k, x, req.Spec)
+		k.p.rec.begin(k, x)
 		if k.p.onStart != nil {
 			go k.p.onStart(k, x)
 		}
