--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -284,6 +284,13 @@
 	return true
 }
 
+// running returns the number of runs on the worker.
+func (k *worker) running() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.runs)
+}
+
 // unacked returns the number of ends that are not taken note of.
 func (k *worker) unacked() int {
 	k.mu.Lock()
