--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # no module besides the standard library.
 set -euo pipefail
 cd "$(dirname "$0")"
-go build -o ../target/review-harness ./harness
+go build -buildvcs=false -o ../target/review-harness ./harness
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	heartbeat   = 1500 * time.Millisecond
-	maxHold     = 10 * time.Second
-	maxEnds     = 500
-	service     = "pool"
-	workerCPU   = 16000
-	workerMemMb = 65536
+	heartbeat    = 1500 * time.Millisecond
+	maxHold      = 10 * time.Second
+	maxEnds      = 500
+	service      = "pool"
+	otherService = "depot"
+	workerCPU    = 16000
+	workerMemMb  = 65536
 )
 
 type run struct {
@@ -38,9 +39,10 @@
 // then runs and knows nothing. A start after that has the same id, the same address
 // and another time of birth.
 type worker struct {
-	id   string
-	p    *platform
-	addr string
+	id      string
+	p       *platform
+	service string
+	addr    string
 
 	mu      sync.Mutex
 	up      bool
@@ -110,7 +112,7 @@
 		return
 	}
 	k.p.store.put("servers", k.id, map[string]any{
-		"service": service, "address": k.addr, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+		"service": k.service, "address": k.addr, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 		"capacity": map[string]any{"cpu": workerCPU, "memMb": workerMemMb, "gpu": 0}, "labels": []string{"a", "r1-" + k.id}, "born": born, "seqNo": time.Now().UnixMilli(),
 	})
 }
@@ -214,6 +216,7 @@
 			return conflict("old")
 		}
 		if k.p.advice != nil && !k.p.validTicket(k, req.Task, req.Ticket) {
+			k.p.rec.noTicket(k, req.Task)
 			return conflict("ticket")
 		}
 		x := &run{task: req.Task, id: req.RunID, started: time.Now(), duration: k.p.duration(req.Task, req.Spec), cpu: k.p.cpu(req.Task)}
