--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -10,10 +10,10 @@
 
 const (
 	// lastingGrace is the time from the last run of a task that lasts from which rule LOST
-	// asks for another, and lastingGap the time for which there may be none.
+	// asks for another, and gapTime the time for which there may be none.
 	lastingGrace = 6 * time.Second
-	lastingGap   = 3 * time.Second
-	// calmBefore is the time without a disruption that precedes lastingGap.
+	gapTime      = 3 * time.Second
+	// calmBefore is the time without a disruption that precedes gapTime.
 	calmBefore = 4 * time.Second
 	// finishTime is bounds.finish_s.
 	finishTime = 14 * time.Second
@@ -59,7 +59,7 @@
 	return p.lastingGaps(id, calm), nil
 }
 
-// lastingGaps reports whether a task of a job that lasts had no run for lastingGap, from
+// lastingGaps reports whether a task of a job that lasts had no run for gapTime, from
 // lastingGrace after its last run and calmBefore after the last disruption on.
 func (p *platform) lastingGaps(id string, calm time.Time) bool {
 	last := map[string]runRecord{}
@@ -70,7 +70,7 @@
 			from = c
 		}
 		p.rec.log("task %s had no run for %.3f s", task, next.Sub(end).Seconds())
-		if next.Sub(from) >= lastingGap {
+		if next.Sub(from) >= gapTime {
 			p.rec.log("task %s had no run for %.3f s, counted from %.0f s after its last run and %.0f s after the last disruption", task, next.Sub(from).Seconds(), lastingGrace.Seconds(), calmBefore.Seconds())
 			broken = true
 		}
@@ -105,13 +105,13 @@
 		p.configure(2, route, other)
 	}
 	trafficEnd := time.Now()
-	time.Sleep(finishTime + lastingGap)
+	time.Sleep(finishTime + gapTime)
 	broken := false
 	if turn := p.stepEnd(id, 0, 2); turn.IsZero() {
 		return false, errNotRun
 	} else if p.stepEnd(id, 1, 2).IsZero() && !p.runsBetween(id+".0.1.", trafficEnd.Add(finishTime), time.Now()) {
 		p.rec.log("the turn of the second step came %.3f s ago; nothing of the job ran from %.0f s after the end of the traffic on, for %.0f s, and the workers run nothing else",
-			time.Since(turn).Seconds(), finishTime.Seconds(), lastingGap.Seconds())
+			time.Since(turn).Seconds(), finishTime.Seconds(), gapTime.Seconds())
 		broken = true
 	}
 	p.configure(3, route, other)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,13 +23,21 @@
 }
 
 var scripts = map[string]script{
-	"lasting": {8, 3, 0, false, nil, playLasting},
-	"dropped": {8, 3, 0, false, &advice{decisionMs: 46, periodMs: 0.66, validityMs: 1500}, playDropped},
-	"cancel":  {8, 3, 0, false, nil, playCancel},
-	"stale":   {8, 5, 0, false, nil, playStale},
-	"nested":  {8, 3, 4, false, nil, playNested},
+	"stale":    {8, 5, 0, false, nil, playStale},
+	"ends":     {8, 3, 0, false, nil, playEnds},
+	"progress": {4, 3, 0, true, nil, playProgress},
+	"dropped":  {8, 3, 0, false, &callList, playDropped},
+	"cancel":   {8, 3, 0, false, nil, playCancel},
+	"nested":   {8, 3, 4, false, nil, playNested},
+	"lasting":  {8, 3, 0, false, nil, playLasting},
+	"deadly":   {8, 3, 0, false, nil, playDeadly},
+	"sharing":  {8, 3, 0, false, nil, playSharing},
+	"starved":  {8, 3, 0, true, &callList, playStarved},
 }
 
+// callList has the timing of advice of the site's queue call-list.
+var callList = advice{decisionMs: 46, periodMs: 0.66, validityMs: 1500}
+
 var errNotRun = errors.New("the case couldn't run")
 
 func main() { os.Exit(play()) }
