--- a/review/harness/entries.go
+++ b/review/harness/entries.go
@@ -12,6 +12,7 @@
 func playEnds(p *platform, trouble bool) (bool, error) {
 	const id = "00000000000000b1"
 	var at atomic.Pointer[worker]
+	var crashed time.Time
 	p.onStart = func(k *worker, x *run) {
 		if x.task == id+".0.0.0" {
 			at.Store(k)
@@ -33,6 +34,7 @@
 	}
 	if trouble {
 		at.Load().crash()
+		crashed = time.Now()
 		for _, d := range p.nodes {
 			p.kill(d)
 		}
@@ -46,6 +48,13 @@
 		}
 	}
 	inTouch := time.Now().Add(contactTime)
+	if trouble {
+		time.Sleep(time.Until(crashed.Add(workerDown)))
+		if err := at.Load().boot(); err != nil {
+			return false, err
+		}
+		p.rec.log("worker %s starts again", at.Load().id)
+	}
 	time.Sleep(20 * time.Second)
 	shownAt := p.rec.states[id]
 	broken := false
