--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -129,7 +129,7 @@
 
 const (
 	host   = "jobs.example"
-	prefix = "/work/"
+	prefix = "/lohu930/"
 )
 
 // duration returns how long a task runs: what its spec says, times a factor of 1 to 1 +
