keeper, coordinator, gateway: an end is shown only once it is stored

Cause: while a save took over 0.4 s the coordinator published ends that were not stored, and the instances showed them. All copies were in memory, and each can be lost.

Now instances keep such ends without showing them. The instance that accepted a job writes its end to the store at once, apart from the leader's batches, then shows it and tells the leader. Rows of ends are removed apart from the batches.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -237,7 +237,11 @@
 	c.addJob(j, keeper.Progress{}, cancelled, fresh)
 	if e, ok := c.earlyEnds[j.ID]; ok {
 		delete(c.earlyEnds, j.ID)
-		c.RestoreEnd(linker.JobState{Job: j.ID, State: e.state})
+		if c.endRows[j.ID] {
+			c.RestoreStoredEnd(j.ID, e.state)
+		} else {
+			c.RestoreEnd(linker.JobState{Job: j.ID, State: e.state})
+		}
 	}
 	if added := c.jobs[j.ID]; added != nil && !known {
 		added.missingFromSnapshot = !fresh
@@ -277,9 +281,8 @@
 func (c *Coordinator) HasJob(id w.JobID) bool { return c.jobs[id] != nil }
 
 // SetStoreSlow records whether the store is failing or slow. While it is, the ends of
-// jobs are published before they are stored, marked as unsaved. The instances keep such
-// ends, to pass them to the next coordinator, until this one publishes that they are
-// stored.
+// jobs are published before they are stored, marked as unsaved. The instances show such an
+// end once one of them has written it to the store, and pass it to the next coordinator.
 func (c *Coordinator) SetStoreSlow(slow bool) {
 	c.storeSlow = slow
 	if !slow {
@@ -305,34 +308,45 @@
 // does not run again, even if neither the store nor any target still has a record of
 // the end.
 func (c *Coordinator) RestoreEnd(e linker.JobState) {
+	if j := c.adoptEnd(e); j != nil && !j.endPublished {
+		// All members keep the end until it is stored, so that it does not depend on
+		// the instance that sent it.
+		c.publish(linker.JobState{Job: e.Job, State: e.State, Unsaved: true})
+	}
+}
+
+// adoptEnd moves a job to the final state that an earlier coordinator published. It
+// returns nil if the job is unknown or has ended already.
+func (c *Coordinator) adoptEnd(e linker.JobState) *job {
 	if e.State != w.Completed && e.State != w.Failed {
-		return
+		return nil
 	}
 	j := c.jobs[e.Job]
 	if j == nil {
 		// The job itself has not arrived from its instance yet.
 		c.earlyEnds[e.Job] = earlyEnd{e.State, c.now}
-		return
+		return nil
 	}
 	if j.state.Final() {
-		return
+		return nil
 	}
 	c.Log.Info("applied job end published by an earlier coordinator", "job", e.Job, "state", e.State, "epoch", c.Epoch)
 	c.finish(j, e.State)
-	if !j.endPublished {
-		// All members keep the end until it is stored, so that it does not depend on
-		// the instance that sent it.
-		c.publish(linker.JobState{Job: e.Job, State: e.State, Unsaved: true})
-	}
+	return j
 }
 
 // RestoreStoredEnd applies the end of a job that an instance wrote to the store, see
 // keeper.SaveEnds. The row is removed once the final state of the job is stored.
 func (c *Coordinator) RestoreStoredEnd(id w.JobID, state w.State) {
 	c.endRows[id] = true
-	c.RestoreEnd(linker.JobState{Job: id, State: state})
-	if j := c.jobs[id]; j != nil && j.state.Final() && j.endStored {
+	c.adoptEnd(linker.JobState{Job: id, State: state})
+	j := c.jobs[id]
+	switch {
+	case j == nil || !j.state.Final():
+	case j.endStored:
 		c.expireEndRow(id)
+	case j.state == state:
+		c.publish(linker.JobState{Job: id, State: state})
 	}
 }
 
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -47,7 +47,7 @@
 	f.Reset, f.NamesTenants = true, true
 	f.States = make([]linker.JobState, 0, len(c.jobs))
 	for id, j := range c.jobs {
-		f.States = append(f.States, linker.JobState{Job: id, State: j.visibleState(), Unsaved: j.endUnstored(), Tenant: j.Tenant})
+		f.States = append(f.States, linker.JobState{Job: id, State: j.visibleState(), Unsaved: c.endUnstored(j), Tenant: j.Tenant})
 	}
 	c.assignmentsStale = true
 	c.Log.Info("instance joined", "instance", h.Instance, "zone", h.Zone, "members", len(c.members))
@@ -62,9 +62,9 @@
 	return j.state
 }
 
-// endUnstored reports whether the job's end was published but is not stored yet.
-func (j *job) endUnstored() bool {
-	return j.endPublished && !j.endStored && (j.state == w.Completed || j.state == w.Failed)
+// endUnstored reports whether a job's end was published but is not stored yet.
+func (c *Coordinator) endUnstored(j *job) bool {
+	return j.endPublished && !j.endStored && !c.endRows[j.ID] && (j.state == w.Completed || j.state == w.Failed)
 }
 
 // Leave removes an instance whose connection was closed.
@@ -181,6 +181,9 @@
 		}
 		m.nextFrame().Received = append(m.nextFrame().Received, f.Jobs[i].ID)
 	}
+	for _, e := range f.SavedEnds {
+		c.RestoreStoredEnd(e.Job, e.State)
+	}
 	for _, e := range f.Ended {
 		c.RestoreEnd(e)
 	}
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -10,16 +10,13 @@
 	w "github.com/masticlead/masticlead/workload"
 )
 
-const (
-	// ownEndDelay is the time after which this instance writes the unsaved end of a job
-	// that it accepted to the store itself.
-	ownEndDelay = 2 * time.Second
-	// otherEndDelay is that time for other jobs, whose instances may be lost.
-	otherEndDelay = 4 * time.Second
-)
+// otherEndDelay is the time after which this instance writes the unsaved end of a job that
+// another instance accepted, since that instance may be lost.
+const otherEndDelay = 4 * time.Second
 
-// unsavedEnd is a final state that the coordinator published before storing it. Until
-// the coordinator reports that the state is stored, it is passed to each new one.
+// unsavedEnd is a final state that the coordinator sent before storing it. It is shown
+// only once it is in the store: all memory that holds it may be lost together. Until the
+// coordinator reports that the state is stored, it is passed to each new one.
 type unsavedEnd struct {
 	state   w.State
 	since   time.Time // when this instance learned of it
@@ -28,46 +25,63 @@
 
 // keepUnsaved records a final state that is not stored yet. g.mu must be held.
 func (g *Gateway) keepUnsaved(s linker.JobState) {
-	if g.unsavedEnds[s.Job] == nil {
-		g.unsavedEnds[s.Job] = &unsavedEnd{state: s.State, since: time.Now()}
+	if g.unsavedEnds[s.Job] != nil {
+		return
+	}
+	g.unsavedEnds[s.Job] = &unsavedEnd{state: s.State, since: time.Now()}
+	if _, own := g.acceptedHere[s.Job]; own {
+		g.signalOwnEnds()
+	}
+}
+
+func (g *Gateway) signalOwnEnds() {
+	select {
+	case g.ownEnds <- struct{}{}:
+	default:
 	}
 }
 
-// SaveUnsavedEnds writes the ends to the store that no coordinator has stored for a
-// while although the store responds. It is to be called periodically.
+// OwnEnds returns a channel that signals an unsaved end of a job that this instance
+// accepted. Its caller waits until SaveUnsavedEnds has written it.
+func (g *Gateway) OwnEnds() <-chan struct{} { return g.ownEnds }
+
+// SaveUnsavedEnds writes the ends to the store that no coordinator has stored yet: those
+// of jobs that this instance accepted at once, others after a while. It is to be called
+// periodically and when OwnEnds signals.
 func (g *Gateway) SaveUnsavedEnds(ctx context.Context, now time.Time) error {
-	if g.StoreUnreachableFor() > 0 {
-		return nil
+	own, others := g.overdueEnds(now)
+	if err := g.saveEnds(ctx, own); err != nil {
+		g.signalOwnEnds()
+		return err
 	}
-	ends, others := g.overdueEnds(now)
-	if len(ends) == 0 {
+	if len(others) == 0 || g.StoreUnreachableFor() > 0 {
 		return nil
 	}
-	if others {
-		// Another instance has probably written them.
-		if err := g.readWrittenEnds(ctx); err != nil {
-			return err
-		}
-		ends, _ = g.overdueEnds(now)
+	// Another instance has probably written them.
+	if err := g.readWrittenEnds(ctx); err != nil {
+		return err
 	}
-	return g.saveEnds(ctx, ends)
+	_, others = g.overdueEnds(now)
+	return g.saveEnds(ctx, others)
 }
 
-// overdueEnds returns the ends that are to be written, and whether jobs that other
-// instances accepted are among them.
-func (g *Gateway) overdueEnds(now time.Time) (ends []keeper.End, others bool) {
+// overdueEnds returns the ends that are to be written, those of jobs that other instances
+// accepted apart.
+func (g *Gateway) overdueEnds(now time.Time) (own, others []keeper.End) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, e := range g.unsavedEnds {
-		_, own := g.acceptedHere[id]
-		age := now.Sub(e.since)
-		if e.written || age < ownEndDelay || (!own && age < otherEndDelay) {
-			continue
+		end := keeper.End{ID: id, State: e.state}
+		_, accepted := g.acceptedHere[id]
+		switch {
+		case e.written:
+		case accepted:
+			own = append(own, end)
+		case now.Sub(e.since) >= otherEndDelay:
+			others = append(others, end)
 		}
-		others = others || !own
-		ends = append(ends, keeper.End{ID: id, State: e.state})
 	}
-	return ends, others
+	return own, others
 }
 
 func (g *Gateway) readWrittenEnds(ctx context.Context) error {
@@ -78,14 +92,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, state := range written {
-		if e := g.unsavedEnds[id]; e != nil && e.state == state {
-			e.written = true
-		}
+		g.endWritten(keeper.End{ID: id, State: state})
 	}
 	return nil
 }
 
-// saveEnds writes ends to the store.
+// saveEnds writes ends to the store and shows them.
 func (g *Gateway) saveEnds(ctx context.Context, ends []keeper.End) error {
 	if len(ends) == 0 {
 		return nil
@@ -97,10 +109,26 @@
 	g.Log.Info("ends saved that no leader has stored", "jobs", len(ends))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i := range ends {
-		if e := g.unsavedEnds[ends[i].ID]; e != nil {
-			e.written = true
-		}
+	f := new(linker.Frame)
+	for _, e := range ends {
+		g.endWritten(e)
+		f.SavedEnds = append(f.SavedEnds, linker.JobState{Job: e.ID, State: e.State})
+	}
+	if g.conn != nil {
+		g.conn.Send(f)
 	}
 	return nil
 }
+
+// endWritten records that the end of a job is in the store, so that callers may see it.
+// g.mu must be held.
+func (g *Gateway) endWritten(end keeper.End) {
+	e := g.unsavedEnds[end.ID]
+	if e == nil || e.state != end.State {
+		return
+	}
+	e.written = true
+	if !g.states[end.ID].Final() {
+		g.states[end.ID] = end.State
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,6 +110,7 @@
 	unconfirmedCancels map[w.JobID]bool
 	unsavedEnds        map[w.JobID]*unsavedEnd
 	acceptedHere       map[w.JobID]struct{} // jobs that this instance accepted and whose retention has not expired
+	ownEnds            chan struct{}        // see OwnEnds
 }
 
 // Init initializes the gateway. It must be called before jobs are submitted.
@@ -125,6 +126,7 @@
 	g.unconfirmedCancels = make(map[w.JobID]bool)
 	g.unsavedEnds = make(map[w.JobID]*unsavedEnd)
 	g.acceptedHere = make(map[w.JobID]struct{})
+	g.ownEnds = make(chan struct{}, 1)
 }
 
 // Config returns the current configuration, or nil if none is set.
@@ -158,7 +160,11 @@
 		f.Cancels = append(f.Cancels, id)
 	}
 	for id, e := range g.unsavedEnds {
-		f.Ended = append(f.Ended, linker.JobState{Job: id, State: e.state})
+		s := linker.JobState{Job: id, State: e.state}
+		f.Ended = append(f.Ended, s)
+		if e.written {
+			f.SavedEnds = append(f.SavedEnds, s)
+		}
 	}
 	if len(f.Jobs) > 0 || len(f.Cancels) > 0 || len(f.Ended) > 0 {
 		c.Send(f)
@@ -196,6 +202,7 @@
 		switch {
 		case s.Unsaved:
 			g.keepUnsaved(s)
+			s.State = w.Running
 		case s.State.Final() || s.State == w.Unknown:
 			delete(g.unsavedEnds, s.Job)
 		}
@@ -386,9 +393,9 @@
 	s, unsaved := g.states[id], g.unsavedEnds[id]
 	g.mu.Unlock()
 	if s.Final() {
-		if unsaved == nil {
-			return true, nil
-		}
+		return true, nil
+	}
+	if unsaved != nil {
 		// If all instances that know the end were lost, the job would run again.
 		return true, g.retryStore(ctx, func() error { return g.saveEnds(ctx, []keeper.End{{ID: id, State: unsaved.state}}) })
 	}
@@ -405,14 +412,19 @@
 		return false, err
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.states[id].Final() {
+	unsaved = g.unsavedEnds[id]
+	if unsaved == nil && !g.states[id].Final() {
 		g.states[id] = w.Cancelled
 	}
 	g.unconfirmedCancels[id] = true
 	if g.conn != nil {
 		g.conn.Send(&linker.Frame{Cancels: []w.JobID{id}})
 	}
+	g.mu.Unlock()
+	if unsaved != nil {
+		// The job ended while its cancellation was written.
+		return true, g.retryStore(ctx, func() error { return g.saveEnds(ctx, []keeper.End{{ID: id, State: unsaved.state}}) })
+	}
 	return true, nil
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -291,12 +291,19 @@
 	}
 }
 
-// saveEnds periodically lets the gateway write ends that no leader has stored. The period
-// varies, so that the instances do not all write the same ends at the same time.
+// saveEnds lets the gateway write ends that no leader has stored: those of its own jobs at
+// once, the others periodically. The period varies, so that the instances do not all write
+// the same ends at the same time.
 func (in *Instance) saveEnds() {
 	const period = 600 * time.Millisecond
 	for in.ctx.Err() == nil {
-		in.sleep(period/2 + time.Duration(rand.Float64()*float64(period)))
+		timer := time.NewTimer(period/2 + time.Duration(rand.Float64()*float64(period)))
+		select {
+		case <-in.Gateway.OwnEnds():
+		case <-timer.C:
+		case <-in.ctx.Done():
+		}
+		timer.Stop()
 		if err := in.Gateway.SaveUnsavedEnds(in.ctx, time.Now()); err != nil {
 			in.Log.Debug("could not save ends", "error", err)
 		}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -450,10 +450,11 @@
 func (l *leader) save(b *coordinator.Batch, saved chan<- *coordinator.Batch) {
 	for l.ctx.Err() == nil {
 		err := l.in.Keeper.Save(l.ctx, &l.leadership, &keeper.ChangeSet{
-			Progress: b.Progress, Remove: b.Remove, RemoveEnds: b.RemoveEnds, Roster: b.Roster, RosterChanged: b.RosterChanged,
+			Progress: b.Progress, Remove: b.Remove, Roster: b.Roster, RosterChanged: b.RosterChanged,
 		})
 		if err == nil {
 			saved <- b
+			l.removeEnds(b.RemoveEnds)
 			return
 		}
 		if l.stopIfSuperseded(err) {
@@ -464,6 +465,20 @@
 	}
 }
 
+// removeEnds removes rows of ends, apart from the batches, which must not wait for a
+// partition that is silent. Rows that remain are removed by a later leader.
+func (l *leader) removeEnds(ids []w.JobID) {
+	const attempts = 10
+	for attempt := 1; len(ids) > 0 && l.ctx.Err() == nil; attempt++ {
+		err := l.in.Keeper.RemoveEnds(l.ctx, ids)
+		if err == nil || attempt == attempts {
+			return
+		}
+		l.in.Log.Debug("could not remove ends", "rows", len(ids), "error", err)
+		l.in.sleep(time.Second)
+	}
+}
+
 // stopIfSuperseded ends the leadership if a store error shows that another leader
 // took over. It reports whether it did.
 func (l *leader) stopIfSuperseded(err error) bool {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -133,6 +134,8 @@
 	// connection of its own, so that they do not wait behind other calls, as those of
 	// a load. If it is nil, Store is used.
 	Urgent Store
+
+	endPartition atomic.Int64 // index of the last of the endPartitions that took a write
 }
 
 func (k *Keeper) urgent() Store {
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -230,11 +230,12 @@
 // scanRanges returns the ranges in which a table is scanned.
 func (k *Keeper) scanRanges(table string) []nameRange {
 	var ranges []nameRange
+	partitions := k.Partitions.All()
 	if table == TableEnds {
-		return []nameRange{{}}
+		partitions = k.endPartitions()
 	}
 	if table != TableProgress {
-		for _, partition := range k.Partitions.All() {
+		for _, partition := range partitions {
 			ranges = append(ranges, nameRange{partition: partition})
 		}
 		return ranges
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -14,8 +14,7 @@
 type ChangeSet struct {
 	Progress      []Progress
 	Remove        []w.JobID
-	RemoveEnds    []w.JobID // ends whose jobs' final states are stored; see SaveEnds
-	Roster        Roster    // written if RosterChanged
+	Roster        Roster // written if RosterChanged
 	RosterChanged bool
 }
 
@@ -110,13 +109,5 @@
 			}
 		}
 	}
-	for _, id := range changes.RemoveEnds {
-		tx.Deletes = append(tx.Deletes, endKey(id))
-		if len(tx.Deletes)+len(tx.Writes) >= maxTxRows {
-			if err := flush(); err != nil {
-				return err
-			}
-		}
-	}
 	return flush()
 }
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -24,7 +24,9 @@
 	Advice  []Advice
 	Status  *Status
 	Calls   []Call
-	Ended   []JobState // final states that a previous coordinator published before storing them
+	Ended   []JobState // final states that a previous coordinator sent before storing them
+	// SavedEnds are final states that the instance has written to the store.
+	SavedEnds []JobState
 
 	// Sent by the coordinator.
 	Assign *Assign
@@ -241,7 +243,7 @@
 type JobState struct {
 	Job     w.JobID
 	State   w.State
-	Unsaved bool // the state is not stored yet; the receiver must keep it for the next coordinator
+	Unsaved bool // the state is not stored yet; the receiver must keep it for the next coordinator and not show it
 	Tenant  w.TenantName
 }
 
