keeper: progress that outgrows a row is spread over chunks

Cause: the progress of a job was one row without a bound. Beyond the 64 KB of a row the store refused the transaction for good, and the leader repeated it as it was.

Progress above 32 KB is now spread over rows of 256 tasks, of which only changed ones are written; smaller progress is stored as before. The row of the job comes last, so that a save that is cut short loses nothing. The chunks are removed once the job has ended.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -147,7 +147,7 @@
 // the target resends an end that was stored but not acknowledged.
 func TestFailureCountsOnce(t *testing.T) {
 	p := keeper.Progress{ID: "j", Started: true}
-	p.AddStep(0, 0).SetTask(0, false, []w.RunID{7, 8, 9}, "")
+	p.AddStep(keeper.StepKey{}, 0, 1).SetTask(0, false, []w.RunID{7, 8, 9}, "")
 	x := newCell(t, 2, 1, &keeper.Snapshot{Jobs: []w.Job{singleTaskJob("j")}, Progress: map[w.JobID]keeper.Progress{"j": p}, Roster: keeper.Roster{Open: []w.TargetID{"a"}}})
 	x.reportEnd("a", linker.Start{Task: w.TaskID{Job: "j"}, Run: 9}, w.EndedFailed)
 	x.reportRuns("a")
@@ -159,7 +159,7 @@
 // allow: a target that is synced late reports a run that failed before the current one.
 func TestEarlierFailureCounts(t *testing.T) {
 	p := keeper.Progress{ID: "j", Started: true}
-	p.AddStep(0, 0).SetTask(0, false, []w.RunID{6, 7, 8}, "")
+	p.AddStep(keeper.StepKey{}, 0, 1).SetTask(0, false, []w.RunID{6, 7, 8}, "")
 	x := newCell(t, 2, 2, &keeper.Snapshot{Jobs: []w.Job{singleTaskJob("j")}, Progress: map[w.JobID]keeper.Progress{"j": p}, Roster: keeper.Roster{Open: []w.TargetID{"a", "b"}}})
 	x.reportRuns("b", w.Run{Task: w.TaskID{Job: "j"}, Run: 10})
 	x.reportEnd("a", linker.Start{Task: w.TaskID{Job: "j"}, Run: 9}, w.EndedFailed)
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -210,6 +210,7 @@
 	}
 	j.occurrencesLeft = j.Occurrences()
 	j.occurrences = make([]*occurrence, j.occurrencesLeft)
+	stored := p.StepIndex()
 	for k := range j.occurrences {
 		o := &occurrence{job: j, index: k, stepsLeft: len(j.Steps)}
 		if j.Repeat > 0 {
@@ -225,7 +226,7 @@
 			o.steps = append(o.steps, s)
 		}
 		o.computeCriticalPath()
-		c.restoreProgress(o, &p)
+		c.restoreProgress(o, stored)
 		if j.state.Final() {
 			return
 		}
@@ -241,9 +242,9 @@
 }
 
 // restoreProgress applies the stored progress of an occurrence.
-func (c *Coordinator) restoreProgress(o *occurrence, p *keeper.Progress) {
+func (c *Coordinator) restoreProgress(o *occurrence, stored map[keeper.StepKey]*keeper.StepProgress) {
 	for _, s := range o.steps {
-		sp := p.Step(o.index, s.index)
+		sp := stored[keeper.StepKey{Occurrence: o.index, Index: s.index}]
 		if sp == nil {
 			continue
 		}
@@ -271,6 +272,7 @@
 	if j.state.Final() {
 		return p
 	}
+	first := 0
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			var sp *keeper.StepProgress
@@ -280,13 +282,14 @@
 					continue
 				}
 				if sp == nil {
-					sp = p.AddStep(o.index, s.index)
+					sp = p.AddStep(keeper.StepKey{Occurrence: o.index, Index: s.index}, first, s.Count)
 				}
 				sp.SetTask(i, tk.phase == finished, tk.failedRuns, tk.checkpoint)
 				if tk.phase != finished {
 					sp.SetCrashes(i, tk.crashed, tk.unclear)
 				}
 			}
+			first += s.Count
 		}
 	}
 	return p
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -35,13 +35,16 @@
 	MaxCores  float64 `json:"-"` // for the first heartbeat, see Heartbeat.MaxCores
 	Version   Version `json:"-"`
 
-	saveSeqVersion     Version // version of the row with the save sequence number
-	saveSeq            int64   // sequence number of the last save
-	saveOutcomeUnknown bool    // the last save may or may not have been applied
+	saveSeqVersion     Version                 // version of the row with the save sequence number
+	saveSeq            int64                   // sequence number of the last save
+	saveOutcomeUnknown bool                    // the last save may or may not have been applied
+	chunks             map[w.JobID]chunkHashes // chunks of progress that are in the store, besides the first ones
 }
 
 // InitSaves prepares a leader that has loaded the cell for saving.
-func (l *Leadership) InitSaves(s *Snapshot) { l.saveSeqVersion = s.saveSeqVersion }
+func (l *Leadership) InitSaves(s *Snapshot) {
+	l.saveSeqVersion, l.chunks = s.saveSeqVersion, s.chunks
+}
 
 // Leader reads the leader row. It returns a zero Leadership if the cell has had no
 // leader yet.
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -28,6 +28,7 @@
 	DecodeErrors []error            // one per row that could not be decoded; the jobs of these rows are omitted
 
 	saveSeqVersion Version // version of the row with the save sequence number
+	chunks         map[w.JobID]chunkHashes
 }
 
 // Load reads the state of the cell. Only the loading leader writes progress, so it
@@ -45,6 +46,7 @@
 		Progress:  make(map[w.JobID]Progress),
 		Cancelled: make(map[w.JobID]bool),
 		Versions:  make(map[string]Version),
+		chunks:    make(map[w.JobID]chunkHashes),
 	}
 	var roster, saveSeq *Row
 	scans, err := k.scanAll(ctx, m, &roster, &saveSeq)
@@ -80,6 +82,11 @@
 		s.Progress[p.ID] = p
 		return nil
 	})
+	forEachRow(tableProgressChunks, func(r *Row) error {
+		id, err := s.addChunk(r)
+		undecodable[id] = undecodable[id] || err != nil
+		return err
+	})
 	forEachRow(TableJobs, func(r *Row) error {
 		id := w.JobID(r.Name)
 		if undecodable[id] {
@@ -127,6 +134,27 @@
 	return s, nil
 }
 
+// addChunk adds a chunk of a job's progress to that in the job's own row.
+func (s *Snapshot) addChunk(r *Row) (w.JobID, error) {
+	id, n, err := parseProgressChunk(r.Name)
+	if err != nil {
+		return id, err
+	}
+	chunk, err := decodeProgress(r)
+	if err != nil {
+		return id, err
+	}
+	if s.chunks[id] == nil {
+		s.chunks[id] = make(chunkHashes)
+	}
+	s.chunks[id][n] = 0
+	p := s.Progress[id]
+	p.ID = id
+	p.merge(&chunk)
+	s.Progress[id] = p
+	return id, nil
+}
+
 // scanResult holds the rows of one scan and the table version they were read at.
 type scanResult struct {
 	rows    []Row
@@ -231,8 +259,11 @@
 func (k *Keeper) scanRanges(table string) []nameRange {
 	var ranges []nameRange
 	partitions := k.Partitions.All()
-	if table == TableEnds {
+	switch table {
+	case TableEnds:
 		partitions = k.endPartitions()
+	case tableProgressChunks:
+		partitions = []string{""}
 	}
 	if table != TableProgress {
 		for _, partition := range partitions {
@@ -250,7 +281,7 @@
 
 // loadOrder lists the tables in the order in which they are scanned: what decides
 // which jobs and tasks may not run, before the jobs themselves, which are the largest.
-var loadOrder = [...]string{TableEnds, TableProgress, TableCancellations, TableJobs}
+var loadOrder = [...]string{TableEnds, TableProgress, tableProgressChunks, TableCancellations, TableJobs}
 
 // scanAll scans all partitions of the tables, and reads the roster row and the row
 // with the save sequence number.
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -28,21 +28,32 @@
 	// were started although that was likely and whose fate is not known, by task.
 	CrashedRuns map[int][]w.RunID `json:"x,omitempty"`
 	UnclearRuns map[int][]w.RunID `json:"u,omitempty"`
+
+	// First is the number of the step's first task among all tasks of the job, and Count
+	// the number of its tasks. They decide in which row the progress is.
+	First int `json:"-"`
+	Count int `json:"-"`
 }
 
-// Step returns the progress of a step, or nil if there is no entry.
-func (p *Progress) Step(occurrence, index int) *StepProgress {
+// StepKey names a step of a job.
+type StepKey struct{ Occurrence, Index int }
+
+// Key returns the name of the step.
+func (s *StepProgress) Key() StepKey { return StepKey{s.Occurrence, s.Index} }
+
+// StepIndex returns the progress of all steps that have an entry.
+func (p *Progress) StepIndex() map[StepKey]*StepProgress {
+	index := make(map[StepKey]*StepProgress, len(p.Steps))
 	for i := range p.Steps {
-		if s := &p.Steps[i]; s.Occurrence == occurrence && s.Index == index {
-			return s
-		}
+		index[p.Steps[i].Key()] = &p.Steps[i]
 	}
-	return nil
+	return index
 }
 
-// AddStep adds an empty entry for a step and returns it.
-func (p *Progress) AddStep(occurrence, index int) *StepProgress {
-	p.Steps = append(p.Steps, StepProgress{Occurrence: occurrence, Index: index})
+// AddStep adds an empty entry for a step of count tasks, the first of which has the number
+// first among all tasks of the job. It returns the entry.
+func (p *Progress) AddStep(key StepKey, first, count int) *StepProgress {
+	p.Steps = append(p.Steps, StepProgress{Occurrence: key.Occurrence, Index: key.Index, First: first, Count: count})
 	return &p.Steps[len(p.Steps)-1]
 }
 
@@ -51,14 +62,18 @@
 	return task/8 < len(s.DoneBits) && s.DoneBits[task/8]&(1<<(task%8)) != 0
 }
 
+func (s *StepProgress) setDone(task int) {
+	for task/8 >= len(s.DoneBits) {
+		s.DoneBits = append(s.DoneBits, 0)
+	}
+	s.DoneBits[task/8] |= 1 << (task % 8)
+}
+
 // SetTask records the progress of a task. The failed runs and the checkpoint of a
 // task that is done are not recorded.
 func (s *StepProgress) SetTask(task int, done bool, failedRuns []w.RunID, checkpoint string) {
 	if done {
-		for task/8 >= len(s.DoneBits) {
-			s.DoneBits = append(s.DoneBits, 0)
-		}
-		s.DoneBits[task/8] |= 1 << (task % 8)
+		s.setDone(task)
 		return
 	}
 	if len(failedRuns) > 0 {
--- a/keeper/roster.go
+++ b/keeper/roster.go
@@ -16,6 +16,15 @@
 	Closed map[w.TargetID][]string `json:"closed,omitempty"`
 }
 
+// rosterItem returns what has to be written so that a roster is stored.
+func (l *Leadership) rosterItem(r *Roster) (saveItem, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return saveItem{}, fmt.Errorf("keeper: encode roster: %w", err)
+	}
+	return saveItem{writes: []Row{{Key: Key{Table: TableControl, Name: rosterName}, Value: value}}}, nil
+}
+
 // UnknownTarget stands in a roster for all targets of a row that can't be decoded. No
 // target has this identifier, so whatever the targets may run counts as running until
 // their leases have ended.
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -57,57 +56,88 @@
 	return nil
 }
 
+// saveItem is a part of a save that is stored as a whole.
+type saveItem struct {
+	writes  []Row
+	deletes []Key
+	stored  func() // called once the item is stored, if it is not nil
+}
+
+func (i *saveItem) rows() int { return len(i.writes) + len(i.deletes) }
+
+// size returns the size of the item's values in bytes.
+func (i *saveItem) size() int {
+	n := 0
+	for _, r := range i.writes {
+		n += len(r.Value)
+	}
+	return n
+}
+
 // Save writes changes on condition that the leader row still has the version of
 // leadership. It returns a ConflictError if another leader took over.
 func (k *Keeper) Save(ctx context.Context, leadership *Leadership, changes *ChangeSet) error {
-	var tx Tx
-	size := 0
-	flush := func() error {
-		if len(tx.Writes) == 0 && len(tx.Deletes) == 0 {
-			return nil
-		}
-		if err := k.commitSave(ctx, leadership, &tx); err != nil {
-			return fmt.Errorf("keeper: save %d rows: %w", len(tx.Writes), err)
-		}
-		tx, size = Tx{}, 0
-		return nil
-	}
+	var items []saveItem
 	for i := range changes.Progress {
-		value, err := json.Marshal(&changes.Progress[i])
+		next, err := leadership.progressItems(&changes.Progress[i])
 		if err != nil {
-			return fmt.Errorf("keeper: encode progress: %w", err)
-		}
-		tx.Writes = append(tx.Writes, Row{Key: progressKey(changes.Progress[i].ID), Value: value})
-		if size += len(value); len(tx.Writes) >= maxTxRows || size >= maxTxBytes {
-			if err := flush(); err != nil {
-				return err
-			}
+			return err
 		}
+		items = append(items, next...)
 	}
 	// The roster omits runs whose ends are in the progress, so it is written after it.
 	if changes.RosterChanged {
-		value, err := json.Marshal(changes.Roster)
+		item, err := leadership.rosterItem(&changes.Roster)
 		if err != nil {
-			return fmt.Errorf("keeper: encode roster: %w", err)
+			return err
 		}
-		tx.Writes = append(tx.Writes, Row{Key: Key{Table: TableControl, Name: rosterName}, Value: value})
+		items = append(items, item)
 	}
 	// Removals span partitions, so they get transactions of their own.
-	if err := flush(); err != nil {
+	if err := k.saveItems(ctx, leadership, items); err != nil {
 		return err
 	}
+	items = items[:0]
 	for _, id := range changes.Remove {
 		key := k.JobKey(id)
-		tx.Deletes = append(tx.Deletes, progressKey(id))
+		item := saveItem{deletes: []Key{progressKey(id)}, stored: func() { delete(leadership.chunks, id) }}
+		for n := range leadership.chunks[id] {
+			item.deletes = append(item.deletes, progressChunkKey(id, n))
+		}
 		for _, table := range [...]string{TableJobs, TableCancellations} {
 			key.Table = table
-			tx.Deletes = append(tx.Deletes, key)
+			item.deletes = append(item.deletes, key)
+		}
+		items = append(items, item)
+	}
+	return k.saveItems(ctx, leadership, items)
+}
+
+// saveItems writes items in transactions of up to maxTxRows rows and maxTxBytes.
+func (k *Keeper) saveItems(ctx context.Context, leadership *Leadership, items []saveItem) error {
+	for len(items) > 0 {
+		rows, size, n := 0, 0, 0
+		for n < len(items) && (n == 0 || (rows+items[n].rows() <= maxTxRows && size+items[n].size() <= maxTxBytes)) {
+			rows += items[n].rows()
+			size += items[n].size()
+			n++
+		}
+		var tx Tx
+		for i := range items[:n] {
+			tx.Writes = append(tx.Writes, items[i].writes...)
+			tx.Deletes = append(tx.Deletes, items[i].deletes...)
 		}
-		if len(tx.Deletes)+len(tx.Writes) >= maxTxRows {
-			if err := flush(); err != nil {
-				return err
+		if rows > 0 {
+			if err := k.commitSave(ctx, leadership, &tx); err != nil {
+				return fmt.Errorf("keeper: save %d rows: %w", rows, err)
 			}
 		}
+		for i := range items[:n] {
+			if items[i].stored != nil {
+				items[i].stored()
+			}
+		}
+		items = items[n:]
 	}
-	return flush()
+	return nil
 }
