keeper: a row that the store refuses for good is set aside

Cause: the leader repeated a whole batch whatever the store answered, also a 400. Submissions were the same: one job of a batch that the store refuses failed the others, and its client was told nothing for sure.

They are left out, logged with key and size, counted (refused, row) and not written again until they are smaller; an end among them is not shown, and targets of a refused roster get no starts. A store that rejects even a save without rows is tried again as a whole. A job whose row is too large is answered with 400 and the reason.

New: TestRefusedRowHoldsUpNoOthers, TestOversizedJobIsRejected, TestOversizedJobHoldsUpNoOthers, TestRefusedEndIsNotStored.

--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -83,7 +83,7 @@
 			if s.CrossPartitionTx {
 				partitions = jobPartitions
 			}
-			k := &keeper.Keeper{Store: store, Partitions: partitions, Urgent: store.Urgent()}
+			k := &keeper.Keeper{Store: store, Partitions: partitions, Urgent: store.Urgent(), MaxRowBytes: s.MaxRowBytes}
 			targetClient := platform.NewTargetClient(s.AdviceAddr)
 			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m}
 			inst := &instance.Instance{
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/masticlead/masticlead/blamer"
@@ -51,6 +52,18 @@
 	// suspicions holds, for the included jobs, the number of changes of their crash
 	// records.
 	suspicions map[w.JobID]int
+	refused    map[w.JobID]bool // see Exclude
+}
+
+// Exclude records that the store refuses some rows of the batch, which is stored without
+// them. The ends of runs in them count as stored all the same: keeping them unacknowledged
+// would hold up those of all other jobs. The ends of jobs do not, nor does the roster.
+func (b *Batch) Exclude(jobs []w.JobID, roster bool) {
+	b.refused = make(map[w.JobID]bool, len(jobs))
+	for _, id := range jobs {
+		b.refused[id] = true
+	}
+	b.RosterChanged = b.RosterChanged && !roster
 }
 
 func (b *Batch) addProgress(j *job) {
@@ -544,12 +557,19 @@
 		}
 	}
 	for i := range b.Progress {
-		if j := c.jobs[b.Progress[i].ID]; j != nil && b.Progress[i].State.Final() {
+		if j := c.jobs[b.Progress[i].ID]; j != nil && b.Progress[i].State.Final() && !b.refused[j.ID] {
 			j.endStored = true
 			c.expireEndRow(j.ID)
 		}
 	}
-	c.publish(b.states...)
+	stored := slices.DeleteFunc(b.states, func(s linker.JobState) bool {
+		if !b.refused[s.Job] {
+			return false
+		}
+		c.publishUnstored([]linker.JobState{s})
+		return true
+	})
+	c.publish(stored...)
 }
 
 // handoverMargin is the time for which an earlier coordinator that has not noticed its
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -97,3 +97,22 @@
 	require.Contains(t, x.c.Frames()["other"].States, linker.JobState{Job: "gone"})
 	require.Equal(t, []w.JobID{"gone"}, x.c.Flush().RemoveEnds)
 }
+
+// TestRefusedEndIsNotStored guards against showing an end that the store refused to save,
+// and against starts on targets of a roster that it refused.
+func TestRefusedEndIsNotStored(t *testing.T) {
+	x := newCell(t, 2, 1, &keeper.Snapshot{Jobs: []w.Job{singleTaskJob("j")}, Ends: nil})
+	x.receive(&linker.Frame{Ended: []linker.JobState{{Job: "j", State: w.Completed}}})
+	x.c.Advance(x.now.Add(statesPeriod))
+	x.c.Frames()
+	b := x.c.Flush()
+	require.NotNil(t, b)
+	b.RosterChanged, b.roster = true, roster{"new": rosterEntry{}}
+	b.Exclude([]w.JobID{"j"}, true)
+	x.c.Stored(b)
+	x.c.Advance(x.now.Add(3 * statesPeriod))
+	for _, m := range x.c.Frames() {
+		require.NotContains(t, m.States, linker.JobState{Job: "j", State: w.Completed})
+	}
+	require.False(t, x.c.roster.allowsStarts("new"))
+}
--- a/gateway/acceptor.go
+++ b/gateway/acceptor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/masticlead/masticlead/keeper"
@@ -89,6 +90,13 @@
 		jobs[i] = s.job
 	}
 	stored, err := a.keeper.Accept(context.Background(), jobs)
+	if len(batch) > 1 && errors.Is(err, keeper.ErrRejected) {
+		// A job that the store refuses must not hold up the others.
+		for i := range batch {
+			a.writeBatch(batch[i : i+1])
+		}
+		return
+	}
 	for i, s := range batch {
 		if err != nil {
 			s.done <- acceptResult{err: err}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -238,7 +238,7 @@
 }
 
 // Submit accepts a job. It returns an error that wraps workload.ErrInvalid if the job
-// is invalid, a RefusedError if the job was certainly not stored, an error that wraps
+// is invalid or larger than the store takes, a RefusedError if the job was certainly not stored, an error that wraps
 // authenticator.ErrUnknownKey if the caller's key is not valid, or ErrForbidden if the ID
 // belongs to a job of another tenant. In these cases the submission never runs. After any
 // other error the job may be stored.
@@ -296,6 +296,9 @@
 		if err == nil {
 			return stored, g.checkOwner(ctx, stored.Tenant)
 		}
+		if errors.Is(err, keeper.ErrRejected) && !maybeStored {
+			return nil, fmt.Errorf("gateway: accept: %w: %w", w.ErrInvalid, err)
+		}
 		if !errors.Is(err, keeper.ErrNotExecuted) {
 			maybeStored = true
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -223,3 +224,21 @@
 	got, _, _ = reason("j", "t", 13)
 	require.Equal(t, "storeAway", got)
 }
+
+// TestOversizedJobHoldsUpNoOthers guards against a job that can't be stored and fails the
+// other jobs of its batch, and that its client is told to submit again.
+func TestOversizedJobHoldsUpNoOthers(t *testing.T) {
+	a := newAcceptor(&keeper.Keeper{Store: new(singleRowStore), MaxRowBytes: 4000})
+	small, large := &w.Job{ID: "small", Steps: []w.Step{{Count: 1}}}, &w.Job{ID: "large", Spec: strings.Repeat("x", 4000), Steps: []w.Step{{Count: 1}}}
+	batch := []*submission{{job: large, done: make(chan acceptResult, 1)}, {job: small, done: make(chan acceptResult, 1)}}
+	a.writeBatch(batch)
+	require.ErrorIs(t, (<-batch[0].done).err, keeper.ErrRejected)
+	require.NoError(t, (<-batch[1].done).err)
+
+	g, _ := newEndGateway()
+	g.Keeper.MaxRowBytes = 4000
+	g.Freshness.Apply(&w.Config{Version: 1}, 0)
+	err := g.Submit(t.Context(), &w.Queue{Name: "q"}, large)
+	require.ErrorIs(t, err, w.ErrInvalid)
+	require.ErrorContains(t, err, "limit 4000")
+}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -449,10 +449,11 @@
 // save retries writing a batch until it is stored or the leadership ends.
 func (l *leader) save(b *coordinator.Batch, saved chan<- *coordinator.Batch) {
 	for l.ctx.Err() == nil {
-		err := l.in.Keeper.Save(l.ctx, &l.leadership, &keeper.ChangeSet{
-			Progress: b.Progress, Remove: b.Remove, Roster: b.Roster, RosterChanged: b.RosterChanged,
-		})
+		changes := &keeper.ChangeSet{Progress: b.Progress, Remove: b.Remove, Roster: b.Roster, RosterChanged: b.RosterChanged}
+		err := l.in.Keeper.Save(l.ctx, &l.leadership, changes)
 		if err == nil {
+			l.reportRefused(changes)
+			b.Exclude(changes.RefusedJobs(), changes.RosterRefused())
 			saved <- b
 			l.removeEnds(b.RemoveEnds)
 			return
@@ -465,6 +466,17 @@
 	}
 }
 
+// reportRefused logs and counts the rows that the store refused to save.
+func (l *leader) reportRefused(changes *keeper.ChangeSet) {
+	for _, r := range changes.SetAside {
+		l.in.Meter.Count("refused", "row")
+		if r.Repeated {
+			continue
+		}
+		l.in.Log.Error("row refused by the store is not saved", "epoch", l.leadership.Epoch, "table", r.Table, "key", r.Name, "bytes", r.Size, "error", brief(r.Err))
+	}
+}
+
 // removeEnds removes rows of ends, apart from the batches, which must not wait for a
 // partition that is silent. Rows that remain are removed by a later leader.
 func (l *leader) removeEnds(ids []w.JobID) {
--- a/keeper/chunks_test.go
+++ b/keeper/chunks_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/base64"
-	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -16,11 +16,17 @@
 const maxRowBytes = 64 << 10
 
 // limitedStore rejects what is over the limits of the platform's store.
-type limitedStore struct{ Store }
+type limitedStore struct {
+	Store
+	refuseAll bool
+}
 
-var errOverLimit = errors.New("over the limits of the store")
+var errOverLimit = fmt.Errorf("%w: %w", ErrRejected, ErrNotExecuted)
 
 func (s *limitedStore) Commit(ctx context.Context, tx *Tx) (Version, error) {
+	if s.refuseAll {
+		return 0, errOverLimit
+	}
 	size := 0
 	for _, r := range tx.Writes {
 		if len(r.Value) > maxRowBytes {
@@ -63,7 +69,7 @@
 			s, k, leadership := newLeader(t)
 			_, err := k.Accept(t.Context(), []*w.Job{{ID: "large", Steps: []w.Step{{Count: 1}}}})
 			require.NoError(t, err)
-			k.Store = &limitedStore{s}
+			k.Store = &limitedStore{Store: s}
 			require.NoError(t, k.Save(t.Context(), leadership, &ChangeSet{Progress: []Progress{p}}))
 			for key, r := range s.rows {
 				require.LessOrEqual(t, len(r.Value), maxRowBytes, key)
@@ -119,3 +125,54 @@
 		require.Error(t, err, fmt.Sprintf("%q", name))
 	}
 }
+
+// TestRefusedRowHoldsUpNoOthers guards against a row that the store refuses for good and
+// that the leader writes again and again, together with those of all other jobs.
+func TestRefusedRowHoldsUpNoOthers(t *testing.T) {
+	s, k, leadership := newLeader(t)
+	k.Store = &limitedStore{Store: s}
+	odd := Progress{ID: "odd"}
+	odd.AddStep(StepKey{}, 0, 1).SetTask(0, false, nil, strings.Repeat("x", maxRowBytes))
+	changes := func() *ChangeSet {
+		c := &ChangeSet{Roster: Roster{Open: []w.TargetID{"a"}}, RosterChanged: true}
+		for i := range 20 {
+			c.Progress = append(c.Progress, Progress{ID: w.JobID(fmt.Sprint("j", i)), State: w.Completed})
+		}
+		c.Progress[7] = odd
+		return c
+	}
+	for _, limit := range []int{0, maxRowBytes} {
+		k.MaxRowBytes = limit
+		c := changes()
+		require.NoError(t, k.Save(t.Context(), leadership, c))
+		require.Len(t, c.SetAside, 1)
+		require.Equal(t, []w.JobID{"odd"}, c.RefusedJobs())
+		require.False(t, c.RosterRefused())
+		snap, err := k.Load(t.Context())
+		require.NoError(t, err)
+		require.Len(t, snap.Progress, 19)
+		require.Equal(t, []w.TargetID{"a"}, snap.Roster.Open)
+	}
+	before := s.ver
+	c := &ChangeSet{Progress: []Progress{odd}}
+	require.NoError(t, k.Save(t.Context(), leadership, c))
+	require.True(t, c.SetAside[0].Repeated)
+	require.Equal(t, before, s.ver, "a refused row is not written again")
+	require.NoError(t, k.Save(t.Context(), leadership, &ChangeSet{Progress: []Progress{{ID: "odd", State: w.Failed}}}))
+	require.Contains(t, s.rows, progressKey("odd"))
+
+	// A store that refuses everything does so for another reason than the rows.
+	k.Store = &limitedStore{refuseAll: true}
+	require.ErrorIs(t, k.Save(t.Context(), leadership, changes()), ErrRejected)
+}
+
+// TestOversizedJobIsRejected guards against a job that can't be stored and is submitted
+// again and again, together with other jobs of its partition.
+func TestOversizedJobIsRejected(t *testing.T) {
+	_, k, _ := newLeader(t)
+	k.MaxRowBytes = maxRowBytes
+	large := &w.Job{ID: "large", Spec: strings.Repeat("x", maxRowBytes), Steps: []w.Step{{Count: 1}}}
+	_, err := k.Accept(t.Context(), []*w.Job{large})
+	require.ErrorIs(t, err, ErrRejected)
+	require.ErrorIs(t, err, ErrNotExecuted)
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -65,6 +65,9 @@
 	// ErrOutcomeUnknown means that the store may have applied a change or may
 	// still apply it.
 	ErrOutcomeUnknown = errors.New("keeper: no valid response from the store")
+	// ErrRejected means that the store refuses the request as it is, so that a repetition
+	// is of no use. Such errors wrap ErrNotExecuted as well.
+	ErrRejected = errors.New("keeper: request rejected by the store")
 	// ErrHistoryTruncated means that the store no longer has the changes after
 	// the given version.
 	ErrHistoryTruncated = errors.New("keeper: requested version is no longer in the history of the store")
@@ -134,6 +137,9 @@
 	// connection of its own, so that they do not wait behind other calls, as those of
 	// a load. If it is nil, Store is used.
 	Urgent Store
+	// MaxRowBytes is the size of the largest value that the store takes, or 0 if it is not
+	// known.
+	MaxRowBytes int
 
 	endPartition atomic.Int64 // index of the last of the endPartitions that took a write
 }
@@ -159,7 +165,8 @@
 }
 
 // Accept stores new jobs of one partition. It returns the stored jobs, which
-// differ from the given ones where a job ID was already in use.
+// differ from the given ones where a job ID was already in use. The error wraps
+// ErrRejected if the row of one of them is larger than the store takes.
 func (k *Keeper) Accept(ctx context.Context, jobs []*w.Job) ([]*w.Job, error) {
 	stored := make([]*w.Job, len(jobs))
 	for {
@@ -177,6 +184,9 @@
 			if err != nil {
 				return nil, fmt.Errorf("keeper: encode job %s: %w", j.ID, err)
 			}
+			if k.MaxRowBytes > 0 && len(value) > k.MaxRowBytes {
+				return nil, fmt.Errorf("keeper: job %s of %d steps takes %d bytes, limit %d: %w: %w", j.ID, len(j.Steps), len(value), k.MaxRowBytes, ErrRejected, ErrNotExecuted)
+			}
 			tx.Preconditions = append(tx.Preconditions, Precondition{Key: key})
 			tx.Writes = append(tx.Writes, Row{Key: key, Value: value})
 		}
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -39,6 +39,7 @@
 	saveSeq            int64                   // sequence number of the last save
 	saveOutcomeUnknown bool                    // the last save may or may not have been applied
 	chunks             map[w.JobID]chunkHashes // chunks of progress that are in the store, besides the first ones
+	refused            map[Key]int             // sizes of the rows that the store refused when they were written last
 }
 
 // InitSaves prepares a leader that has loaded the cell for saving.
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -15,6 +15,38 @@
 	Remove        []w.JobID
 	Roster        Roster // written if RosterChanged
 	RosterChanged bool
+
+	// SetAside lists the rows that the store refuses. Save writes the rest without them.
+	SetAside []RefusedRow
+}
+
+// RefusedRow is a row that the store refuses for good.
+type RefusedRow struct {
+	Key
+	Size     int // in bytes
+	Err      error
+	Repeated bool // it was refused in an earlier save already
+}
+
+// RefusedJobs returns the jobs whose progress is among the rows that were set aside.
+func (c *ChangeSet) RefusedJobs() []w.JobID {
+	var ids []w.JobID
+	for _, r := range c.SetAside {
+		switch r.Table {
+		case TableProgress:
+			ids = append(ids, w.JobID(r.Name))
+		case tableProgressChunks:
+			if id, _, err := parseProgressChunk(r.Name); err == nil {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
+
+// RosterRefused reports whether the roster is among the rows that were set aside.
+func (c *ChangeSet) RosterRefused() bool {
+	return slices.ContainsFunc(c.SetAside, func(r RefusedRow) bool { return r.Table == TableControl && r.Name == rosterName })
 }
 
 // commitSave commits the next transaction of a leader. The response may be lost,
@@ -75,7 +107,8 @@
 }
 
 // Save writes changes on condition that the leader row still has the version of
-// leadership. It returns a ConflictError if another leader took over.
+// leadership. It returns a ConflictError if another leader took over. Rows that the store
+// refuses are set aside, so that they don't hold up all others.
 func (k *Keeper) Save(ctx context.Context, leadership *Leadership, changes *ChangeSet) error {
 	var items []saveItem
 	for i := range changes.Progress {
@@ -94,7 +127,7 @@
 		items = append(items, item)
 	}
 	// Removals span partitions, so they get transactions of their own.
-	if err := k.saveItems(ctx, leadership, items); err != nil {
+	if err := k.saveItems(ctx, leadership, items, changes); err != nil {
 		return err
 	}
 	items = items[:0]
@@ -110,11 +143,12 @@
 		}
 		items = append(items, item)
 	}
-	return k.saveItems(ctx, leadership, items)
+	return k.saveItems(ctx, leadership, items, changes)
 }
 
 // saveItems writes items in transactions of up to maxTxRows rows and maxTxBytes.
-func (k *Keeper) saveItems(ctx context.Context, leadership *Leadership, items []saveItem) error {
+func (k *Keeper) saveItems(ctx context.Context, leadership *Leadership, items []saveItem, changes *ChangeSet) error {
+	items = slices.DeleteFunc(items, func(i saveItem) bool { return k.setAsideOversized(leadership, &i, changes) })
 	for len(items) > 0 {
 		rows, size, n := 0, 0, 0
 		for n < len(items) && (n == 0 || (rows+items[n].rows() <= maxTxRows && size+items[n].size() <= maxTxBytes)) {
@@ -122,22 +156,82 @@
 			size += items[n].size()
 			n++
 		}
-		var tx Tx
-		for i := range items[:n] {
-			tx.Writes = append(tx.Writes, items[i].writes...)
-			tx.Deletes = append(tx.Deletes, items[i].deletes...)
-		}
-		if rows > 0 {
-			if err := k.commitSave(ctx, leadership, &tx); err != nil {
-				return fmt.Errorf("keeper: save %d rows: %w", rows, err)
-			}
+		if err := k.saveTogether(ctx, leadership, items[:n], changes); err != nil {
+			return err
 		}
-		for i := range items[:n] {
+		items = items[n:]
+	}
+	return nil
+}
+
+// saveTogether writes items in one transaction or, if the store refuses that, in several,
+// so that only what it refuses by itself is set aside.
+func (k *Keeper) saveTogether(ctx context.Context, leadership *Leadership, items []saveItem, changes *ChangeSet) error {
+	var tx Tx
+	for i := range items {
+		tx.Writes = append(tx.Writes, items[i].writes...)
+		tx.Deletes = append(tx.Deletes, items[i].deletes...)
+	}
+	if len(tx.Writes)+len(tx.Deletes) == 0 {
+		return nil
+	}
+	err := k.commitSave(ctx, leadership, &tx)
+	switch {
+	case err == nil:
+		for i := range items {
 			if items[i].stored != nil {
 				items[i].stored()
 			}
 		}
-		items = items[n:]
+		return nil
+	case !errors.Is(err, ErrRejected):
+		return fmt.Errorf("keeper: save %d rows: %w", len(tx.Writes)+len(tx.Deletes), err)
+	case len(items) > 1:
+		for _, half := range [...][]saveItem{items[:len(items)/2], items[len(items)/2:]} {
+			if err := k.saveTogether(ctx, leadership, half, changes); err != nil {
+				return err
+			}
+		}
+		return nil
 	}
+	// A store that refuses even a save without rows refuses it for another reason.
+	if emptyErr := k.commitSave(ctx, leadership, new(Tx)); emptyErr != nil {
+		return fmt.Errorf("keeper: save %d rows: %w", len(tx.Writes)+len(tx.Deletes), err)
+	}
+	leadership.setAside(&items[0], err, changes)
 	return nil
 }
+
+var errOversized = errors.New("keeper: row exceeds the size limit of the store")
+
+// setAsideOversized sets an item aside that the store would refuse, and reports whether it
+// did: one with a row over the limit, or one that is as large as when it was refused.
+func (k *Keeper) setAsideOversized(leadership *Leadership, item *saveItem, changes *ChangeSet) bool {
+	for _, r := range item.writes {
+		if refused, ok := leadership.refused[r.Key]; ok && len(r.Value) >= refused {
+			changes.SetAside = append(changes.SetAside, RefusedRow{Key: r.Key, Size: len(r.Value), Err: ErrRejected, Repeated: true})
+			return true
+		}
+	}
+	for _, r := range item.writes {
+		if k.MaxRowBytes > 0 && len(r.Value) > k.MaxRowBytes {
+			leadership.setAside(item, errOversized, changes)
+			return true
+		}
+	}
+	return false
+}
+
+// setAside records that the store refuses an item.
+func (l *Leadership) setAside(item *saveItem, err error, changes *ChangeSet) {
+	if l.refused == nil {
+		l.refused = make(map[Key]int)
+	}
+	for _, r := range item.writes {
+		l.refused[r.Key] = len(r.Value)
+		changes.SetAside = append(changes.SetAside, RefusedRow{Key: r.Key, Size: len(r.Value), Err: err})
+	}
+	for _, key := range item.deletes {
+		changes.SetAside = append(changes.SetAside, RefusedRow{Key: key, Err: err})
+	}
+}
