gateway, keeper, coordinator: a cancellation outlives a job that isn't stored yet

Cause: DELETE of a job without a row left no trace. The store may perform a write that got no answer seconds later; the leader found the row and ran it.

DELETE of a job that is not stored now stores its cancellation first, with the tenant of the caller, to whose jobs alone it applies, and answers 502 if that fails. The leader is told at once, and loads and scans keep such cancellations for the retention of states; then their rows are removed.

New besides: TestEarlyCancel, TestEarlyCancelOutlivesLeader. Price: one write for each DELETE of an unknown job.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -43,6 +43,7 @@
 	Progress      []keeper.Progress
 	Remove        []w.JobID
 	RemoveEnds    []w.JobID     // rows of keeper.TableEnds that are no longer needed
+	RemoveCancels []w.JobID     // early cancellations whose jobs never arrived
 	Roster        keeper.Roster // written only if RosterChanged is set
 	RosterChanged bool
 
@@ -86,7 +87,7 @@
 
 // Empty reports whether the batch writes nothing to the store.
 func (b *Batch) Empty() bool {
-	return len(b.Progress) == 0 && len(b.Remove) == 0 && len(b.RemoveEnds) == 0 && !b.RosterChanged
+	return len(b.Progress) == 0 && len(b.Remove) == 0 && len(b.RemoveEnds) == 0 && len(b.RemoveCancels) == 0 && !b.RosterChanged
 }
 
 // Coordinator holds the scheduling state of a cell.
@@ -116,6 +117,7 @@
 	expiredJobs      []w.JobID             // removed with the next batch
 	endRows          map[w.JobID]bool      // jobs with a row of keeper.TableEnds
 	expiredEnds      []w.JobID             // jobs whose such rows are removed with the next batch
+	expiredCancels   []w.JobID             // early cancellations that are removed with the next batch
 	roster           roster                // roster as last stored: targets that may be running something
 	inFlight         *Batch                // batch that is being stored, or nil
 	storeSlow        bool
@@ -144,10 +146,10 @@
 
 	bookedCPU int64 // total CPU booked for gangs
 
-	earlyCancels  map[w.JobID]time.Time // cancellations that arrived before their jobs
-	earlyEnds     map[w.JobID]earlyEnd  // ends that arrived before their jobs
-	reserves      map[string]*reserve   // by service
-	runTimeRatios map[string]float64    // ratio of actual to estimated run times, by queue
+	earlyCancels  map[w.JobID]earlyCancel // cancellations that arrived before their jobs
+	earlyEnds     map[w.JobID]earlyEnd    // ends that arrived before their jobs
+	reserves      map[string]*reserve     // by service
+	runTimeRatios map[string]float64      // ratio of actual to estimated run times, by queue
 	speedRatios   map[ratioKey]*speedRatio
 	speeds        map[string]*serviceSpeeds // by service
 	speedsDue     time.Time
@@ -185,7 +187,7 @@
 		roster:          make(roster),
 		permittedShares: make(map[string]float64),
 		unsynced:        make(map[w.TargetID]unsyncedTarget),
-		earlyCancels:    make(map[w.JobID]time.Time),
+		earlyCancels:    make(map[w.JobID]earlyCancel),
 		earlyEnds:       make(map[w.JobID]earlyEnd),
 		endRows:         make(map[w.JobID]bool),
 		reserves:        make(map[string]*reserve),
@@ -206,12 +208,19 @@
 // Load initializes the coordinator from a snapshot of the store. The roster in it names
 // the targets on which tasks started by an earlier coordinator may still be running.
 func (c *Coordinator) Load(s *keeper.Snapshot) {
+	for id := range s.Cancelled {
+		c.earlyCancels[id] = earlyCancel{at: c.now}
+	}
+	for _, e := range s.EarlyCancels {
+		c.earlyCancels[e.ID] = earlyCancel{at: c.now, ofTenant: true, tenant: e.Tenant}
+	}
 	for i := range s.Jobs {
 		id := s.Jobs[i].ID
 		// A job that callers have seen ended before its cancellation was stored stays
 		// in that state.
 		_, ended := s.Ends[id]
-		c.addJob(&s.Jobs[i], s.Progress[id], s.Cancelled[id] && !ended, false)
+		cancelled := c.takeEarlyCancel(&s.Jobs[i])
+		c.addJob(&s.Jobs[i], s.Progress[id], cancelled && !ended, false)
 		if c.LoadProgress != nil {
 			c.LoadProgress()
 		}
@@ -244,8 +253,7 @@
 // AddJob adds a job, which is already stored. It must be called with fresh set only if
 // no earlier coordinator received the job.
 func (c *Coordinator) AddJob(j *w.Job, fresh bool) {
-	_, cancelled := c.earlyCancels[j.ID]
-	delete(c.earlyCancels, j.ID)
+	cancelled := c.takeEarlyCancel(j)
 	known := c.jobs[j.ID] != nil
 	c.addJob(j, keeper.Progress{}, cancelled, fresh)
 	if e, ok := c.earlyEnds[j.ID]; ok {
@@ -280,7 +288,7 @@
 	j := c.jobs[id]
 	if j == nil {
 		// The job itself has not arrived from its instance yet.
-		c.earlyCancels[id] = c.now
+		c.earlyCancels[id] = earlyCancel{at: c.now}
 		return
 	}
 	if j.state.Final() {
@@ -290,6 +298,34 @@
 	c.finish(j, w.Cancelled)
 }
 
+// earlyCancel is a cancellation that arrived before its job.
+type earlyCancel struct {
+	at       time.Time
+	ofTenant bool // it applies to a job of this tenant only
+	tenant   w.TenantName
+}
+
+// CancelEarly cancels a job that was not stored when its client cancelled it. It has no
+// effect on a job of another tenant.
+func (c *Coordinator) CancelEarly(id w.JobID, tenant w.TenantName) {
+	j := c.jobs[id]
+	e, known := c.earlyCancels[id]
+	switch {
+	case j != nil && j.Tenant == tenant:
+		c.Cancel(id)
+	case j == nil && (!known || e.ofTenant):
+		c.earlyCancels[id] = earlyCancel{at: c.now, ofTenant: true, tenant: tenant}
+	}
+}
+
+// takeEarlyCancel reports whether a job that arrives was cancelled before, and forgets the
+// cancellation.
+func (c *Coordinator) takeEarlyCancel(j *w.Job) bool {
+	e, ok := c.earlyCancels[j.ID]
+	delete(c.earlyCancels, j.ID)
+	return ok && (!e.ofTenant || e.tenant == j.Tenant)
+}
+
 // HasJob reports whether the job is known.
 func (c *Coordinator) HasJob(id w.JobID) bool { return c.jobs[id] != nil }
 
@@ -509,7 +545,7 @@
 // fullBatch returns a batch with all changes.
 func (c *Coordinator) fullBatch() *Batch {
 	c.progressDue = c.now.Add(progressPeriod)
-	b := &Batch{endSeqs: c.endSeqs, states: c.unstoredStates, Remove: c.expiredJobs, RemoveEnds: c.expiredEnds}
+	b := &Batch{endSeqs: c.endSeqs, states: c.unstoredStates, Remove: c.expiredJobs, RemoveEnds: c.expiredEnds, RemoveCancels: c.expiredCancels}
 	for _, j := range c.dirty {
 		b.addProgress(j)
 	}
@@ -524,7 +560,7 @@
 	c.dirty = make(map[w.JobID]*job)
 	c.endSeqs = make(map[w.TargetID]endSeq)
 	c.unstoredStates = nil
-	c.expiredJobs, c.expiredEnds = nil, nil
+	c.expiredJobs, c.expiredEnds, c.expiredCancels = nil, nil, nil
 	return b
 }
 
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -525,9 +525,10 @@
 	c.logSlowSteps()
 	c.expireOrphans()
 	c.delays.Expire(c.now.Add(-waitRetention))
-	for id, at := range c.earlyCancels {
-		if c.now.Sub(at) > c.Retention {
+	for id, e := range c.earlyCancels {
+		if c.now.Sub(e.at) > c.Retention {
 			delete(c.earlyCancels, id)
+			c.expiredCancels = append(c.expiredCancels, id)
 		}
 	}
 	for id, e := range c.earlyEnds {
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -191,6 +191,9 @@
 		c.Cancel(id)
 		m.nextFrame().Received = append(m.nextFrame().Received, id)
 	}
+	for _, e := range f.EarlyCancels {
+		c.CancelEarly(e.Job, e.Tenant)
+	}
 	for i := range f.Results {
 		if t := c.targets[f.Results[i].Target]; t == nil || t.member != m {
 			f.Results[i].At = 0
--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
 )
@@ -180,3 +181,27 @@
 	x.reportRuns("b")
 	require.Len(t, x.advance(2*time.Second).Starts, 1)
 }
+
+// TestEarlyCancelOutlivesLeader guards against a job that runs although it was cancelled:
+// it was stored only after its cancellation and after a change of the leader.
+func TestEarlyCancelOutlivesLeader(t *testing.T) {
+	x := newCell(t, 2, 1, &keeper.Snapshot{
+		Cancelled: map[w.JobID]bool{"known": true}, EarlyCancels: []keeper.EarlyCancel{{ID: "own", Tenant: "t"}, {ID: "other", Tenant: "t"}, {ID: "never"}},
+	})
+	x.reportRuns("a")
+	for id, tenant := range map[w.JobID]w.TenantName{"known": "", "own": "t", "other": "u"} {
+		j := singleTaskJob(id)
+		j.Tenant = tenant
+		x.c.AddJob(&j, false)
+	}
+	x.c.Advance(x.now)
+	require.Equal(t, w.Cancelled, x.jobState("known"))
+	require.Equal(t, w.Cancelled, x.jobState("own"))
+	require.NotEqual(t, w.Cancelled, x.jobState("other"), "it belongs to another tenant than the cancellation")
+	x.c.CancelEarly("other", "t")
+	require.NotEqual(t, w.Cancelled, x.jobState("other"))
+	x.c.Advance(x.now.Add(time.Second))
+	x.c.Stored(x.c.Flush())
+	x.c.Advance(x.now.Add(x.c.Retention + sweepPeriod + time.Second))
+	require.Equal(t, []w.JobID{"never"}, x.c.Flush().RemoveCancels)
+}
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -222,9 +222,12 @@
 		return false, g.reportDenial(ctx, id, err)
 	}
 	o := g.lookUpOwner(ctx, id)()
-	if o.err != nil || !o.found {
+	if o.err != nil {
 		return false, o.err
 	}
+	if !o.found {
+		return false, g.cancelEarly(ctx, id)
+	}
 	if err := g.checkOwner(ctx, o.tenant); err != nil {
 		return false, g.reportDenial(ctx, id, err)
 	}
--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -128,6 +128,21 @@
 	requireState(w.Completed)
 }
 
+// TestCancelOfUnknownJobIsStored guards against a job that runs after its cancelling was
+// answered with 410: the store performed the write of the job later.
+func TestCancelOfUnknownJobIsStored(t *testing.T) {
+	g, s := newEndGateway()
+	found, err := g.Cancel(t.Context(), "j")
+	require.NoError(t, err)
+	require.False(t, found)
+	require.JSONEq(t, `{"u":""}`, string(s.rows["cancels/j"].Value))
+	s.rejected = true
+	ctx, cancel := context.WithTimeout(t.Context(), minCancelBudget+100*time.Millisecond)
+	defer cancel()
+	_, err = g.Cancel(ctx, "k")
+	require.Error(t, err, "the cancellation is not stored")
+}
+
 // TestSaveUnsavedEnds guards against ends that exist only in the memory of instances
 // although the store responds, and against all instances writing the same ends.
 func TestSaveUnsavedEnds(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -390,6 +390,22 @@
 	return s, nil
 }
 
+// cancelEarly cancels a job that is not stored. A submission of it may have got no answer,
+// and the store may perform it later.
+func (g *Gateway) cancelEarly(ctx context.Context, id w.JobID) error {
+	c := keeper.EarlyCancel{ID: id, Tenant: submissionTenant(ctx)}
+	if err := g.retryStore(ctx, func() error { return g.Keeper.CancelEarly(ctx, c) }); err != nil {
+		return err
+	}
+	g.Log.Info("job cancelled that is not stored", "job", id, "tenant", c.Tenant)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn != nil {
+		g.conn.Send(&linker.Frame{EarlyCancels: []linker.EarlyCancel{{Job: id, Tenant: c.Tenant}}})
+	}
+	return nil
+}
+
 // cancel cancels a job and reports whether the job exists.
 func (g *Gateway) cancel(ctx context.Context, id w.JobID) (bool, error) {
 	g.mu.Lock()
@@ -404,9 +420,12 @@
 	}
 	if s == w.Unknown {
 		found, err := g.Keeper.Exists(ctx, id)
-		if err != nil || !found {
+		if err != nil {
 			return false, err
 		}
+		if !found {
+			return false, g.cancelEarly(ctx, id)
+		}
 	}
 	if err := g.verify(ctx); err != nil {
 		return false, err
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -455,7 +455,8 @@
 			l.reportRefused(changes)
 			b.Exclude(changes.RefusedJobs(), changes.RosterRefused())
 			saved <- b
-			l.removeEnds(b.RemoveEnds)
+			l.remove(len(b.RemoveEnds), func() error { return l.in.Keeper.RemoveEnds(l.ctx, b.RemoveEnds) })
+			l.remove(len(b.RemoveCancels), func() error { return l.in.Keeper.RemoveCancels(l.ctx, b.RemoveCancels) })
 			return
 		}
 		if l.stopIfSuperseded(err) {
@@ -477,16 +478,16 @@
 	}
 }
 
-// removeEnds removes rows of ends, apart from the batches, which must not wait for a
-// partition that is silent. Rows that remain are removed by a later leader.
-func (l *leader) removeEnds(ids []w.JobID) {
+// remove removes rows that are no longer needed, apart from the batches, which must not
+// wait for a partition that is silent. Rows that remain are removed by a later leader.
+func (l *leader) remove(rows int, write func() error) {
 	const attempts = 10
-	for attempt := 1; len(ids) > 0 && l.ctx.Err() == nil; attempt++ {
-		err := l.in.Keeper.RemoveEnds(l.ctx, ids)
+	for attempt := 1; rows > 0 && l.ctx.Err() == nil; attempt++ {
+		err := write()
 		if err == nil || attempt == attempts {
 			return
 		}
-		l.in.Log.Debug("could not remove ends", "rows", len(ids), "error", err)
+		l.in.Log.Debug("could not remove rows", "rows", rows, "error", err)
 		l.in.sleep(time.Second)
 	}
 }
@@ -718,6 +719,7 @@
 			for id := range s.Cancelled {
 				updates.Cancellations = append(updates.Cancellations, id)
 			}
+			updates.EarlyCancels = s.EarlyCancels
 		} else if err != nil {
 			l.in.Log.Debug("could not scan for jobs and cancellations", "error", err)
 			continue
@@ -747,4 +749,7 @@
 	for _, id := range updates.Cancellations {
 		c.Cancel(id)
 	}
+	for _, e := range updates.EarlyCancels {
+		c.CancelEarly(e.ID, e.Tenant)
+	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -256,6 +256,7 @@
 	if row == nil {
 		return w.Unknown, nil
 	}
+	job := row
 	row, err = k.get(ctx, progressKey(id))
 	if err != nil {
 		return w.Unknown, fmt.Errorf("keeper: read progress of %s: %w", id, err)
@@ -270,11 +271,11 @@
 		}
 	}
 	key.Table = TableCancellations
-	row, err = k.get(ctx, key)
+	cancel, err := k.get(ctx, key)
 	switch {
 	case err != nil:
 		return w.Unknown, fmt.Errorf("keeper: read cancellation of %s: %w", id, err)
-	case row != nil:
+	case cancel != nil && cancels(cancel, job):
 		return w.Cancelled, nil
 	case p.Started:
 		return w.Running, nil
@@ -291,13 +292,3 @@
 	}
 	return row != nil, nil
 }
-
-// Cancel stores the cancellation of a job.
-func (k *Keeper) Cancel(ctx context.Context, id w.JobID) error {
-	key := k.JobKey(id)
-	key.Table = TableCancellations
-	if _, err := k.Store.Commit(ctx, &Tx{Writes: []Row{{Key: key, Value: []byte("1")}}}); err != nil {
-		return fmt.Errorf("keeper: cancel job %s: %w", id, err)
-	}
-	return nil
-}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -255,3 +255,31 @@
 	require.Len(t, snap.Progress, maxTxRows)
 	require.Empty(t, snap.Roster.Open)
 }
+
+// TestEarlyCancel guards against a cancellation that is forgotten because its job was not
+// stored yet, and against one that applies to a job of another tenant.
+func TestEarlyCancel(t *testing.T) {
+	s, k, _ := newLeader(t)
+	early := []EarlyCancel{{ID: "own", Tenant: "t"}, {ID: "other", Tenant: "u"}}
+	for _, c := range early {
+		require.NoError(t, k.CancelEarly(t.Context(), c))
+	}
+	state, err := k.State(t.Context(), "own")
+	require.NoError(t, err)
+	require.Equal(t, w.Unknown, state)
+	for id, want := range map[w.JobID]w.State{"own": w.Cancelled, "other": w.Queued} {
+		_, err := k.Accept(t.Context(), []*w.Job{{ID: id, Tenant: "t", Steps: []w.Step{{Count: 1}}}})
+		require.NoError(t, err)
+		state, err := k.State(t.Context(), id)
+		require.NoError(t, err)
+		require.Equal(t, want, state)
+	}
+	snap, err := k.Load(t.Context())
+	require.NoError(t, err)
+	require.ElementsMatch(t, early, snap.EarlyCancels)
+	require.Empty(t, snap.Cancelled)
+	require.NoError(t, k.RemoveCancels(t.Context(), []w.JobID{"own", "other"}))
+	for key := range s.rows {
+		require.NotEqual(t, TableCancellations, key.Table)
+	}
+}
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -22,6 +22,7 @@
 	Jobs         []w.Job
 	Progress     map[w.JobID]Progress
 	Cancelled    map[w.JobID]bool
+	EarlyCancels []EarlyCancel
 	Ends         map[w.JobID]w.State // ends that callers have seen and that may not be in Progress
 	Roster       Roster
 	Versions     map[string]Version // version of each table from which to read changes
@@ -111,7 +112,11 @@
 		return err
 	})
 	forEachRow(TableCancellations, func(r *Row) error {
-		s.Cancelled[w.JobID(r.Name)] = true
+		if c, early := decodeEarlyCancel(r); early {
+			s.EarlyCancels = append(s.EarlyCancels, c)
+		} else {
+			s.Cancelled[w.JobID(r.Name)] = true
+		}
 		return nil
 	})
 	forEachRow(TableEnds, func(r *Row) error {
@@ -349,6 +354,7 @@
 type Updates struct {
 	Jobs          []w.Job
 	Cancellations []w.JobID
+	EarlyCancels  []EarlyCancel
 	Ends          map[w.JobID]w.State // see Snapshot.Ends
 	DecodeErrors  []error             // one per row that could not be decoded
 }
@@ -381,7 +387,11 @@
 				}
 				updates.Ends[e.ID] = e.State
 			case table == TableCancellations:
-				updates.Cancellations = append(updates.Cancellations, w.JobID(rows[i].Name))
+				if c, early := decodeEarlyCancel(&rows[i]); early {
+					updates.EarlyCancels = append(updates.EarlyCancels, c)
+				} else {
+					updates.Cancellations = append(updates.Cancellations, w.JobID(rows[i].Name))
+				}
 			default:
 				j, err := decodeJob(&rows[i])
 				if err != nil {
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -19,12 +19,15 @@
 	Jobs    []w.Job   // accepted jobs, already stored
 	Again   bool      // Jobs may have been sent to a previous coordinator
 	Cancels []w.JobID // cancelled jobs; the cancellations are already stored
-	Reports []Report
-	Results []Result
-	Advice  []Advice
-	Status  *Status
-	Calls   []Call
-	Ended   []JobState // final states that a previous coordinator sent before storing them
+	// EarlyCancels are cancellations of jobs that the instance did not find in the store.
+	// They are already stored.
+	EarlyCancels []EarlyCancel
+	Reports      []Report
+	Results      []Result
+	Advice       []Advice
+	Status       *Status
+	Calls        []Call
+	Ended        []JobState // final states that a previous coordinator sent before storing them
 	// SavedEnds are final states that the instance has written to the store.
 	SavedEnds []JobState
 
@@ -247,6 +250,13 @@
 	Tenant  w.TenantName
 }
 
+// EarlyCancel is the cancellation of a job that is not stored yet. It applies to jobs of
+// one tenant only.
+type EarlyCancel struct {
+	Job    w.JobID
+	Tenant w.TenantName
+}
+
 // Allowance limits the rate at which an instance accepts jobs of a tenant whose jobs
 // exceed its rate while the cell is full.
 type Allowance struct {
