keeper: a roster that outgrows a row is spread over chunks

No target of a large cell would get its first start: the roster with the IDs of all targets is one row and written before the first start on a target. At 13 bytes an ID it passes the 64 KB of a row at about 5,000 targets (arithmetic), and the store refuses it for good.

Above 32 KB the roster is now spread by the hash of the targets over rows of which only changed ones are written, in one transaction. Loads read all of them; a chunk that can't be decoded stands for unknown targets, as the row did.

New: TestLargeRosterFitsRows, 27,000 targets within the limits of the store, a change of one target writes one row.

--- a/keeper/chunks_test.go
+++ b/keeper/chunks_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -176,3 +177,50 @@
 	require.ErrorIs(t, err, ErrRejected)
 	require.ErrorIs(t, err, ErrNotExecuted)
 }
+
+// TestLargeRosterFitsRows guards against a roster that outgrows its row in a large cell, so
+// that no target gets its first start.
+func TestLargeRosterFitsRows(t *testing.T) {
+	s, k, leadership := newLeader(t)
+	k.Store = &limitedStore{Store: s}
+	var r Roster
+	requireStored := func() {
+		t.Helper()
+		c := &ChangeSet{Roster: r, RosterChanged: true}
+		require.NoError(t, k.Save(t.Context(), leadership, c))
+		require.Empty(t, c.SetAside)
+		snap, err := k.Load(t.Context())
+		require.NoError(t, err)
+		require.Empty(t, snap.DecodeErrors)
+		require.Equal(t, slices.Sorted(slices.Values(r.Open)), slices.Sorted(slices.Values(snap.Roster.Open)))
+		require.Equal(t, r.Closed, snap.Roster.Closed)
+	}
+	for range 27_000 {
+		r.Open = append(r.Open, w.TargetID(fmt.Sprintf("i-%08x", len(r.Open)*0x9e3779b1&0xffffffff)))
+	}
+	r.Closed = map[w.TargetID][]string{"i-00000000closed": {"job.0.0", "job.0.1"}}
+	requireStored()
+	before := s.ver
+	r.Open = r.Open[1:]
+	requireStored()
+	written := 0
+	for key, row := range s.rows {
+		if row.Version > before && (key == rosterChunkKey(0) || key.Table == tableRosterChunks) {
+			written++
+		}
+	}
+	require.Equal(t, 1, written, "unchanged chunks are written again")
+
+	// The next leader removes the chunks that a smaller roster doesn't need.
+	next, err := k.TakeOver(t.Context(), *leadership, Leadership{Instance: "b"})
+	require.NoError(t, err)
+	snap, err := k.Load(t.Context())
+	require.NoError(t, err)
+	next.InitSaves(snap)
+	leadership = &next
+	r = Roster{Open: r.Open[:10]}
+	requireStored()
+	for key := range s.rows {
+		require.NotEqual(t, tableRosterChunks, key.Table)
+	}
+}
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -39,12 +39,13 @@
 	saveSeq            int64                   // sequence number of the last save
 	saveOutcomeUnknown bool                    // the last save may or may not have been applied
 	chunks             map[w.JobID]chunkHashes // chunks of progress that are in the store, besides the first ones
+	rosterChunks       chunkHashes             // chunks of the roster that are in the store
 	refused            map[Key]int             // sizes of the rows that the store refused when they were written last
 }
 
 // InitSaves prepares a leader that has loaded the cell for saving.
 func (l *Leadership) InitSaves(s *Snapshot) {
-	l.saveSeqVersion, l.chunks = s.saveSeqVersion, s.chunks
+	l.saveSeqVersion, l.chunks, l.rosterChunks = s.saveSeqVersion, s.chunks, s.rosterChunks
 }
 
 // Leader reads the leader row. It returns a zero Leadership if the cell has had no
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -30,6 +30,7 @@
 
 	saveSeqVersion Version // version of the row with the save sequence number
 	chunks         map[w.JobID]chunkHashes
+	rosterChunks   chunkHashes
 }
 
 // Load reads the state of the cell. Only the loading leader writes progress, so it
@@ -48,6 +49,8 @@
 		Cancelled: make(map[w.JobID]bool),
 		Versions:  make(map[string]Version),
 		chunks:    make(map[w.JobID]chunkHashes),
+
+		rosterChunks: make(chunkHashes),
 	}
 	var roster, saveSeq *Row
 	scans, err := k.scanAll(ctx, m, &roster, &saveSeq)
@@ -131,8 +134,8 @@
 	}
 	if s.Roster, err = decodeRoster(roster); err != nil {
 		s.DecodeErrors = append(s.DecodeErrors, err)
-		s.Roster = Roster{Open: []w.TargetID{UnknownTarget}}
 	}
+	forEachRow(tableRosterChunks, s.addRosterChunk)
 	slices.SortFunc(s.Jobs, func(a, b w.Job) int {
 		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), strings.Compare(string(a.ID), string(b.ID)))
 	})
@@ -267,7 +270,7 @@
 	switch table {
 	case TableEnds:
 		partitions = k.endPartitions()
-	case tableProgressChunks:
+	case tableProgressChunks, tableRosterChunks:
 		partitions = []string{""}
 	}
 	if table != TableProgress {
@@ -286,7 +289,7 @@
 
 // loadOrder lists the tables in the order in which they are scanned: what decides
 // which jobs and tasks may not run, before the jobs themselves, which are the largest.
-var loadOrder = [...]string{TableEnds, TableProgress, tableProgressChunks, TableCancellations, TableJobs}
+var loadOrder = [...]string{TableEnds, TableProgress, tableProgressChunks, tableRosterChunks, TableCancellations, TableJobs}
 
 // scanAll scans all partitions of the tables, and reads the roster row and the row
 // with the save sequence number.
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -46,7 +46,7 @@
 
 // RosterRefused reports whether the roster is among the rows that were set aside.
 func (c *ChangeSet) RosterRefused() bool {
-	return slices.ContainsFunc(c.SetAside, func(r RefusedRow) bool { return r.Table == TableControl && r.Name == rosterName })
+	return slices.ContainsFunc(c.SetAside, func(r RefusedRow) bool { return r.Key == rosterChunkKey(0) || r.Table == tableRosterChunks })
 }
 
 // commitSave commits the next transaction of a leader. The response may be lost,
