coordinator: the advice of a job outlives its queue

Cause: the timing of advice came from the newest configuration only, and a queue that is missing there counted as one without advice.

The row of a job now keeps the timing of its queue's advice, which applies while the configuration has no such queue.

New: TestAdviceOutlivesQueue; before, the step started at once and without a ticket (by reading: timing is nil without the queue; not run on the old code).

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -272,8 +272,8 @@
 	if s.job.stats.firstAdviceAt.IsZero() {
 		s.job.stats.firstAdviceAt = c.now
 	}
-	q := c.queue(s.job)
-	if q == nil || q.Advice == nil {
+	timing := c.adviceTiming(s.job)
+	if timing == nil {
 		return
 	}
 	if s.advice == nil {
@@ -289,12 +289,12 @@
 			if !slices.Contains(s.permittedTargets, t) {
 				s.permittedTargets = append(s.permittedTargets, t)
 			}
-			s.advice[id] = &targetAdvice{permitted: true, ticket: r.Tickets[i], expiresAt: c.now.Add(q.Advice.TicketValidity), incarnation: t.Incarnation}
+			s.advice[id] = &targetAdvice{permitted: true, ticket: r.Tickets[i], expiresAt: c.now.Add(timing.TicketValidity), incarnation: t.Incarnation}
 		}
 	}
 	const weight = 0.1 // of one answer in the moving average
-	share := c.permittedShare(q.Name)
-	c.permittedShares[q.Name] = share + weight*(float64(len(r.Good))/float64(len(a.targets))-share)
+	share := c.permittedShare(s.job.Queue)
+	c.permittedShares[s.job.Queue] = share + weight*(float64(len(r.Good))/float64(len(a.targets))-share)
 }
 
 // permittedShare returns the estimated share of targets that the queue's policy
--- a/coordinator/advice_test.go
+++ b/coordinator/advice_test.go
@@ -332,3 +332,21 @@
 	require.Len(t, asks, 1, "no synced target runs the task")
 	require.Equal(t, "begun.0.0", asks[0].Step)
 }
+
+// TestAdviceOutlivesQueue guards against starts without tickets, which targets reject, of
+// a job whose queue the configuration no longer has.
+func TestAdviceOutlivesQueue(t *testing.T) {
+	x := newAdvisedCell(t, 2)
+	timing := x.c.cfg.Queue(testQueue).Advice
+	x.c.Configure(&w.Config{Version: 3})
+	j := singleTaskJob("j")
+	j.Advice = timing
+	x.submit(j)
+	calls, starts := x.nextOrders(10 * time.Millisecond)
+	require.Empty(t, starts)
+	require.Len(t, calls, 1)
+	x.permitAll(calls[0])
+	_, starts = x.nextOrders(10 * time.Millisecond)
+	require.Len(t, starts, 1)
+	require.Equal(t, "ticket", starts[0].Ticket)
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -157,6 +157,14 @@
 	return j.queue
 }
 
+// adviceTiming returns the timing of the advice that a job needs, or nil if it needs none.
+func (c *Coordinator) adviceTiming(j *job) *w.AdviceTiming {
+	if q := c.queue(j); q != nil {
+		return q.Advice
+	}
+	return j.Advice
+}
+
 func (c *Coordinator) maxAttempts(j *job) int {
 	if q := c.queue(j); q != nil {
 		return max(1, q.Attempts)
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -127,16 +127,16 @@
 		// Its tasks are probably running on targets that are about to be synced.
 		return
 	}
-	q := c.queue(s.job)
-	if q == nil || q.Advice == nil || s.unansweredCalls > 0 || len(s.advice) > 0 || !c.hasSpareCallCapacity(classOf(q.Advice.BaseLatency)) {
+	timing := c.adviceTiming(s.job)
+	if timing == nil || s.unansweredCalls > 0 || len(s.advice) > 0 || !c.hasSpareCallCapacity(classOf(timing.BaseLatency)) {
 		return
 	}
 	if s.Gang && s.Count > 1 {
-		c.enqueueParallelAdviceCalls(s, q.Advice, c.gangAdviceTargets(s, q.Advice, func(t *target) w.Resources { return t.Capacity }))
+		c.enqueueParallelAdviceCalls(s, timing, c.gangAdviceTargets(s, timing, func(t *target) w.Resources { return t.Capacity }))
 		return
 	}
 	targets := c.unadvisedTargetsByCapacity(s)
-	c.enqueueAdviceCall(s, q.Advice, targets[:min(len(targets), targetsPerCall(q.Advice))])
+	c.enqueueAdviceCall(s, timing, targets[:min(len(targets), targetsPerCall(timing))])
 }
 
 // updateTargetSummary computes, for a placement round, the usable targets, the maximum
@@ -171,11 +171,7 @@
 // placeStep starts the waiting tasks of a step for which there are resources. For the
 // others, it requests advice and preempts runs as needed.
 func (c *Coordinator) placeStep(s *step) {
-	q := c.queue(s.job)
-	var timing *w.AdviceTiming
-	if q != nil {
-		timing = q.Advice
-	}
+	timing := c.adviceTiming(s.job)
 	if s.Gang && s.Count > 1 {
 		c.placeGang(s, timing)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -246,7 +246,7 @@
 	if err := j.Validate(); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
-	j.Queue, j.Service, j.Attempts, j.Priority = q.Name, q.Service, q.Attempts, q.Priority
+	j.Queue, j.Service, j.Attempts, j.Priority, j.Advice = q.Name, q.Service, q.Attempts, q.Priority, q.Advice
 	j.Tenant = submissionTenant(ctx)
 	j.Accepted = time.Now().UnixMilli()
 	start := time.Now()
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -133,6 +133,9 @@
 	Accepted int64  `json:"w"` // Unix time of acceptance, ms
 	Attempts int    `json:"a"`
 	Priority int    `json:"p,omitempty"`
+	// Advice is that of the queue at the time of acceptance. It applies while the
+	// configuration has no such queue.
+	Advice *AdviceTiming `json:"e,omitempty"`
 	// Tenant is the tenant whose key the submission carried.
 	Tenant TenantName `json:"u,omitempty"`
 }
@@ -303,9 +306,9 @@
 // AdviceTiming holds the latency of a queue's advice service and the validity of
 // its tickets.
 type AdviceTiming struct {
-	BaseLatency      time.Duration // fixed latency of a call
-	LatencyPerTarget time.Duration // additional latency for each target in the call
-	TicketValidity   time.Duration // time for which a ticket can be used
+	BaseLatency      time.Duration `json:"b,omitempty"` // fixed latency of a call
+	LatencyPerTarget time.Duration `json:"t,omitempty"` // additional latency for each target in the call
+	TicketValidity   time.Duration `json:"v,omitempty"` // time for which a ticket can be used
 }
 
 // Queue is a queue of the active configuration.
