--- a/soak/builds_test.go
+++ b/soak/builds_test.go
@@ -49,7 +49,7 @@
 	})
 	require.NoError(t, err)
 	defer sim.Close()
-	processes := newProcesses(t, sim, otherBin, thisBin)
+	processes := newProcesses(t, sim, instanceCount, otherBin, thisBin)
 	other, this := processes[:instanceCount/2], processes[instanceCount/2:]
 	k := &keeper.Keeper{Store: platform.NewStore(sim.StoreAddr), Partitions: 1}
 
--- a/soak/odd_test.go
+++ b/soak/odd_test.go
@@ -82,7 +82,7 @@
 	late := sim.Targets[2]
 	setListed(sim, late, false)
 	bin := buildBinary(t)
-	processes := newProcesses(t, sim, bin, bin)[:2]
+	processes := newProcesses(t, sim, instanceCount, bin, bin)[:2]
 	for _, p := range processes {
 		p.start()
 	}
--- a/soak/outage_test.go
+++ b/soak/outage_test.go
@@ -32,7 +32,7 @@
 	require.NoError(t, err)
 	defer sim.Close()
 	bin := buildBinary(t)
-	processes := newProcesses(t, sim, bin, bin)
+	processes := newProcesses(t, sim, instanceCount, bin, bin)
 	for _, p := range processes {
 		p.start()
 	}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -25,6 +25,16 @@
 	frontAddr  string
 	mu         sync.Mutex
 	cmd        *exec.Cmd // nil before the first start
+	restarting sync.Mutex
+}
+
+// restart ends the process with a signal and starts another one after a while.
+func (p *process) restart(sig syscall.Signal, after time.Duration) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
+	p.terminate(sig)
+	time.Sleep(after)
+	p.start()
 }
 
 func (p *process) start() {
@@ -73,24 +83,31 @@
 // nodeIP returns a loopback address of an instance. Instances need different addresses,
 // since all serve their metrics on the same port. The addresses of the first instance and
 // of other test processes are those of standin.HostIP.
-func nodeIP(i int) string {
+func nodeIP(i, count int) string {
 	pid := os.Getpid()
+	if count > maxSeparateInstances {
+		return fmt.Sprintf("127.%d.%d.%d", 64+i, pid>>8&0xff, pid&0xff)
+	}
 	return fmt.Sprintf("127.%d.%d.%d", 64+16*i+pid>>16&0xf, pid>>8&0xff, pid&0xff)
 }
 
-// newProcesses prepares instanceCount instances without starting them. The first half
-// runs the first binary, the second half the second one. The logs stay in the directory
+// maxSeparateInstances is the number of instances up to which their addresses differ from
+// those of all other test processes.
+const maxSeparateInstances = 12
+
+// newProcesses prepares instances without starting them. The first half runs the first
+// binary, the second half the second one. The logs stay in the directory
 // that MASTICLEAD_LOGS names, if it is set.
-func newProcesses(t *testing.T, sim *standin.Platform, firstBin, secondBin string) []*process {
+func newProcesses(t *testing.T, sim *standin.Platform, count int, firstBin, secondBin string) []*process {
 	t.Helper()
 	dir := t.TempDir()
 	if logDir := os.Getenv("MASTICLEAD_LOGS"); logDir != "" {
 		dir = logDir
 	}
 	var processes []*process
-	for i := range instanceCount {
+	for i := range count {
 		bin := firstBin
-		if i >= instanceCount/2 {
+		if i >= count/2 {
 			bin = secondBin
 		}
 		frontAddr, firstPort := standin.FreeAddr(), firstLinkPort+linkPortsPerInstance*i
@@ -98,7 +115,7 @@
 		config := fmt.Sprintf("nodeName=n%d\nzone=z1\nip=%s\nlistenAddrs.front=%s\nlistenAddrs.readyAddr=%s\nportRange=%d,%d\n"+
 			"platform.address=%s\nadvice=%s\nplatform.across=true\nlimits.memoryMb=284\nbounds.graceS=4\nbounds.maxHoldMs=10000\nbounds.stopTimeoutMs=200\n"+
 			"bounds.revokeStrict=true\nbounds.revokeMs=%d\nbounds.quotaExcess=%g\n",
-			i, nodeIP(i), frontAddr, standin.FreeAddr(), firstPort, firstPort+linkPortsPerInstance-1, sim.StoreAddr, sim.AdviceAddr, revocationBound.Milliseconds(), capExcess)
+			i, nodeIP(i, count), frontAddr, standin.FreeAddr(), firstPort, firstPort+linkPortsPerInstance-1, sim.StoreAddr, sim.AdviceAddr, revocationBound.Milliseconds(), capExcess)
 		require.NoError(t, os.WriteFile(configPath, []byte(config), 0o600))
 		logFile, err := os.Create(filepath.Join(dir, fmt.Sprintf("node%d.log", i)))
 		require.NoError(t, err)
@@ -120,7 +137,7 @@
 	for _, job := range accepted {
 		for {
 			state := jobState(sim, processes, job)
-			if state == "completed" || state == "failed" {
+			if state == "completed" || state == "failed" || (job.cancelled && state == "cancelled") {
 				break
 			}
 			require.True(t, time.Now().Before(deadline), "job %s did not end before the timeout; last state %q", job.id, state)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,7 +65,7 @@
 	defer sim.Close()
 	tenants := newTenantSet(sim, seed)
 
-	processes := newProcesses(t, sim, bin, bin)
+	processes := newProcesses(t, sim, instanceCount, bin, bin)
 	for _, p := range processes {
 		p.start()
 	}
@@ -121,6 +121,7 @@
 type acceptedJob struct {
 	id         string
 	credential credential
+	cancelled  bool // its client has tried to cancel it
 }
 
 // submitJobs submits jobs at a fixed interval until the given time and returns the
@@ -140,7 +141,7 @@
 		wg.Go(func() {
 			if submitJob(sim, processes, tenants, i, id, c) {
 				mu.Lock()
-				accepted = append(accepted, acceptedJob{id, tenants.permanent(c)})
+				accepted = append(accepted, acceptedJob{id: id, credential: tenants.permanent(c)})
 				mu.Unlock()
 			}
 		})
