gateway: log and count ends that are not shown yet

An operator could not tell from the logs why a job that has ended is shown as running. The instance that writes its end now names the job, its state and for how long it has known it, in place of a number of jobs; the metric endsUnsaved counts the ends that are not stored.

--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -70,7 +70,11 @@
 func (g *Gateway) overdueEnds(now time.Time) (own, others []keeper.End) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	unwritten := 0
 	for id, e := range g.unsavedEnds {
+		if !e.written {
+			unwritten++
+		}
 		end := keeper.End{ID: id, State: e.state}
 		_, accepted := g.acceptedHere[id]
 		switch {
@@ -81,6 +85,7 @@
 			others = append(others, end)
 		}
 	}
+	g.Meter.SetGauge("endsUnsaved", float64(unwritten))
 	return own, others
 }
 
@@ -106,11 +111,13 @@
 		return fmt.Errorf("gateway: %w", err)
 	}
 	g.Meter.Count("end", "savedByInstance")
-	g.Log.Info("ends saved that no leader has stored", "jobs", len(ends))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f := new(linker.Frame)
 	for _, e := range ends {
+		if u := g.unsavedEnds[e.ID]; u != nil {
+			g.Log.Info("job end saved that no leader has stored", "job", e.ID, "state", e.State, "known", time.Since(u.since).Round(time.Millisecond))
+		}
 		g.endWritten(e)
 		f.SavedEnds = append(f.SavedEnds, linker.JobState{Job: e.ID, State: e.State})
 	}
