coordinator, gateway: the leader names the instance that saves an end

After all instances were replaced, none had accepted the jobs that end in an outage, so each end was shown only once instances write those of others, 4 s later. The leader now asks the instance that handed the job over to it or, if that is gone, another connected one to save the end at once.

TestEndsPublishedWhileStoreSlow requires the request at the job's instance and its absence at others.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -283,12 +283,15 @@
 	require.NotNil(t, x.c.Flush())
 	x.c.Frames()
 	x.c.SetStoreSlow(true)
-	published := linker.JobState{Job: "j", State: w.Completed, Unsaved: true}
-	require.Contains(t, x.c.Frames()["other"].States, published)
+	published := linker.JobState{Job: "j", State: w.Completed, Unsaved: true, Save: true}
+	require.Contains(t, x.c.Frames()["other"].States, published, "its instance is to save the end")
 	x.c.SetStoreSlow(true)
 	require.NotContains(t, x.c.members["other"].nextFrame().States, published, "the end is published only once")
+	published.Save = false
 	x.c.Join(&linker.Hello{Instance: "late"})
 	require.Contains(t, x.c.Frames()["late"].States, published)
+	x.c.Leave("other")
+	require.NotNil(t, x.c.saver(&published), "another instance is to save the end")
 }
 
 // TestShownEndSurvivesItsLeader guards against running a job again that was published as
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
@@ -536,7 +538,9 @@
 	for id, e := range c.earlyCancels {
 		if c.now.Sub(e.at) > c.Retention {
 			delete(c.earlyCancels, id)
-			c.expiredCancels = append(c.expiredCancels, id)
+			if e.ofTenant {
+				c.expiredCancels = append(c.expiredCancels, id)
+			}
 		}
 	}
 	for id, e := range c.earlyEnds {
@@ -595,13 +599,27 @@
 		if j := c.jobs[s.Job]; j != nil {
 			gateway, s.Tenant = j.gateway, j.Tenant
 		}
+		saver := c.saver(&s)
 		for _, m := range c.sortedMembers {
+			s.Save = m == saver
 			m.pendingStates = append(m.pendingStates, s)
 			m.sendStatesNow = m.sendStatesNow || m.id == gateway
 		}
 	}
 }
 
+// saver returns the member that is to write an unsaved end to the store: the one that
+// handed the job over or, if that is gone, any other one. It returns nil for other states.
+func (c *Coordinator) saver(s *linker.JobState) *member {
+	if !s.Unsaved || len(c.sortedMembers) == 0 {
+		return nil
+	}
+	if j := c.jobs[s.Job]; j != nil && c.members[j.gateway] != nil {
+		return c.members[j.gateway]
+	}
+	return c.sortedMembers[xxhash.Sum64String(string(s.Job))%uint64(len(c.sortedMembers))]
+}
+
 // publishPendingCounts sends the number of jobs per queue of which no task has started
 // yet to the members whose counts are out of date.
 func (c *Coordinator) publishPendingCounts() {
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -47,7 +47,9 @@
 	f.Reset, f.NamesTenants = true, true
 	f.States = make([]linker.JobState, 0, len(c.jobs))
 	for id, j := range c.jobs {
-		f.States = append(f.States, linker.JobState{Job: id, State: j.visibleState(), Unsaved: c.endUnstored(j), Tenant: j.Tenant})
+		s := linker.JobState{Job: id, State: j.visibleState(), Unsaved: c.endUnstored(j), Tenant: j.Tenant}
+		s.Save = c.saver(&s) == m
+		f.States = append(f.States, s)
 	}
 	c.assignmentsStale = true
 	c.Log.Info("instance joined", "instance", h.Instance, "zone", h.Zone, "members", len(c.members))
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -10,8 +10,8 @@
 	w "github.com/masticlead/masticlead/workload"
 )
 
-// otherEndDelay is the time after which this instance writes the unsaved end of a job that
-// another instance accepted, since that instance may be lost.
+// otherEndDelay is the time after which this instance writes an unsaved end that another
+// instance is to write, since that instance may be lost.
 const otherEndDelay = 4 * time.Second
 
 // unsavedEnd is a final state that the coordinator sent before storing it. It is shown
@@ -19,17 +19,20 @@
 // coordinator reports that the state is stored, it is passed to each new one.
 type unsavedEnd struct {
 	state   w.State
+	own     bool      // this instance is to write it
 	since   time.Time // when this instance learned of it
 	written bool      // there is a row of it in keeper.TableEnds
 }
 
 // keepUnsaved records a final state that is not stored yet. g.mu must be held.
 func (g *Gateway) keepUnsaved(s linker.JobState) {
-	if g.unsavedEnds[s.Job] != nil {
-		return
+	e := g.unsavedEnds[s.Job]
+	if e == nil {
+		e = &unsavedEnd{state: s.State, since: time.Now()}
+		g.unsavedEnds[s.Job] = e
 	}
-	g.unsavedEnds[s.Job] = &unsavedEnd{state: s.State, since: time.Now()}
-	if _, own := g.acceptedHere[s.Job]; own {
+	if _, accepted := g.acceptedHere[s.Job]; (accepted || s.Save) && !e.own {
+		e.own = true
 		g.signalOwnEnds()
 	}
 }
@@ -41,13 +44,14 @@
 	}
 }
 
-// OwnEnds returns a channel that signals an unsaved end of a job that this instance
-// accepted. Its caller waits until SaveUnsavedEnds has written it.
+// OwnEnds returns a channel that signals an unsaved end that this instance is to write: of
+// a job that it accepted, or that the coordinator asks it to save. Its caller then calls
+// SaveUnsavedEnds.
 func (g *Gateway) OwnEnds() <-chan struct{} { return g.ownEnds }
 
-// SaveUnsavedEnds writes the ends to the store that no coordinator has stored yet: those
-// of jobs that this instance accepted at once, others after a while. It is to be called
-// periodically and when OwnEnds signals.
+// SaveUnsavedEnds writes the ends to the store that no coordinator has stored yet: its own
+// at once, those of other instances after a while. It is to be called periodically and
+// when OwnEnds signals.
 func (g *Gateway) SaveUnsavedEnds(ctx context.Context, now time.Time) error {
 	own, others := g.overdueEnds(now)
 	if err := g.saveEnds(ctx, own); err != nil {
@@ -65,8 +69,8 @@
 	return g.saveEnds(ctx, others)
 }
 
-// overdueEnds returns the ends that are to be written, those of jobs that other instances
-// accepted apart.
+// overdueEnds returns the ends that are to be written, those that other instances have not
+// written in time apart.
 func (g *Gateway) overdueEnds(now time.Time) (own, others []keeper.End) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -76,10 +80,9 @@
 			unwritten++
 		}
 		end := keeper.End{ID: id, State: e.state}
-		_, accepted := g.acceptedHere[id]
 		switch {
 		case e.written:
-		case accepted:
+		case e.own:
 			own = append(own, end)
 		case now.Sub(e.since) >= otherEndDelay:
 			others = append(others, end)
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -247,6 +247,7 @@
 	Job     w.JobID
 	State   w.State
 	Unsaved bool // the state is not stored yet; the receiver must keep it for the next coordinator and not show it
+	Save    bool // set with Unsaved for the instance that is to write the state to the store
 	Tenant  w.TenantName
 }
 
