keeper, gateway: an instance saves an end only for the current leader

Cause, from the logs: the store turned the leader and another instance away. A successor that did not know the end loaded the cell and started the job again. The other instance, still with the former leader, reached the store again, wrote the end and showed it at once; the successor found the row up to 2 s later, and started tasks until then.

The row of an end is now written on condition that the leader that sent it is still in the leader row. Otherwise the instance keeps the end, tells the next leader when it joins, and writes it once that one has sent it again. Only while the partition of the leader row does not answer, so that nobody can take over, ends that the leader has sent within the last second go to another partition.

Failing before: TestEndsOfReplacedLeaderAreRejected, TestEndOfReplacedLeaderIsNotShown (there was no condition).

--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -192,10 +192,11 @@
 	completedAt  map[w.JobID]time.Time // when the completion of the job was first published
 	loading      []*modelLeader
 	lastEpoch    w.Epoch
-	unstoredEnds map[w.JobID]w.State // published ends that the instances keep until they are stored
-	shown        map[w.JobID]bool    // jobs whose ends are stored, so that callers may see them
-	event        int                 // number of the current event
-	cancelled    map[w.JobID]int     // event in which the cancellation of the job was acknowledged
+	unstoredEnds map[w.JobID]w.State        // published ends that the instances keep until they are stored
+	sentBy       map[w.JobID]keeper.Version // version of the row of the leader that published the end last
+	shown        map[w.JobID]bool           // jobs whose ends are stored, so that callers may see them
+	event        int                        // number of the current event
+	cancelled    map[w.JobID]int            // event in which the cancellation of the job was acknowledged
 	history      map[w.TaskID][]*modelRecord
 	late         []modelOrder           // start orders without an answer that may be carried out later
 	polledEpoch  map[w.TargetID]w.Epoch // highest epoch that polled any incarnation of the target
@@ -219,7 +220,7 @@
 func newModel(t *rapid.T, caps ...int64) *model {
 	m := &model{
 		t: t, now: time.Unix(1_800_000_000, 0), store: &modelStore{rows: make(map[keeper.Key]keeper.Row)},
-		targets: make(map[w.TargetID]*modelTarget), completedAt: make(map[w.JobID]time.Time), unstoredEnds: make(map[w.JobID]w.State), shown: make(map[w.JobID]bool), history: make(map[w.TaskID][]*modelRecord), settled: make(map[runKey]bool), polledEpoch: make(map[w.TargetID]w.Epoch),
+		targets: make(map[w.TargetID]*modelTarget), completedAt: make(map[w.JobID]time.Time), unstoredEnds: make(map[w.JobID]w.State), sentBy: make(map[w.JobID]keeper.Version), shown: make(map[w.JobID]bool), history: make(map[w.TaskID][]*modelRecord), settled: make(map[runKey]bool), polledEpoch: make(map[w.TargetID]w.Epoch),
 	}
 	m.begin, m.caps = m.now, caps
 	m.keeper = &keeper.Keeper{Store: m.store, Partitions: 2}
@@ -373,17 +374,17 @@
 	if m.store.unresponsive {
 		return
 	}
-	var ends []keeper.End
 	for id, state := range m.unstoredEnds {
-		ends = append(ends, keeper.End{ID: id, State: state})
-	}
-	if m.keeper.SaveEnds(context.Background(), ends) == nil {
-		for _, e := range ends {
-			m.shown[e.ID] = true
-		}
+		_ = m.writeEnd(id, state) // the instances keep the end
 	}
 }
 
+func (m *model) writeEnd(id w.JobID, state w.State) error {
+	err := m.keeper.SaveEnds(context.Background(), []keeper.End{{ID: id, State: state}}, m.sentBy[id], false)
+	m.shown[id] = m.shown[id] || err == nil
+	return err
+}
+
 // loseAll loses all instances and targets, as in a loss of power. Only the store knows the
 // ends of jobs then. Those that it doesn't have were not shown, so these jobs may run again.
 func (m *model) loseAll() {
@@ -417,12 +418,13 @@
 		return
 	}
 	id := m.jobs[rapid.IntRange(0, len(m.jobs)-1).Draw(m.t, "job")].ID
+	state, unsaved := m.unstoredEnds[id]
 	var err error
-	if state, unsaved := m.unstoredEnds[id]; unsaved {
-		if err = m.keeper.SaveEnds(context.Background(), []keeper.End{{ID: id, State: state}}); err == nil {
-			m.shown[id] = true
-		}
-	} else {
+	var conflict *keeper.ConflictError
+	if unsaved {
+		err = m.writeEnd(id, state)
+	}
+	if !unsaved || errors.As(err, &conflict) {
 		err = m.keeper.Cancel(context.Background(), id)
 	}
 	if err != nil {
@@ -530,7 +532,7 @@
 				m.completedAt[s.Job] = m.now
 			}
 			if s.Unsaved {
-				m.unstoredEnds[s.Job] = s.State
+				m.unstoredEnds[s.Job], m.sentBy[s.Job] = s.State, l.leadership.Version
 			} else {
 				delete(m.unstoredEnds, s.Job)
 				m.shown[s.Job] = true
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -14,23 +15,34 @@
 // instance is to write, since that instance may be lost.
 const otherEndDelay = 4 * time.Second
 
+// justSentAge is the time for which an end counts as just sent by the leader, see
+// keeper.SaveEnds.
+const justSentAge = time.Second
+
 // unsavedEnd is a final state that the coordinator sent before storing it. It is shown
 // only once it is in the store: all memory that holds it may be lost together. Until the
 // coordinator reports that the state is stored, it is passed to each new one.
 type unsavedEnd struct {
 	state   w.State
-	own     bool      // this instance is to write it
-	since   time.Time // when this instance learned of it
-	written bool      // there is a row of it in keeper.TableEnds
+	own     bool           // this instance is to write it
+	leader  keeper.Version // of the row of the last leader that sent it, 0 once that was replaced
+	since   time.Time      // when that leader sent it first
+	written bool           // there is a row of it in keeper.TableEnds
 }
 
+// errNotSent means that the current leader has not sent an end, so that it may not know it.
+var errNotSent = errors.New("gateway: the end was sent by a leader that has been replaced")
+
 // keepUnsaved records a final state that is not stored yet. g.mu must be held.
 func (g *Gateway) keepUnsaved(s linker.JobState) {
 	e := g.unsavedEnds[s.Job]
 	if e == nil {
-		e = &unsavedEnd{state: s.State, since: time.Now()}
+		e = &unsavedEnd{state: s.State}
 		g.unsavedEnds[s.Job] = e
 	}
+	if e.leader != g.leader {
+		e.leader, e.since, e.own = g.leader, time.Now(), false
+	}
 	if _, accepted := g.acceptedHere[s.Job]; (accepted || s.Save) && !e.own {
 		e.own = true
 		g.signalOwnEnds()
@@ -54,9 +66,11 @@
 // when OwnEnds signals.
 func (g *Gateway) SaveUnsavedEnds(ctx context.Context, now time.Time) error {
 	own, others := g.overdueEnds(now)
-	if err := g.saveEnds(ctx, own); err != nil {
-		g.signalOwnEnds()
-		return err
+	for _, b := range own {
+		if err := g.saveEnds(ctx, b); err != nil && !errors.Is(err, errNotSent) {
+			g.signalOwnEnds()
+			return err
+		}
 	}
 	if len(others) == 0 || g.StoreUnreachableFor() > 0 {
 		return nil
@@ -66,32 +80,62 @@
 		return err
 	}
 	_, others = g.overdueEnds(now)
-	return g.saveEnds(ctx, others)
+	for _, b := range others {
+		if err := g.saveEnds(ctx, b); err != nil && !errors.Is(err, errNotSent) {
+			return err
+		}
+	}
+	return nil
+}
+
+// endGroup names ends that are written together.
+type endGroup struct {
+	leader   keeper.Version
+	justSent bool
+}
+
+// endBatch is a list of ends of a group.
+type endBatch struct {
+	endGroup
+	ends []keeper.End
 }
 
 // overdueEnds returns the ends that are to be written, those that other instances have not
 // written in time apart.
-func (g *Gateway) overdueEnds(now time.Time) (own, others []keeper.End) {
+func (g *Gateway) overdueEnds(now time.Time) (own, others []endBatch) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	unwritten := 0
 	for id, e := range g.unsavedEnds {
-		if !e.written {
-			unwritten++
+		if e.written {
+			continue
 		}
+		unwritten++
 		end := keeper.End{ID: id, State: e.state}
+		age := now.Sub(e.since)
 		switch {
-		case e.written:
+		case e.leader == 0:
 		case e.own:
-			own = append(own, end)
-		case now.Sub(e.since) >= otherEndDelay:
-			others = append(others, end)
+			own = addToBatch(own, endGroup{e.leader, age < justSentAge}, end)
+		case age >= otherEndDelay:
+			others = addToBatch(others, endGroup{leader: e.leader}, end)
 		}
 	}
 	g.Meter.SetGauge("endsUnsaved", float64(unwritten))
 	return own, others
 }
 
+// addToBatch adds an end to the batch of its group, and the batch if there is none.
+func addToBatch(batches []endBatch, group endGroup, end keeper.End) []endBatch {
+	for i := range batches {
+		if batches[i].endGroup == group {
+			batches[i].ends = append(batches[i].ends, end)
+			return batches
+		}
+	}
+	return append(batches, endBatch{group, []keeper.End{end}})
+}
+
 func (g *Gateway) readWrittenEnds(ctx context.Context) error {
 	written, err := g.Keeper.Ends(ctx)
 	if err != nil {
@@ -105,24 +149,49 @@
 	return nil
 }
 
-// saveEnds writes ends to the store and shows them.
-func (g *Gateway) saveEnds(ctx context.Context, ends []keeper.End) error {
-	if len(ends) == 0 {
+// saveEnd writes the unsaved end of a job to the store and shows it.
+func (g *Gateway) saveEnd(ctx context.Context, id w.JobID) error {
+	g.mu.Lock()
+	e := g.unsavedEnds[id]
+	if e == nil || e.written {
+		g.mu.Unlock()
 		return nil
 	}
-	if err := g.Keeper.SaveEnds(ctx, ends); err != nil {
-		return fmt.Errorf("gateway: %w", err)
+	b := endBatch{endGroup{leader: e.leader}, []keeper.End{{ID: id, State: e.state}}}
+	g.mu.Unlock()
+	if b.leader == 0 {
+		return errNotSent
 	}
-	g.Meter.Count("end", "savedByInstance")
+	return g.saveEnds(ctx, b)
+}
+
+// saveEnds writes ends to the store and shows them. It returns an error that wraps
+// errNotSent if the leader that sent them has been replaced. The next one sends them again
+// once it is told of them.
+func (g *Gateway) saveEnds(ctx context.Context, b endBatch) error {
+	err := g.Keeper.SaveEnds(ctx, b.ends, b.leader, b.justSent)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var conflict *keeper.ConflictError
+	if errors.As(err, &conflict) {
+		for _, end := range b.ends {
+			if e := g.unsavedEnds[end.ID]; e != nil && e.leader == b.leader {
+				e.leader, e.own = 0, false
+			}
+		}
+		return fmt.Errorf("%w: %w", errNotSent, err)
+	}
+	if err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	g.Meter.Count("end", "savedByInstance")
 	f := new(linker.Frame)
-	for _, e := range ends {
-		if u := g.unsavedEnds[e.ID]; u != nil {
-			g.Log.Info("job end saved that no leader has stored", "job", e.ID, "state", e.State, "known", time.Since(u.since).Round(time.Millisecond))
+	for _, end := range b.ends {
+		if e := g.unsavedEnds[end.ID]; e != nil {
+			g.Log.Info("job end saved that no leader has stored", "job", end.ID, "state", end.State, "known", time.Since(e.since).Round(time.Millisecond))
 		}
-		g.endWritten(e)
-		f.SavedEnds = append(f.SavedEnds, linker.JobState{Job: e.ID, State: e.State})
+		g.endWritten(end)
+		f.SavedEnds = append(f.SavedEnds, linker.JobState{Job: end.ID, State: end.State})
 	}
 	if g.conn != nil {
 		g.conn.Send(f)
--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -20,12 +20,18 @@
 	keeper.Store
 	rows     map[string]keeper.Row
 	rejected bool
+	leader   keeper.Version
 }
 
 func (s *endStore) Commit(_ context.Context, tx *keeper.Tx) (keeper.Version, error) {
 	if s.rejected {
 		return 0, keeper.ErrNotExecuted
 	}
+	for _, p := range tx.Preconditions {
+		if p.Name == "leader" && p.Version != s.leader {
+			return 0, new(keeper.ConflictError)
+		}
+	}
 	for _, r := range tx.Writes {
 		s.rows[r.Table+"/"+r.Name] = r
 	}
@@ -43,9 +49,10 @@
 }
 
 func newEndGateway() (*Gateway, *endStore) {
-	s := &endStore{rows: make(map[string]keeper.Row)}
+	s := &endStore{rows: make(map[string]keeper.Row), leader: 1}
 	g := &Gateway{Keeper: &keeper.Keeper{Store: s}, Log: slog.New(slog.DiscardHandler), StoreUnreachableFor: func() time.Duration { return 0 }}
 	g.Init()
+	g.leader = s.leader
 	return g, s
 }
 
@@ -143,6 +150,33 @@
 	require.Error(t, err, "the cancellation is not stored")
 }
 
+// TestEndOfReplacedLeaderIsNotShown guards against showing an end that the current leader
+// does not know, and that its job's tasks may therefore run again.
+func TestEndOfReplacedLeaderIsNotShown(t *testing.T) {
+	g, s := newEndGateway()
+	g.forward(&w.Job{ID: "j", Accepted: time.Now().UnixMilli()}, false)
+	unsaved := &linker.Frame{States: []linker.JobState{{Job: "j", State: w.Completed, Unsaved: true}}}
+	g.Receive(unsaved)
+	s.leader = 2
+	for range 2 {
+		require.NoError(t, g.SaveUnsavedEnds(t.Context(), time.Now().Add(otherEndDelay)))
+		require.Empty(t, s.rows)
+		state, err := g.State(t.Context(), "j")
+		require.NoError(t, err)
+		require.Equal(t, w.Running, state)
+	}
+	found, err := g.Cancel(t.Context(), "j")
+	require.NoError(t, err)
+	require.True(t, found)
+	require.Contains(t, s.rows, "cancels/j", "a cancellation does not depend on the leader")
+
+	// The next leader was told of the end by another instance.
+	g.leader = 2
+	g.Receive(unsaved)
+	require.NoError(t, g.SaveUnsavedEnds(t.Context(), time.Now()))
+	require.Contains(t, s.rows, "ends/j")
+}
+
 // TestSaveUnsavedEnds guards against ends that exist only in the memory of instances
 // although the store responds, and against all instances writing the same ends.
 func TestSaveUnsavedEnds(t *testing.T) {
@@ -188,7 +222,7 @@
 	defer conn.Close()
 	got := make(chan *linker.Frame, 16)
 	go func() { _ = peer.Receive(func(f *linker.Frame) { got <- f }) }()
-	g.Connect(conn)
+	g.Connect(conn, 2)
 	f := <-got
 	require.Len(t, f.Jobs, 1)
 	require.Equal(t, w.JobID("new"), f.Jobs[0].ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,8 @@
 
 	mu   sync.Mutex
 	conn *linker.Conn // to the coordinator; nil while disconnected
+	// leader is the version of the row of the leader that conn leads or has led to.
+	leader keeper.Version
 
 	disconnectedSince time.Time // start of the current period without a coordinator connection
 
@@ -143,11 +145,12 @@
 
 // Connect makes c the connection to the coordinator and sends it the jobs and
 // cancellations that no coordinator has confirmed, and the published final states
-// that are not stored yet.
-func (g *Gateway) Connect(c *linker.Conn) {
+// that are not stored yet. The row of the leader that runs the coordinator has the given
+// version.
+func (g *Gateway) Connect(c *linker.Conn, leader keeper.Version) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.conn = c
+	g.conn, g.leader = c, leader
 	f := &linker.Frame{Again: true}
 	for id, j := range g.unconfirmedJobs {
 		if time.Since(time.UnixMilli(j.Accepted)) > maxForwardAge {
@@ -416,7 +419,10 @@
 	}
 	if unsaved != nil {
 		// If all instances that know the end were lost, the job would run again.
-		return true, g.retryStore(ctx, func() error { return g.saveEnds(ctx, []keeper.End{{ID: id, State: unsaved.state}}) })
+		err := g.retryStore(ctx, func() error { return g.saveEnd(ctx, id) })
+		if !errors.Is(err, errNotSent) {
+			return true, err
+		}
 	}
 	if s == w.Unknown {
 		found, err := g.Keeper.Exists(ctx, id)
@@ -445,7 +451,9 @@
 	g.mu.Unlock()
 	if unsaved != nil {
 		// The job ended while its cancellation was written.
-		return true, g.retryStore(ctx, func() error { return g.saveEnds(ctx, []keeper.End{{ID: id, State: unsaved.state}}) })
+		if err := g.retryStore(ctx, func() error { return g.saveEnd(ctx, id) }); !errors.Is(err, errNotSent) {
+			return true, err
+		}
 	}
 	return true, nil
 }
@@ -455,8 +463,8 @@
 func (g *Gateway) retryStore(ctx context.Context, write func() error) error {
 	for {
 		err := write()
-		if err == nil {
-			return nil
+		if err == nil || errors.Is(err, errNotSent) {
+			return err
 		}
 		if deadline, ok := ctx.Deadline(); ctx.Err() != nil || (ok && time.Until(deadline) < minCancelBudget) {
 			return fmt.Errorf("gateway: cancel: %w", err)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -107,7 +107,7 @@
 	conn := linker.NewConn(local)
 	defer conn.Close()
 	defer peer.Close()
-	g.Connect(conn)
+	g.Connect(conn, 1)
 	f := <-got
 	require.Equal(t, []linker.JobState{{Job: "a", State: w.Completed}}, f.Ended)
 	require.Equal(t, f.Ended, f.SavedEnds)
@@ -147,7 +147,7 @@
 		defer conn.Close()
 		got := make(chan *linker.Frame, 16)
 		go func() { _ = peer.Receive(func(f *linker.Frame) { got <- f }) }()
-		g.Connect(conn)
+		g.Connect(conn, 1)
 		require.NoError(t, g.Submit(t.Context(), &w.Queue{Name: "q"}, &w.Job{ID: "j", Steps: []w.Step{{Count: 1}}}))
 		for {
 			if f := <-got; len(f.Jobs) > 0 {
@@ -169,7 +169,7 @@
 	defer remote.Close()
 	conn := linker.NewConn(local)
 	defer conn.Close()
-	g.Connect(conn)
+	g.Connect(conn, 1)
 	g.Receive(&linker.Frame{Pending: &linker.PendingCounts{Queues: []linker.Pending{{Queue: "q", Jobs: 36}}}})
 	n, known := g.Pending("q")
 	require.True(t, known)
--- a/instance/link.go
+++ b/instance/link.go
@@ -194,7 +194,7 @@
 			in.elector.SetConnected()
 			in.electorMu.Unlock()
 			in.disconnectedSince.Store(0)
-			in.Gateway.Connect(c)
+			in.Gateway.Connect(c, leadership.Version)
 		}
 		if !joined {
 			return
--- a/keeper/ends.go
+++ b/keeper/ends.go
@@ -14,8 +14,9 @@
 )
 
 // TableEnds holds final states that callers may see although the leader could not store
-// them. The instances that keep them write the rows, so that the next leader finds them
-// even if none of these instances is left. A row may be in any of the endPartitions.
+// them with the jobs. The instances that keep them write the rows, so that the next leader
+// finds them even if none of these instances is left. A row may be in any of the
+// endPartitions.
 const TableEnds = "ends"
 
 const (
@@ -25,6 +26,9 @@
 	// endAttemptInterval is the interval between the attempts to write ends, each to the
 	// next partition, while no attempt has succeeded.
 	endAttemptInterval = 200 * time.Millisecond
+	// endFallbackDelay is the time after which the partition that answered last is tried
+	// if the one of the leader row has not answered lately.
+	endFallbackDelay = 50 * time.Millisecond
 	// endAttempts is the maximum number of such attempts.
 	endAttempts = 6
 )
@@ -61,9 +65,14 @@
 	return e, nil
 }
 
-// SaveEnds writes ends of jobs, each to a partition that answers. A row that exists is
-// overwritten, since the end of a job does not change.
-func (k *Keeper) SaveEnds(ctx context.Context, ends []End) error {
+// SaveEnds writes ends of jobs that the leader whose row has a version knows. A row that
+// exists is overwritten, since the end of a job does not change.
+//
+// It returns a ConflictError if another leader took over, which may not know the ends: a
+// task may start again under it, until it is told. Any later leader reads the rows when it
+// loads the cell. While the partition of the leader row does not answer, nobody can take
+// over. Ends that the leader has just sent may then be written to other partitions.
+func (k *Keeper) SaveEnds(ctx context.Context, ends []End, leader Version, justSent bool) error {
 	for chunk := range slices.Chunk(ends, maxTxRows) {
 		values := make([][]byte, len(chunk))
 		for i, e := range chunk {
@@ -72,64 +81,84 @@
 				return fmt.Errorf("keeper: encode end of %s: %w", e.ID, err)
 			}
 		}
-		err := k.commitAnywhere(ctx, func(partition string) *Tx {
+		s := endSave{keeper: k, justSent: justSent, tx: func(partition string) *Tx {
 			tx := new(Tx)
+			if partition == "" {
+				tx.Preconditions = []Precondition{{Key: leaderKey, Version: leader}}
+			}
 			for i, e := range chunk {
 				tx.Writes = append(tx.Writes, Row{Key: endKey(partition, e.ID), Value: values[i]})
 			}
 			return tx
-		})
-		if err != nil {
+		}}
+		if err := s.run(ctx); err != nil {
 			return fmt.Errorf("keeper: save %d ends: %w", len(chunk), err)
 		}
 	}
 	return nil
 }
 
-// commitAnywhere commits a transaction in the first of the endPartitions that answers.
-// Attempts overlap, since a silent partition takes as long as the timeout of a call to
-// fail. More than one may be applied.
-func (k *Keeper) commitAnywhere(ctx context.Context, tx func(partition string) *Tx) error {
+// endSave is one save of ends. Its attempts overlap, since a silent partition takes as long
+// as the timeout of a call to fail. More than one may be applied.
+type endSave struct {
+	keeper   *Keeper
+	justSent bool // partitions other than that of the leader row may be used
+	tx       func(partition string) *Tx
+}
+
+func (s *endSave) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	partitions := k.endPartitions()
 	results := make(chan error, endAttempts)
-	ticker := time.NewTicker(endAttemptInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	answering := int(s.keeper.endPartition.Load())
 	var lastErr error
-	started := 0
-	attempt := func() {
-		n := (started + int(k.endPartition.Load())) % len(partitions)
-		started++
-		wg.Go(func() {
-			_, err := k.Store.Commit(ctx, tx(partitions[n]))
-			if err == nil {
-				k.endPartition.Store(int64(n))
-			}
-			results <- err
-		})
-	}
-	attempt()
-	for {
+	for started := 0; ; {
 		select {
 		case err := <-results:
-			if err == nil {
-				return nil
+			var conflict *ConflictError
+			if err == nil || errors.As(err, &conflict) {
+				return err
 			}
 			lastErr = err
-		case <-ticker.C:
+		case <-timer.C:
 			if started == endAttempts {
 				return cmp.Or(lastErr, ErrOutcomeUnknown)
 			}
-			attempt()
+			n := s.partition(started, answering)
+			wg.Go(func() { results <- s.commit(ctx, n) })
+			timer.Reset(endAttemptInterval)
+			if started == 0 && answering != 0 {
+				timer.Reset(endFallbackDelay)
+			}
+			started++
 		case <-ctx.Done():
 			return errors.Join(ctx.Err(), lastErr)
 		}
 	}
 }
 
+// partition returns the index of the partition for an attempt: that of the leader row first,
+// then the one that answered last and the others in turn.
+func (s *endSave) partition(attempt, answering int) int {
+	if !s.justSent || attempt == 0 {
+		return 0
+	}
+	return (max(1, answering) + attempt - 1) % len(s.keeper.endPartitions())
+}
+
+func (s *endSave) commit(ctx context.Context, n int) error {
+	_, err := s.keeper.Store.Commit(ctx, s.tx(s.keeper.endPartitions()[n]))
+	var conflict *ConflictError
+	if err == nil || errors.As(err, &conflict) {
+		s.keeper.endPartition.Store(int64(n))
+	}
+	return err
+}
+
 // RemoveEnds removes rows of ends whose jobs' final states are stored.
 func (k *Keeper) RemoveEnds(ctx context.Context, ids []w.JobID) error {
 	var errs []error
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -141,7 +141,7 @@
 	// known.
 	MaxRowBytes int
 
-	endPartition atomic.Int64 // index of the last of the endPartitions that took a write
+	endPartition atomic.Int64 // index of the last of the endPartitions that answered a write
 }
 
 func (k *Keeper) urgent() Store {
--- a/keeper/takeover_test.go
+++ b/keeper/takeover_test.go
@@ -96,12 +96,12 @@
 // TestEndsOfInstances guards against ends that are lost between the instances that write
 // them and the leader that loads them, and against one row that prevents the load.
 func TestEndsOfInstances(t *testing.T) {
-	s, k, _ := newLeader(t)
+	s, k, leadership := newLeader(t)
 	var ends []End
 	for i := range maxTxRows + 1 {
 		ends = append(ends, End{ID: w.JobID(fmt.Sprint("j", i)), State: w.Completed})
 	}
-	require.NoError(t, k.SaveEnds(t.Context(), ends))
+	require.NoError(t, k.SaveEnds(t.Context(), ends, leadership.Version, false))
 	s.rows[endKey("", "x")] = Row{Key: endKey("", "x"), Value: []byte(`{"s":"later"}`), Version: 1}
 	snap, err := k.Load(t.Context())
 	require.NoError(t, err)
@@ -260,15 +260,37 @@
 // TestEndsAvoidSilentPartition guards against ends that wait for a partition that doesn't
 // answer, so that no caller sees them.
 func TestEndsAvoidSilentPartition(t *testing.T) {
-	s, k, _ := newLeader(t)
+	s, k, leadership := newLeader(t)
 	k.Partitions = 64
 	k.Store = &silentStore{s, map[string]bool{"": true, "0": true}}
+	ends := []End{{ID: "j", State: w.Completed}}
 	for _, limit := range []time.Duration{3 * endAttemptInterval, endAttemptInterval} {
 		start := time.Now()
-		require.NoError(t, k.SaveEnds(t.Context(), []End{{ID: "j", State: w.Completed}}))
+		require.NoError(t, k.SaveEnds(t.Context(), ends, leadership.Version, true))
 		require.Less(t, time.Since(start), limit)
 	}
 	snap, err := k.Load(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, map[w.JobID]w.State{"j": w.Completed}, snap.Ends)
+	require.Error(t, k.SaveEnds(t.Context(), ends, leadership.Version, false), "only the leader row shows whether the leader still leads")
+}
+
+// TestEndsOfReplacedLeaderAreRejected guards against showing an end that the current leader
+// does not know: an instance that was cut off wrote it after the leader had loaded the cell
+// and before that started the job again.
+func TestEndsOfReplacedLeaderAreRejected(t *testing.T) {
+	_, k, old := newLeader(t)
+	k.Partitions = 64
+	k.endPartition.Store(2)
+	ends := []End{{ID: "j", State: w.Completed}}
+	next, err := k.TakeOver(t.Context(), *old, Leadership{Instance: "b"})
+	require.NoError(t, err)
+	for _, justSent := range []bool{false, true} {
+		var conflict *ConflictError
+		require.ErrorAs(t, k.SaveEnds(t.Context(), ends, old.Version, justSent), &conflict)
+	}
+	left, err := k.Ends(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, left)
+	require.NoError(t, k.SaveEnds(t.Context(), ends, next.Version, false))
 }
