instance: what the store refused is applied on the leader's goroutine

The save passes its result on, and the leader excludes refused rows before it passes the batch to the coordinator.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -329,7 +329,7 @@
 
 func (l *leader) decide() {
 	l.spawnLoop(l.pollTargets)
-	saved := make(chan *coordinator.Batch, 1)
+	saved := make(chan savedBatch, 1)
 	tick := time.NewTicker(maxRoundInterval)
 	defer tick.Stop()
 	var inFlight *coordinator.Batch
@@ -342,9 +342,10 @@
 		case f := <-l.events:
 			f(l.coordinator)
 		case <-tick.C:
-		case b := <-saved:
+		case s := <-saved:
 			inFlight = nil
-			l.coordinator.Stored(b)
+			s.batch.Exclude(s.changes.RefusedJobs(), s.changes.RosterRefused())
+			l.coordinator.Stored(s.batch)
 		case <-l.ctx.Done():
 			return
 		}
@@ -446,15 +447,20 @@
 	}
 }
 
+// savedBatch is a batch that was saved, without the rows that the store refused.
+type savedBatch struct {
+	batch   *coordinator.Batch
+	changes *keeper.ChangeSet
+}
+
 // save retries writing a batch until it is stored or the leadership ends.
-func (l *leader) save(b *coordinator.Batch, saved chan<- *coordinator.Batch) {
+func (l *leader) save(b *coordinator.Batch, saved chan<- savedBatch) {
 	for l.ctx.Err() == nil {
 		changes := &keeper.ChangeSet{Progress: b.Progress, Remove: b.Remove, Roster: b.Roster, RosterChanged: b.RosterChanged}
 		err := l.in.Keeper.Save(l.ctx, &l.leadership, changes)
 		if err == nil {
 			l.reportRefused(changes)
-			b.Exclude(changes.RefusedJobs(), changes.RosterRefused())
-			saved <- b
+			saved <- savedBatch{b, changes}
 			l.remove(len(b.RemoveEnds), func() error { return l.in.Keeper.RemoveEnds(l.ctx, b.RemoveEnds) })
 			l.remove(len(b.RemoveCancels), func() error { return l.in.Keeper.RemoveCancels(l.ctx, b.RemoveCancels) })
 			return
