--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
@@ -251,60 +249,6 @@
 	c.activateDueOccurrences()
 }
 
-// restoreProgress applies the stored progress of an occurrence.
-func (c *Coordinator) restoreProgress(o *occurrence, stored map[keeper.StepKey]*keeper.StepProgress) {
-	for _, s := range o.steps {
-		sp := stored[keeper.StepKey{Occurrence: o.index, Index: s.index}]
-		if sp == nil {
-			continue
-		}
-		for i := range s.tasks {
-			tk := &s.tasks[i]
-			tk.failedRuns = sp.FailedRuns[i]
-			tk.checkpoint = sp.Checkpoints[i]
-			tk.crashed, tk.unclear = sp.CrashedRuns[i], sp.UnclearRuns[i]
-			tk.retryAt = c.now.Add(tk.pause())
-			if sp.Done(i) {
-				tk.phase = finished
-				s.done++
-				s.waiting--
-			}
-		}
-		if s.done == s.Count {
-			c.completeStep(s)
-		}
-	}
-}
-
-// progress returns the part of a job's state that is kept in the store.
-func (j *job) progress() keeper.Progress {
-	p := keeper.Progress{ID: j.ID, State: j.state, Started: j.started}
-	if j.state.Final() {
-		return p
-	}
-	first := 0
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			var sp *keeper.StepProgress
-			for i := range s.tasks {
-				tk := &s.tasks[i]
-				if tk.phase != finished && len(tk.failedRuns) == 0 && tk.checkpoint == "" && !tk.suspect() {
-					continue
-				}
-				if sp == nil {
-					sp = p.AddStep(keeper.StepKey{Occurrence: o.index, Index: s.index}, first, s.Count)
-				}
-				sp.SetTask(i, tk.phase == finished, tk.failedRuns, tk.checkpoint)
-				if tk.phase != finished {
-					sp.SetCrashes(i, tk.crashed, tk.unclear)
-				}
-			}
-			first += s.Count
-		}
-	}
-	return p
-}
-
 // activateDueOccurrences marks the steps without predecessors as ready in all
 // occurrences whose start time has passed.
 func (c *Coordinator) activateDueOccurrences() {
@@ -608,18 +552,6 @@
 	}
 }
 
-// saver returns the member that is to write an unsaved end to the store: the one that
-// handed the job over or, if that is gone, any other one. It returns nil for other states.
-func (c *Coordinator) saver(s *linker.JobState) *member {
-	if !s.Unsaved || len(c.sortedMembers) == 0 {
-		return nil
-	}
-	if j := c.jobs[s.Job]; j != nil && c.members[j.gateway] != nil {
-		return c.members[j.gateway]
-	}
-	return c.sortedMembers[xxhash.Sum64String(string(s.Job))%uint64(len(c.sortedMembers))]
-}
-
 // publishPendingCounts sends the number of jobs per queue of which no task has started
 // yet to the members whose counts are out of date.
 func (c *Coordinator) publishPendingCounts() {
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -64,11 +64,6 @@
 	return j.state
 }
 
-// endUnstored reports whether a job's end was published but is not stored yet.
-func (c *Coordinator) endUnstored(j *job) bool {
-	return j.endPublished && !j.endStored && !c.endRows[j.ID] && (j.state == w.Completed || j.state == w.Failed)
-}
-
 // Leave removes an instance whose connection was closed.
 func (c *Coordinator) Leave(id w.InstanceID) {
 	if m := c.members[id]; m != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -241,10 +241,10 @@
 }
 
 // Submit accepts a job. It returns an error that wraps workload.ErrInvalid if the job
-// is invalid or larger than the store takes, a RefusedError if the job was certainly not stored, an error that wraps
-// authenticator.ErrUnknownKey if the caller's key is not valid, or ErrForbidden if the ID
-// belongs to a job of another tenant. In these cases the submission never runs. After any
-// other error the job may be stored.
+// is invalid or larger than the store takes, a RefusedError if the job was certainly not
+// stored, an error that wraps authenticator.ErrUnknownKey if the caller's key is not valid,
+// or ErrForbidden if the ID belongs to a job of another tenant. In these cases the
+// submission never runs. After any other error the job may be stored.
 func (g *Gateway) Submit(ctx context.Context, q *w.Queue, j *w.Job) error {
 	if err := j.Validate(); err != nil {
 		return fmt.Errorf("gateway: %w", err)
--- a/keeper/chunks.go
+++ b/keeper/chunks.go
@@ -49,31 +49,34 @@
 // job's row comes last: until it is written, the former one still has what was moved.
 func (l *Leadership) progressItems(p *Progress) ([]saveItem, error) {
 	stored := l.chunks[p.ID]
-	value, err := json.Marshal(p)
-	if err != nil {
-		return nil, fmt.Errorf("keeper: encode progress of %s: %w", p.ID, err)
-	}
-	if len(stored) == 0 && len(value) <= maxWholeBytes {
-		return []saveItem{{writes: []Row{{Key: progressKey(p.ID), Value: value}}}}, nil
+	if len(stored) == 0 {
+		whole, err := json.Marshal(p)
+		if err != nil {
+			return nil, fmt.Errorf("keeper: encode progress of %s: %w", p.ID, err)
+		}
+		if len(whole) <= maxWholeBytes {
+			return []saveItem{{writes: []Row{{Key: progressKey(p.ID), Value: whole}}}}, nil
+		}
 	}
 	parts := p.split()
 	var items []saveItem
+	var last saveItem
 	for n, part := range parts {
-		if value, err = json.Marshal(part); err != nil {
+		value, err := json.Marshal(part)
+		if err != nil {
 			return nil, fmt.Errorf("keeper: encode progress of %s: %w", p.ID, err)
 		}
-		hash := xxhash.Sum64(value)
-		if n > 0 && stored[n] != hash {
+		if n == 0 {
+			last.writes = []Row{{Key: progressKey(p.ID), Value: value}}
+			continue
+		}
+		if hash := xxhash.Sum64(value); stored[n] != hash {
 			items = append(items, saveItem{
 				writes: []Row{{Key: progressChunkKey(p.ID, n), Value: value}},
 				stored: func() { l.setChunk(p.ID, n, hash) },
 			})
 		}
 	}
-	if value, err = json.Marshal(parts[0]); err != nil {
-		return nil, fmt.Errorf("keeper: encode progress of %s: %w", p.ID, err)
-	}
-	last := saveItem{writes: []Row{{Key: progressKey(p.ID), Value: value}}}
 	var removed []int
 	for n := range stored {
 		if parts[n] == nil {
--- a/keeper/ends.go
+++ b/keeper/ends.go
@@ -29,7 +29,7 @@
 	// endFallbackDelay is the time after which the partition that answered last is tried
 	// if the one of the leader row has not answered lately.
 	endFallbackDelay = 50 * time.Millisecond
-	// endAttempts is the maximum number of such attempts.
+	// endAttempts is the maximum number of attempts.
 	endAttempts = 6
 )
 
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -44,12 +44,11 @@
 func (k *Keeper) LoadMonitored(ctx context.Context, m *LoadMonitor) (*Snapshot, error) {
 	m.begin()
 	s := &Snapshot{
-		Ends:      make(map[w.JobID]w.State),
-		Progress:  make(map[w.JobID]Progress),
-		Cancelled: make(map[w.JobID]bool),
-		Versions:  make(map[string]Version),
-		chunks:    make(map[w.JobID]chunkHashes),
-
+		Ends:         make(map[w.JobID]w.State),
+		Progress:     make(map[w.JobID]Progress),
+		Cancelled:    make(map[w.JobID]bool),
+		Versions:     make(map[string]Version),
+		chunks:       make(map[w.JobID]chunkHashes),
 		rosterChunks: make(chunkHashes),
 	}
 	var roster, saveSeq *Row
--- a/keeper/roster.go
+++ b/keeper/roster.go
@@ -51,8 +51,10 @@
 	var item saveItem
 	next := make(chunkHashes, chunks)
 	for n, part := range r.split(chunks) {
-		if value, err = json.Marshal(part); err != nil {
-			return saveItem{}, fmt.Errorf("keeper: encode roster: %w", err)
+		if chunks > 1 {
+			if value, err = json.Marshal(part); err != nil {
+				return saveItem{}, fmt.Errorf("keeper: encode roster: %w", err)
+			}
 		}
 		next[n] = xxhash.Sum64(value)
 		if l.rosterChunks[n] != next[n] {
--- a/soak/outage_test.go
+++ b/soak/outage_test.go
@@ -26,17 +26,9 @@
 // jobs end.
 func losePowerAfterOutage(t *testing.T, fault standin.StoreFault, running time.Duration) {
 	const jobCount = 12
-	sim, err := standin.NewPlatform(targetCount, 4000, func(string) int64 { return taskCPU }, func(string, int64) (time.Duration, bool) {
+	sim, processes := startCell(t, targetCount, instanceCount, func(string, int64) (time.Duration, bool) {
 		return 300 * time.Millisecond, false
 	})
-	require.NoError(t, err)
-	defer sim.Close()
-	bin := buildBinary(t)
-	processes := newProcesses(t, sim, instanceCount, bin, bin)
-	for _, p := range processes {
-		p.start()
-	}
-	time.Sleep(2 * time.Second)
 	var accepted []acceptedJob
 	for i := range jobCount {
 		id := fmt.Sprintf("%016x", i)
--- a/soak/overlap_test.go
+++ b/soak/overlap_test.go
@@ -28,20 +28,12 @@
 	t.Logf("seed %d, %d instances, %d targets", seed, instances, targets)
 	var runMu sync.Mutex
 	runRNG := rand.New(rand.NewPCG(seed, 1))
-	sim, err := standin.NewPlatform(targets, 4000, func(string) int64 { return taskCPU }, func(string, int64) (time.Duration, bool) {
+	sim, processes := startCell(t, targets, instances, func(string, int64) (time.Duration, bool) {
 		runMu.Lock()
 		defer runMu.Unlock()
 		const failureRate = 0.03
 		return time.Duration(20+runRNG.IntN(1500)) * time.Millisecond, runRNG.Float64() < failureRate
 	})
-	require.NoError(t, err)
-	defer sim.Close()
-	bin := buildBinary(t)
-	processes := newProcesses(t, sim, instances, bin, bin)
-	for _, p := range processes {
-		p.start()
-	}
-	time.Sleep(2 * time.Second)
 	loadEnd := time.Now().Add(time.Duration(intFromEnv("MASTICLEAD_SOAK", defaultLoadSeconds)) * time.Second)
 	c := &clients{sim: sim, processes: processes}
 	var wg sync.WaitGroup
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -91,6 +91,22 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+16*i+pid>>16&0xf, pid>>8&0xff, pid&0xff)
 }
 
+// startCell starts a platform whose tasks run as run says, and instances of this tree on it.
+// It returns once the instances serve.
+func startCell(t *testing.T, targets, instances int, run standin.RunFunc) (*standin.Platform, []*process) {
+	t.Helper()
+	sim, err := standin.NewPlatform(targets, 4000, func(string) int64 { return taskCPU }, run)
+	require.NoError(t, err)
+	t.Cleanup(sim.Close)
+	bin := buildBinary(t)
+	processes := newProcesses(t, sim, instances, bin, bin)
+	for _, p := range processes {
+		p.start()
+	}
+	time.Sleep(2 * time.Second)
+	return sim, processes
+}
+
 // maxSeparateInstances is the number of instances up to which their addresses differ from
 // those of all other test processes.
 const maxSeparateInstances = 12
