linker, instance: log what a connection between instances carried when it ends

The lines about closed connections did not tell a peer that is silent from one whose data is on its way, nor which side gave up. They now name the age of the connection, the bytes sent and received, the frames received, the time since the last byte, the frames that were not written, and the error of the sending side. No logic is changed.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -261,7 +261,7 @@
 	}
 	l.mu.Unlock()
 	if current {
-		l.in.Log.Info("connection to an instance closed", "instance", id, "error", err)
+		l.in.Log.Info("connection to an instance closed", append([]any{"instance", id, "epoch", l.leadership.Epoch}, connAttrs(conn, err)...)...)
 	}
 	l.post(func(c *coordinator.Coordinator) {
 		if l.memberConns[id] == conn {
--- a/instance/link.go
+++ b/instance/link.go
@@ -212,10 +212,20 @@
 	in.leaderConn.CompareAndSwap(c, nil)
 	in.joinedConn.CompareAndSwap(c, nil)
 	e.Close()
-	in.Log.Info("connection to the leader closed", "leader", leadership.Instance, "epoch", leadership.Epoch, "joined", joined, "error", err)
+	in.Log.Info("connection to the leader closed", append([]any{"leader", leadership.Instance, "epoch", leadership.Epoch, "joined", joined}, connAttrs(c, err)...)...)
 	return result
 }
 
+// connAttrs returns the log attributes of a connection that has ended: why, how old it was
+// and what it carried. They tell a silent peer from one whose data is on its way.
+func connAttrs(c *linker.Conn, err error) []any {
+	s := c.Stats()
+	return []any{
+		"age", s.Age, "sentBytes", s.Sent, "receivedBytes", s.Received, "frames", s.Frames, "silentFor", s.SilentFor, "queued", s.Queued,
+		"sendError", c.SendErr(), "error", err,
+	}
+}
+
 // sendStatus periodically reports the status of this instance to the leader.
 func (in *Instance) sendStatus(c *linker.Conn, stop chan struct{}) {
 	const period = 500 * time.Millisecond
--- a/linker/conn.go
+++ b/linker/conn.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,20 +26,86 @@
 
 // Conn is a connection that sends and receives frames encoded with gob.
 type Conn struct {
-	nc        net.Conn
+	nc        countedConn
+	openedAt  time.Time
 	queue     chan *Frame
 	done      chan struct{}
 	closeOnce sync.Once
+	frames    atomic.Int64 // received
+	failure   atomic.Pointer[error]
 }
 
+// Stats describes what a connection has carried.
+type Stats struct {
+	Age       time.Duration // since the connection was established
+	Sent      int64         // bytes written, which the peer need not have received
+	Received  int64         // bytes
+	Frames    int64         // frames received
+	SilentFor time.Duration // since the last byte was received
+	Queued    int           // frames that are not written yet
+}
+
+// countedConn counts the bytes that a connection carries.
+type countedConn struct {
+	net.Conn
+	sent, received atomic.Int64
+	receivedAt     atomic.Int64 // Unix time of the last byte received, in ns
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received.Add(int64(n))
+		c.receivedAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+var errQueueFull = errors.New("linker: send queue full")
+
 // NewConn returns a Conn on nc and starts its writer goroutine. The caller must
 // call Receive, which reads the incoming frames.
 func NewConn(nc net.Conn) *Conn {
-	c := &Conn{nc: nc, queue: make(chan *Frame, sendQueueSize), done: make(chan struct{})}
+	c := &Conn{openedAt: time.Now(), queue: make(chan *Frame, sendQueueSize), done: make(chan struct{})}
+	c.nc.Conn = nc
+	c.nc.receivedAt.Store(c.openedAt.UnixNano())
 	go c.writeLoop()
 	return c
 }
 
+// Stats returns what the connection has carried so far.
+func (c *Conn) Stats() Stats {
+	return Stats{
+		Age: time.Since(c.openedAt), Sent: c.nc.sent.Load(), Received: c.nc.received.Load(), Frames: c.frames.Load(),
+		SilentFor: time.Since(time.Unix(0, c.nc.receivedAt.Load())), Queued: len(c.queue),
+	}
+}
+
+// SendErr returns why this side could not send, or nil. A connection that is closed for
+// that reason makes Receive fail as well, with an error that doesn't tell the reason.
+func (c *Conn) SendErr() error {
+	if err := c.failure.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// fail closes the connection because of an error in sending.
+func (c *Conn) fail(err error) {
+	select {
+	case <-c.done:
+	default:
+		c.failure.CompareAndSwap(nil, &err)
+	}
+	c.Close()
+}
+
 // Send queues a frame without blocking. If the send queue is full because the peer
 // reads too slowly, the connection is closed.
 func (c *Conn) Send(f *Frame) {
@@ -45,7 +113,7 @@
 	case c.queue <- f:
 	case <-c.done:
 	default:
-		c.Close()
+		c.fail(errQueueFull)
 	}
 }
 
@@ -59,7 +127,7 @@
 			err = fmt.Errorf("linker: panic in frame handler: %v\n%s", r, debug.Stack())
 		}
 	}()
-	dec := gob.NewDecoder(bufio.NewReaderSize(c.nc, 32<<10))
+	dec := gob.NewDecoder(bufio.NewReaderSize(&c.nc, 32<<10))
 	for {
 		if err := c.nc.SetReadDeadline(time.Now().Add(HeartbeatTimeout)); err != nil {
 			return fmt.Errorf("linker: set read deadline: %w", err)
@@ -68,6 +136,7 @@
 		if err := dec.Decode(f); err != nil {
 			return fmt.Errorf("linker: decode frame: %w", err)
 		}
+		c.frames.Add(1)
 		handle(f)
 	}
 }
@@ -87,7 +156,7 @@
 // heartbeat on each tick. It drains the queue before each flush.
 func (c *Conn) writeLoop() {
 	defer c.Close()
-	buf := bufio.NewWriterSize(c.nc, 32<<10)
+	buf := bufio.NewWriterSize(&c.nc, 32<<10)
 	enc := gob.NewEncoder(buf)
 	tick := time.NewTicker(HeartbeatInterval)
 	defer tick.Stop()
@@ -106,6 +175,7 @@
 				return
 			}
 			if err := enc.Encode(f); err != nil {
+				c.fail(fmt.Errorf("linker: encode frame: %w", err))
 				return
 			}
 			select {
@@ -115,6 +185,7 @@
 			}
 		}
 		if err := buf.Flush(); err != nil {
+			c.fail(fmt.Errorf("linker: flush frames: %w", err))
 			return
 		}
 	}
