coordinator, gateway: a join carries no ends that are stored

After a join the leader sent the states of all jobs, also of those that had ended within the retention time of 150 s. At 94 jobs a second these are 14,000 states, 390 KB for each of 37 instances; a link of 10 Mbit/s carries them in 11.6 s, while a write that takes longer than 0.6 s closes the connection. The instances then joined again, which sent everything again.

A join now leaves out the jobs whose end is stored. An instance that is asked about one reads it from the store, as it did for jobs that it did not know. A cancellation of a job that is unknown here reads its state too, so that none is stored for a job that has ended. An instance that still holds such an end as not stored is told so.

TestJoinSendsNoStoredEnds and TestEndMissedWhileDisconnected failed before as well. TestNewInstanceGetsEnds required the stored ends in the join, which was the fault; these two replace it: the end is sent if it is not stored, and read otherwise.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -119,17 +119,43 @@
 	require.NotEmpty(t, f.Acks)
 }
 
-// TestNewInstanceGetsEnds guards against an instance that joins after the end of a
-// job and reports the job as running forever.
-func TestNewInstanceGetsEnds(t *testing.T) {
+// TestJoinSendsNoStoredEnds guards against joins that grow with the number of ended jobs,
+// whose states an instance reads from the store, and against an instance that joins after
+// the end of a job and reports it as running forever, since the end is not stored yet, or
+// the instance still holds it as not stored or got the job submitted again.
+func TestJoinSendsNoStoredEnds(t *testing.T) {
 	x := newCell(t, 1, 1, nil)
 	x.reportRuns("a")
-	x.submit(singleTaskJob("j"))
+	for _, id := range []w.JobID{"stored", "unstored", "open"} {
+		x.submit(singleTaskJob(id))
+	}
 	f := x.advance(0)
+	require.Len(t, f.Starts, 3)
+	x.confirmStart(f.Starts[2])
 	x.reportEnd("a", f.Starts[0], w.EndedDone)
 	x.advance(0)
+	x.c.SetStoreSlow(true)
+	x.reportEnd("a", f.Starts[1], w.EndedDone)
+	x.c.Advance(x.now)
 	x.c.Join(&linker.Hello{Instance: "late"})
-	require.Contains(t, x.c.Frames()["late"].States, linker.JobState{Job: "j", State: w.Completed})
+	late := x.c.Frames()["late"]
+	require.True(t, late.Reset)
+	var states []linker.JobState
+	for _, s := range late.States {
+		s.Save = false
+		states = append(states, s)
+	}
+	unstored, open := f.Starts[1].Task.Job, f.Starts[2].Task.Job
+	require.ElementsMatch(t, []linker.JobState{{Job: unstored, State: w.Completed, Unsaved: true}, {Job: open, State: w.Running}}, states)
+
+	ended := linker.JobState{Job: f.Starts[0].Task.Job, State: w.Completed}
+	for _, f := range []*linker.Frame{
+		{Ended: []linker.JobState{ended}},
+		{Jobs: []w.Job{singleTaskJob(ended.Job)}, Again: true},
+	} {
+		x.c.Receive("late", f, x.now)
+		require.Equal(t, []linker.JobState{ended}, x.c.Frames()["late"].States)
+	}
 }
 
 // TestCancelBeforeJob guards against losing a cancellation that arrives before the job
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -35,7 +35,10 @@
 	return m.frame
 }
 
-// Join adds an instance and sends it the states of all jobs.
+// Join adds an instance and sends it the states of all jobs but those whose end is stored,
+// which the instance reads when a caller asks for them. They are kept for minutes, and
+// sending them to all instances takes a leader with a narrow link longer than the
+// connections last.
 func (c *Coordinator) Join(h *linker.Hello) {
 	m := &member{id: h.Instance, zone: h.Zone}
 	if old := c.members[h.Instance]; old != nil {
@@ -45,14 +48,25 @@
 	c.sortMembers()
 	f := m.nextFrame()
 	f.Reset, f.NamesTenants = true, true
-	f.States = make([]linker.JobState, 0, len(c.jobs))
 	for id, j := range c.jobs {
+		if j.endStored {
+			continue
+		}
 		s := linker.JobState{Job: id, State: j.visibleState(), Unsaved: c.endUnstored(j), Tenant: j.Tenant}
 		s.Save = c.saver(&s) == m
 		f.States = append(f.States, s)
 	}
 	c.assignmentsStale = true
-	c.Log.Info("instance joined", "instance", h.Instance, "zone", h.Zone, "members", len(c.members))
+	c.Log.Info("instance joined", "instance", h.Instance, "zone", h.Zone, "members", len(c.members), "states", len(f.States))
+}
+
+// sendStoredEnd sends the state of a job to the member if its end is stored, since the
+// member may have joined after it.
+func (m *member) sendStoredEnd(j *job) {
+	if j.endStored {
+		m.pendingStates = append(m.pendingStates, linker.JobState{Job: j.ID, State: j.state, Tenant: j.Tenant})
+		m.sendStatesNow = true
+	}
 }
 
 // visibleState returns the state that callers may see. A final state that was not
@@ -175,6 +189,7 @@
 		c.AddJob(&f.Jobs[i], !f.Again)
 		if j := c.jobs[f.Jobs[i].ID]; j != nil {
 			j.gateway = id
+			m.sendStoredEnd(j)
 		}
 		m.nextFrame().Received = append(m.nextFrame().Received, f.Jobs[i].ID)
 	}
@@ -183,6 +198,9 @@
 	}
 	for _, e := range f.Ended {
 		c.RestoreEnd(e)
+		if j := c.jobs[e.Job]; j != nil {
+			m.sendStoredEnd(j)
+		}
 	}
 	for _, id := range f.Cancels {
 		c.Cancel(id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -425,12 +425,14 @@
 		}
 	}
 	if s == w.Unknown {
-		found, err := g.Keeper.Exists(ctx, id)
-		if err != nil {
+		s, err := g.state(ctx, id)
+		switch {
+		case err != nil:
 			return false, err
-		}
-		if !found {
+		case s == w.Unknown:
 			return false, g.cancelEarly(ctx, id)
+		case s.Final():
+			return true, nil
 		}
 	}
 	if err := g.verify(ctx); err != nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net"
 	"strings"
@@ -113,6 +114,32 @@
 	require.Equal(t, f.Ended, f.SavedEnds)
 }
 
+// TestEndMissedWhileDisconnected guards against a job that is shown as running forever, or
+// cancelled after its end, because it ended and was stored while the instance had no
+// connection. The states that follow the next join leave it out.
+func TestEndMissedWhileDisconnected(t *testing.T) {
+	key := keeper.Key{Table: keeper.TableJobs, Name: "j"}
+	progress := keeper.Key{Table: keeper.TableProgress, Name: "j"}
+	s := &rowStore{rows: map[keeper.Key]keeper.Row{
+		key:      {Key: key, Value: []byte(`{}`), Version: 1},
+		progress: {Key: progress, Value: []byte(`{}`), Version: 1},
+	}}
+	p, err := json.Marshal(keeper.Progress{State: w.Completed})
+	require.NoError(t, err)
+	g := &Gateway{Keeper: &keeper.Keeper{Store: s}, Log: slog.New(slog.DiscardHandler)}
+	g.Init()
+	g.Receive(&linker.Frame{Reset: true, States: []linker.JobState{{Job: "j", State: w.Running}}})
+	s.rows[progress] = keeper.Row{Key: progress, Value: p, Version: 2}
+	g.Receive(&linker.Frame{Reset: true})
+	found, err := g.Cancel(t.Context(), "j")
+	require.NoError(t, err)
+	require.True(t, found)
+	require.Zero(t, s.commits, "no cancellation is stored for a job that has ended")
+	state, err := g.State(t.Context(), "j")
+	require.NoError(t, err)
+	require.Equal(t, w.Completed, state)
+}
+
 // singleRowStore is a store that holds only the row of one job.
 type singleRowStore struct {
 	keeper.Store
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -46,9 +46,11 @@
 	// Allowances replaces the allowances sent before.
 	Allowances *Allowances
 	Received   []w.JobID // jobs and cancellations that the coordinator has accepted
-	Reset      bool      // States is a full snapshot; earlier states that are not final are discarded
-	Replies    []CallReply
-	Retire     bool // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
+	// Reset is set if States lists all jobs whose end is not stored. Earlier states that
+	// are not final are discarded.
+	Reset   bool
+	Replies []CallReply
+	Retire  bool // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
 }
 
 const (
