--- a/linker/conn_test.go
+++ b/linker/conn_test.go
@@ -1,7 +1,10 @@
 package linker
 
 import (
+	"io"
 	"net"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +61,56 @@
 		}
 	}))
 }
+
+// forwardSlowly copies what one connection receives to another at a limited speed.
+func forwardSlowly(to, from net.Conn, bytesPerSec int) {
+	buf := make([]byte, 512)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		time.Sleep(time.Duration(n) * time.Second / time.Duration(bytesPerSec))
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// TestLargeFrameOverSlowLink guards against a connection that is closed while a frame is
+// on its way, because it takes longer than HeartbeatTimeout as a whole.
+func TestLargeFrameOverSlowLink(t *testing.T) {
+	const size = 60_000
+	near, nearProxy := net.Pipe()
+	farProxy, far := net.Pipe()
+	go forwardSlowly(farProxy, nearProxy, 30_000)
+	go forwardSlowly(nearProxy, farProxy, 30_000)
+	sender, receiver := NewConn(near), NewConn(far)
+	defer sender.Close()
+	go func() { _ = sender.Receive(func(*Frame) {}) }()
+	sender.Send(&Frame{Specs: []Spec{{Job: "j", Text: strings.Repeat("x", size)}}})
+	var text string
+	err := receiver.Receive(func(f *Frame) {
+		if len(f.Specs) > 0 {
+			text = f.Specs[0].Text
+			receiver.Close()
+		}
+	})
+	require.Len(t, text, size, err)
+}
+
+// TestSilentPeerEndsConnection guards against a connection that stays open although the
+// peer sends nothing, not even the rest of a frame.
+func TestSilentPeerEndsConnection(t *testing.T) {
+	for _, sent := range []string{"", "\x20\xff"} {
+		local, remote := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, remote) }()
+		go func() { _, _ = remote.Write([]byte(sent)) }()
+		c := NewConn(local)
+		start := time.Now()
+		err := c.Receive(func(*Frame) {})
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.Less(t, time.Since(start), HeartbeatTimeout+time.Second)
+	}
+}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -54,9 +54,8 @@
 }
 
 const (
-	// maxFrameStates is the number of states that a frame should not exceed. A frame has
-	// to arrive within HeartbeatTimeout, also while a new leader sends the states of all
-	// jobs to all instances at the same time.
+	// maxFrameStates is the number of states that a frame should not exceed, so that those
+	// of all jobs don't hold up the orders behind them at the receiver.
 	maxFrameStates = 100
 	// maxSplitFrames is the number of frames into which a frame is split at most, so that
 	// they fit into the send queue.
