elector: a leader that can't keep its connections is replaced

Nobody replaced it: each join began the time without a connection anew, which never reached the 0.8 s of a report, and the leader counted all instances as its members.

An instance whose last three connections to the same leader lasted less than 5 s each now counts as disconnected until one has lasted 5 s. Its report says that it joins all the same, so that it is not weighed as a member as well.

TestLeaderThatLosesConnections (37 instances, connections of 2.5 s, renewals in time) failed before: no takeover within 42 s. It passes with a takeover within 14 s, and no takeover if the connections of only half of the instances keep ending, or if those of all end twice. The platform's bounds name no time for this; 14 s is the time after the traffic within which jobs are asked for.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -40,6 +40,15 @@
 	maxObservationGap = 1 * time.Second
 )
 
+const (
+	// steadyTime is the time that a connection has to last to show that the leader can keep
+	// its connections.
+	steadyTime = 5 * time.Second
+	// maxShortConns is the number of consecutive connections to the same leader that ended
+	// earlier from which the instance counts as disconnected although it has joined again.
+	maxShortConns = 3
+)
+
 // ConnResult is the result of the last connection to the leader or attempt to
 // connect to it.
 type ConnResult uint8
@@ -68,8 +77,10 @@
 	Rand func() float64
 
 	leader             keeper.Leadership
-	disconnectedAt     time.Time // when the connection was lost, or the watch began
+	disconnectedAt     time.Time // when the last connection that was steady was lost, or the watch began
 	connected          bool
+	connectedAt        time.Time // when the last connection was established
+	shortConns         int       // consecutive connections that ended before they were steady
 	connResult         ConnResult
 	replacedAt         time.Time     // when another incarnation of the leader's instance first answered
 	heartbeatAge       time.Duration // when the heartbeat was last read
@@ -104,6 +115,7 @@
 type observedReport struct {
 	version    keeper.Version
 	observedAt time.Time
+	joins      bool // the leader may count the instance as a member
 }
 
 // Watch starts watching a leader and discards the state of the previous one,
@@ -121,13 +133,26 @@
 func (e *Elector) Leader() keeper.Leadership { return e.leader }
 
 // SetConnected records that a connection to the leader was established.
-func (e *Elector) SetConnected() { e.connected, e.everConnected, e.connResult = true, true, NoAnswer }
+func (e *Elector) SetConnected(now time.Time) {
+	if !e.connected {
+		e.connectedAt = now
+	}
+	e.connected, e.everConnected, e.connResult = true, true, NoAnswer
+}
 
 // SetDisconnected records that a connection to the leader ended or could not be
 // established.
 func (e *Elector) SetDisconnected(result ConnResult, now time.Time) {
 	if e.connected {
-		e.connected, e.disconnectedAt, e.heartbeatRead = false, now, false
+		e.connected, e.heartbeatRead = false, false
+		if now.Sub(e.connectedAt) >= steadyTime {
+			e.shortConns = 0
+		} else {
+			e.shortConns++
+		}
+		if e.shortConns < maxShortConns {
+			e.disconnectedAt = now
+		}
 	}
 	if result == Replaced && e.connResult != Replaced {
 		e.replacedAt = now
@@ -135,17 +160,34 @@
 	e.connResult = result
 }
 
+// ShortConns returns the number of consecutive connections to the leader that ended early.
+func (e *Elector) ShortConns() int { return e.shortConns }
+
+// isConnected reports whether the leader has accepted this instance and, if earlier
+// connections to it kept ending, has served this one for some time.
+func (e *Elector) isConnected(now time.Time) bool { return e.connected && !e.isUnsteady(now) }
+
+// isUnsteady reports whether the connections to the leader keep ending.
+func (e *Elector) isUnsteady(now time.Time) bool {
+	return e.shortConns >= maxShortConns && (!e.connected || now.Sub(e.connectedAt) < steadyTime)
+}
+
+// Report returns the report that this instance makes if the leader is unreachable for it.
+func (e *Elector) Report(now time.Time) keeper.UnreachableReport {
+	return keeper.UnreachableReport{Epoch: e.leader.Epoch, Joins: e.isUnsteady(now)}
+}
+
 // NeedsHeartbeat reports whether the leader's heartbeat has to be read. While connected,
 // the instance reads it rarely, only to know how many instances there are and how many
 // cores they have when the leader is lost.
 func (e *Elector) NeedsHeartbeat(now time.Time) bool {
-	return !e.connected || now.Sub(e.surveyedAt) >= surveyPeriod
+	return !e.isConnected(now) || now.Sub(e.surveyedAt) >= surveyPeriod
 }
 
 // ShouldReportUnreachable reports whether the instance should write an unreachable
 // report about the leader.
 func (e *Elector) ShouldReportUnreachable(now time.Time) bool {
-	if e.connected || e.isLoading() {
+	if e.isConnected(now) || e.isLoading() {
 		return false
 	}
 	since := e.disconnectedAt
@@ -160,7 +202,7 @@
 // NeedsReports reports whether the unreachable reports have to be read with the
 // heartbeat.
 func (e *Elector) NeedsReports(now time.Time) bool {
-	return !e.connected && now.Sub(e.disconnectedAt) >= unreachableTimeout && !e.isLoading()
+	return !e.isConnected(now) && now.Sub(e.disconnectedAt) >= unreachableTimeout && !e.isLoading()
 }
 
 // SetReadFailed records that the heartbeat could not be read.
@@ -200,7 +242,7 @@
 			continue
 		}
 		if known, ok := e.unreachableReports[r.Instance]; !ok || known.version != r.Version {
-			e.unreachableReports[r.Instance] = observedReport{r.Version, now}
+			e.unreachableReports[r.Instance] = observedReport{r.Version, now, r.Joins}
 		}
 	}
 }
@@ -277,7 +319,7 @@
 
 // ShouldTakeOver reports whether the instance should take over now, and why.
 func (e *Elector) ShouldTakeOver(now time.Time) (string, bool) {
-	if e.connected || !e.heartbeatRead || now.Before(e.damping.nextAttempt) {
+	if e.isConnected(now) || !e.heartbeatRead || now.Before(e.damping.nextAttempt) {
 		return "", false
 	}
 	// Of the instances that would take over, the earliest does so before the others try.
@@ -319,10 +361,13 @@
 	case age >= heartbeatTimeout+readLatencyFactor*e.readLatency:
 		return "the leader has stopped renewing", true
 	}
-	reportCount := 0
+	reportCount, members := 0, e.members
 	for _, r := range e.unreachableReports {
 		if now.Sub(r.observedAt) < e.damping.reportTTL() {
 			reportCount++
+			if r.joins {
+				members = max(0, members-1)
+			}
 		}
 	}
 	since, timeout := e.disconnectedAt, unreachableTimeout
@@ -336,7 +381,7 @@
 	if e.loadingUntil.After(since) {
 		since = e.loadingUntil
 	}
-	if now.Sub(since) >= timeout && reportCount > e.members+1 {
+	if now.Sub(since) >= timeout && reportCount > members+1 {
 		return "most instances can't reach the leader", true
 	}
 	return "", false
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -1,6 +1,9 @@
 package elector
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,9 +24,12 @@
 		elapsed time.Duration
 		want    bool
 	}{
-		"no leader yet":                {keeper.Leadership{}, func(e *Elector) { e.Observe(keeper.Heartbeat{}, 0, rtt, nil, now) }, 0, true},
-		"heartbeat not read yet":       {leader, func(*Elector) {}, time.Minute, false},
-		"connected":                    {leader, func(e *Elector) { e.Observe(keeper.Heartbeat{Epoch: 3}, time.Minute, rtt, nil, now); e.SetConnected() }, 0, false},
+		"no leader yet":          {keeper.Leadership{}, func(e *Elector) { e.Observe(keeper.Heartbeat{}, 0, rtt, nil, now) }, 0, true},
+		"heartbeat not read yet": {leader, func(*Elector) {}, time.Minute, false},
+		"connected": {leader, func(e *Elector) {
+			e.Observe(keeper.Heartbeat{Epoch: 3}, time.Minute, rtt, nil, now)
+			e.SetConnected(now)
+		}, 0, false},
 		"disconnected, still renewing": {leader, func(e *Elector) { e.Observe(keeper.Heartbeat{Epoch: 3}, 400*time.Millisecond, rtt, nil, now) }, 0, false},
 		"stopped renewing":             {leader, func(e *Elector) { e.Observe(keeper.Heartbeat{Epoch: 3}, 1100*time.Millisecond, rtt, nil, now) }, 0, true},
 		"stopped renewing, slow store": {leader, func(e *Elector) {
@@ -73,7 +79,7 @@
 			e.Observe(keeper.Heartbeat{Epoch: 3}, 0, rtt, unreachableReports(3, "a", "b", "c"), now.Add(3*time.Second))
 		}, 3 * time.Second, true},
 		"most report a leader that they were connected to": {leader, func(e *Elector) {
-			e.SetConnected()
+			e.SetConnected(now)
 			e.SetDisconnected(NoAnswer, now)
 			e.Observe(keeper.Heartbeat{Epoch: 3}, 0, rtt, unreachableReports(3, "a", "b", "c"), now.Add(900*time.Millisecond))
 		}, 900 * time.Millisecond, true},
@@ -148,3 +154,69 @@
 	require.False(t, after(0.14, takeoverDelay-minPollPeriod))
 	require.True(t, after(0.14, takeoverDelay+minPollPeriod))
 }
+
+// TestLeaderThatLosesConnections guards against a leader that renews in time and accepts
+// connections, but can't keep them: each join began the time without a connection anew, so
+// that it was never replaced.
+func TestLeaderThatLosesConnections(t *testing.T) {
+	const (
+		instances = 37
+		connTime  = 2500 * time.Millisecond
+		gap       = 100 * time.Millisecond
+		bound     = 14 * time.Second
+	)
+	// takenOver returns when an instance takes over if the connections of the first
+	// unsteady instances end conns times each.
+	takenOver := func(unsteady, conns int) (time.Duration, bool) {
+		start := time.Unix(1_800_000_000, 0)
+		leader := keeper.Leadership{Epoch: 3, Instance: "l", Instances: instances + 1}
+		list := make([]*Elector, instances)
+		for i := range list {
+			list[i] = &Elector{Cores: 1}
+			list[i].Watch(leader, start)
+			list[i].SetConnected(start)
+		}
+		reports := make(map[w.InstanceID]keeper.UnreachableReport)
+		version := keeper.Version(0)
+		heartbeat := keeper.Heartbeat{Epoch: 3, Members: instances, Instances: instances + 1, MaxCores: 1}
+		for d := gap; d < 3*bound; d += gap {
+			now := start.Add(d)
+			for i, e := range list {
+				if i < unsteady {
+					switch phase := d % connTime; {
+					case phase == 0 && int(d/connTime) <= conns:
+						e.SetDisconnected(NoAnswer, now)
+					case phase == gap && int(d/connTime) <= conns && d > connTime:
+						e.SetConnected(now)
+					}
+				}
+				if !e.NeedsHeartbeat(now) {
+					continue
+				}
+				var list []keeper.UnreachableReport
+				if e.NeedsReports(now) {
+					list = slices.Collect(maps.Values(reports))
+				}
+				e.Observe(heartbeat, 100*time.Millisecond, 4*time.Millisecond, list, now)
+				if e.ShouldReportUnreachable(now) {
+					version++
+					r := e.Report(now)
+					r.Instance, r.Version = w.InstanceID(fmt.Sprint("lost/", i)), version
+					reports[r.Instance] = r
+				}
+				if _, due := e.ShouldTakeOver(now); due {
+					return d, true
+				}
+			}
+		}
+		return 0, false
+	}
+	const forever = 1 << 20
+	at, ok := takenOver(instances, forever)
+	require.True(t, ok, "connections of all instances keep ending")
+	require.Less(t, at, bound)
+	_, ok = takenOver(instances/2, forever)
+	require.False(t, ok, "most instances are served")
+	_, ok = takenOver(instances, 2)
+	require.False(t, ok, "the connections of all instances end twice")
+}
--- a/elector/storm_test.go
+++ b/elector/storm_test.go
@@ -173,7 +173,7 @@
 		case dead && s.elapsed() > s.takeovers[len(s.takeovers)-1]+dies+600*time.Millisecond:
 			f.elector.SetDisconnected(NoAnswer, s.now)
 		case !f.connectAt.IsZero() && !s.now.Before(f.connectAt) && !dead:
-			f.elector.SetConnected()
+			f.elector.SetConnected(s.now)
 		}
 	}
 	if f.trying || s.now.Before(f.nextPoll) || f.id == s.row.Instance {
--- a/instance/link.go
+++ b/instance/link.go
@@ -191,7 +191,7 @@
 			joined = true
 			in.joinedConn.Store(c)
 			in.electorMu.Lock()
-			in.elector.SetConnected()
+			in.elector.SetConnected(time.Now())
 			in.electorMu.Unlock()
 			in.disconnectedSince.Store(0)
 			in.Gateway.Connect(c, leadership.Version)
--- a/instance/succession.go
+++ b/instance/succession.go
@@ -85,7 +85,7 @@
 		now := time.Now()
 		in.electorMu.Lock()
 		readHeartbeat, leadership, reportUnreachable := in.elector.NeedsHeartbeat(now), in.elector.Leader(), in.elector.ShouldReportUnreachable(now)
-		reportPeriod, needsReports := in.elector.ReportPeriod(), in.elector.NeedsReports(now)
+		reportPeriod, needsReports, report := in.elector.ReportPeriod(), in.elector.NeedsReports(now), in.elector.Report(now)
 		in.electorMu.Unlock()
 		if !readHeartbeat || leadership.Version == 0 && leadership.Epoch != 0 || in.draining.Load() || in.leader.Load() != nil || in.loading.Load() != nil {
 			continue
@@ -93,7 +93,7 @@
 		if reportUnreachable && now.Sub(lastReport) > reportPeriod {
 			lastReport = now
 			in.spawn(func() {
-				if err := in.Keeper.ReportUnreachable(in.ctx, in.Name, leadership.Epoch); err != nil {
+				if err := in.Keeper.ReportUnreachable(in.ctx, in.Name, report); err != nil {
 					in.Log.Debug("could not write unreachable report", "error", err)
 				}
 			})
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -180,6 +180,9 @@
 	Instance w.InstanceID `json:"-"`
 	Epoch    w.Epoch      `json:"epoch"`
 	Version  Version      `json:"-"`
+	// Joins is set if the leader accepts the instance but its connections keep ending, so
+	// that the leader may count it as a member.
+	Joins bool `json:"joins,omitempty"`
 }
 
 func (k *Keeper) encodeHeartbeat(heartbeat *Heartbeat) ([]byte, error) {
@@ -218,15 +221,15 @@
 	return nil
 }
 
-// ReportUnreachable writes an unreachable report about the leader of an epoch.
-func (k *Keeper) ReportUnreachable(ctx context.Context, name string, epoch w.Epoch) error {
-	value, err := json.Marshal(&UnreachableReport{Epoch: epoch})
+// ReportUnreachable writes the unreachable report of the instance with the given name.
+func (k *Keeper) ReportUnreachable(ctx context.Context, name string, report UnreachableReport) error {
+	value, err := json.Marshal(&report)
 	if err != nil {
 		return fmt.Errorf("keeper: encode unreachable report: %w", err)
 	}
 	key := Key{Table: tableHeartbeats, Name: "lost/" + name}
 	if _, err := k.Store.Commit(ctx, &Tx{Writes: []Row{{Key: key, Value: value}}}); err != nil {
-		return fmt.Errorf("keeper: write unreachable report about the leader of epoch %d: %w", epoch, err)
+		return fmt.Errorf("keeper: write unreachable report about the leader of epoch %d: %w", report.Epoch, err)
 	}
 	return nil
 }
--- a/keeper/takeover_test.go
+++ b/keeper/takeover_test.go
@@ -207,7 +207,7 @@
 	for _, odd := range []string{"[", "7", `{"epoch":"1"}`, `{"members":1e9}`, `{"instances":1000000000}`, `{"at":9000000000000000000}`, `{"epoch":1e400}`} {
 		s, k, _ := newLeader(t)
 		s.rows[Key{Table: tableHeartbeats, Name: "lost/b"}] = Row{Key: Key{Table: tableHeartbeats, Name: "lost/b"}, Value: []byte(odd), Version: 8}
-		require.NoError(t, k.ReportUnreachable(t.Context(), "c", 1))
+		require.NoError(t, k.ReportUnreachable(t.Context(), "c", UnreachableReport{Epoch: 1}))
 		heartbeat, reports, err := k.LeaderHealth(t.Context())
 		require.NoError(t, err, odd)
 		require.Equal(t, w.Epoch(1), heartbeat.Epoch)
