instance: connections to a leader that end soon are repeated after varying times

Instances connected again 60 ms after each loss, all at the same moment if the leader lost them together, so that no join had the leader's link or processor for itself. From the second connection in a row that lasted under 5 s, the wait now varies up to 0.24 s, and up to 1 s after more.

--- a/instance/link.go
+++ b/instance/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -121,9 +122,9 @@
 	}
 }
 
-// followLeader keeps a connection to the current leader open.
+// followLeader keeps a connection to the current leader open. While connections keep
+// ending soon, it waits longer and longer, by amounts that differ between the instances.
 func (in *Instance) followLeader() {
-	const reconnectDelay = 60 * time.Millisecond
 	for in.ctx.Err() == nil {
 		in.electorMu.Lock()
 		leadership := in.elector.Leader()
@@ -140,8 +141,25 @@
 		} else {
 			in.connLost(leadership, in.serveLeader(leadership))
 		}
-		in.sleep(reconnectDelay)
+		in.electorMu.Lock()
+		shortConns := in.elector.ShortConns()
+		in.electorMu.Unlock()
+		in.sleep(reconnectDelay(shortConns, rand.Float64()))
+	}
+}
+
+// reconnectDelay returns the time before the next connection to the leader after a number
+// of connections that ended soon. random is in [0, 1).
+func reconnectDelay(shortConns int, random float64) time.Duration {
+	const (
+		first   = 60 * time.Millisecond
+		longest = 1 * time.Second
+	)
+	if shortConns <= 1 {
+		return first
 	}
+	limit := min(longest, first<<min(shortConns, 5))
+	return first + time.Duration(random*float64(limit-first))
 }
 
 func (in *Instance) connLost(leadership keeper.Leadership, result elector.ConnResult) {
