--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -129,6 +129,7 @@
 	progressDue      time.Time
 	gaugesDue        time.Time
 	sweepDue         time.Time
+	removalDue       time.Time
 	permittedShares  map[string]float64            // share of targets that the policy permits, by queue
 	unsynced         map[w.TargetID]unsyncedTarget // targets of the previous roster that are not synced yet, see target.synced
 	generation       int64                         // counts the changes that may allow further placements
@@ -328,6 +329,10 @@
 		c.sweepDue = now.Add(sweepPeriod)
 		c.sweep()
 	}
+	if !now.Before(c.removalDue) {
+		c.removalDue = now.Add(removalPeriod)
+		c.removeExpiredJobs()
+	}
 }
 
 const (
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -473,8 +473,7 @@
 	c.reportSpeeds()
 }
 
-// sweep removes ended jobs, early cancellations and early ends after the retention
-// period. It also discards expired orphaned ends and logs slow steps.
+// sweep removes early cancellations and early ends after the retention period. It also discards expired orphaned ends and logs slow steps.
 func (c *Coordinator) sweep() {
 	c.logSlowSteps()
 	c.expireOrphans()
@@ -496,6 +495,11 @@
 			c.publish(linker.JobState{Job: id})
 		}
 	}
+}
+
+// removeExpiredJobs removes ended jobs after the retention period, up to
+// maxRemovalsPerPeriod of them.
+func (c *Coordinator) removeExpiredJobs() {
 	for id, j := range c.jobs {
 		// The instances forget the state of a removed job, so it must be in the store.
 		if j.state.Final() && j.endStored && c.now.Sub(j.endedAt) > c.Retention && !j.mayBeRunning() {
@@ -504,15 +508,20 @@
 			delete(c.dirty, id)
 			c.expiredJobs = append(c.expiredJobs, id)
 			c.publish(linker.JobState{Job: id})
-			if len(c.expiredJobs) >= maxSweepRemovals {
+			if len(c.expiredJobs) >= maxRemovalsPerPeriod {
 				return
 			}
 		}
 	}
 }
 
-// maxSweepRemovals bounds the number of jobs that one sweep removes from the store.
-const maxSweepRemovals = 200
+const (
+	// removalPeriod is the interval between removals of ended jobs.
+	removalPeriod = 1 * time.Second
+	// maxRemovalsPerPeriod bounds the jobs that are removed from the store at once. Over
+	// time, all jobs that end have to be removed.
+	maxRemovalsPerPeriod = 200
+)
 
 // mayBeRunning reports whether a target may still run a task of the job.
 func (j *job) mayBeRunning() bool {
