keeper, coordinator: the content of completed jobs is dropped from the store

A new leader reads the rows of all jobs, most of which have ended within the retention time.

Once a second the leader now replaces the rows of completed jobs by one that says no more than that the ID is in use: 10 bytes instead of 1 to 2 KB. It does so apart from its saves, which don't wait for a silent partition then. Failed and cancelled jobs and those of tenants keep their content, which is needed to account for their last runs. Such a row never runs: a load counts the job as completed, a repeated submission finds the ID in use, and changes of that kind are no new jobs.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -44,6 +44,7 @@
 	Remove        []w.JobID
 	RemoveEnds    []w.JobID     // rows of keeper.TableEnds that are no longer needed
 	RemoveCancels []w.JobID     // early cancellations whose jobs never arrived
+	DropContent   []w.JobID     // completed jobs whose content is no longer needed
 	Roster        keeper.Roster // written only if RosterChanged is set
 	RosterChanged bool
 
@@ -87,7 +88,7 @@
 
 // Empty reports whether the batch writes nothing to the store.
 func (b *Batch) Empty() bool {
-	return len(b.Progress) == 0 && len(b.Remove) == 0 && len(b.RemoveEnds) == 0 && len(b.RemoveCancels) == 0 && !b.RosterChanged
+	return len(b.Progress) == 0 && len(b.Remove) == 0 && len(b.RemoveEnds) == 0 && len(b.RemoveCancels) == 0 && len(b.DropContent) == 0 && !b.RosterChanged
 }
 
 // Coordinator holds the scheduling state of a cell.
@@ -118,6 +119,7 @@
 	endRows          map[w.JobID]bool      // jobs with a row of keeper.TableEnds
 	expiredEnds      []w.JobID             // jobs whose such rows are removed with the next batch
 	expiredCancels   []w.JobID             // early cancellations that are removed with the next batch
+	droppedContent   []w.JobID             // jobs whose content is removed from the store with the next batch
 	roster           roster                // roster as last stored: targets that may be running something
 	inFlight         *Batch                // batch that is being stored, or nil
 	storeSlow        bool
@@ -332,6 +334,7 @@
 	if !now.Before(c.removalDue) {
 		c.removalDue = now.Add(removalPeriod)
 		c.removeExpiredJobs()
+		c.dropContent()
 	}
 }
 
@@ -422,7 +425,7 @@
 // fullBatch returns a batch with all changes.
 func (c *Coordinator) fullBatch() *Batch {
 	c.progressDue = c.now.Add(progressPeriod)
-	b := &Batch{endSeqs: c.endSeqs, states: c.unstoredStates, Remove: c.expiredJobs, RemoveEnds: c.expiredEnds, RemoveCancels: c.expiredCancels}
+	b := &Batch{endSeqs: c.endSeqs, states: c.unstoredStates, Remove: c.expiredJobs, RemoveEnds: c.expiredEnds, RemoveCancels: c.expiredCancels, DropContent: c.droppedContent}
 	for _, j := range c.dirty {
 		b.addProgress(j)
 	}
@@ -437,7 +440,7 @@
 	c.dirty = make(map[w.JobID]*job)
 	c.endSeqs = make(map[w.TargetID]endSeq)
 	c.unstoredStates = nil
-	c.expiredJobs, c.expiredEnds, c.expiredCancels = nil, nil, nil
+	c.expiredJobs, c.expiredEnds, c.expiredCancels, c.droppedContent = nil, nil, nil, nil
 	return b
 }
 
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -100,6 +100,7 @@
 	started             bool
 	endPublished        bool // its end was published to the members
 	endStored           bool // its end is in the store
+	contentDropped      bool // its content was removed from the store, or soon will be
 	fresh               bool // no earlier coordinator can have started it
 	missingFromSnapshot bool // not fresh, but was not in the snapshot that the coordinator loaded
 	addedAt             time.Time
@@ -199,7 +200,9 @@
 	c.tenants.uncertainStale = c.tenants.uncertainStale || !fresh
 	switch {
 	case p.State.Final():
-		j.state, j.endStored = p.State, true
+		j.state, j.endStored, j.contentDropped = p.State, true, rec.Ended
+	case rec.Ended:
+		j.state, j.endStored, j.contentDropped = w.Completed, true, true
 	case cancelled:
 		j.state = w.Cancelled
 		c.dirty[j.ID] = j
@@ -515,8 +518,24 @@
 	}
 }
 
+// dropContent has the content of completed jobs removed from the store, up to
+// maxRemovalsPerPeriod of them. That of jobs with a tenant is needed to account for their
+// last runs.
+func (c *Coordinator) dropContent() {
+	for id, j := range c.jobs {
+		if j.state != w.Completed || !j.endStored || j.contentDropped || j.Tenant != "" {
+			continue
+		}
+		j.contentDropped = true
+		c.droppedContent = append(c.droppedContent, id)
+		if len(c.droppedContent) >= maxRemovalsPerPeriod {
+			return
+		}
+	}
+}
+
 const (
-	// removalPeriod is the interval between removals of ended jobs.
+	// removalPeriod is the interval between removals of ended jobs and of their content.
 	removalPeriod = 1 * time.Second
 	// maxRemovalsPerPeriod bounds the jobs that are removed from the store at once. Over
 	// time, all jobs that end have to be removed.
--- a/coordinator/retention_test.go
+++ b/coordinator/retention_test.go
@@ -31,3 +31,37 @@
 	}
 	require.Empty(t, x.c.jobs)
 }
+
+// TestContentOfCompletedJobsIsDropped guards against loads that read the content of all
+// jobs that have ended, and against dropping content that is still needed.
+func TestContentOfCompletedJobsIsDropped(t *testing.T) {
+	s := &keeper.Snapshot{Progress: make(map[w.JobID]keeper.Progress)}
+	add := func(id w.JobID, state w.State, tenant w.TenantName, ended bool) {
+		j := singleTaskJob(id)
+		j.Tenant, j.Ended = tenant, ended
+		s.Jobs = append(s.Jobs, j)
+		if state != w.Queued {
+			s.Progress[id] = keeper.Progress{ID: id, State: state}
+		}
+	}
+	add("completed", w.Completed, "", false)
+	add("dropped", w.Completed, "", true)
+	add("failed", w.Failed, "", false)
+	add("ofTenant", w.Completed, "t", false)
+	add("open", w.Queued, "", false)
+	add("endedAlone", w.Queued, "", true)
+	x := newCell(t, 1, 1, s)
+	require.Equal(t, w.Completed, x.jobState("endedAlone"), "a job whose content was dropped does not run again")
+	var dropped []w.JobID
+	for id, j := range x.c.jobs {
+		if j.contentDropped {
+			dropped = append(dropped, id)
+		}
+	}
+	require.ElementsMatch(t, []w.JobID{"completed", "dropped", "endedAlone"}, dropped)
+
+	x.c.jobs["completed"].contentDropped = false
+	x.now = x.now.Add(removalPeriod)
+	x.c.Advance(x.now)
+	require.Equal(t, []w.JobID{"completed"}, x.c.Flush().DropContent)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -266,7 +266,9 @@
 	g.countTenant(j.Tenant, "accepted")
 	g.Meter.ObserveDuration("accept", time.Since(start))
 	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "tenant", j.Tenant, "configuration", g.Config().Version, "took", time.Since(start))
-	g.forward(stored, stored != j)
+	if !stored.Ended {
+		g.forward(stored, stored != j)
+	}
 	return nil
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -269,3 +269,24 @@
 	require.ErrorIs(t, err, w.ErrInvalid)
 	require.ErrorContains(t, err, "limit 4000")
 }
+
+// TestEndedJobIsSubmittedAgain guards against a job that is shown as queued after its end,
+// because it was submitted once more and its row has no content any more.
+func TestEndedJobIsSubmittedAgain(t *testing.T) {
+	key, progress := keeper.Key{Table: keeper.TableJobs, Name: "j"}, keeper.Key{Table: keeper.TableProgress, Name: "j"}
+	p, err := json.Marshal(keeper.Progress{State: w.Completed})
+	require.NoError(t, err)
+	s := &rowStore{rows: map[keeper.Key]keeper.Row{
+		key:      {Key: key, Value: []byte(`{"z":true}`), Version: 2},
+		progress: {Key: progress, Value: p, Version: 1},
+	}}
+	zero := func() time.Duration { return 0 }
+	g := &Gateway{Keeper: &keeper.Keeper{Store: s}, Log: slog.New(slog.DiscardHandler), StoreFailingFor: zero, StoreUnreachableFor: zero}
+	g.Init()
+	g.Configure(&w.Config{Version: 1})
+	require.NoError(t, g.Submit(t.Context(), &w.Queue{Name: "q"}, &w.Job{ID: "j", Steps: []w.Step{{Count: 1}}}))
+	require.Empty(t, g.unconfirmedJobs)
+	state, err := g.State(t.Context(), "j")
+	require.NoError(t, err)
+	require.Equal(t, w.Completed, state)
+}
--- a/instance/saves.go
+++ b/instance/saves.go
@@ -22,6 +22,7 @@
 			l.reportRefused(changes)
 			saved <- savedBatch{b, changes}
 			l.remove(len(b.RemoveEnds), func() error { return l.in.Keeper.RemoveEnds(l.ctx, b.RemoveEnds) })
+			l.remove(len(b.DropContent), func() error { return l.in.Keeper.DropContent(l.ctx, b.DropContent) })
 			l.remove(len(b.RemoveCancels), func() error { return l.in.Keeper.RemoveCancels(l.ctx, b.RemoveCancels) })
 			return
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -230,6 +230,9 @@
 		return nil, fmt.Errorf("keeper: decode job %s: %w", r.Name, err)
 	}
 	j.ID = w.JobID(r.Name)
+	if j.Ended {
+		return j, nil
+	}
 	if err := j.Validate(); err != nil {
 		return nil, fmt.Errorf("keeper: invalid row of job %s: %w", r.Name, err)
 	}
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -98,7 +98,7 @@
 		}
 		state := s.Progress[id].State
 		if state == w.Completed && !namesTenant(r.Value) {
-			s.Jobs = append(s.Jobs, w.Job{ID: id})
+			s.Jobs = append(s.Jobs, w.Job{ID: id, Ended: isEnded(r.Value)})
 			return nil
 		}
 		j, err := decodeJob(r)
@@ -400,7 +400,9 @@
 					updates.DecodeErrors = append(updates.DecodeErrors, err)
 					continue
 				}
-				updates.Jobs = append(updates.Jobs, *j)
+				if !j.Ended {
+					updates.Jobs = append(updates.Jobs, *j)
+				}
 			}
 		}
 		next[table] = ver
@@ -409,6 +411,9 @@
 	return updates, nil
 }
 
+// isEnded reports whether the row of a completed job is one that DropContent wrote.
+func isEnded(value []byte) bool { return bytes.Equal(value, endedJob) }
+
 // namesTenant reports whether the row of a job may name its tenant. The content of
 // completed jobs is needed only for their tenant and what their last runs count for it.
 func namesTenant(value []byte) bool { return bytes.Contains(value, []byte(`"u":`)) }
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -138,6 +138,9 @@
 	Advice *AdviceTiming `json:"e,omitempty"`
 	// Tenant is the tenant whose key the submission carried.
 	Tenant TenantName `json:"u,omitempty"`
+	// Ended is set for a job that has completed and whose content was dropped. Its ID stays
+	// in use until the retention time is over.
+	Ended bool `json:"z,omitempty"`
 }
 
 // Occurrences returns how many times the steps run.
