--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -100,6 +100,7 @@
 	started             bool
 	endPublished        bool // its end was published to the members
 	endStored           bool // its end is in the store
+	contentDropped      bool // its content was removed from the store, or soon will be
 	fresh               bool // no earlier coordinator can have started it
 	missingFromSnapshot bool // not fresh, but was not in the snapshot that the coordinator loaded
 	addedAt             time.Time
@@ -199,7 +200,9 @@
 	c.tenants.uncertainStale = c.tenants.uncertainStale || !fresh
 	switch {
 	case p.State.Final():
-		j.state, j.endStored = p.State, true
+		j.state, j.endStored, j.contentDropped = p.State, true, rec.Ended
+	case rec.Ended:
+		j.state, j.endStored, j.contentDropped = w.Completed, true, true
 	case cancelled:
 		j.state = w.Cancelled
 		c.dirty[j.ID] = j
@@ -473,8 +476,7 @@
 	c.reportSpeeds()
 }
 
-// sweep removes ended jobs, early cancellations and early ends after the retention
-// period. It also discards expired orphaned ends and logs slow steps.
+// sweep removes early cancellations and early ends after the retention period. It also discards expired orphaned ends and logs slow steps.
 func (c *Coordinator) sweep() {
 	c.logSlowSteps()
 	c.expireOrphans()
@@ -496,6 +498,11 @@
 			c.publish(linker.JobState{Job: id})
 		}
 	}
+}
+
+// removeExpiredJobs removes ended jobs after the retention period, up to
+// maxRemovalsPerPeriod of them.
+func (c *Coordinator) removeExpiredJobs() {
 	for id, j := range c.jobs {
 		// The instances forget the state of a removed job, so it must be in the store.
 		if j.state.Final() && j.endStored && c.now.Sub(j.endedAt) > c.Retention && !j.mayBeRunning() {
@@ -504,15 +511,36 @@
 			delete(c.dirty, id)
 			c.expiredJobs = append(c.expiredJobs, id)
 			c.publish(linker.JobState{Job: id})
-			if len(c.expiredJobs) >= maxSweepRemovals {
+			if len(c.expiredJobs) >= maxRemovalsPerPeriod {
 				return
 			}
 		}
 	}
 }
 
-// maxSweepRemovals bounds the number of jobs that one sweep removes from the store.
-const maxSweepRemovals = 200
+// dropContent has the content of completed jobs removed from the store, up to
+// maxRemovalsPerPeriod of them. That of jobs with a tenant is needed to account for their
+// last runs.
+func (c *Coordinator) dropContent() {
+	for id, j := range c.jobs {
+		if j.state != w.Completed || !j.endStored || j.contentDropped || j.Tenant != "" {
+			continue
+		}
+		j.contentDropped = true
+		c.droppedContent = append(c.droppedContent, id)
+		if len(c.droppedContent) >= maxRemovalsPerPeriod {
+			return
+		}
+	}
+}
+
+const (
+	// removalPeriod is the interval between removals of ended jobs and of their content.
+	removalPeriod = 1 * time.Second
+	// maxRemovalsPerPeriod bounds the jobs that are removed from the store at once. Over
+	// time, all jobs that end have to be removed.
+	maxRemovalsPerPeriod = 200
+)
 
 // mayBeRunning reports whether a target may still run a task of the job.
 func (j *job) mayBeRunning() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -266,7 +266,9 @@
 	g.countTenant(j.Tenant, "accepted")
 	g.Meter.ObserveDuration("accept", time.Since(start))
 	g.Log.Info("job accepted", "job", j.ID, "queue", q.Name, "tenant", j.Tenant, "configuration", g.Config().Version, "took", time.Since(start))
-	g.forward(stored, stored != j)
+	if !stored.Ended {
+		g.forward(stored, stored != j)
+	}
 	return nil
 }
 
@@ -425,12 +427,14 @@
 		}
 	}
 	if s == w.Unknown {
-		found, err := g.Keeper.Exists(ctx, id)
-		if err != nil {
+		s, err := g.state(ctx, id)
+		switch {
+		case err != nil:
 			return false, err
-		}
-		if !found {
+		case s == w.Unknown:
 			return false, g.cancelEarly(ctx, id)
+		case s.Final():
+			return true, nil
 		}
 	}
 	if err := g.verify(ctx); err != nil {
--- a/instance/link.go
+++ b/instance/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -121,9 +122,9 @@
 	}
 }
 
-// followLeader keeps a connection to the current leader open.
+// followLeader keeps a connection to the current leader open. While connections keep
+// ending soon, it waits longer and longer, by amounts that differ between the instances.
 func (in *Instance) followLeader() {
-	const reconnectDelay = 60 * time.Millisecond
 	for in.ctx.Err() == nil {
 		in.electorMu.Lock()
 		leadership := in.elector.Leader()
@@ -140,8 +141,25 @@
 		} else {
 			in.connLost(leadership, in.serveLeader(leadership))
 		}
-		in.sleep(reconnectDelay)
+		in.electorMu.Lock()
+		shortConns := in.elector.ShortConns()
+		in.electorMu.Unlock()
+		in.sleep(reconnectDelay(shortConns, rand.Float64()))
+	}
+}
+
+// reconnectDelay returns the time before the next connection to the leader after a number
+// of connections that ended soon. random is in [0, 1).
+func reconnectDelay(shortConns int, random float64) time.Duration {
+	const (
+		first   = 60 * time.Millisecond
+		longest = 1 * time.Second
+	)
+	if shortConns <= 1 {
+		return first
 	}
+	limit := min(longest, first<<min(shortConns, 5))
+	return first + time.Duration(random*float64(limit-first))
 }
 
 func (in *Instance) connLost(leadership keeper.Leadership, result elector.ConnResult) {
@@ -191,7 +209,7 @@
 			joined = true
 			in.joinedConn.Store(c)
 			in.electorMu.Lock()
-			in.elector.SetConnected()
+			in.elector.SetConnected(time.Now())
 			in.electorMu.Unlock()
 			in.disconnectedSince.Store(0)
 			in.Gateway.Connect(c, leadership.Version)
@@ -212,10 +230,20 @@
 	in.leaderConn.CompareAndSwap(c, nil)
 	in.joinedConn.CompareAndSwap(c, nil)
 	e.Close()
-	in.Log.Info("connection to the leader closed", "leader", leadership.Instance, "epoch", leadership.Epoch, "joined", joined, "error", err)
+	in.Log.Info("connection to the leader closed", append([]any{"leader", leadership.Instance, "epoch", leadership.Epoch, "joined", joined}, connAttrs(c, err)...)...)
 	return result
 }
 
+// connAttrs returns the log attributes of a connection that has ended: why, how old it was
+// and what it carried. They tell a silent peer from one whose data is on its way.
+func connAttrs(c *linker.Conn, err error) []any {
+	s := c.Stats()
+	return []any{
+		"age", s.Age, "sentBytes", s.Sent, "receivedBytes", s.Received, "frames", s.Frames, "silentFor", s.SilentFor, "queued", s.Queued,
+		"sendError", c.SendErr(), "error", err,
+	}
+}
+
 // sendStatus periodically reports the status of this instance to the leader.
 func (in *Instance) sendStatus(c *linker.Conn, stop chan struct{}) {
 	const period = 500 * time.Millisecond
--- a/linker/conn.go
+++ b/linker/conn.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,9 +16,17 @@
 	// HeartbeatInterval is the interval at which an empty frame is sent as a
 	// heartbeat. It is the longest time between two frames on a healthy connection.
 	HeartbeatInterval = 150 * time.Millisecond
-	// HeartbeatTimeout is the time after which a connection is closed if no frame
-	// was received, or if a write did not complete.
+	// HeartbeatTimeout is the time after which a connection is closed if no byte was
+	// received.
 	HeartbeatTimeout = 600 * time.Millisecond
+	// writeTimeout is the longest time that a write of up to writeBufferSize may take. It
+	// only bounds how long a peer that sends may fail to receive: the connection to one
+	// that is gone ends after HeartbeatTimeout.
+	writeTimeout    = 5 * time.Second
+	writeBufferSize = 32 << 10
+	// socketBufferSize limits the data that waits in the operating system, which heartbeats
+	// and orders queue behind on a narrow link.
+	socketBufferSize = 64 << 10
 	// sendQueueSize is the number of frames buffered for a slow peer. When the
 	// buffer is full, the connection is closed.
 	sendQueueSize = 1024
@@ -24,20 +34,103 @@
 
 // Conn is a connection that sends and receives frames encoded with gob.
 type Conn struct {
-	nc        net.Conn
+	nc        countedConn
+	openedAt  time.Time
 	queue     chan *Frame
 	done      chan struct{}
 	closeOnce sync.Once
+	frames    atomic.Int64 // received
+	failure   atomic.Pointer[error]
 }
 
+// Stats describes what a connection has carried.
+type Stats struct {
+	Age       time.Duration // since the connection was established
+	Sent      int64         // bytes written, which the peer need not have received
+	Received  int64         // bytes
+	Frames    int64         // frames received
+	SilentFor time.Duration // since the last byte was received
+	Queued    int           // frames that are not written yet
+}
+
+// countedConn is a connection that fails if it makes no progress. It counts the bytes that
+// it carries.
+type countedConn struct {
+	net.Conn
+	sent, received atomic.Int64
+	receivedAt     atomic.Int64 // Unix time of the last byte received, in ns
+}
+
+// Read fails if no byte arrives within HeartbeatTimeout.
+func (c *countedConn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(HeartbeatTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received.Add(int64(n))
+		c.receivedAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Write fails if it takes longer than writeTimeout.
+func (c *countedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+var errQueueFull = errors.New("linker: send queue full")
+
 // NewConn returns a Conn on nc and starts its writer goroutine. The caller must
 // call Receive, which reads the incoming frames.
 func NewConn(nc net.Conn) *Conn {
-	c := &Conn{nc: nc, queue: make(chan *Frame, sendQueueSize), done: make(chan struct{})}
+	c := &Conn{openedAt: time.Now(), queue: make(chan *Frame, sendQueueSize), done: make(chan struct{})}
+	c.nc.Conn = nc
+	c.nc.receivedAt.Store(c.openedAt.UnixNano())
+	if tc, ok := nc.(*net.TCPConn); ok {
+		// A connection with the default size works as well.
+		_ = tc.SetWriteBuffer(socketBufferSize)
+	}
 	go c.writeLoop()
 	return c
 }
 
+// Stats returns what the connection has carried so far.
+func (c *Conn) Stats() Stats {
+	return Stats{
+		Age: time.Since(c.openedAt), Sent: c.nc.sent.Load(), Received: c.nc.received.Load(), Frames: c.frames.Load(),
+		SilentFor: time.Since(time.Unix(0, c.nc.receivedAt.Load())), Queued: len(c.queue),
+	}
+}
+
+// SendErr returns why this side could not send, or nil. A connection that is closed for
+// that reason makes Receive fail as well, with an error that doesn't tell the reason.
+func (c *Conn) SendErr() error {
+	if err := c.failure.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// fail closes the connection because of an error in sending.
+func (c *Conn) fail(err error) {
+	select {
+	case <-c.done:
+	default:
+		c.failure.CompareAndSwap(nil, &err)
+	}
+	if tc, ok := c.nc.Conn.(*net.TCPConn); ok {
+		// What waits to be sent would delay the next connection to the peer.
+		_ = tc.SetLinger(0)
+	}
+	c.Close()
+}
+
 // Send queues a frame without blocking. If the send queue is full because the peer
 // reads too slowly, the connection is closed.
 func (c *Conn) Send(f *Frame) {
@@ -45,7 +138,7 @@
 	case c.queue <- f:
 	case <-c.done:
 	default:
-		c.Close()
+		c.fail(errQueueFull)
 	}
 }
 
@@ -59,15 +152,13 @@
 			err = fmt.Errorf("linker: panic in frame handler: %v\n%s", r, debug.Stack())
 		}
 	}()
-	dec := gob.NewDecoder(bufio.NewReaderSize(c.nc, 32<<10))
+	dec := gob.NewDecoder(bufio.NewReaderSize(&c.nc, 32<<10))
 	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(HeartbeatTimeout)); err != nil {
-			return fmt.Errorf("linker: set read deadline: %w", err)
-		}
 		f := new(Frame)
 		if err := dec.Decode(f); err != nil {
 			return fmt.Errorf("linker: decode frame: %w", err)
 		}
+		c.frames.Add(1)
 		handle(f)
 	}
 }
@@ -87,7 +178,7 @@
 // heartbeat on each tick. It drains the queue before each flush.
 func (c *Conn) writeLoop() {
 	defer c.Close()
-	buf := bufio.NewWriterSize(c.nc, 32<<10)
+	buf := bufio.NewWriterSize(&c.nc, writeBufferSize)
 	enc := gob.NewEncoder(buf)
 	tick := time.NewTicker(HeartbeatInterval)
 	defer tick.Stop()
@@ -101,11 +192,8 @@
 			return
 		}
 		for f != nil {
-			// The deadline applies to each frame, as that of the receiver does.
-			if err := c.nc.SetWriteDeadline(time.Now().Add(HeartbeatTimeout)); err != nil {
-				return
-			}
 			if err := enc.Encode(f); err != nil {
+				c.fail(fmt.Errorf("linker: encode frame: %w", err))
 				return
 			}
 			select {
@@ -115,6 +203,7 @@
 			}
 		}
 		if err := buf.Flush(); err != nil {
+			c.fail(fmt.Errorf("linker: flush frames: %w", err))
 			return
 		}
 	}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -46,15 +46,16 @@
 	// Allowances replaces the allowances sent before.
 	Allowances *Allowances
 	Received   []w.JobID // jobs and cancellations that the coordinator has accepted
-	Reset      bool      // States is a full snapshot; earlier states that are not final are discarded
-	Replies    []CallReply
-	Retire     bool // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
+	// Reset is set if States lists all jobs whose end is not stored. Earlier states that
+	// are not final are discarded.
+	Reset   bool
+	Replies []CallReply
+	Retire  bool // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
 }
 
 const (
-	// maxFrameStates is the number of states that a frame should not exceed. A frame has
-	// to arrive within HeartbeatTimeout, also while a new leader sends the states of all
-	// jobs to all instances at the same time.
+	// maxFrameStates is the number of states that a frame should not exceed, so that those
+	// of all jobs don't hold up the orders behind them at the receiver.
 	maxFrameStates = 100
 	// maxSplitFrames is the number of frames into which a frame is split at most, so that
 	// they fit into the send queue.
