gateway: a repeated submission after a join is not refused as new

Since a join carries no stored ends, an instance that has just joined does not know a job that has ended. If the job's submission is repeated there while its queue or tenant exceeds its allowance, it was answered 429, which says that the job never runs. For 30 s after a join such a refusal is now preceded by a read of the job's row.

TestRepeatedSubmissionAfterJoin failed before.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -85,6 +85,30 @@
 	if g.knows(j.ID) {
 		return nil
 	}
+	err := g.checkAllowances(ctx, j)
+	if err == nil || !g.joinedLately() {
+		return err
+	}
+	// The job may have been accepted elsewhere and ended before this instance joined.
+	switch stored, readErr := g.Keeper.Exists(ctx, j.ID); {
+	case readErr != nil:
+		return fmt.Errorf("gateway: check whether a job that exceeds an allowance is stored: %w", readErr)
+	case stored:
+		return nil
+	}
+	return err
+}
+
+// joinedLately reports whether this instance joined the coordinator within the time in
+// which the submission of a job may be repeated.
+func (g *Gateway) joinedLately() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.joinedAt) < repetitionTime
+}
+
+// checkAllowances returns the errors of admit for a job that is not known to be stored.
+func (g *Gateway) checkAllowances(ctx context.Context, j *w.Job) error {
 	if retryAfter, ok := g.admission.queues.Admit(w.TenantName(j.Queue), time.Now()); !ok {
 		return &RefusedError{Reason: reasonQueueCrashes, Overload: true, RetryAfter: retryAfter}
 	}
@@ -110,6 +134,9 @@
 }
 
 const (
+	// repetitionTime is the time after its acceptance within which a submission may arrive
+	// once more.
+	repetitionTime = 30 * time.Second
 	// unclearFor is the time for which a submission without a known outcome counts as
 	// stored. By then the leader has found the job, if it is.
 	unclearFor = 10 * time.Second
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -87,3 +87,26 @@
 	g.Receive(&linker.Frame{Allowances: &linker.Allowances{}})
 	require.Equal(t, "storeAway", reason("bad", "j4"))
 }
+
+// TestRepeatedSubmissionAfterJoin guards against a refusal that says that a job never runs,
+// although it was accepted at another instance and ended before this one joined.
+func TestRepeatedSubmissionAfterJoin(t *testing.T) {
+	key := keeper.Key{Table: keeper.TableJobs, Name: "ended"}
+	s := &rowStore{rows: map[keeper.Key]keeper.Row{key: {Key: key, Value: []byte(`{"z":true}`), Version: 1}}}
+	zero := func() time.Duration { return 0 }
+	g := &Gateway{Keeper: &keeper.Keeper{Store: s}, Log: slog.New(slog.DiscardHandler), StoreFailingFor: zero, StoreUnreachableFor: zero}
+	g.Init()
+	g.Configure(&w.Config{Version: 1})
+	submit := func(id w.JobID) error {
+		return g.Submit(t.Context(), &w.Queue{Name: "bad"}, &w.Job{ID: id, Steps: []w.Step{{Count: 1}}})
+	}
+	g.Receive(&linker.Frame{Reset: true, Allowances: &linker.Allowances{Queues: []linker.QueueAllowance{{Queue: "bad", JobsPerSec: 0.01}}}})
+	require.NoError(t, submit("first"))
+	var refused *RefusedError
+	require.ErrorAs(t, submit("second"), &refused)
+	require.NoError(t, submit("ended"))
+	scans := s.scans
+	g.joinedAt = g.joinedAt.Add(-repetitionTime)
+	require.ErrorAs(t, submit("third"), &refused)
+	require.Equal(t, scans, s.scans, "refusals cost no reads later on")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,7 @@
 	leader keeper.Version
 
 	disconnectedSince time.Time // start of the current period without a coordinator connection
+	joinedAt          time.Time // when the coordinator last sent the states of all jobs whose end is not stored
 
 	states             map[w.JobID]w.State
 	owners             map[w.JobID]w.TenantName // tenants of the jobs in states, as far as they are known; "" for jobs without one
@@ -194,6 +195,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if f.Reset {
+		g.joinedAt = time.Now()
 		// Final states never change, so they survive a reset.
 		for id, s := range g.states {
 			if !s.Final() {
