--- a/linker/conn.go
+++ b/linker/conn.go
@@ -92,7 +92,7 @@
 	c := &Conn{openedAt: time.Now(), queue: make(chan *Frame, sendQueueSize), done: make(chan struct{})}
 	c.nc.Conn = nc
 	c.nc.receivedAt.Store(c.openedAt.UnixNano())
-	if tc, ok := nc.(*net.TCPConn); ok {
+	if tc := tcpConn(nc); tc != nil {
 		// A connection with the default size works as well.
 		_ = tc.SetWriteBuffer(socketBufferSize)
 	}
@@ -100,6 +100,15 @@
 	return c
 }
 
+// tcpConn returns the TCP connection that nc is or wraps, or nil.
+func tcpConn(nc net.Conn) *net.TCPConn {
+	if wrapper, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = wrapper.NetConn()
+	}
+	tc, _ := nc.(*net.TCPConn)
+	return tc
+}
+
 // Stats returns what the connection has carried so far.
 func (c *Conn) Stats() Stats {
 	return Stats{
@@ -124,7 +133,7 @@
 	default:
 		c.failure.CompareAndSwap(nil, &err)
 	}
-	if tc, ok := c.nc.Conn.(*net.TCPConn); ok {
+	if tc := tcpConn(c.nc.Conn); tc != nil {
 		// What waits to be sent would delay the next connection to the peer.
 		_ = tc.SetLinger(0)
 	}
