coordinator: a step that takes long tells what stopped its last attempt

A gang of 7 stood still for 68 s on the users' machines, and `step takes long` said only `held=nothing`, which speaks of caps alone. Of the some fifteen tests that can stop a placement none was told, so the hypotheses could not be told apart.

Each attempt now notes the test that stopped it as an enum, and the time since which that reason holds. The line has both in its first part, since the record that reached us was cut behind the counts, with the time of the last attempt and the number of bookings that expired. No decision changes and an attempt allocates nothing for it.

--- a/coordinator/booking.go
+++ b/coordinator/booking.go
@@ -87,6 +87,7 @@
 				continue
 			}
 			c.Meter.Count("booking", "expired")
+			b.step.expiredBookings++
 			c.Log.Info("booking expired", "step", b.step.name, "targets", len(b.step.bookedTargets), "tasks", b.step.Count,
 				"planned", c.now.Sub(b.start), "asking", b.step.unansweredCalls)
 			c.cancelBooking(b.step)
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -318,8 +318,8 @@
 }
 
 // holdProbes counts the waiting tasks of a step that may start only as probes, if no
-// target has free resources for one.
-func (c *Coordinator) holdProbes(s *step) {
+// target has free resources for one. It reports whether one of them may not start yet.
+func (c *Coordinator) holdProbes(s *step) (waits bool) {
 	for i := range s.tasks {
 		if s.tasks[i].phase != waiting {
 			continue
@@ -329,6 +329,8 @@
 			if !wait {
 				s.probesMissing++
 			}
+			waits = waits || wait
 		}
 	}
+	return waits
 }
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -83,11 +83,24 @@
 // needs advice books resources of permitted targets for the time at which they are
 // expected to be free and all its tickets to be valid.
 func (c *Coordinator) placeGang(s *step, timing *w.AdviceTiming) {
-	if s.waiting < s.Count || s.hasSlots() || c.now.Sub(s.plannedAt) < c.gangRetryPeriod(s, timing) || !c.capAllows(s) {
+	if s.waiting < s.Count || s.hasSlots() {
+		c.noteWait(s, waitsForSlot)
+		return
+	}
+	if c.now.Sub(s.plannedAt) < c.gangRetryPeriod(s, timing) {
+		return
+	}
+	if !c.capAllows(s) {
+		c.noteWait(s, waitsForCap)
 		return
 	}
 	var wait bool
-	if s.probe, wait = c.probes(s, 0); wait || (s.probe && c.riskBudgets[c.serviceOf(s.job)] <= 0) {
+	if s.probe, wait = c.probes(s, 0); wait {
+		c.noteWait(s, s.probeWait(0))
+		return
+	}
+	if s.probe && c.riskBudgets[c.serviceOf(s.job)] <= 0 {
+		c.noteWait(s, waitsForBudget)
 		return
 	}
 	s.plannedAt = c.now
@@ -96,15 +109,18 @@
 		return func(t *target) bool { return timing == nil || c.hasValidTicket(s, t, margin) }
 	}
 	if p := c.planGang(s, targets, ticketed(0), func(t *target) w.Resources { return c.availableResources(s, t) }); p != nil {
-		if !c.delayGang(s, timing, targets, p) {
-			c.startGang(s, p)
+		if c.delayGang(s, timing, targets, p) {
+			c.noteWait(s, waitsForRack)
+			return
 		}
+		c.startGang(s, p)
 		return
 	}
 	if s.probe {
 		c.clearTargets(s, targets, ticketed(0))
 	}
 	if c.now.Before(s.nextPreemption) {
+		c.noteWait(s, waitsForStops)
 		return
 	}
 	afterPreemption := func(t *target) w.Resources { return c.resourcesAfterPreemption(s, t) }
@@ -117,11 +133,14 @@
 		start := c.now.Add(c.StopTimeout)
 		c.book(s, p, start, start.Add(preemptionSlack))
 		s.nextPreemption = c.now.Add(c.StopTimeout + preemptionSlack/2)
+		c.noteWait(s, waitsForStops)
 		return
 	}
+	r := waitsForRoom
 	if timing != nil {
-		c.prepareGang(s, timing, afterPreemption)
+		r = c.prepareGang(s, timing, afterPreemption)
 	}
+	c.noteWait(s, r)
 }
 
 // hasSlots reports whether any run of the step occupies a target.
@@ -159,36 +178,51 @@
 }
 
 // prepareGang books resources for a gang and requests tickets shortly before the
-// planned start. If no booking is possible, it requests advice on further targets.
-func (c *Coordinator) prepareGang(s *step, timing *w.AdviceTiming, resources func(*target) w.Resources) {
-	if c.now.Before(s.ticketsDue) || (len(s.bookedTargets) > 0 && c.now.Sub(s.bookedAt) < gangPlanPeriod) {
-		// Tickets were requested and may still arrive, or the last plan is recent.
-		return
+// planned start. If no booking is possible, it requests advice on further targets. It
+// returns what the gang waits for.
+func (c *Coordinator) prepareGang(s *step, timing *w.AdviceTiming, resources func(*target) w.Resources) waitReason {
+	switch {
+	case c.now.Before(s.ticketsDue):
+		return waitsForTickets
+	case len(s.bookedTargets) > 0 && c.now.Sub(s.bookedAt) < gangPlanPeriod:
+		return waitsForBooking
 	}
 	class := classOf(timing.BaseLatency)
 	lead := ticketLeadTime(timing)
 	permitted := func(t *target) bool { return s.permits(t) }
+	r := waitsForBooker
 	if c.canBook(s) {
+		r = waitsForRoom
 		if p, at := c.planEarliestStart(s, s.permittedTargets, permitted, lead); p != nil {
 			if len(s.bookedTargets) == 0 {
 				c.Meter.Count("booking", "made")
 			}
 			c.book(s, p, at, at.Add(bookingSlack))
-			if at.Sub(c.now) <= lead && c.callCapacity(class) > 0 {
-				s.ticketsDue = c.now.Add(lead)
-				c.enqueueParallelAdviceCalls(s, timing, c.addSpareTargets(s, timing, p, resources))
+			switch {
+			case at.Sub(c.now) > lead:
+				return waitsForBooking
+			case c.callCapacity(class) <= 0:
+				return waitsForCall
 			}
-			return
+			s.ticketsDue = c.now.Add(lead)
+			c.enqueueParallelAdviceCalls(s, timing, c.addSpareTargets(s, timing, p, resources))
+			return waitsForTickets
 		}
 	}
-	if s.unansweredCalls > 0 || c.callCapacity(class) <= 0 {
-		return
-	}
-	if len(s.advice) == 0 || c.hasSpareCallCapacity(class) {
-		// Targets are chosen only when a call can be dispatched immediately, since
-		// their free resources change faster than calls are answered.
-		c.enqueueParallelAdviceCalls(s, timing, c.gangAdviceTargets(s, timing, resources))
+	switch {
+	case s.unansweredCalls > 0:
+		return waitsForAdvice
+	case !c.hasUnadvisedTarget(s):
+		return r
+	case c.callCapacity(class) <= 0:
+		return waitsForCall
+	case len(s.advice) > 0 && !c.hasSpareCallCapacity(class):
+		return waitsForSpareCall
 	}
+	// Targets are chosen only when a call can be dispatched immediately, since their free
+	// resources change faster than calls are answered.
+	c.enqueueParallelAdviceCalls(s, timing, c.gangAdviceTargets(s, timing, resources))
+	return waitsForAdvice
 }
 
 // addSpareTargets returns the targets of a plan and some spare ones, in case other
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -79,6 +79,7 @@
 	held               int           // tasks that were kept from starting in the last placement round, see probes
 	capHeld            bool          // its tenant's cap kept it from starting in the last placement round
 	localityState
+	waitState
 }
 
 type occurrence struct {
@@ -434,7 +435,9 @@
 						}
 					}
 				}
-				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "tenant", j.Tenant, "held", c.holdUp(s), "open", c.now.Sub(s.readyAt), "gang", s.Gang,
+				reason, age := c.waitReason(s)
+				c.Log.Info("step takes long", "step", s.name, "queue", j.Queue, "tenant", j.Tenant, "held", c.holdUp(s),
+					"reason", reason, "reasonAge", age.Round(time.Millisecond), "tried", c.now.Sub(later(s.attemptedAt, s.readyAt)).Round(time.Millisecond), "expired", s.expiredBookings, "open", c.now.Sub(s.readyAt), "gang", s.Gang,
 					"waiting", phases[waiting], "starting", phases[starting], "running", phases[running], "stopping", phases[stopping],
 					"unclear", at, "asking", s.unansweredCalls, "advised", len(s.advice), "good", permitted,
 					"places", free, "ticketed", ticketed, "fresh", j.fresh, "unread", len(c.unsynced), "slow", s.runsOnSlowTargets(), "waitsNear", s.nearWaits)
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -80,6 +80,7 @@
 	lessUrgent := 0 // steps below the highest priority so far
 	for _, s := range c.backlog {
 		if c.heldByCap(s) {
+			c.noteWait(s, waitsForCap)
 			continue
 		}
 		if s.triedGeneration != generation {
@@ -106,6 +107,7 @@
 	}
 	s.triedGeneration = generation
 	if c.mayRunElsewhere(s) {
+		c.noteWait(s, waitsForHandover)
 		c.prefetchAdvice(s)
 		return
 	}
@@ -177,15 +179,25 @@
 		return
 	}
 	s.nearWaits, s.held, s.probesMissing = 0, 0, 0
+	r := waitsForRoom
 	if s.Demand().Fits(c.maxFree) {
-		c.placeTasks(s, timing != nil)
-	} else {
-		c.holdProbes(s)
+		r = c.placeTasks(s, timing != nil)
+	} else if c.holdProbes(s) {
+		r = waitsAfterCrash
 	}
 	n := min(c.capRoom(s), s.waiting-s.nearWaits-s.held)
 	if timing != nil && (n > 0 || s.probesMissing > 0) {
-		c.refreshAdvice(s, timing, n+s.probesMissing)
+		full := c.refreshAdvice(s, timing, n+s.probesMissing)
+		if r == waitsForRoom || r == waitsForTarget {
+			switch {
+			case s.unansweredCalls > 0:
+				r = waitsForAdvice
+			case full:
+				r = waitsForCall
+			}
+		}
 	}
+	c.noteWait(s, r)
 	if n == 0 && s.probesMissing > 0 && c.riskBudgets[c.serviceOf(s.job)] > 0 {
 		n = min(1, c.capRoom(s))
 	}
@@ -194,36 +206,43 @@
 	}
 }
 
-// placeTasks starts waiting tasks of a step until no target is found for one.
-func (c *Coordinator) placeTasks(s *step, needsAdvice bool) {
+// placeTasks starts waiting tasks of a step until no target is found for one. It returns
+// what the last task that it has not started waits for.
+func (c *Coordinator) placeTasks(s *step, needsAdvice bool) waitReason {
+	r := waitsForSlot
 	for i := range s.tasks {
 		if s.tasks[i].phase != waiting || s.tasks[i].slots > 0 {
 			continue
 		}
 		if !c.capAllows(s) {
-			return
+			return waitsForCap
 		}
 		if probe, wait := c.probes(s, i); probe {
 			switch {
 			case wait:
 				s.held++
+				r = s.probeWait(i)
 			case c.placeProbe(s, i, needsAdvice):
 				s.held++
 				s.probesMissing++
+				r = waitsForTarget
 			case s.tasks[i].phase == waiting:
 				s.held++
+				r = waitsForBudget
 			}
 			continue
 		}
 		t := c.bestTarget(s, i, needsAdvice)
 		if t == nil {
-			return
+			return waitsForTarget
 		}
 		if c.waitsForNear(s, i, t, needsAdvice) {
+			r = waitsNear
 			continue
 		}
 		c.startTask(s, i, t)
 	}
+	return r
 }
 
 // eligible reports whether a target may run tasks of the step, apart from its free
@@ -401,15 +420,18 @@
 }
 
 // refreshAdvice requests advice for n waiting tasks: new tickets if a permitted target
-// has free or preemptible resources, otherwise advice on further targets.
-func (c *Coordinator) refreshAdvice(s *step, timing *w.AdviceTiming, n int) {
+// has free or preemptible resources, otherwise advice on further targets. It reports
+// whether no instance accepts a further call.
+func (c *Coordinator) refreshAdvice(s *step, timing *w.AdviceTiming, n int) (full bool) {
 	if s.unansweredCalls > 0 {
 		c.claimResources(s, s.namedTargets, n)
-		return
+		return false
 	}
-	class := classOf(timing.BaseLatency)
-	if c.now.Sub(s.searchedAt) < adviceSearchPeriod(timing) || (class != shortCall && c.callCapacity(class) <= 0) {
-		return
+	if c.now.Sub(s.searchedAt) < adviceSearchPeriod(timing) {
+		return s.reason == waitsForCall
+	}
+	if class := classOf(timing.BaseLatency); class != shortCall && c.callCapacity(class) <= 0 {
+		return true
 	}
 	s.searchedAt = c.now
 	need := s.Demand()
@@ -435,10 +457,10 @@
 		c.sortBySpareCPU(s, stale)
 		c.enqueueAdviceCall(s, timing, stale[:min(len(stale), max(n, targetsPerCall(timing)))])
 		c.claimResources(s, s.namedTargets, n)
-		return
+		return false
 	}
 	if covered >= n || (known >= minPermittedTargets && !c.hasUnadvisedCapacity(s)) {
-		return
+		return false
 	}
 	unadvised := c.unadvisedTargetsByCapacity(s)
 	share := c.permittedShare(s.job.Queue)
@@ -452,10 +474,11 @@
 		named++
 	}
 	if named == 0 {
-		return
+		return false
 	}
 	c.enqueueAdviceCall(s, timing, unadvised[:min(len(unadvised), max(named, targetsPerCall(timing)))])
 	c.claimResources(s, s.namedTargets, n-covered)
+	return false
 }
 
 // adviceSearchPeriod returns the time between two searches for targets to name in an
@@ -533,13 +556,21 @@
 func (c *Coordinator) unadvisedTargets(s *step) []*target {
 	var list []*target
 	for _, t := range c.sortedTargets {
-		if !s.hasAdvice(t) && c.eligible(s, t) && s.Demand().Fits(t.Capacity) {
+		if c.unadvised(s, t) {
 			list = append(list, t)
 		}
 	}
 	return list
 }
 
+func (c *Coordinator) hasUnadvisedTarget(s *step) bool {
+	return slices.ContainsFunc(c.sortedTargets, func(t *target) bool { return c.unadvised(s, t) })
+}
+
+func (c *Coordinator) unadvised(s *step, t *target) bool {
+	return !s.hasAdvice(t) && c.eligible(s, t) && s.Demand().Fits(t.Capacity)
+}
+
 // rack returns the target's rack, which is its last label.
 func (t *target) rack() string {
 	if len(t.Labels) == 0 {
