coordinator: a target that returns unchanged is used again by waiting steps

Callers saw a gang that never starts in a cell that works, while later jobs of its queue start and end within seconds.

A step keeps the targets that its policy permits as pointers to the records of the coordinator, and what it was told about a target by ID. A target that was not reached for longer than a lease and left the list is removed; if it comes back in the same incarnation it gets a new record. The step then knew that the ID was permitted, so it never asked again, and looked only at the record that was removed, on which nothing may start: it was barred from that target for good. Steps that became ready later were not. Until the next round the removed record could also pass for usable.

Advice now belongs to the record it was given for, so a new record is asked about like a new target, and a removed record is not usable.

The new test failed before with 0 of 4 tasks started in 2 s, for a gang and for single tasks. TestWaitNeedsTicket builds advice itself and names the record, too.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -34,6 +34,7 @@
 
 // targetAdvice is the decision of the queue's policy on a target for one step.
 type targetAdvice struct {
+	target      *target // a target that was removed and is listed again has another record
 	permitted   bool
 	ticket      string
 	expiresAt   time.Time
@@ -53,20 +54,25 @@
 // hasValidTicket reports whether the step has a ticket for the target that is still
 // valid after margin and the delivery of a start order.
 func (c *Coordinator) hasValidTicket(s *step, t *target, margin time.Duration) bool {
-	a := s.advice[t.ID]
-	return a != nil && a.permitted && a.incarnation == t.Incarnation && a.expiresAt.After(c.now.Add(ticketMargin+margin))
+	a := s.adviceOn(t)
+	return a != nil && a.permitted && a.expiresAt.After(c.now.Add(ticketMargin+margin))
 }
 
 // permits reports whether the queue's policy is known to permit the target.
 func (s *step) permits(t *target) bool {
-	a := s.advice[t.ID]
-	return a != nil && a.permitted && a.incarnation == t.Incarnation
+	a := s.adviceOn(t)
+	return a != nil && a.permitted
 }
 
 // hasAdvice reports whether the policy's decision on the target is known.
-func (s *step) hasAdvice(t *target) bool {
-	a := s.advice[t.ID]
-	return a != nil && a.incarnation == t.Incarnation
+func (s *step) hasAdvice(t *target) bool { return s.adviceOn(t) != nil }
+
+// adviceOn returns the policy's decision on the present incarnation of a target, or nil.
+func (s *step) adviceOn(t *target) *targetAdvice {
+	if a := s.advice[t.ID]; a != nil && a.target == t && a.incarnation == t.Incarnation {
+		return a
+	}
+	return nil
 }
 
 // clearAdvice frees the advice of a step that starts no more tasks, since its job
@@ -280,16 +286,13 @@
 		s.advice = make(map[w.TargetID]*targetAdvice, len(a.targets))
 	}
 	for _, t := range a.targets {
-		if !s.hasAdvice(t) {
-			s.advice[t.ID] = &targetAdvice{incarnation: t.Incarnation}
+		if t == c.targets[t.ID] && !s.hasAdvice(t) {
+			s.setAdvice(t, targetAdvice{})
 		}
 	}
 	for i, id := range r.Good {
 		if t := c.targets[id]; t != nil {
-			if !slices.Contains(s.permittedTargets, t) {
-				s.permittedTargets = append(s.permittedTargets, t)
-			}
-			s.advice[id] = &targetAdvice{permitted: true, ticket: r.Tickets[i], expiresAt: c.now.Add(timing.TicketValidity), incarnation: t.Incarnation}
+			s.setAdvice(t, targetAdvice{permitted: true, ticket: r.Tickets[i], expiresAt: c.now.Add(timing.TicketValidity)})
 		}
 	}
 	const weight = 0.1 // of one answer in the moving average
@@ -297,6 +300,19 @@
 	c.permittedShares[s.job.Queue] = share + weight*(float64(len(r.Good))/float64(len(a.targets))-share)
 }
 
+// setAdvice records the policy's decision on a target, in place of one on an earlier
+// record of it.
+func (s *step) setAdvice(t *target, a targetAdvice) {
+	if old := s.advice[t.ID]; old != nil && old.target != t {
+		s.permittedTargets = slices.DeleteFunc(s.permittedTargets, func(o *target) bool { return o == old.target })
+	}
+	if a.permitted && !slices.Contains(s.permittedTargets, t) {
+		s.permittedTargets = append(s.permittedTargets, t)
+	}
+	a.target, a.incarnation = t, t.Incarnation
+	s.advice[t.ID] = &a
+}
+
 // permittedShare returns the estimated share of targets that the queue's policy
 // permits: a moving average over its answers, at least 0.05, or 0.5 before the first one.
 func (c *Coordinator) permittedShare(queue string) float64 {
--- a/coordinator/advice_test.go
+++ b/coordinator/advice_test.go
@@ -350,3 +350,48 @@
 	require.Len(t, starts, 1)
 	require.Equal(t, "ticket", starts[0].Ticket)
 }
+
+// TestTargetThatReturnsUnchangedIsUsed guards against a step that never starts on a target
+// that was not reached for longer than a lease, left the list and came back unchanged: the
+// step knew that it is permitted, and had only the record that was removed.
+func TestTargetThatReturnsUnchangedIsUsed(t *testing.T) {
+	for name, gang := range map[string]bool{"gang": true, "tasks": false} {
+		t.Run(name, func(t *testing.T) {
+			x := newAdvisedCell(t, 4)
+			runs := x.fillTargets()
+			x.submit(w.Job{ID: "second", Queue: testQueue, Attempts: 4, Steps: []w.Step{{Count: 4, Gang: gang, Need: w.Resources{CPU: 8000}}}})
+			asks, _ := x.nextOrders(0)
+			x.permitAll(asks[0])
+			for _, r := range runs {
+				x.reportEnd(r.Target, r, w.EndedDone)
+				x.reportRuns(r.Target)
+			}
+			var list []w.Target
+			for _, tg := range x.c.sortedTargets {
+				list = append(list, tg.Target)
+				tg.health.unreachable = true
+			}
+			x.c.SetTargets(nil, true, x.now)
+			x.nextOrders(0)
+			x.nextOrders(10 * time.Second)
+			require.Empty(t, x.c.targets)
+
+			x.c.SetTargets(list, true, x.now)
+			started := 0
+			for range 200 {
+				asks, starts := x.nextOrders(10 * time.Millisecond)
+				for i := range list {
+					x.reportRuns(list[i].ID)
+				}
+				for _, a := range asks {
+					x.permitAll(a)
+				}
+				started += len(starts)
+				if started >= 4 {
+					return
+				}
+			}
+			t.Errorf("%d of 4 tasks started", started)
+		})
+	}
+}
--- a/coordinator/locality_test.go
+++ b/coordinator/locality_test.go
@@ -130,8 +130,8 @@
 		s := x.c.jobs["j"].occurrences[0].steps[0]
 		s.permittedTargets = []*target{x.c.targets["a"], x.c.targets["b"]}
 		s.advice = map[w.TargetID]*targetAdvice{
-			"a": {permitted: true, incarnation: 1, expiresAt: x.now.Add(validity)},
-			"b": {permitted: true, incarnation: 1, expiresAt: x.now.Add(2 * time.Second)},
+			"a": {target: x.c.targets["a"], permitted: true, incarnation: 1, expiresAt: x.now.Add(validity)},
+			"b": {target: x.c.targets["b"], permitted: true, incarnation: 1, expiresAt: x.now.Add(2 * time.Second)},
 		}
 		require.Len(t, x.advance(0).Starts, 2-waits)
 	}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -331,6 +331,7 @@
 	for _, t := range c.sortedTargets {
 		if !t.listed && len(t.slots) == 0 && t.leaseExpired {
 			delete(c.targets, t.ID)
+			t.usableInRound = false // steps may still refer to it
 			c.assignmentsStale = true
 			for len(t.bookings) > 0 {
 				c.cancelBooking(t.bookings[0].step)
