coordinator: an instance whose advice calls fail is not asked again at once

Callers saw jobs that wait although there is room for them and most of the cell is idle.

A call goes to the instance that is expected to answer it first. One whose call has failed is free again, so it was always the one, and the failure let the step make the next call at once: 600 calls in 3 s by the same instance, in a cell with 8 idle ones that could have asked. Only with load enough to occupy it did others get calls. A call without an answer holds its lane for some seconds, and then the same instance was chosen again.

An instance gets no calls for 0.1 s after a failure, doubled with each further one up to 8 s, unless all instances fail. The lanes of the long and the medium calls are taken from those that are left, so one data centre that is cut off doesn't hold all lanes of a class. After a failure the step makes its next call after its usual search period.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -114,12 +114,14 @@
 	for id, a := range c.sentCalls {
 		if c.now.After(a.deadline) {
 			a.member.adviceCalls--
+			c.recordAdviceFailure(a.member)
 			c.closeAdviceCall(id, a)
 		}
 	}
 	if len(c.queuedCalls) == 0 || len(c.sortedMembers) == 0 {
 		return
 	}
+	c.updateAdvisers()
 	slices.SortStableFunc(c.queuedCalls, func(a, b *adviceCall) int {
 		return cmp.Compare(c.priority(a.step.job), c.priority(b.step.job))
 	})
@@ -196,14 +198,14 @@
 // medium calls are each restricted to a subset, so that every class has instances
 // that the others do not use.
 func (c *Coordinator) eligibleInstances(class callClass) []*member {
-	n := len(c.sortedMembers)
+	n := len(c.advisers)
 	switch class {
 	case longCall:
-		return c.sortedMembers[:(n+1)/2]
+		return c.advisers[:(n+1)/2]
 	case mediumCall:
-		return c.sortedMembers[n/4 : (3*n+3)/4]
+		return c.advisers[n/4 : (3*n+3)/4]
 	}
-	return c.sortedMembers
+	return c.advisers
 }
 
 // callCapacity returns how many calls of a class can be dispatched now in addition to
@@ -272,7 +274,13 @@
 	c.closeAdviceCall(r.ID, a)
 	s := a.step
 	c.Meter.ObserveDuration("advice", c.now.Sub(s.askedAt))
-	if r.Failed || len(r.Tickets) < len(r.Good) || s.job.state.Final() || s.done == s.Count {
+	if r.Failed || len(r.Tickets) < len(r.Good) {
+		c.recordAdviceFailure(m)
+		s.searchedAt, s.plannedAt = c.now, c.now // no call at once, since the next one may fail as well
+		return
+	}
+	delete(c.adviserFailures, m.id)
+	if s.job.state.Final() || s.done == s.Count {
 		return
 	}
 	if s.job.stats.firstAdviceAt.IsZero() {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -110,6 +110,8 @@
 	lastCallID          int64                 // ID of the last advice call
 	sentCalls           map[int64]*adviceCall // advice calls that were sent and not answered, by ID
 	queuedCalls         []*adviceCall         // advice calls that were not sent yet
+	advisers            []*member             // instances that may make advice calls in this round, by ID
+	adviserFailures     map[w.InstanceID]adviserFailures
 
 	dirty            map[w.JobID]*job      // changed since they were last included in a batch
 	endSeqs          map[w.TargetID]endSeq // highest sequence number of the received ends, for the next batch
@@ -182,6 +184,7 @@
 		members:         make(map[w.InstanceID]*member),
 		lastRunID:       w.FirstRunID(s.Epoch),
 		sentCalls:       make(map[int64]*adviceCall),
+		adviserFailures: make(map[w.InstanceID]adviserFailures),
 		dirty:           make(map[w.JobID]*job),
 		endSeqs:         make(map[w.TargetID]endSeq),
 		roster:          make(roster),
@@ -312,6 +315,7 @@
 	}
 	c.stopStalledRuns()
 	c.checkProbes()
+	c.updateAdvisers()
 	c.placeSteps()
 	c.dispatchAdviceCalls()
 	if !now.Before(c.pendingDue) {
