coordinator: a gang that is a suspect gets tickets while short tasks start

Callers see a gang that never starts after a target has crashed under it, in a cell with room for it and steady short work of other queues.

Such a gang starts only on targets on which nothing has just started. Every plan left the other targets out, also the plans for a later start, by which a gang books resources and asks for its tickets. Targets are kept clear for it only once it has tickets. Beside tasks that start all the time its targets are hardly ever all clear at one moment, so it got neither, and `reason` showed noRoom.

Only the plan for a start at once leaves these targets out now. Plans for a later start count them: when the tickets are there, the targets are kept clear as before until the last starts there have survived.

--- a/coordinator/booking_test.go
+++ b/coordinator/booking_test.go
@@ -177,3 +177,36 @@
 	t.Logf("started after %v", wait)
 	require.Less(t, wait, 8*time.Second)
 }
+
+// TestSuspectedGangStartsAmongShortTasks guards against a gang that never starts after a
+// target has crashed under it: in a cell with a steady stream of short tasks, its targets
+// are hardly ever all without a run that has just started, and it got tickets only then.
+func TestSuspectedGangStartsAmongShortTasks(t *testing.T) {
+	d, x := newWideCell(t, 24)
+	n := 0
+	begin := x.now
+	for x.now.Sub(begin) < 20*time.Second {
+		if x.now.Sub(begin)%(100*time.Millisecond) == 0 {
+			for range 10 {
+				n++
+				x.submit(w.Job{ID: w.JobID(fmt.Sprint("small", n)), Queue: "small", Service: "s", Attempts: 4, Priority: 1, Steps: []w.Step{{
+					Count: 1, Estimate: 200 * time.Millisecond, Need: w.Resources{CPU: 1000, Mem: 60000},
+				}}})
+			}
+		}
+		if x.now.Sub(begin) == 2*time.Second {
+			x.submit(wideGang("gang", 5))
+			r := x.c.jobs["gang"].occurrences[0].steps[0].crashes(0)
+			r.crashed = []w.RunID{1}
+		}
+		d.advance(20 * time.Millisecond)
+		for _, tg := range x.c.sortedTargets {
+			tg.reportedAt, tg.health.progressedAt = x.now, x.now
+		}
+	}
+	s := x.c.jobs["gang"].occurrences[0].steps[0]
+	require.False(t, d.startedAt["gang"].IsZero(), "the gang never started: %v", s.reason)
+	wait := d.startedAt["gang"].Sub(begin.Add(2 * time.Second))
+	t.Logf("started after %v", wait)
+	require.Less(t, wait, 8*time.Second)
+}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -28,7 +28,7 @@
 	var list []gangShare
 	sum := 0
 	for _, t := range targets {
-		if !permitted(t) || !c.eligible(s, t) || (s.probe && len(t.suspects()) > 0) {
+		if !permitted(t) || !c.eligible(s, t) {
 			continue
 		}
 		if n := s.fitCount(t, resources(t)); n > 0 {
@@ -108,7 +108,9 @@
 	ticketed := func(margin time.Duration) func(*target) bool {
 		return func(t *target) bool { return timing == nil || c.hasValidTicket(s, t, margin) }
 	}
-	if p := c.planGang(s, targets, ticketed(0), func(t *target) w.Resources { return c.availableResources(s, t) }); p != nil {
+	available := func(t *target) w.Resources { return c.availableResources(s, t) }
+	startable := func(t *target) bool { return ticketed(0)(t) && (!s.probe || len(t.suspects()) == 0) }
+	if p := c.planGang(s, targets, startable, available); p != nil {
 		if c.delayGang(s, timing, targets, p) {
 			c.noteWait(s, waitsForRack)
 			return
@@ -156,10 +158,7 @@
 			return
 		}
 	}
-	s.probe = false
-	plan := c.planGang(s, targets, permitted, func(t *target) w.Resources { return c.availableResources(s, t) })
-	s.probe = true
-	for _, sh := range plan {
+	for _, sh := range c.planGang(s, targets, permitted, func(t *target) w.Resources { return c.availableResources(s, t) }) {
 		c.nominateTarget(s, sh.target, clearingTime)
 	}
 }
