coordinator: a gang's call for further advice is not deferred for good

A gang that knows too few permitted targets asks about further ones only while more than 0.4 of the instances for long calls are free. Nothing bounds that wait: other gangs, also later ones, may always have most of these calls under way.

5 s after its last call a gang now needs only one instance that is free.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -27,6 +27,9 @@
 	// minSpareCallShare is the share of the eligible instances that must accept a
 	// further call before a deferrable call is made.
 	minSpareCallShare = 0.4
+	// maxCallDeferral is the time since the last call of a gang from which its next one
+	// is no longer deferred. Other gangs may always use most of the lanes.
+	maxCallDeferral = 5 * time.Second
 	// adviceCallSlack is the margin beyond its expected duration after which a
 	// call counts as lost.
 	adviceCallSlack = 1500 * time.Millisecond
--- a/coordinator/advisers_test.go
+++ b/coordinator/advisers_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
 )
@@ -52,3 +54,33 @@
 		})
 	}
 }
+
+// TestFurtherAdviceIsNotDeferredForGood guards against a gang that never starts, since the
+// targets that it knows of don't suffice and other gangs always have most of the calls
+// under way that instances can make.
+func TestFurtherAdviceIsNotDeferredForGood(t *testing.T) {
+	x := newAdvisedCell(t, 24)
+	for i := range 7 {
+		x.c.Join(&linker.Hello{Instance: w.InstanceID(fmt.Sprintf("i%d", i))})
+	}
+	timing := w.AdviceTiming{BaseLatency: 640 * time.Millisecond, LatencyPerTarget: 200 * time.Millisecond, TicketValidity: ticketValidity}
+	x.c.Configure(&w.Config{Version: 3, Queues: []w.Queue{{Name: testQueue, Service: "s", Attempts: 4, Advice: &timing}}})
+	x.submit(w.Job{ID: "gang", Queue: testQueue, Attempts: 4, Steps: []w.Step{{Count: 3, Gang: true, Need: w.Resources{CPU: 8000}}}})
+	asked, begin := 0, x.now
+	for x.now.Sub(begin) < 8*time.Second {
+		for _, m := range x.c.sortedMembers[:3] {
+			m.adviceCalls, m.freeAt = maxCallsPerInstance, x.now.Add(time.Second)
+		}
+		calls, _ := x.nextOrders(20 * time.Millisecond)
+		for _, tg := range x.c.sortedTargets {
+			tg.reportedAt, tg.health.progressedAt = x.now, x.now
+		}
+		for _, a := range calls {
+			asked += len(a.Targets)
+			for id := range x.c.members {
+				x.c.Receive(id, &linker.Frame{Advice: []linker.Advice{{ID: a.ID}}}, x.now) // permits none
+			}
+		}
+	}
+	require.Equal(t, 24, asked, "targets asked about; the gang waits for %v", x.c.jobs["gang"].occurrences[0].steps[0].reason)
+}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -215,7 +215,7 @@
 		return r
 	case c.callCapacity(class) <= 0:
 		return waitsForCall
-	case len(s.advice) > 0 && !c.hasSpareCallCapacity(class):
+	case len(s.advice) > 0 && c.now.Sub(s.askedAt) < maxCallDeferral && !c.hasSpareCallCapacity(class):
 		return waitsForSpareCall
 	}
 	// Targets are chosen only when a call can be dispatched immediately, since their free
