--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -27,6 +27,9 @@
 	// minSpareCallShare is the share of the eligible instances that must accept a
 	// further call before a deferrable call is made.
 	minSpareCallShare = 0.4
+	// maxCallDeferral is the time since the last call of a gang from which its next one
+	// is no longer deferred. Other gangs may always use most of the lanes.
+	maxCallDeferral = 5 * time.Second
 	// adviceCallSlack is the margin beyond its expected duration after which a
 	// call counts as lost.
 	adviceCallSlack = 1500 * time.Millisecond
@@ -34,6 +37,7 @@
 
 // targetAdvice is the decision of the queue's policy on a target for one step.
 type targetAdvice struct {
+	target      *target // a target that was removed and is listed again has another record
 	permitted   bool
 	ticket      string
 	expiresAt   time.Time
@@ -53,20 +57,25 @@
 // hasValidTicket reports whether the step has a ticket for the target that is still
 // valid after margin and the delivery of a start order.
 func (c *Coordinator) hasValidTicket(s *step, t *target, margin time.Duration) bool {
-	a := s.advice[t.ID]
-	return a != nil && a.permitted && a.incarnation == t.Incarnation && a.expiresAt.After(c.now.Add(ticketMargin+margin))
+	a := s.adviceOn(t)
+	return a != nil && a.permitted && a.expiresAt.After(c.now.Add(ticketMargin+margin))
 }
 
 // permits reports whether the queue's policy is known to permit the target.
 func (s *step) permits(t *target) bool {
-	a := s.advice[t.ID]
-	return a != nil && a.permitted && a.incarnation == t.Incarnation
+	a := s.adviceOn(t)
+	return a != nil && a.permitted
 }
 
 // hasAdvice reports whether the policy's decision on the target is known.
-func (s *step) hasAdvice(t *target) bool {
-	a := s.advice[t.ID]
-	return a != nil && a.incarnation == t.Incarnation
+func (s *step) hasAdvice(t *target) bool { return s.adviceOn(t) != nil }
+
+// adviceOn returns the policy's decision on the present incarnation of a target, or nil.
+func (s *step) adviceOn(t *target) *targetAdvice {
+	if a := s.advice[t.ID]; a != nil && a.target == t && a.incarnation == t.Incarnation {
+		return a
+	}
+	return nil
 }
 
 // clearAdvice frees the advice of a step that starts no more tasks, since its job
@@ -108,12 +117,14 @@
 	for id, a := range c.sentCalls {
 		if c.now.After(a.deadline) {
 			a.member.adviceCalls--
+			c.recordAdviceFailure(a.member)
 			c.closeAdviceCall(id, a)
 		}
 	}
 	if len(c.queuedCalls) == 0 || len(c.sortedMembers) == 0 {
 		return
 	}
+	c.updateAdvisers()
 	slices.SortStableFunc(c.queuedCalls, func(a, b *adviceCall) int {
 		return cmp.Compare(c.priority(a.step.job), c.priority(b.step.job))
 	})
@@ -190,14 +201,14 @@
 // medium calls are each restricted to a subset, so that every class has instances
 // that the others do not use.
 func (c *Coordinator) eligibleInstances(class callClass) []*member {
-	n := len(c.sortedMembers)
+	n := len(c.advisers)
 	switch class {
 	case longCall:
-		return c.sortedMembers[:(n+1)/2]
+		return c.advisers[:(n+1)/2]
 	case mediumCall:
-		return c.sortedMembers[n/4 : (3*n+3)/4]
+		return c.advisers[n/4 : (3*n+3)/4]
 	}
-	return c.sortedMembers
+	return c.advisers
 }
 
 // callCapacity returns how many calls of a class can be dispatched now in addition to
@@ -266,7 +277,13 @@
 	c.closeAdviceCall(r.ID, a)
 	s := a.step
 	c.Meter.ObserveDuration("advice", c.now.Sub(s.askedAt))
-	if r.Failed || len(r.Tickets) < len(r.Good) || s.job.state.Final() || s.done == s.Count {
+	if r.Failed || len(r.Tickets) < len(r.Good) {
+		c.recordAdviceFailure(m)
+		s.searchedAt, s.plannedAt = c.now, c.now // no call at once, since the next one may fail as well
+		return
+	}
+	delete(c.adviserFailures, m.id)
+	if s.job.state.Final() || s.done == s.Count {
 		return
 	}
 	if s.job.stats.firstAdviceAt.IsZero() {
@@ -280,16 +297,13 @@
 		s.advice = make(map[w.TargetID]*targetAdvice, len(a.targets))
 	}
 	for _, t := range a.targets {
-		if !s.hasAdvice(t) {
-			s.advice[t.ID] = &targetAdvice{incarnation: t.Incarnation}
+		if t == c.targets[t.ID] && !s.hasAdvice(t) {
+			s.setAdvice(t, targetAdvice{})
 		}
 	}
 	for i, id := range r.Good {
 		if t := c.targets[id]; t != nil {
-			if !slices.Contains(s.permittedTargets, t) {
-				s.permittedTargets = append(s.permittedTargets, t)
-			}
-			s.advice[id] = &targetAdvice{permitted: true, ticket: r.Tickets[i], expiresAt: c.now.Add(timing.TicketValidity), incarnation: t.Incarnation}
+			s.setAdvice(t, targetAdvice{permitted: true, ticket: r.Tickets[i], expiresAt: c.now.Add(timing.TicketValidity)})
 		}
 	}
 	const weight = 0.1 // of one answer in the moving average
@@ -297,6 +311,19 @@
 	c.permittedShares[s.job.Queue] = share + weight*(float64(len(r.Good))/float64(len(a.targets))-share)
 }
 
+// setAdvice records the policy's decision on a target, in place of one on an earlier
+// record of it.
+func (s *step) setAdvice(t *target, a targetAdvice) {
+	if old := s.advice[t.ID]; old != nil && old.target != t {
+		s.permittedTargets = slices.DeleteFunc(s.permittedTargets, func(o *target) bool { return o == old.target })
+	}
+	if a.permitted && !slices.Contains(s.permittedTargets, t) {
+		s.permittedTargets = append(s.permittedTargets, t)
+	}
+	a.target, a.incarnation = t, t.Incarnation
+	s.advice[t.ID] = &a
+}
+
 // permittedShare returns the estimated share of targets that the queue's policy
 // permits: a moving average over its answers, at least 0.05, or 0.5 before the first one.
 func (c *Coordinator) permittedShare(queue string) float64 {
