elector: instances that are cut off don't count twice, and unsteady leaders are damped

- An instance whose connections had kept ending and that is now cut off was taken out of the leader's members, which don't contain it: 13 of 36 cut off could replace a leader that served 23.
A report now says that its instance joins only while it is connected.
- An instance that is connected again could replace the leader by itself when a renewal was late.
While it is connected, only the reports of most instances count.
- If no leader can keep its connections, leaders replaced each other every 7.5 s.
The number of short connections that count as unsteady now grows by three with each such leader, up to twelve, until a connection is steady.

The wait before the next connection also ends when the leader changes.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -47,6 +47,8 @@
 	// maxShortConns is the number of consecutive connections to the same leader that ended
 	// earlier from which the instance counts as disconnected although it has joined again.
 	maxShortConns = 3
+	// maxUnsteadyLeaders is the highest number of leaders by which this number grows.
+	maxUnsteadyLeaders = 3
 )
 
 // ConnResult is the result of the last connection to the leader or attempt to
@@ -81,6 +83,7 @@
 	connected          bool
 	connectedAt        time.Time // when the last connection was established
 	shortConns         int       // consecutive connections that ended before they were steady
+	unsteadyLeaders    int       // consecutive leaders up to the last one that did not keep their connections
 	connResult         ConnResult
 	replacedAt         time.Time     // when another incarnation of the leader's instance first answered
 	heartbeatAge       time.Duration // when the heartbeat was last read
@@ -121,9 +124,14 @@
 // Watch starts watching a leader and discards the state of the previous one,
 // except for the highest core count.
 func (e *Elector) Watch(leader keeper.Leadership, now time.Time) {
+	unsteadyLeaders := e.unsteadyLeaders
+	if e.isUnsteady(now) {
+		unsteadyLeaders = min(unsteadyLeaders+1, maxUnsteadyLeaders)
+	}
 	*e = Elector{
 		Cores: e.Cores, Rand: e.Rand, maxCores: e.maxCores, maxCoresAt: e.maxCoresAt, damping: e.damping, surveyedAt: e.surveyedAt,
-		leader: leader, disconnectedAt: now, watchedAt: now, unreachableReports: make(map[w.InstanceID]observedReport),
+		unsteadyLeaders: unsteadyLeaders,
+		leader:          leader, disconnectedAt: now, watchedAt: now, unreachableReports: make(map[w.InstanceID]observedReport),
 	}
 	e.draw = e.random()
 	e.damping.reset(leader, now)
@@ -146,11 +154,11 @@
 	if e.connected {
 		e.connected, e.heartbeatRead = false, false
 		if now.Sub(e.connectedAt) >= steadyTime {
-			e.shortConns = 0
+			e.shortConns, e.unsteadyLeaders = 0, 0
 		} else {
 			e.shortConns++
 		}
-		if e.shortConns < maxShortConns {
+		if e.shortConns < e.shortConnLimit() {
 			e.disconnectedAt = now
 		}
 	}
@@ -169,12 +177,17 @@
 
 // isUnsteady reports whether the connections to the leader keep ending.
 func (e *Elector) isUnsteady(now time.Time) bool {
-	return e.shortConns >= maxShortConns && (!e.connected || now.Sub(e.connectedAt) < steadyTime)
+	return e.shortConns >= e.shortConnLimit() && (!e.connected || now.Sub(e.connectedAt) < steadyTime)
 }
 
+// shortConnLimit returns the number of short connections from which they are unsteady. It
+// grows with each leader, so that leaders don't replace each other at a constant rate if
+// the cause is not the leader.
+func (e *Elector) shortConnLimit() int { return maxShortConns * (1 + e.unsteadyLeaders) }
+
 // Report returns the report that this instance makes if the leader is unreachable for it.
 func (e *Elector) Report(now time.Time) keeper.UnreachableReport {
-	return keeper.UnreachableReport{Epoch: e.leader.Epoch, Joins: e.isUnsteady(now)}
+	return keeper.UnreachableReport{Epoch: e.leader.Epoch, Joins: e.connected && e.isUnsteady(now)}
 }
 
 // NeedsHeartbeat reports whether the leader's heartbeat has to be read. While connected,
@@ -343,12 +356,17 @@
 			return "", false
 		}
 	}
-	if e.isLoading() && e.connResult != Replaced {
+	if e.isLoading() && !e.connected && e.connResult != Replaced {
 		return "the leader loads without progress", e.stalledFor >= LoadStallTimeout+wait+readLatencyFactor*e.readLatency
 	}
+	if e.connected {
+		return mostUnreachable, e.isReportedByMost(now)
+	}
 	return e.shouldTakeOver(e.heartbeatAge-wait, now)
 }
 
+const mostUnreachable = "most instances can't reach the leader"
+
 // shouldTakeOver applies the takeover rules with the given heartbeat age.
 func (e *Elector) shouldTakeOver(age time.Duration, now time.Time) (string, bool) {
 	switch {
@@ -361,6 +379,11 @@
 	case age >= heartbeatTimeout+readLatencyFactor*e.readLatency:
 		return "the leader has stopped renewing", true
 	}
+	return mostUnreachable, e.isReportedByMost(now)
+}
+
+// isReportedByMost reports whether more instances can't reach the leader than it serves.
+func (e *Elector) isReportedByMost(now time.Time) bool {
 	reportCount, members := 0, e.members
 	for _, r := range e.unreachableReports {
 		if now.Sub(r.observedAt) < e.damping.reportTTL() {
@@ -381,8 +404,5 @@
 	if e.loadingUntil.After(since) {
 		since = e.loadingUntil
 	}
-	if now.Sub(since) >= timeout && reportCount > members+1 {
-		return "most instances can't reach the leader", true
-	}
-	return "", false
+	return now.Sub(since) >= timeout && reportCount > members+1
 }
--- a/instance/link.go
+++ b/instance/link.go
@@ -144,7 +144,13 @@
 		in.electorMu.Lock()
 		shortConns := in.elector.ShortConns()
 		in.electorMu.Unlock()
-		in.sleep(reconnectDelay(shortConns, rand.Float64()))
+		timer := time.NewTimer(reconnectDelay(shortConns, rand.Float64()))
+		select {
+		case <-timer.C:
+		case <-in.leaderChanged:
+		case <-in.ctx.Done():
+		}
+		timer.Stop()
 	}
 }
 
