gateway: a state that is read while the instance joins is read again

The three reads of a job's state can overlap a join. If the job's end is stored after its progress was read, the join leaves the job out, and the state that was read is kept: the job was shown as running until its rows were removed, and a cancellation as done after its end. A state that is not final now counts only if no join came meanwhile.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,7 @@
 
 	disconnectedSince time.Time // start of the current period without a coordinator connection
 	joinedAt          time.Time // when the coordinator last sent the states of all jobs whose end is not stored
+	joins             int       // number of times that it did
 
 	states             map[w.JobID]w.State
 	owners             map[w.JobID]w.TenantName // tenants of the jobs in states, as far as they are known; "" for jobs without one
@@ -196,6 +197,7 @@
 	defer g.mu.Unlock()
 	if f.Reset {
 		g.joinedAt = time.Now()
+		g.joins++
 		// Final states never change, so they survive a reset.
 		for id, s := range g.states {
 			if !s.Final() {
@@ -377,24 +379,31 @@
 // state returns the state of a job, or workload.Unknown if the job does not exist.
 func (g *Gateway) state(ctx context.Context, id w.JobID) (w.State, error) {
 	g.mu.Lock()
-	s := g.states[id]
+	s, joins := g.states[id], g.joins
 	g.mu.Unlock()
 	if s != w.Unknown {
 		return s, nil
 	}
-	s, err := g.Keeper.State(ctx, id)
-	if err != nil {
-		return w.Unknown, fmt.Errorf("gateway: state: %w", err)
-	}
-	if s != w.Unknown {
+	for {
+		s, err := g.Keeper.State(ctx, id)
+		if err != nil {
+			return w.Unknown, fmt.Errorf("gateway: state: %w", err)
+		}
+		if s == w.Unknown {
+			return w.Unknown, nil
+		}
 		g.mu.Lock()
-		if g.states[id] == w.Unknown {
+		if g.states[id] == w.Unknown && (s.Final() || g.joins == joins) {
 			g.states[id] = s
 		}
-		s = g.states[id]
+		known, now := g.states[id], g.joins
 		g.mu.Unlock()
+		if known != w.Unknown {
+			return known, nil
+		}
+		// The job may have ended before the join, which then left it out.
+		joins = now
 	}
-	return s, nil
 }
 
 // cancelEarly cancels a job that is not stored. A submission of it may have got no answer,
