keeper: content is dropped by partition, and a late drop counts for nothing

- one silent partition kept the content in all partitions, since a transaction spanned them and failed as a whole, and was given up after ten attempts;
- a drop that is done late, after the job's removal, wrote its row again: GET said queued, and a submission with that ID was accepted and never ran.

Each partition now has its own transaction, every 10 s instead of every second so that they are few, and only the ones that failed are repeated. A row without content and without a stored end counts as that of a job that does not exist: a submission replaces it. Only a new job of the same ID can still lose its content to a drop that is done after it was accepted; IDs are not used again within the 150 s that lie between.

--- a/coordinator/retention_test.go
+++ b/coordinator/retention_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/masticlead/masticlead/keeper"
+	"github.com/masticlead/masticlead/linker"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -50,6 +51,7 @@
 	add("ofTenant", w.Completed, "t", false)
 	add("open", w.Queued, "", false)
 	add("endedAlone", w.Queued, "", true)
+	add("unstored", w.Queued, "", false)
 	x := newCell(t, 1, 1, s)
 	require.Equal(t, w.Completed, x.jobState("endedAlone"), "a job whose content was dropped does not run again")
 	var dropped []w.JobID
@@ -61,7 +63,8 @@
 	require.ElementsMatch(t, []w.JobID{"completed", "dropped", "endedAlone"}, dropped)
 
 	x.c.jobs["completed"].contentDropped = false
-	x.now = x.now.Add(removalPeriod)
+	x.c.RestoreEnd(linker.JobState{Job: "unstored", State: w.Completed})
+	x.now = x.now.Add(dropPeriod)
 	x.c.Advance(x.now)
 	require.Equal(t, []w.JobID{"completed"}, x.c.Flush().DropContent)
 }
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -92,7 +93,11 @@
 // although it was accepted at another instance and ended before this one joined.
 func TestRepeatedSubmissionAfterJoin(t *testing.T) {
 	key := keeper.Key{Table: keeper.TableJobs, Name: "ended"}
-	s := &rowStore{rows: map[keeper.Key]keeper.Row{key: {Key: key, Value: []byte(`{"z":true}`), Version: 1}}}
+	progress := keeper.Key{Table: keeper.TableProgress, Name: "ended"}
+	s := &rowStore{rows: map[keeper.Key]keeper.Row{
+		key:      {Key: key, Value: []byte(`{"z":true}`), Version: 1},
+		progress: {Key: progress, Value: fmt.Appendf(nil, `{"s":%d}`, w.Completed), Version: 1},
+	}}
 	zero := func() time.Duration { return 0 }
 	g := &Gateway{Keeper: &keeper.Keeper{Store: s}, Log: slog.New(slog.DiscardHandler), StoreFailingFor: zero, StoreUnreachableFor: zero}
 	g.Init()
--- a/instance/saves.go
+++ b/instance/saves.go
@@ -22,7 +22,11 @@
 			l.reportRefused(changes)
 			saved <- savedBatch{b, changes}
 			l.remove(len(b.RemoveEnds), func() error { return l.in.Keeper.RemoveEnds(l.ctx, b.RemoveEnds) })
-			l.remove(len(b.DropContent), func() error { return l.in.Keeper.DropContent(l.ctx, b.DropContent) })
+			content := b.DropContent
+			l.remove(len(content), func() (err error) {
+				content, err = l.in.Keeper.DropContent(l.ctx, content)
+				return err
+			})
 			l.remove(len(b.RemoveCancels), func() error { return l.in.Keeper.RemoveCancels(l.ctx, b.RemoveCancels) })
 			return
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -169,6 +169,7 @@
 // ErrRejected if the row of one of them is larger than the store takes.
 func (k *Keeper) Accept(ctx context.Context, jobs []*w.Job) ([]*w.Job, error) {
 	stored := make([]*w.Job, len(jobs))
+	replaced := make(map[Key]Version) // versions of rows that are left of removed jobs
 	for {
 		var tx Tx
 		positions := make(map[Key][]int, len(jobs))
@@ -187,7 +188,7 @@
 			if k.MaxRowBytes > 0 && len(value) > k.MaxRowBytes {
 				return nil, fmt.Errorf("keeper: job %s of %d steps takes %d bytes, limit %d: %w: %w", j.ID, len(j.Steps), len(value), k.MaxRowBytes, ErrRejected, ErrNotExecuted)
 			}
-			tx.Preconditions = append(tx.Preconditions, Precondition{Key: key})
+			tx.Preconditions = append(tx.Preconditions, Precondition{Key: key, Version: replaced[key]})
 			tx.Writes = append(tx.Writes, Row{Key: key, Value: value})
 		}
 		if len(tx.Writes) == 0 {
@@ -209,10 +210,24 @@
 					if conflict.Rows[i].Version == 0 {
 						continue
 					}
-					if stored[n], err = decodeJob(&conflict.Rows[i]); err != nil {
+					existingJob, err := decodeJob(&conflict.Rows[i])
+					if err != nil {
 						return nil, err
 					}
+					removed, err := k.isRemoved(ctx, existingJob)
+					if err != nil {
+						return nil, fmt.Errorf("keeper: read progress of %s: %w", existingJob.ID, err)
+					}
+					if removed {
+						key := conflict.Rows[i].Key
+						if replaced[key] != conflict.Rows[i].Version {
+							existing++
+							replaced[key] = conflict.Rows[i].Version
+						}
+						continue
+					}
 					existing++
+					stored[n] = existingJob
 				}
 			}
 			if existing == 0 {
@@ -273,6 +288,10 @@
 			return p.State, nil
 		}
 	}
+	if isEnded(job.Value) {
+		// It was written after the job's removal.
+		return w.Unknown, nil
+	}
 	key.Table = TableCancellations
 	cancel, err := k.get(ctx, key)
 	switch {
