--- a/coordinator/advisers.go
+++ b/coordinator/advisers.go
@@ -1,6 +1,11 @@
 package coordinator
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	w "github.com/masticlead/masticlead/workload"
+)
 
 // An instance whose advice calls fail is free again at once, so it would always be the one
 // expected to answer the next call first. It gets none for a time that doubles with each
@@ -21,13 +26,16 @@
 
 // recordAdviceFailure records that an advice call of an instance failed or got no answer.
 func (c *Coordinator) recordAdviceFailure(m *member) {
+	maps.DeleteFunc(c.adviserFailures, func(id w.InstanceID, _ adviserFailures) bool { return c.members[id] == nil })
 	f := c.adviserFailures[m.id]
 	pause := min(maxAdviserPause, minAdviserPause<<min(f.count, 16))
 	f.count++
 	f.pausedUntil = c.now.Add(pause)
 	c.adviserFailures[m.id] = f
 	c.Meter.Count("advice", "failed")
-	c.Log.Info("advice call failed", "instance", m.id, "failures", f.count, "pause", pause)
+	if f.count&(f.count-1) == 0 {
+		c.Log.Info("advice calls fail", "instance", m.id, "failures", f.count, "pause", pause)
+	}
 }
 
 // updateAdvisers determines the instances that may make advice calls in this round.
