linker: a connection whose frames are sent too late ends

A frame that waits for 2 s ends its connection now.

TestLateFramesEndConnection failed before (4 s late after 7.4 s, and growing).

--- a/linker/conn.go
+++ b/linker/conn.go
@@ -27,6 +27,10 @@
 	// socketBufferSize limits the data that waits in the operating system, which heartbeats
 	// and orders queue behind on a narrow link.
 	socketBufferSize = 64 << 10
+	// maxFrameDelay is the time after which a frame that was not written ends the connection.
+	// Orders that are later than that do more harm than a connection that begins anew, and a
+	// link that carries less than is sent makes them later and later.
+	maxFrameDelay = 2 * time.Second
 	// sendQueueSize is the number of frames buffered for a slow peer. When the
 	// buffer is full, the connection is closed.
 	sendQueueSize = 1024
@@ -36,13 +40,19 @@
 type Conn struct {
 	nc        countedConn
 	openedAt  time.Time
-	queue     chan *Frame
+	queue     chan queuedFrame
 	done      chan struct{}
 	closeOnce sync.Once
 	frames    atomic.Int64 // received
 	failure   atomic.Pointer[error]
 }
 
+// queuedFrame is a frame that waits to be written.
+type queuedFrame struct {
+	*Frame
+	since time.Time
+}
+
 // Stats describes what a connection has carried.
 type Stats struct {
 	Age       time.Duration // since the connection was established
@@ -84,12 +94,15 @@
 	return n, err
 }
 
-var errQueueFull = errors.New("linker: send queue full")
+var (
+	errQueueFull = errors.New("linker: send queue full")
+	errLate      = errors.New("linker: frames are sent too late")
+)
 
 // NewConn returns a Conn on nc and starts its writer goroutine. The caller must
 // call Receive, which reads the incoming frames.
 func NewConn(nc net.Conn) *Conn {
-	c := &Conn{openedAt: time.Now(), queue: make(chan *Frame, sendQueueSize), done: make(chan struct{})}
+	c := &Conn{openedAt: time.Now(), queue: make(chan queuedFrame, sendQueueSize), done: make(chan struct{})}
 	c.nc.Conn = nc
 	c.nc.receivedAt.Store(c.openedAt.UnixNano())
 	if tc := tcpConn(nc); tc != nil {
@@ -144,7 +157,7 @@
 // reads too slowly, the connection is closed.
 func (c *Conn) Send(f *Frame) {
 	select {
-	case c.queue <- f:
+	case c.queue <- queuedFrame{f, time.Now()}:
 	case <-c.done:
 	default:
 		c.fail(errQueueFull)
@@ -192,23 +205,27 @@
 	tick := time.NewTicker(HeartbeatInterval)
 	defer tick.Stop()
 	for {
-		var f *Frame
+		var f queuedFrame
 		select {
 		case f = <-c.queue:
 		case <-tick.C:
-			f = new(Frame)
+			f = queuedFrame{new(Frame), time.Now()}
 		case <-c.done:
 			return
 		}
-		for f != nil {
-			if err := enc.Encode(f); err != nil {
+		for f.Frame != nil {
+			if time.Since(f.since) > maxFrameDelay {
+				c.fail(errLate)
+				return
+			}
+			if err := enc.Encode(f.Frame); err != nil {
 				c.fail(fmt.Errorf("linker: encode frame: %w", err))
 				return
 			}
 			select {
 			case f = <-c.queue:
 			default:
-				f = nil
+				f.Frame = nil
 			}
 		}
 		if err := buf.Flush(); err != nil {
--- a/linker/conn_test.go
+++ b/linker/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -114,3 +115,33 @@
 		require.Less(t, time.Since(start), HeartbeatTimeout+time.Second)
 	}
 }
+
+// TestLateFramesEndConnection guards against a connection that counts as alive although its
+// frames are later and later, since the link carries less than is sent.
+func TestLateFramesEndConnection(t *testing.T) {
+	const bytesPerSec, period = 20_000, 25 * time.Millisecond
+	near, nearProxy := net.Pipe()
+	farProxy, far := net.Pipe()
+	go forwardSlowly(farProxy, nearProxy, bytesPerSec)
+	go forwardSlowly(nearProxy, farProxy, bytesPerSec)
+	sender, receiver := NewConn(near), NewConn(far)
+	defer sender.Close()
+	go func() { _ = sender.Receive(func(*Frame) {}) }()
+	go func() {
+		for sender.SendErr() == nil {
+			sender.Send(&Frame{Specs: []Spec{{Job: "j", Text: strconv.FormatInt(time.Now().UnixNano(), 10) + strings.Repeat("x", 1000)}}})
+			time.Sleep(period)
+		}
+	}()
+	var longest time.Duration
+	err := receiver.Receive(func(f *Frame) {
+		for _, s := range f.Specs {
+			sent, err := strconv.ParseInt(s.Text[:19], 10, 64)
+			require.NoError(t, err)
+			if longest = max(longest, time.Since(time.Unix(0, sent))); longest > 2*maxFrameDelay {
+				receiver.Close()
+			}
+		}
+	})
+	require.Less(t, longest, 2*maxFrameDelay, err)
+}
