reserver, platform: a budget for the memory of bodies

Callers saw a process end by memory while clients sent many large bodies at once, whole or in chunks, most of them stopping just short of their end.

Cause: a body was read with io.ReadAll into a growing slice, with no bound over all requests and no read deadline. A body that stops short was kept for as long as its client stayed.

Bodies now share limits.memoryMb / 8. A body of known length reserves it before it is read, a chunked one each buffer before it grows; both are refused at once beyond that, but for a request that is alone. A quarter of the budget is left to requests up to 32 KB. When it is short, the request that has stalled most gives way: one that has sent nothing, or been behind 32 KB/s, for 0.25 s; its connection is closed. A body has to arrive before its client's deadline, at most 10 s and the time of the largest body at 32 KB/s. The rest of a refused body is discarded for 0.5 s, so that its client reads the reply.

A refused submission gets 503 only if Handler.Known says that the job is not stored, and 504 otherwise: an earlier submission of the same job may have been accepted. Nothing sets Known yet.

A single body of legal size, by length and chunked, is served.

--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -18,6 +18,7 @@
 	"github.com/masticlead/masticlead/meter"
 	"github.com/masticlead/masticlead/platform"
 	"github.com/masticlead/masticlead/recorder"
+	"github.com/masticlead/masticlead/reserver"
 	"github.com/masticlead/masticlead/workload"
 )
 
@@ -86,10 +87,12 @@
 			k := &keeper.Keeper{Store: store, Partitions: partitions, Urgent: store.Urgent(), MaxRowBytes: s.MaxRowBytes}
 			targetClient := platform.NewTargetClient(s.AdviceAddr)
 			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m}
+			refusals := &reserver.Refusals{Log: log, Meter: m}
+			front := &platform.Handler{Gateway: g, Budget: reserver.Budget{Bytes: s.MaxBodyMemory()}, Refusals: refusals}
 			inst := &instance.Instance{
 				Name: s.InstanceName, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Cores: s.Cores,
 				Keeper: k, Directory: &platform.Directory{Store: store, Log: log, Meter: m}, Store: store, ConfigReads: configReads(store),
-				TargetClient: targetClient, Gateway: g, Front: &platform.Handler{Gateway: g}, Log: log,
+				TargetClient: targetClient, Gateway: g, Front: front, Log: log,
 				Meter: m, MetricsAddr: s.MetricsAddr,
 			}
 			inst.SetBounds(instanceBounds(s))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,6 +22,7 @@
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
+	"github.com/masticlead/masticlead/reserver"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -142,7 +143,7 @@
 		return fmt.Errorf("instance: listen for connections from instances: %w", err)
 	}
 	in.Log.Info("instance started", "instance", in.id, "zone", in.Zone)
-	srv := &http.Server{Handler: http.HandlerFunc(in.serveFront), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 60 * time.Second}
+	srv := &http.Server{Handler: http.HandlerFunc(in.serveFront), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 60 * time.Second, ConnContext: reserver.WithConn}
 	readySrv := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: 3 * time.Second}
 	in.spawn(func() { in.serve(srv, front) })
 	in.spawn(func() { in.serve(readySrv, ready) })
