--- a/reserver/reason.go
+++ b/reserver/reason.go
@@ -18,6 +18,7 @@
 	ReasonBodyMemory  Reason = iota // bodyMemory
 	ReasonBodyTimeout               // bodyTimeout
 	ReasonBodyStalled               // bodyStalled
+	ReasonExpansion                 // expansion
 	reasonCount                     // count
 )
 
--- a/reserver/reason_string.go
+++ b/reserver/reason_string.go
@@ -11,12 +11,13 @@
 	_ = x[ReasonBodyMemory-0]
 	_ = x[ReasonBodyTimeout-1]
 	_ = x[ReasonBodyStalled-2]
-	_ = x[reasonCount-3]
+	_ = x[ReasonExpansion-3]
+	_ = x[reasonCount-4]
 }
 
-const _Reason_name = "bodyMemorybodyTimeoutbodyStalledcount"
+const _Reason_name = "bodyMemorybodyTimeoutbodyStalledexpansioncount"
 
-var _Reason_index = [...]uint8{0, 10, 21, 32, 37}
+var _Reason_index = [...]uint8{0, 10, 21, 32, 41, 46}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
