instance: heads are limited to 8 KB

Callers saw a process end by memory while clients sent heads over any limit or without an end, to any of its HTTP addresses.

Cause: MaxHeaderBytes was not set, so that each connection could hold a head of 1 MB until ReadHeaderTimeout, and the next crowd followed.

MaxHeaderBytes is 4 KB now; net/http allows 4 KB more and answers 431 beyond it. Idle connections to the addresses for readiness checks and metrics are closed after 60 s, as those of clients are; they had no limit.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,7 +22,6 @@
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
-	"github.com/masticlead/masticlead/reserver"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -143,8 +142,8 @@
 		return fmt.Errorf("instance: listen for connections from instances: %w", err)
 	}
 	in.Log.Info("instance started", "instance", in.id, "zone", in.Zone)
-	srv := &http.Server{Handler: http.HandlerFunc(in.serveFront), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 60 * time.Second, ConnContext: reserver.WithConn}
-	readySrv := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: 3 * time.Second}
+	srv := in.newFrontServer()
+	readySrv := in.newProbeServer(http.HandlerFunc(in.serveReadiness))
 	in.spawn(func() { in.serve(srv, front) })
 	in.spawn(func() { in.serve(readySrv, ready) })
 	in.spawn(func() { in.accept(links) })
@@ -156,7 +155,7 @@
 		}
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", in.Meter.Handler())
-		metricsSrv = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
+		metricsSrv = in.newProbeServer(mux)
 		in.spawn(func() { in.serve(metricsSrv, metrics) })
 	}
 	for _, loop := range []func(){in.watchConfig, in.confirmConfig, in.watchLeader, in.followLeader, in.campaign, in.saveEnds} {
