reserver, instance: connections are limited by the descriptors

Cause: no listener had a limit of connections, and limits.maxFds was not read.

Clients now get 60% of limits.maxFds less the 200 that the platform reserves for files, and at most limits.memoryMb / 4 at 16 KB each; other instances 40%; readiness checks and metrics 32 connections each. When all connections of clients are in use, one that has sent no request for 0.25 s gives way, then the one idle for longest, then a new one, then one whose body has stalled; otherwise the new one is closed. The ConnState hook of the server tracks them, so that the connections aren't wrapped. Links are wrapped once each: they have no HTTP states.

Refusals of all kinds are counted in masticlead_events_total{kind= "clientRefused"} and logged once a second by reason.

--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -89,11 +89,13 @@
 			g := &gateway.Gateway{Keeper: k, Log: log, StoreFailingFor: store.FailingFor, StoreUnreachableFor: store.UnreachableFor, Meter: m}
 			refusals := &reserver.Refusals{Log: log, Meter: m}
 			front := &platform.Handler{Gateway: g, Budget: reserver.Budget{Bytes: s.MaxBodyMemory()}, Refusals: refusals}
+			clientConns, linkConns := s.MaxConns()
 			inst := &instance.Instance{
 				Name: s.InstanceName, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Cores: s.Cores,
 				Keeper: k, Directory: &platform.Directory{Store: store, Log: log, Meter: m}, Store: store, ConfigReads: configReads(store),
 				TargetClient: targetClient, Gateway: g, Front: front, Log: log,
 				Meter: m, MetricsAddr: s.MetricsAddr,
+				MaxClientConns: clientConns, MaxLinkConns: linkConns, DisplaceStalled: front.Budget.DisplaceStalled, Refusals: refusals,
 			}
 			inst.SetBounds(instanceBounds(s))
 			go platform.Watch(cmd.Context(), path, hup, settingsPollInterval, func(s *platform.Settings) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,6 +22,7 @@
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
+	"github.com/masticlead/masticlead/reserver"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -80,6 +81,15 @@
 	// MetricsAddr is the listen address of the metrics endpoint. If it is empty,
 	// metrics are not served.
 	MetricsAddr string
+	// MaxClientConns and MaxLinkConns limit the connections of clients and of instances;
+	// 0 means no limit.
+	MaxClientConns int
+	MaxLinkConns   int
+	// DisplaceStalled closes the connection of a client whose request has stalled, and
+	// reports whether there was one. It may be nil.
+	DisplaceStalled func() bool
+	// Refusals records the clients that are refused because of these limits. It may be nil.
+	Refusals *reserver.Refusals
 
 	bounds            atomic.Pointer[Bounds]
 	id                w.InstanceID
@@ -142,6 +152,7 @@
 		return fmt.Errorf("instance: listen for connections from instances: %w", err)
 	}
 	in.Log.Info("instance started", "instance", in.id, "zone", in.Zone)
+	links = &reserver.Listener{Listener: links, Max: in.MaxLinkConns, Refused: in.Refusals.Note}
 	srv := in.newFrontServer()
 	readySrv := in.newProbeServer(http.HandlerFunc(in.serveReadiness))
 	in.spawn(func() { in.serve(srv, front) })
--- a/reserver/budget.go
+++ b/reserver/budget.go
@@ -109,6 +109,14 @@
 	r.budget.remove(r)
 }
 
+// DisplaceStalled displaces the request that has stalled most, and reports whether there
+// was one.
+func (b *Budget) DisplaceStalled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.displaceStalled(nil, b.now())
+}
+
 // makeRoom adds n bytes to r, and displaces others if necessary. b.mu must be held.
 func (b *Budget) makeRoom(r *Reservation, n int64, now time.Time) bool {
 	limit := b.Bytes
--- a/reserver/reason.go
+++ b/reserver/reason.go
@@ -19,6 +19,8 @@
 	ReasonBodyTimeout               // bodyTimeout
 	ReasonBodyStalled               // bodyStalled
 	ReasonExpansion                 // expansion
+	ReasonWaiting                   // waitingConnection
+	ReasonAllActive                 // allConnectionsActive
 	reasonCount                     // count
 )
 
--- a/reserver/reason_string.go
+++ b/reserver/reason_string.go
@@ -12,12 +12,14 @@
 	_ = x[ReasonBodyTimeout-1]
 	_ = x[ReasonBodyStalled-2]
 	_ = x[ReasonExpansion-3]
-	_ = x[reasonCount-4]
+	_ = x[ReasonWaiting-4]
+	_ = x[ReasonAllActive-5]
+	_ = x[reasonCount-6]
 }
 
-const _Reason_name = "bodyMemorybodyTimeoutbodyStalledexpansioncount"
+const _Reason_name = "bodyMemorybodyTimeoutbodyStalledexpansionwaitingConnectionallConnectionsActivecount"
 
-var _Reason_index = [...]uint8{0, 10, 21, 32, 41, 46}
+var _Reason_index = [...]uint8{0, 10, 21, 32, 41, 58, 78, 83}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -1,6 +1,8 @@
 package reserver
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -40,6 +42,15 @@
 	stalled.Close()
 	require.Nil(t, reserve("late", 100_000))
 
+	// A client that sends little all the time is behind, too.
+	for range 10 {
+		c.advance(100 * time.Millisecond)
+		slow.Received(minRate / 10)
+		next.Received(1)
+	}
+	require.True(t, b.DisplaceStalled())
+	require.False(t, b.DisplaceStalled())
+	require.Equal(t, map[string]int{"stalled": 1, "next": 1}, displaced)
 	for _, r := range []*Reservation{slow, whole, small, next} {
 		r.Close()
 	}
@@ -56,3 +67,92 @@
 	alone.Shrink(9500)
 	require.NotNil(t, b.Reserve(100, func() {}))
 }
+
+// fakeConn notes whether it was closed.
+type fakeConn struct {
+	net.Conn
+	closed bool
+}
+
+func (c *fakeConn) Close() error {
+	c.closed = true
+	return nil
+}
+
+// TestWaitingConnectionsGiveWay guards against clients without a request that hold all
+// connections, and against closing connections in use.
+func TestWaitingConnectionsGiveWay(t *testing.T) {
+	c := &clock{now: time.Unix(1, 0)}
+	stalled := false
+	var reasons []Reason
+	conns := &Conns{
+		Max: 3, Now: c.Now, DisplaceStalled: func() bool { return stalled },
+		Refused: func(r Reason) { reasons = append(reasons, r) },
+	}
+	open := func(states ...http.ConnState) *fakeConn {
+		nc := new(fakeConn)
+		conns.Track(nc, http.StateNew)
+		for _, s := range states {
+			conns.Track(nc, s)
+		}
+		c.advance(time.Millisecond)
+		return nc
+	}
+	active, idle, fresh := open(http.StateActive), open(http.StateActive, http.StateIdle), open()
+	second := open(http.StateActive)
+	require.True(t, idle.closed, "a connection that has just been opened is about to be used")
+	conns.Track(second, http.StateIdle)
+	c.advance(time.Second)
+	third := open(http.StateActive)
+	require.True(t, fresh.closed)
+	require.False(t, second.closed)
+	fourth := open(http.StateActive)
+	require.True(t, second.closed)
+	require.True(t, open().closed, "all connections are in use")
+	stalled = true
+	require.False(t, open(http.StateActive).closed)
+	for _, nc := range []*fakeConn{active, third, fourth} {
+		require.False(t, nc.closed)
+		conns.Track(nc, http.StateClosed)
+	}
+	require.Len(t, conns.conns, 1)
+	require.Equal(t, []Reason{ReasonWaiting, ReasonWaiting, ReasonWaiting, ReasonAllActive}, reasons)
+}
+
+// TestListenerLimit guards against slots that are lost, or returned twice, when connections
+// are closed.
+func TestListenerLimit(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &Listener{Listener: inner, Max: 1}
+	accepted := make(chan net.Conn)
+	go func() {
+		defer close(accepted)
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- nc
+		}
+	}()
+	dial := func() net.Conn {
+		nc, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		return nc
+	}
+	for range 3 {
+		first := dial()
+		served := <-accepted
+		second := dial()
+		_, err := second.Read(make([]byte, 1))
+		require.Error(t, err, "the connection over the limit is closed")
+		require.NoError(t, served.Close())
+		_ = served.Close()
+		require.NoError(t, first.Close())
+		require.NoError(t, second.Close())
+	}
+	require.NoError(t, l.Close())
+	<-accepted
+	require.Zero(t, l.open.Load())
+}
