--- a/reserver/budget.go
+++ b/reserver/budget.go
@@ -41,7 +41,7 @@
 	displace  func()
 	started   time.Time
 	received  atomic.Int64
-	lastRead  atomic.Int64 // Unix time, ns
+	lastRead  atomic.Int64 // time after started, ns
 }
 
 func (b *Budget) now() time.Time {
@@ -58,7 +58,6 @@
 func (b *Budget) Reserve(n int64, displace func()) *Reservation {
 	now := b.now()
 	r := &Reservation{budget: b, displace: displace, started: now}
-	r.lastRead.Store(now.UnixNano())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.makeRoom(r, n, now) {
@@ -91,7 +90,7 @@
 // Received notes that n bytes have arrived from the client.
 func (r *Reservation) Received(n int) {
 	r.received.Add(int64(n))
-	r.lastRead.Store(r.budget.now().UnixNano())
+	r.lastRead.Store(int64(r.budget.now().Sub(r.started)))
 }
 
 // Settle ends the receiving of the request. It reports false if the request was displaced.
@@ -158,8 +157,8 @@
 // stalledFor returns the time for which the client has sent nothing, or by which it is
 // behind minRate, whichever is longer.
 func (r *Reservation) stalledFor(now time.Time) time.Duration {
-	behind := now.Sub(r.started) - time.Duration(r.received.Load())*time.Second/minRate
-	return max(behind, now.Sub(time.Unix(0, r.lastRead.Load())))
+	age := now.Sub(r.started)
+	return max(age-time.Duration(r.received.Load())*time.Second/minRate, age-time.Duration(r.lastRead.Load()))
 }
 
 // remove returns the bytes of r. b.mu must be held.
