soak: accepted jobs exhaust memory

This is not mended here: the budget of bodies holds a job while it is submitted, not while it waits. The leader would have to bound what it holds and let the gateways refuse.

--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -35,7 +35,8 @@
 type pressed struct {
 	*process
 	sim        *standin.Platform
-	maxSockets int // most sockets seen open at once
+	cell       []*process // all instances
+	maxSockets int        // most sockets seen open at once
 }
 
 // startPressed starts a cell whose instances have low limits, and returns one of them once
@@ -61,7 +62,7 @@
 			return status == http.StatusOK
 		}, 20*time.Second, 50*time.Millisecond)
 	}
-	return &pressed{process: processes[0], sim: sim}
+	return &pressed{process: processes[0], sim: sim, cell: processes}
 }
 
 // setting returns a value of the instance's settings file.
@@ -321,3 +322,23 @@
 	)
 	p.requireUnharmed()
 }
+
+// TestAcceptedJobsExhaustMemory guards against a process that ends by memory because of many
+// accepted jobs with many steps that nothing can run.
+func TestAcceptedJobsExhaustMemory(t *testing.T) {
+	const jobs, steps = 1000, 1500
+	p := startPressed(t)
+	step := fmt.Sprintf(`{"count":1,"cpu":%d}`, 1000*taskCPU)
+	body := []byte(`{"steps":[` + strings.Repeat(step+",", steps-1) + step + `]}`)
+	accepted := 0
+	for i := range jobs {
+		if status, _ := sendRequest(http.MethodPost, p.process, fmt.Sprintf("%016x", 0x1000+i), credential{}, body); status == http.StatusOK {
+			accepted++
+		}
+	}
+	t.Logf("%d jobs accepted", accepted)
+	for _, member := range p.cell {
+		require.Less(t, member.peakMemoryKB(), int64(pressedMemoryMB<<10), "kB of memory")
+	}
+	p.requireUnharmed()
+}
