--- a/reserver/listener.go
+++ b/reserver/listener.go
@@ -41,6 +41,9 @@
 	release func()
 }
 
+// NetConn returns the connection that is limited.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	defer c.release()
