--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,6 +22,7 @@
 	"github.com/masticlead/masticlead/keeper"
 	"github.com/masticlead/masticlead/linker"
 	"github.com/masticlead/masticlead/meter"
+	"github.com/masticlead/masticlead/reserver"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -80,6 +81,15 @@
 	// MetricsAddr is the listen address of the metrics endpoint. If it is empty,
 	// metrics are not served.
 	MetricsAddr string
+	// MaxClientConns and MaxLinkConns limit the connections of clients and of instances;
+	// 0 means no limit.
+	MaxClientConns int
+	MaxLinkConns   int
+	// DisplaceStalled closes the connection of a client whose request has stalled, and
+	// reports whether there was one. It may be nil.
+	DisplaceStalled func() bool
+	// Refusals records the clients that are refused because of these limits. It may be nil.
+	Refusals *reserver.Refusals
 
 	bounds            atomic.Pointer[Bounds]
 	id                w.InstanceID
@@ -142,8 +152,9 @@
 		return fmt.Errorf("instance: listen for connections from instances: %w", err)
 	}
 	in.Log.Info("instance started", "instance", in.id, "zone", in.Zone)
-	srv := &http.Server{Handler: http.HandlerFunc(in.serveFront), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 60 * time.Second}
-	readySrv := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: 3 * time.Second}
+	links = &reserver.Listener{Listener: links, Max: in.MaxLinkConns, Refused: in.Refusals.Note}
+	srv := in.newFrontServer()
+	readySrv := in.newProbeServer(http.HandlerFunc(in.serveReadiness))
 	in.spawn(func() { in.serve(srv, front) })
 	in.spawn(func() { in.serve(readySrv, ready) })
 	in.spawn(func() { in.accept(links) })
@@ -155,7 +166,7 @@
 		}
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", in.Meter.Handler())
-		metricsSrv = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
+		metricsSrv = in.newProbeServer(mux)
 		in.spawn(func() { in.serve(metricsSrv, metrics) })
 	}
 	for _, loop := range []func(){in.watchConfig, in.confirmConfig, in.watchLeader, in.followLeader, in.campaign, in.saveEnds} {
