gateway: the pending counts of an earlier connection don't become valid again

A new connection to a leader made the counts of the earlier one valid again, however old they were, until the leader sent the first ones. They now count from the time at which a leader last sent them on an open connection.

TestPendingCountOfEarlierConnection failed before. The field that TestStalePendingCountIsNotReported turns back has another name; the check is the same.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,13 +102,14 @@
 	// leader is the version of the row of the leader that conn leads or has led to.
 	leader keeper.Version
 
-	disconnectedSince time.Time // start of the current period without a coordinator connection
-	joinedAt          time.Time // when the coordinator last sent the states of all jobs whose end is not stored
-	joins             int       // number of times that it did
+	joinedAt time.Time // when the coordinator last sent the states of all jobs whose end is not stored
+	joins    int       // number of times that it did
 
 	states             map[w.JobID]w.State
 	owners             map[w.JobID]w.TenantName // tenants of the jobs in states, as far as they are known; "" for jobs without one
 	pending            map[string]int
+	pendingCurrent     bool               // the coordinator that conn leads to sends changes of pending
+	pendingStaleSince  time.Time          // when it last ceased to
 	unconfirmedCounts  map[string]int     // number of unconfirmedJobs by queue
 	unconfirmedJobs    map[w.JobID]*w.Job // accepted here and not yet confirmed by the coordinator
 	unconfirmedCancels map[w.JobID]bool
@@ -121,7 +122,7 @@
 func (g *Gateway) Init() {
 	g.acceptor = newAcceptor(g.Keeper)
 	g.admission.init()
-	g.disconnectedSince = time.Now()
+	g.pendingStaleSince = time.Now()
 	g.states = make(map[w.JobID]w.State)
 	g.owners = make(map[w.JobID]w.TenantName)
 	g.pending = make(map[string]int)
@@ -152,7 +153,7 @@
 func (g *Gateway) Connect(c *linker.Conn, leader keeper.Version) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.conn, g.leader = c, leader
+	g.conn, g.leader, g.pendingCurrent = c, leader, false
 	f := &linker.Frame{Again: true}
 	for id, j := range g.unconfirmedJobs {
 		if time.Since(time.UnixMilli(j.Accepted)) > maxForwardAge {
@@ -182,7 +183,10 @@
 	defer g.mu.Unlock()
 	if g.conn == c {
 		g.conn = nil
-		g.disconnectedSince = time.Now()
+		if g.pendingCurrent {
+			g.pendingStaleSince = time.Now()
+		}
+		g.pendingCurrent = false
 	}
 }
 
@@ -230,6 +234,7 @@
 	}
 	if f.Pending != nil {
 		clear(g.pending)
+		g.pendingCurrent = g.conn != nil
 		for _, p := range f.Pending.Queues {
 			g.pending[p.Queue] = p.Jobs
 		}
@@ -492,12 +497,12 @@
 }
 
 // Pending returns the number of jobs of a queue that have no started task. It reports
-// false if the coordinator has been disconnected for longer than maxPendingAge, since
-// the number is then out of date.
+// false if no coordinator has sent the number, or a change of it, on the current connection
+// and the last one to do so was lost more than maxPendingAge ago.
 func (g *Gateway) Pending(queue string) (int, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.conn == nil && time.Since(g.disconnectedSince) > maxPendingAge {
+	if !g.pendingCurrent && time.Since(g.pendingStaleSince) > maxPendingAge {
 		return 0, false
 	}
 	return g.pending[queue] + g.unconfirmedCounts[queue], true
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -204,7 +204,7 @@
 	g.Disconnect(conn)
 	_, known = g.Pending("q")
 	require.True(t, known, "the count stays valid during a change of coordinator")
-	g.disconnectedSince = g.disconnectedSince.Add(-maxPendingAge)
+	g.pendingStaleSince = g.pendingStaleSince.Add(-maxPendingAge)
 	_, known = g.Pending("q")
 	require.False(t, known)
 }
--- a/gateway/join_test.go
+++ b/gateway/join_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -66,3 +68,28 @@
 	require.NoError(t, err)
 	require.Equal(t, w.Completed, state)
 }
+
+// TestPendingCountOfEarlierConnection guards against a count that is out of date, since a
+// new connection has not carried one yet.
+func TestPendingCountOfEarlierConnection(t *testing.T) {
+	g := &Gateway{Keeper: &keeper.Keeper{}, Log: slog.New(slog.DiscardHandler)}
+	g.Init()
+	connect := func() *linker.Conn {
+		local, remote := net.Pipe()
+		t.Cleanup(func() { _ = remote.Close() })
+		c := linker.NewConn(local)
+		g.Connect(c, 1)
+		return c
+	}
+	c := connect()
+	g.Receive(&linker.Frame{Pending: &linker.PendingCounts{Queues: []linker.Pending{{Queue: "q", Jobs: 5}}}})
+	c.Close()
+	g.Disconnect(c)
+	time.Sleep(maxPendingAge + 100*time.Millisecond)
+	_, ok := g.Pending("q")
+	require.False(t, ok)
+	c = connect()
+	defer c.Close()
+	n, ok := g.Pending("q")
+	require.False(t, ok, "count %d is older than %s", n, maxPendingAge)
+}
