--- a/coordinator/retention_test.go
+++ b/coordinator/retention_test.go
@@ -68,3 +68,21 @@
 	x.c.Advance(x.now)
 	require.Equal(t, []w.JobID{"completed"}, x.c.Flush().DropContent)
 }
+
+// TestRetentionOutlastsLeaders guards against ended jobs that are never removed, since each
+// leader begins their retention time anew.
+func TestRetentionOutlastsLeaders(t *testing.T) {
+	var age time.Duration
+	var x *testCell
+	for range 10 {
+		s := &keeper.Snapshot{
+			Jobs:     []w.Job{{ID: "j"}},
+			Progress: map[w.JobID]keeper.Progress{"j": {ID: "j", State: w.Completed}},
+		}
+		x = newCell(t, 1, 1, s)
+		x.advance(x.c.Retention / 2)
+		x.advance(2 * time.Second)
+		age += x.c.Retention/2 + 2*time.Second
+	}
+	require.Empty(t, x.c.jobs, "ended %s ago, retention time %s", age, x.c.Retention)
+}
--- a/gateway/join_test.go
+++ b/gateway/join_test.go
@@ -93,3 +93,16 @@
 	n, ok := g.Pending("q")
 	require.False(t, ok, "count %d is older than %s", n, maxPendingAge)
 }
+
+// TestExpiryMissedWhileDisconnected guards against a state that is kept for good, since its
+// job was removed while the instance had no connection.
+func TestExpiryMissedWhileDisconnected(t *testing.T) {
+	s := &rowStore{rows: make(map[keeper.Key]keeper.Row)}
+	g := &Gateway{Keeper: &keeper.Keeper{Store: s}, Log: slog.New(slog.DiscardHandler)}
+	g.Init()
+	g.Receive(&linker.Frame{States: []linker.JobState{{Job: "j", State: w.Completed}}})
+	g.Receive(&linker.Frame{Reset: true, NamesTenants: true})
+	state, err := g.State(t.Context(), "j")
+	require.NoError(t, err)
+	require.Equal(t, w.Unknown, state)
+}
