keeper, instance: removals of ended jobs hold up no saves

A removal of an ended job was part of the leader's save, which also holds progress, the roster and the ends that let targets forget theirs. If the partition of the job is silent, the save fails as a whole and is repeated for ever: from the retention time of 150 s on, a cell stores nothing while one of 64 partitions is silent.

Removals have transactions of their own now, one for each partition every 10 s, and only those that failed are repeated. They are not guarded by the leader row: the end of a job does not change, and whoever removes it has seen its end stored 150 s before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -134,7 +134,6 @@
 	gaugesDue        time.Time
 	sweepDue         time.Time
 	removalDue       time.Time
-	dropDue          time.Time
 	permittedShares  map[string]float64            // share of targets that the policy permits, by queue
 	unsynced         map[w.TargetID]unsyncedTarget // targets of the previous roster that are not synced yet, see target.synced
 	generation       int64                         // counts the changes that may allow further placements
@@ -339,9 +338,6 @@
 	if !now.Before(c.removalDue) {
 		c.removalDue = now.Add(removalPeriod)
 		c.removeExpiredJobs()
-	}
-	if !now.Before(c.dropDue) {
-		c.dropDue = now.Add(dropPeriod)
 		c.dropContent()
 	}
 }
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -522,7 +522,7 @@
 }
 
 // dropContent has the content of completed jobs removed from the store, up to
-// maxDropsPerPeriod of them. That of jobs with a tenant is needed to account for their
+// maxRemovalsPerPeriod of them. That of jobs with a tenant is needed to account for their
 // last runs.
 func (c *Coordinator) dropContent() {
 	for id, j := range c.jobs {
@@ -531,22 +531,19 @@
 		}
 		j.contentDropped = true
 		c.droppedContent = append(c.droppedContent, id)
-		if len(c.droppedContent) >= maxDropsPerPeriod {
+		if len(c.droppedContent) >= maxRemovalsPerPeriod {
 			return
 		}
 	}
 }
 
 const (
-	// dropPeriod is the interval between removals of the content of completed jobs. Each
-	// takes a transaction for each partition of the store.
-	dropPeriod        = 10 * time.Second
-	maxDropsPerPeriod = 2000
-	// removalPeriod is the interval between removals of ended jobs.
-	removalPeriod = 1 * time.Second
+	// removalPeriod is the interval between removals of ended jobs and of their content.
+	// Each takes a transaction for each partition of the store.
+	removalPeriod = 10 * time.Second
 	// maxRemovalsPerPeriod bounds the jobs that are removed from the store at once. Over
 	// time, all jobs that end have to be removed.
-	maxRemovalsPerPeriod = 200
+	maxRemovalsPerPeriod = 2000
 )
 
 // mayBeRunning reports whether a target may still run a task of the job.
--- a/instance/saves.go
+++ b/instance/saves.go
@@ -16,11 +16,16 @@
 // save retries writing a batch until it is stored or the leadership ends.
 func (l *leader) save(b *coordinator.Batch, saved chan<- savedBatch) {
 	for l.ctx.Err() == nil {
-		changes := &keeper.ChangeSet{Progress: b.Progress, Remove: b.Remove, Roster: b.Roster, RosterChanged: b.RosterChanged}
+		changes := &keeper.ChangeSet{Progress: b.Progress, Roster: b.Roster, RosterChanged: b.RosterChanged}
 		err := l.in.Keeper.Save(l.ctx, &l.leadership, changes)
 		if err == nil {
 			l.reportRefused(changes)
+			removals := l.leadership.Removals(b.Remove)
 			saved <- savedBatch{b, changes}
+			l.remove(len(removals), func() (err error) {
+				removals, err = l.in.Keeper.RemoveJobs(l.ctx, removals)
+				return err
+			})
 			l.remove(len(b.RemoveEnds), func() error { return l.in.Keeper.RemoveEnds(l.ctx, b.RemoveEnds) })
 			content := b.DropContent
 			l.remove(len(content), func() (err error) {
--- a/keeper/content.go
+++ b/keeper/content.go
@@ -19,7 +19,7 @@
 // It returns the jobs whose content may remain. A row that is written late, after the job
 // was removed, counts for nothing, as it has no final state.
 func (k *Keeper) DropContent(ctx context.Context, ids []w.JobID) ([]w.JobID, error) {
-	return k.byPartition(ids, func(partition string, ids []w.JobID) error {
+	return k.byPartition(ids, maxTxRows, func(partition string, ids []w.JobID) error {
 		tx := new(Tx)
 		for _, id := range ids {
 			tx.Writes = append(tx.Writes, Row{Key: Key{TableJobs, partition, string(id)}, Value: endedJob})
@@ -31,9 +31,9 @@
 	})
 }
 
-// byPartition calls write for the jobs of each partition, at most maxTxRows at a time, so
-// that a silent partition holds up no other. It returns the jobs for which write failed.
-func (k *Keeper) byPartition(ids []w.JobID, write func(partition string, ids []w.JobID) error) ([]w.JobID, error) {
+// byPartition calls write for the jobs of each partition, at most n at a time, so that a
+// silent partition holds up no other. It returns the jobs for which write failed.
+func (k *Keeper) byPartition(ids []w.JobID, n int, write func(partition string, ids []w.JobID) error) ([]w.JobID, error) {
 	groups := make(map[string][]w.JobID)
 	for _, id := range ids {
 		p := k.Partitions.Of(id)
@@ -42,7 +42,7 @@
 	var failed []w.JobID
 	var errs []error
 	for partition, group := range groups {
-		for chunk := range slices.Chunk(group, maxTxRows) {
+		for chunk := range slices.Chunk(group, n) {
 			if err := write(partition, chunk); err != nil {
 				failed, errs = append(failed, chunk...), append(errs, err)
 			}
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -12,7 +12,6 @@
 // ChangeSet holds the changes that a coordinator saves together.
 type ChangeSet struct {
 	Progress      []Progress
-	Remove        []w.JobID
 	Roster        Roster // written if RosterChanged
 	RosterChanged bool
 
@@ -126,23 +125,6 @@
 		}
 		items = append(items, item)
 	}
-	// Removals span partitions, so they get transactions of their own.
-	if err := k.saveItems(ctx, leadership, items, changes); err != nil {
-		return err
-	}
-	items = items[:0]
-	for _, id := range changes.Remove {
-		key := k.JobKey(id)
-		item := saveItem{deletes: []Key{progressKey(id)}, stored: func() { delete(leadership.chunks, id) }}
-		for n := range leadership.chunks[id] {
-			item.deletes = append(item.deletes, progressChunkKey(id, n))
-		}
-		for _, table := range [...]string{TableJobs, TableCancellations} {
-			key.Table = table
-			item.deletes = append(item.deletes, key)
-		}
-		items = append(items, item)
-	}
 	return k.saveItems(ctx, leadership, items, changes)
 }
 
