--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"os"
@@ -19,7 +18,6 @@
 	"github.com/masticlead/masticlead/platform"
 	"github.com/masticlead/masticlead/recorder"
 	"github.com/masticlead/masticlead/reserver"
-	"github.com/masticlead/masticlead/workload"
 )
 
 const (
@@ -48,8 +46,8 @@
 }
 
 // configReads returns the reads of the configuration over the separate paths to the store.
-func configReads(s *platform.Store) []func(context.Context) (*workload.Config, error) {
-	return []func(context.Context) (*workload.Config, error){s.ReadConfigDirect, s.ReadConfigRelayed}
+func configReads(s *platform.Store) []instance.ConfigRead {
+	return []instance.ConfigRead{{Via: "direct", Read: s.ReadConfigDirect}, {Via: "relay", Read: s.ReadConfigRelayed}}
 }
 
 // newPlatformCmd returns the command that runs an instance on the users' platform.
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -80,11 +80,27 @@
 func (g *Gateway) reportRefusal(s *authenticator.Snapshot, q *w.Queue, id w.JobID, err error) {
 	reason := refusalReason(err)
 	g.Meter.Count("request", reason)
-	age, ageErr := g.Freshness.Age(s)
-	if ageErr != nil {
+	g.Log.Warn("request refused", append([]any{"job", id, "queue", q.Name, "reason", reason}, g.freshnessAttributes(s)...)...)
+}
+
+// freshnessAttributes returns log attributes that tell by which configuration a request was
+// refused, and how long ago it was confirmed; a negative time stands for never.
+func (g *Gateway) freshnessAttributes(s *authenticator.Snapshot) []any {
+	age, err := g.Freshness.Age(s)
+	if err != nil {
 		age = -1
 	}
-	g.Log.Warn("request refused", "job", id, "queue", q.Name, "reason", reason, "configuration", s.Config.Version, "confirmed", age)
+	return []any{"configuration", s.Config.Version, "confirmed", age}
+}
+
+// maxLoggedPath bounds the length in bytes of a client's path on a line.
+const maxLoggedPath = 64
+
+// ReportUnknownQueue counts and logs a request that matches no queue.
+func (g *Gateway) ReportUnknownQueue(path string) {
+	g.Meter.Count("request", "unknownQueue")
+	g.Log.Warn("request refused", append([]any{"path", path[:min(len(path), maxLoggedPath)], "reason", "unknownQueue"},
+		g.freshnessAttributes(g.Freshness.Snapshot())...)...)
 }
 
 // reportDenial counts and logs a request for a job's state or cancellation that was refused,
@@ -92,7 +108,11 @@
 func (g *Gateway) reportDenial(ctx context.Context, id w.JobID, err error) error {
 	reason := refusalReason(err)
 	g.Meter.Count("request", reason)
-	g.Log.Warn("request refused", "job", id, "tenant", callerOf(ctx).Tenant, "reason", reason)
+	attributes := []any{"job", id, "tenant", callerOf(ctx).Tenant, "reason", reason}
+	if s := g.Freshness.Snapshot(); s != nil {
+		attributes = append(attributes, g.freshnessAttributes(s)...)
+	}
+	g.Log.Warn("request refused", attributes...)
 	return err
 }
 
--- a/instance/config.go
+++ b/instance/config.go
@@ -42,14 +42,15 @@
 	// when it can't be decoded.
 	current := false
 	for in.ctx.Err() == nil {
-		sent := in.Gateway.Freshness.Now()
+		sent, start := in.Gateway.Freshness.Now(), time.Now()
 		previous := after
 		var cfg *w.Config
 		var err error
+		via := "watch"
 		if synced {
 			cfg, after, err = in.Directory.ConfigChange(in.ctx, after, in.watchTimeout())
 		} else {
-			current = false
+			current, via = false, "read"
 			cfg, after, err = in.Directory.Config(in.ctx)
 			synced = err == nil
 		}
@@ -61,16 +62,19 @@
 			}
 			if errors.Is(err, keeper.ErrHistoryTruncated) {
 				synced = false
+				in.Meter.Count("unread", "configurationHistory")
+				in.Log.Info("changes of the configuration are no longer available", "revision", previous)
 			}
 			in.sleep(retryDelay)
 			continue
 		}
 		switch {
 		case cfg != nil:
-			current = in.applyConfig(cfg, sent)
+			current = in.applyConfig(cfg, configRead{via: via, sent: sent, start: start, revision: after})
 		case after < previous:
 			// The store has lost changes that it reported before.
 			synced = false
+			in.Log.Warn("revision of the configuration went back", "via", via, "revision", after, "previous", previous)
 		case current:
 			in.Gateway.Freshness.Confirm(sent)
 		case in.Gateway.Config() == nil:
@@ -88,26 +92,40 @@
 	return longPollTimeout
 }
 
-// applyConfig applies a configuration that a read sent at the given time has returned. It
-// returns false if a newer one is active.
-func (in *Instance) applyConfig(cfg *w.Config, sent time.Duration) bool {
+// configRead tells how a configuration was read.
+type configRead struct {
+	via      string
+	sent     time.Duration  // time of Freshness.Clock right before the read was sent, or 0 if it is unknown
+	start    time.Time      // the same time on the clock of the logs
+	revision keeper.Version // newest version of the store as of the response, or 0 if it is unknown
+}
+
+// applyConfig applies a configuration that a read has returned. It returns false if a newer
+// one is active.
+func (in *Instance) applyConfig(cfg *w.Config, read configRead) bool {
 	previous := in.Gateway.Freshness.Snapshot()
-	if in.Gateway.Freshness.Apply(cfg, sent) {
-		in.logConfig(previous, in.Gateway.Freshness.Snapshot())
+	if in.Gateway.Freshness.Apply(cfg, read.sent) {
+		in.logConfig(previous, in.Gateway.Freshness.Snapshot(), read)
 		if l := in.leader.Load(); l != nil {
 			l.configure(cfg)
 		}
 	}
-	return in.Gateway.Config().Version <= cfg.Version
+	active := in.Gateway.Config().Version
+	if active > cfg.Version {
+		in.Meter.Count("unread", "olderConfiguration")
+		in.Log.Warn("older configuration read", "via", read.via, "version", cfg.Version, "active", active, "revision", read.revision)
+	}
+	return active <= cfg.Version
 }
 
-func (in *Instance) logConfig(previous, s *authenticator.Snapshot) {
+func (in *Instance) logConfig(previous, s *authenticator.Snapshot, read configRead) {
 	removed := 0
 	if previous != nil {
 		removed = previous.KeysRemovedBy(s)
 	}
 	in.Log.Info("configuration in force", "version", s.Config.Version, "queues", len(s.Config.Queues),
-		"tenants", len(s.Config.Tenants), "keys", s.Keys(), "keysRemoved", removed)
+		"tenants", len(s.Config.Tenants), "keys", s.Keys(), "keysRemoved", removed,
+		"via", read.via, "took", time.Since(read.start), "revision", read.revision)
 	in.reportFindings(s.Config)
 }
 
@@ -150,28 +168,35 @@
 	defer cancel()
 	reads := in.ConfigReads
 	if len(reads) == 0 {
-		reads = []func(context.Context) (*w.Config, error){func(ctx context.Context) (*w.Config, error) {
+		reads = []ConfigRead{{"read", func(ctx context.Context) (*w.Config, error) {
 			cfg, _, err := in.Directory.Config(ctx)
 			return cfg, err
-		}}
+		}}}
 	}
-	sent := in.Gateway.Freshness.Now()
+	sent, start := in.Gateway.Freshness.Now(), time.Now()
 	if sent == 0 {
 		// Without the clock, no read can confirm anything.
 		in.Meter.Count("confirm", "failed")
 		return false
 	}
-	results := make(chan *w.Config, len(reads))
+	type result struct {
+		cfg *w.Config
+		via string
+	}
+	results := make(chan result, len(reads))
 	for _, read := range reads {
 		in.spawn(func() {
-			var cfg *w.Config
+			r := result{via: read.Via}
 			// A panic is logged by spawn. The result must be sent nevertheless.
-			defer func() { results <- cfg }()
-			cfg, _ = read(ctx)
+			defer func() { results <- r }()
+			var err error
+			if r.cfg, err = read.Read(ctx); err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+				in.Log.Info("separate read of the configuration failed", "via", read.Via, "took", time.Since(start), "error", brief(err))
+			}
 		})
 	}
 	for range reads {
-		if cfg := <-results; cfg != nil && in.applyConfig(cfg, sent) {
+		if r := <-results; r.cfg != nil && in.applyConfig(r.cfg, configRead{via: r.via, sent: sent, start: start}) {
 			in.Meter.Count("confirm", "confirmed")
 			return true
 		}
--- a/instance/config_test.go
+++ b/instance/config_test.go
@@ -119,12 +119,12 @@
 		return keyedConfig(7), nil
 	}
 	in := newConfigInstance(t, nil)
-	in.applyConfig(keyedConfig(7), 0)
+	in.applyConfig(keyedConfig(7), configRead{})
 
-	in.ConfigReads = []func(context.Context) (*w.Config, error){hangs, fails, older, panics}
+	in.ConfigReads = []ConfigRead{{"hangs", hangs}, {"fails", fails}, {"older", older}, {"panics", panics}}
 	require.False(t, in.readConfig(20*time.Millisecond))
 	require.Zero(t, in.Gateway.Freshness.Snapshot().Confirmed)
-	in.ConfigReads = append(in.ConfigReads, valid)
+	in.ConfigReads = append(in.ConfigReads, ConfigRead{"valid", valid})
 	require.True(t, in.readConfig(time.Hour))
 	require.Positive(t, in.Gateway.Freshness.Snapshot().Confirmed)
 
@@ -146,7 +146,7 @@
 		return rw.Code
 	}
 	require.Equal(t, http.StatusServiceUnavailable, readiness(), "no configuration")
-	in.applyConfig(keyedConfig(7), now)
+	in.applyConfig(keyedConfig(7), configRead{sent: now})
 	now += 3 * time.Second
 	require.Equal(t, http.StatusOK, readiness())
 	now++
@@ -155,7 +155,7 @@
 	require.Equal(t, http.StatusOK, readiness(), "a reload of the settings removes the bound")
 	in.SetBounds(Bounds{RevokeAfter: time.Second})
 	require.Equal(t, http.StatusServiceUnavailable, readiness())
-	in.applyConfig(&w.Config{Version: 8}, 0)
+	in.applyConfig(&w.Config{Version: 8}, configRead{})
 	require.Equal(t, http.StatusOK, readiness(), "without tenants")
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -46,6 +46,12 @@
 	SetRelay(relay func(ctx context.Context, c *linker.Call) linker.CallReply)
 }
 
+// ConfigRead reads the configuration over one path to the store.
+type ConfigRead struct {
+	Via  string // name of the path on log lines
+	Read func(context.Context) (*w.Config, error)
+}
+
 // Bounds holds the time limits that the platform prescribes.
 type Bounds struct {
 	ShutdownGracePeriod time.Duration // time allowed for shutting down
@@ -72,7 +78,7 @@
 	// ConfigReads read the configuration over one path to the store each. They are
 	// called in parallel to confirm that the active configuration is current. If there
 	// are none, Directory is used.
-	ConfigReads  []func(context.Context) (*w.Config, error)
+	ConfigReads  []ConfigRead
 	TargetClient executor.TargetClient
 	Gateway      *gateway.Gateway
 	Front        http.Handler
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -172,11 +172,11 @@
 	// the previous leader applied.
 	ctx, cancel := context.WithTimeout(l.ctx, configReadTimeout)
 	defer cancel()
-	sent := in.Gateway.Freshness.Now()
-	if cfg, _, err := in.Directory.Config(ctx); err != nil {
+	sent, start := in.Gateway.Freshness.Now(), time.Now()
+	if cfg, revision, err := in.Directory.Config(ctx); err != nil {
 		in.Log.Warn("could not read the configuration at takeover", "epoch", l.leadership.Epoch, "error", err)
 	} else if cfg != nil {
-		in.applyConfig(cfg, sent)
+		in.applyConfig(cfg, configRead{via: "takeover", sent: sent, start: start, revision: revision})
 	}
 	l.monitor.Advance()
 	if cfg := in.Gateway.Config(); cfg != nil {
