--- a/authenticator/authenticator_test.go
+++ b/authenticator/authenticator_test.go
@@ -80,6 +80,9 @@
 	*now++
 	require.ErrorIs(t, authenticate(f, "ka"), ErrStale, "frozen past the bound")
 	require.ErrorIs(t, authenticate(f, "kb"), ErrUnknownKey, "the key is checked first")
+	f.RefusalBound = func() time.Duration { return bound }
+	require.ErrorIs(t, authenticate(f, "kb"), ErrStale, "may have been added since")
+	f.RefusalBound = nil
 
 	f.Confirm(*now)
 	f.Confirm(*now - time.Second)
@@ -108,15 +111,18 @@
 	require.ErrorIs(t, authenticate(f, "ka"), ErrStale)
 	require.False(t, f.Apply(&w.Config{Version: 2}, *now))
 	require.NoError(t, authenticate(f, "ka"), "a read of the same version confirms it")
-	require.True(t, f.OlderThan(f.Snapshot(), -0.1))
+	require.True(t, f.OlderThan(f.Snapshot(), -time.Millisecond))
 	require.False(t, f.OlderThan(f.Snapshot(), 0))
 }
 
-// TestRevokedKeyIsNeverAcceptedAfterBound guards against a removed key that an instance
-// accepts later than the bound, for any delays of reads on the way to the store and back.
-func TestRevokedKeyIsNeverAcceptedAfterBound(t *testing.T) {
+// TestOldConfigurationDecidesNothing guards against a removed key that an instance accepts,
+// and an added one that it refuses for good, later than the bounds, for any delays of reads
+// on the way to the store and back.
+func TestOldConfigurationDecidesNothing(t *testing.T) {
+	const refusalBound = 3 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		f, now := newFreshness()
+		f.RefusalBound = func() time.Duration { return refusalBound }
 		delay := func(name string) time.Duration {
 			return time.Duration(rapid.IntRange(0, 9000).Draw(t, name)) * time.Millisecond
 		}
@@ -125,13 +131,13 @@
 			{Version: 2, RequiresKeys: true, Tenants: []w.Tenant{tenant("a", "kb")}},
 		}
 		f.Apply(versions[0], *now)
-		removed := *now + delay("removed")
+		changed := *now + delay("changed")
 		for range rapid.IntRange(1, 20).Draw(t, "reads") {
 			sent := f.Now()
 			processed := sent + delay("to store")
 			*now = processed + delay("from store")
 			switch {
-			case processed >= removed:
+			case processed >= changed:
 				f.Apply(versions[1], sent)
 			case rapid.Bool().Draw(t, "watch"):
 				f.Confirm(sent)
@@ -139,9 +145,12 @@
 				f.Apply(versions[0], sent)
 			}
 			*now += delay("until request")
-			if *now > removed+bound {
+			if *now > changed+bound {
 				require.Error(t, authenticate(f, "ka"))
 			}
+			if *now > changed+refusalBound {
+				require.NotErrorIs(t, authenticate(f, "kb"), ErrUnknownKey)
+			}
 		}
 	})
 }
--- a/authenticator/freshness.go
+++ b/authenticator/freshness.go
@@ -9,8 +9,8 @@
 	w "github.com/masticlead/masticlead/workload"
 )
 
-// ErrStale reports that the configuration was not confirmed recently enough to accept
-// a request with a key.
+// ErrStale reports that the configuration was not confirmed recently enough to accept a
+// request with a key, or to refuse a request for good.
 var ErrStale = errors.New("authenticator: configuration is too old")
 
 // ErrNoClock reports that the clock can't be read.
@@ -35,9 +35,10 @@
 }
 
 // Freshness holds the active configuration and decides whether it is recent enough to
-// accept a request with a key. A request sent at t is checked at c >= t. If the
-// configuration was confirmed by a read sent at s > c - Bound >= t - Bound, then that
-// read has seen every removal of a key acknowledged before t - Bound.
+// accept a request with a key, or to refuse one. A request sent at t is checked at c >= t.
+// If the configuration was confirmed by a read sent at s > c - Bound >= t - Bound, then
+// that read has seen every removal of a key acknowledged before t - Bound. The same holds
+// for additions and RefusalBound.
 //
 // The exported fields must be set before use.
 type Freshness struct {
@@ -48,6 +49,10 @@
 	// Bound returns the age from which the configuration is too old, or 0 if there is
 	// no such age. A nil function stands for 0.
 	Bound func() time.Duration
+	// RefusalBound returns the age from which a request must not be refused for good, since
+	// a newer configuration may allow it, or 0 if there is no such age. A nil function
+	// stands for 0.
+	RefusalBound func() time.Duration
 
 	mu      sync.Mutex // held while current is replaced
 	current atomic.Pointer[Snapshot]
@@ -73,11 +78,26 @@
 	return f.Clock()
 }
 
-func (f *Freshness) bound() time.Duration {
-	if f.Bound == nil {
-		return 0
+// checkAge returns an error that wraps ErrStale if a snapshot is as old as a bound, or its
+// age is unknown.
+func (f *Freshness) checkAge(s *Snapshot, bound func() time.Duration) error {
+	limit := time.Duration(0)
+	if bound != nil {
+		limit = bound()
+	}
+	if limit == 0 {
+		return nil
+	}
+	age, err := f.Age(s)
+	switch {
+	case errors.Is(err, ErrStale):
+		return err
+	case err != nil:
+		return errors.Join(ErrStale, err)
+	case age >= limit:
+		return ErrStale
 	}
-	return f.Bound()
+	return nil
 }
 
 // Apply makes cfg the active configuration if it has a higher version, and reports
@@ -125,37 +145,28 @@
 	return now - s.Confirmed, nil
 }
 
-// OlderThan reports whether a snapshot's age exceeds a fraction of the bound. It is
-// always false while there is no bound or the configuration has no tenants.
-func (f *Freshness) OlderThan(s *Snapshot, fraction float64) bool {
-	bound := f.bound()
-	if bound == 0 || s == nil || len(s.Config.Tenants) == 0 {
-		return false
-	}
+// OlderThan reports whether a snapshot's age exceeds a limit or is unknown.
+func (f *Freshness) OlderThan(s *Snapshot, limit time.Duration) bool {
 	age, err := f.Age(s)
-	return err != nil || age > time.Duration(fraction*float64(bound))
+	return err != nil || age > limit
 }
 
+// CheckRefusal returns an error that wraps ErrStale if a snapshot is too old to refuse a
+// request for good.
+func (f *Freshness) CheckRefusal(s *Snapshot) error { return f.checkAge(s, f.RefusalBound) }
+
 // Authenticate returns the tenant of a credential according to a snapshot. It fails with
-// ErrUnknownKey, or with an error that wraps ErrStale if the key is known but the
-// snapshot is too old.
+// ErrUnknownKey, or with an error that wraps ErrStale if the snapshot is too old to tell.
 func (f *Freshness) Authenticate(s *Snapshot, c Credential) (w.TenantName, error) {
 	tenant, err := s.authenticator.Tenant(c)
 	if err != nil {
+		if stale := f.CheckRefusal(s); stale != nil {
+			return "", stale
+		}
 		return "", err
 	}
-	bound := f.bound()
-	if bound == 0 {
-		return tenant, nil
-	}
-	age, err := f.Age(s)
-	switch {
-	case errors.Is(err, ErrStale):
+	if err := f.checkAge(s, f.Bound); err != nil {
 		return "", err
-	case err != nil:
-		return "", errors.Join(ErrStale, err)
-	case age >= bound:
-		return "", ErrStale
 	}
 	return tenant, nil
 }
--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -41,7 +41,7 @@
 	return instance.Bounds{
 		ShutdownGracePeriod: s.ShutdownGracePeriod, StopTimeout: s.StopTimeout, RestoreTime: s.RestoreTime,
 		MaxLease: s.MaxLease, StateRetention: s.StateRetention,
-		RevokeAfter: s.RevokeAfter, QuotaExcess: s.QuotaExcess, RemoteFactor: s.RemoteFactor,
+		RevokeAfter: s.RevokeAfter, ApplyWithin: s.ApplyWithin, QuotaExcess: s.QuotaExcess, RemoteFactor: s.RemoteFactor,
 	}
 }
 
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -14,6 +14,9 @@
 // ErrForbidden reports that a job belongs to another tenant.
 var ErrForbidden = errors.New("gateway: the job belongs to another tenant")
 
+// ErrUnknownQueue reports that no queue has the host and path of a request.
+var ErrUnknownQueue = errors.New("gateway: unknown queue")
+
 // Caller is the sender of a request. The zero value has no key.
 type Caller struct {
 	// Tenant is the tenant whose jobs the caller may see, besides jobs without a
@@ -61,19 +64,42 @@
 	tenant, err := g.Freshness.Authenticate(s, c)
 	switch {
 	case errors.Is(err, authenticator.ErrStale):
-		return "", &RefusedError{Reason: "staleConfiguration", RetryAfter: g.staleRetryAfter(ctx)}
+		return "", g.staleError(ctx)
 	case err != nil:
 		return "", fmt.Errorf("gateway: %w", err)
 	}
 	return tenant, nil
 }
 
-func (g *Gateway) staleRetryAfter(ctx context.Context) time.Duration {
+// staleError returns the refusal of a request that the configuration is too old to decide.
+func (g *Gateway) staleError(ctx context.Context) error {
 	remaining := maxRetryAfter * retriesWithinDeadline
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining = time.Until(deadline)
 	}
-	return g.retryAfter(remaining)
+	return &RefusedError{Reason: "staleConfiguration", RetryAfter: g.retryAfter(remaining)}
+}
+
+// CheckRefusal returns a RefusedError if the configuration is too old to refuse a request
+// for good.
+func (g *Gateway) CheckRefusal(ctx context.Context) error {
+	if s := g.Freshness.Snapshot(); s != nil && g.Freshness.CheckRefusal(s) != nil {
+		return g.staleError(ctx)
+	}
+	return nil
+}
+
+// RefuseUnknownQueue refuses a request that matches no queue of the configuration. It
+// returns ErrUnknownQueue, or a RefusedError if the configuration is too old to tell.
+func (g *Gateway) RefuseUnknownQueue(ctx context.Context, path string) error {
+	s, err := g.Freshness.Snapshot(), ErrUnknownQueue
+	if stale := g.CheckRefusal(ctx); stale != nil {
+		err = stale
+	}
+	reason := refusalReason(err)
+	g.Meter.Count("request", reason)
+	g.Log.Warn("request refused", append([]any{"path", path[:min(len(path), maxLoggedPath)], "reason", reason}, g.freshnessAttributes(s)...)...)
+	return err
 }
 
 // reportRefusal counts and logs a request that was refused before it reached a job.
@@ -96,13 +122,6 @@
 // maxLoggedPath bounds the length in bytes of a client's path on a line.
 const maxLoggedPath = 64
 
-// ReportUnknownQueue counts and logs a request that matches no queue.
-func (g *Gateway) ReportUnknownQueue(path string) {
-	g.Meter.Count("request", "unknownQueue")
-	g.Log.Warn("request refused", append([]any{"path", path[:min(len(path), maxLoggedPath)], "reason", "unknownQueue"},
-		g.freshnessAttributes(g.Freshness.Snapshot())...)...)
-}
-
 // reportDenial counts and logs a request for a job's state or cancellation that was refused,
 // and returns err.
 func (g *Gateway) reportDenial(ctx context.Context, id w.JobID, err error) error {
@@ -127,6 +146,8 @@
 		return refused.Reason
 	case errors.Is(err, authenticator.ErrUnknownKey):
 		return "unknownKey"
+	case errors.Is(err, ErrUnknownQueue):
+		return "unknownQueue"
 	case errors.Is(err, ErrForbidden):
 		return "otherTenant"
 	default:
@@ -152,11 +173,15 @@
 	return nil
 }
 
-// checkOwner returns ErrForbidden if the caller may not see the jobs of a tenant.
+// checkOwner returns ErrForbidden if the caller may not see the jobs of a tenant, or a
+// RefusedError if the configuration is too old to tell.
 func (g *Gateway) checkOwner(ctx context.Context, owner w.TenantName) error {
 	if owner == "" || owner == callerOf(ctx).Tenant || !requiresKeys(g.Freshness.Snapshot()) {
 		return nil
 	}
+	if err := g.CheckRefusal(ctx); err != nil {
+		return err
+	}
 	return ErrForbidden
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -308,7 +308,12 @@
 		}
 		stored, err := g.acceptor.accept(ctx, j)
 		if err == nil {
-			return stored, g.checkOwner(ctx, stored.Tenant)
+			err = g.checkOwner(ctx, stored.Tenant)
+			if refused := (*RefusedError)(nil); errors.As(err, &refused) {
+				// The stored job may be the caller's, so it can't be said never to run.
+				err = fmt.Errorf("gateway: accept: %w", authenticator.ErrStale)
+			}
+			return stored, err
 		}
 		if errors.Is(err, keeper.ErrRejected) && !maybeStored {
 			return nil, fmt.Errorf("gateway: accept: %w: %w", w.ErrInvalid, err)
--- a/instance/config.go
+++ b/instance/config.go
@@ -16,17 +16,22 @@
 	// leaves the load balancer 2 s of the usual 5 s to send new connections elsewhere
 	// before requests are refused.
 	unreadyFraction = 0.6
-	// confirmFraction is the fraction of the bound at which the configuration is
-	// confirmed by separate reads, and the timeout of these reads.
+	// confirmFraction is the fraction of the largest useful age at which the configuration
+	// is confirmed by separate reads, and the timeout of these reads.
 	confirmFraction = 0.2
-	// confirmPauseFraction is the fraction of the bound between two attempts to confirm
-	// the configuration. It bounds the number of reads while the store refuses them.
+	// confirmPauseFraction is the fraction of the largest useful age between two attempts
+	// to confirm the configuration. It bounds the number of reads while the store refuses
+	// them.
 	confirmPauseFraction = 0.1
-	// watchFraction is the fraction of the bound for which the store may delay its
-	// response to a watch of the configuration. A response confirms the configuration
+	// watchFraction is the fraction of the largest useful age for which the store may delay
+	// its response to a watch of the configuration. A response confirms the configuration
 	// as of its request, so that the age grows to two such delays and two round trips,
 	// which must stay below confirmFraction while the store is healthy.
 	watchFraction = 0.08
+	// refusalFactor is the ratio of the largest useful age to the age from which a request
+	// can't be refused for good. Two separate reads that get no response, and the pause
+	// between them, then end before that age.
+	refusalFactor = 2
 	// minWatchTimeout bounds the rate of watches where the bound is very short.
 	minWatchTimeout = 100 * time.Millisecond
 	// confirmTick is the interval at which the age of the configuration is checked.
@@ -86,8 +91,8 @@
 // watchTimeout returns the time for which the store may delay its response to a watch of
 // the configuration.
 func (in *Instance) watchTimeout() time.Duration {
-	if bound := in.confirmBound(); bound > 0 {
-		return min(longPollTimeout, max(minWatchTimeout, time.Duration(watchFraction*float64(bound))))
+	if maxAge := in.maxConfigAge(); maxAge > 0 {
+		return min(longPollTimeout, max(minWatchTimeout, fractionOf(maxAge, watchFraction)))
 	}
 	return longPollTimeout
 }
@@ -129,19 +134,34 @@
 	in.reportFindings(s.Config)
 }
 
-// confirmBound returns the bound for removed keys, or 0 if there is none or there are no
+// maxConfigAge returns the largest useful age of the configuration, or 0 if requests are
+// decided by a configuration of any age.
+func (in *Instance) maxConfigAge() time.Duration {
+	maxAge := refusalFactor * in.bounds.Load().ApplyWithin
+	if bound := in.revokeBound(); bound > 0 && (maxAge == 0 || bound < maxAge) {
+		return bound
+	}
+	return maxAge
+}
+
+// revokeBound returns the bound for removed keys, or 0 if there is none or there are no
 // keys.
-func (in *Instance) confirmBound() time.Duration {
+func (in *Instance) revokeBound() time.Duration {
 	if cfg := in.Gateway.Config(); cfg == nil || len(cfg.Tenants) == 0 {
 		return 0
 	}
 	return in.bounds.Load().RevokeAfter
 }
 
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
+
 // configStale reports whether the configuration is so old that requests with keys will
 // soon be refused.
 func (in *Instance) configStale() bool {
-	return in.Gateway.Freshness.OlderThan(in.Gateway.Freshness.Snapshot(), unreadyFraction)
+	bound := in.revokeBound()
+	return bound > 0 && in.Gateway.Freshness.OlderThan(in.Gateway.Freshness.Snapshot(), fractionOf(bound, unreadyFraction))
 }
 
 // confirmConfig confirms the configuration by separate reads while the responses to
@@ -151,12 +171,12 @@
 	for in.ctx.Err() == nil {
 		in.sleep(confirmTick)
 		in.reportConfigAge(&stale)
-		bound := in.confirmBound()
-		if bound == 0 || !in.Gateway.Freshness.OlderThan(in.Gateway.Freshness.Snapshot(), confirmFraction) {
+		maxAge, s := in.maxConfigAge(), in.Gateway.Freshness.Snapshot()
+		if maxAge == 0 || s == nil || !in.Gateway.Freshness.OlderThan(s, fractionOf(maxAge, confirmFraction)) {
 			continue
 		}
-		if !in.readConfig(time.Duration(confirmFraction * float64(bound))) {
-			in.sleep(time.Duration(confirmPauseFraction * float64(bound)))
+		if !in.readConfig(fractionOf(maxAge, confirmFraction)) {
+			in.sleep(fractionOf(maxAge, confirmPauseFraction))
 		}
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -60,6 +60,7 @@
 	MaxLease            time.Duration
 	StateRetention      time.Duration // minimum time to keep the states of jobs
 	RevokeAfter         time.Duration // time after which no instance accepts a removed API key; 0 if not strict
+	ApplyWithin         time.Duration // time within which a configuration must be in force at all instances that can read it; 0 if unlimited
 	QuotaExcess         float64       // fraction by which a tenant's runs may exceed its cap
 	RemoteFactor        float64       // ratio of a task's run time away from its data to that near it
 }
@@ -137,6 +138,7 @@
 	in.Gateway.RerouteDelay = in.rerouteDelay
 	in.Gateway.QuotaExcess = func() float64 { return in.bounds.Load().QuotaExcess }
 	in.Gateway.Freshness.Bound = func() time.Duration { return in.bounds.Load().RevokeAfter }
+	in.Gateway.Freshness.RefusalBound = func() time.Duration { return in.bounds.Load().ApplyWithin }
 	if in.Gateway.Freshness.Clock == nil {
 		in.Gateway.Freshness.Clock = bootTime
 	}
