--- a/instance/leader.go
+++ b/instance/leader.go
@@ -281,9 +281,6 @@
 		l.status[id] = memberStatus{storeFailingFor: f.Status.StoreAge, draining: f.Status.Leaving, asked: old.asked, cores: old.cores, reported: true}
 		l.mu.Unlock()
 	}
-	if len(f.Calls) > 0 {
-		l.serveCalls(id, f.Calls)
-	}
 	for i := range f.Results {
 		if f.Results[i].Outcome == linker.Fenced {
 			l.stop("a target reported a higher epoch")
@@ -297,25 +294,6 @@
 	})
 }
 
-// serveCalls makes calls to the store on behalf of an instance that can't reach it.
-func (l *leader) serveCalls(id w.InstanceID, calls []linker.Call) {
-	l.mu.Lock()
-	conn := l.conns[id]
-	l.mu.Unlock()
-	if conn == nil {
-		return
-	}
-	for i := range calls {
-		l.spawn(func() {
-			ctx, cancel := context.WithTimeout(l.ctx, calls[i].Timeout)
-			defer cancel()
-			r := l.in.Store.Serve(ctx, &calls[i])
-			r.ID = calls[i].ID
-			conn.Send(&linker.Frame{Replies: []linker.CallReply{r}})
-		})
-	}
-}
-
 // run makes scheduling decisions until the leadership ends. After a panic in a
 // decision, it hands the leadership over: the new leader recovers from the stored
 // state and the targets' reports. No task's end is lost, since ends are acknowledged
--- a/instance/link.go
+++ b/instance/link.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/masticlead/masticlead/elector"
@@ -14,11 +16,24 @@
 	w "github.com/masticlead/masticlead/workload"
 )
 
+// relayConn returns the connection over which a call to the store is relayed, or nil if
+// there is none. A leader that has not loaded the cell yet relays reads only: it may never
+// come to serve, and the outcome of a read that gets no response does not matter.
+func (in *Instance) relayConn(call *linker.Call) *linker.Conn {
+	if in.leader.Load() != nil || in.loading.Load() != nil {
+		return nil
+	}
+	if c := in.joinedConn.Load(); c != nil || call.Method != http.MethodGet {
+		return c
+	}
+	return in.leaderConn.Load()
+}
+
 // relay forwards a call to the store through the leader.
 func (in *Instance) relay(ctx context.Context, call *linker.Call) linker.CallReply {
-	c := in.joinedConn.Load()
-	if c == nil || in.leader.Load() != nil {
-		return linker.CallReply{Failed: true, NotDone: true}
+	c := in.relayConn(call)
+	if c == nil {
+		return linker.CallReply{Failed: true, NotDone: true, Unsent: true}
 	}
 	ch := make(chan linker.CallReply, 1)
 	in.callsMu.Lock()
@@ -73,29 +88,89 @@
 // serveConn serves a connection from an instance. The first frame in each direction
 // identifies its sender.
 func (in *Instance) serveConn(nc net.Conn) {
-	c := linker.NewConn(nc)
-	in.waitingConns.Add(1)
-	l := in.awaitLeader(c)
-	in.waitingConns.Add(-1)
-	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Cores, Leads: l != nil}})
+	p := peer{in: in, conn: linker.NewConn(nc), hello: make(chan *linker.Hello, 1)}
+	in.spawn(p.join)
+	err := p.conn.Receive(p.receive)
+	if l := p.leader(); l != nil {
+		l.leave(p.id, p.conn, err)
+	}
+}
+
+// peer is an instance that has connected to this one.
+type peer struct {
+	in    *Instance
+	conn  *linker.Conn
+	hello chan *linker.Hello // the first frame of the peer
+	id    w.InstanceID       // set before joined
+
+	mu     sync.Mutex
+	joined *leader // nil until the peer has joined it
+}
+
+// join lets the peer join the leader of this instance once it has loaded the cell.
+func (p *peer) join() {
+	p.in.waitingConns.Add(1)
+	l := p.in.awaitLeader(p.conn)
+	p.in.waitingConns.Add(-1)
+	own := &linker.Hello{Instance: p.in.id, Zone: p.in.Zone, Strength: p.in.Cores, Leads: l != nil}
 	if l == nil {
+		p.conn.Send(&linker.Frame{Hello: own})
 		// Leave time to send the frame before the connection is closed.
-		in.sleep(linker.HeartbeatInterval)
-		c.Close()
+		p.in.sleep(linker.HeartbeatInterval)
+		p.conn.Close()
 		return
 	}
-	var peer w.InstanceID
-	err := c.Receive(func(f *linker.Frame) {
-		if f.Hello != nil {
-			peer = f.Hello.Instance
-			l.join(f.Hello, c)
+	select {
+	case hello := <-p.hello:
+		// The peer's reaction to the frame is received after it has joined.
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		select {
+		case <-p.conn.Done():
+			return // serveConn has not found a leader to leave
+		default:
 		}
-		if peer != "" {
-			l.receive(peer, c, f)
+		p.conn.Send(&linker.Frame{Hello: own})
+		p.id, p.joined = hello.Instance, l
+		l.join(hello, p.conn)
+	case <-p.conn.Done():
+	}
+}
+
+// leader returns the leader that the peer has joined, or nil.
+func (p *peer) leader() *leader {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.joined
+}
+
+// receive processes a frame of the peer. Before the peer has joined, only its calls to the
+// store are served.
+func (p *peer) receive(f *linker.Frame) {
+	if f.Hello != nil {
+		select {
+		case p.hello <- f.Hello:
+		default: // one was received before
 		}
-	})
-	if peer != "" {
-		l.leave(peer, c, err)
+	}
+	if len(f.Calls) > 0 {
+		p.in.serveCalls(p.conn, f.Calls)
+	}
+	if l := p.leader(); l != nil {
+		l.receive(p.id, p.conn, f)
+	}
+}
+
+// serveCalls makes calls to the store on behalf of an instance that can't reach it.
+func (in *Instance) serveCalls(conn *linker.Conn, calls []linker.Call) {
+	for i := range calls {
+		in.spawn(func() {
+			ctx, cancel := context.WithTimeout(in.ctx, calls[i].Timeout)
+			defer cancel()
+			r := in.Store.Serve(ctx, &calls[i])
+			r.ID = calls[i].ID
+			conn.Send(&linker.Frame{Replies: []linker.CallReply{r}})
+		})
 	}
 }
 
@@ -220,13 +295,13 @@
 			in.disconnectedSince.Store(0)
 			in.Gateway.Connect(c, leadership.Version)
 		}
+		in.deliverReplies(f.Replies)
 		if !joined {
 			return
 		}
 		if f.Retire && !in.draining.Load() {
 			in.spawn(func() { in.takeOver(leadership, "the leader requested a handover") })
 		}
-		in.deliverReplies(f.Replies)
 		in.Gateway.Receive(f)
 		e.Receive(f)
 	})
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -134,6 +134,7 @@
 	Body    []byte
 	Failed  bool // the store did not reply
 	NotDone bool // set with Failed if the call is known to have had no effect
+	Unsent  bool // set with NotDone if no leader was connected; leaders never set it
 }
 
 // Outcome is the outcome of a start or stop order.
