--- a/instance/instance.go
+++ b/instance/instance.go
@@ -44,6 +44,9 @@
 	// SetRelay sets the function that relays calls through the leader while
 	// direct calls fail.
 	SetRelay(relay func(ctx context.Context, c *linker.Call) linker.CallReply)
+	// SetPeerRelay sets the function that relays reads of the configuration through
+	// another instance.
+	SetPeerRelay(relay func(ctx context.Context, c *linker.Call) linker.CallReply)
 }
 
 // ConfigRead reads the configuration over one path to the store.
@@ -113,6 +116,9 @@
 	waitingConns      atomic.Int64           // connections of instances that wait for this instance to load the cell
 	leaderConn        atomic.Pointer[linker.Conn]
 	joinedConn        atomic.Pointer[linker.Conn] // leaderConn after the leader has accepted this instance
+	leaderRelays      atomic.Bool                 // the last call that was relayed through the leader got a response
+	peers             atomic.Pointer[[]string]    // addresses of other instances that the leader has named last
+	peerConn          atomic.Pointer[linker.Conn] // to one of them, see followPeers
 	disconnectedSince atomic.Int64                // Unix time in ns since which the leader is not connected, 0 while it is
 
 	callsMu      sync.Mutex
@@ -135,6 +141,7 @@
 	in.leaderChanged = make(chan struct{}, 1)
 	in.pendingCalls = make(map[int64]chan linker.CallReply)
 	in.Store.SetRelay(in.relay)
+	in.Store.SetPeerRelay(in.relayThroughPeer)
 	in.Gateway.RerouteDelay = in.rerouteDelay
 	in.Gateway.QuotaExcess = func() float64 { return in.bounds.Load().QuotaExcess }
 	in.Gateway.Freshness.Bound = func() time.Duration { return in.bounds.Load().RevokeAfter }
@@ -177,7 +184,7 @@
 		metricsSrv = in.newProbeServer(mux)
 		in.spawn(func() { in.serve(metricsSrv, metrics) })
 	}
-	for _, loop := range []func(){in.watchConfig, in.confirmConfig, in.watchLeader, in.followLeader, in.campaign, in.saveEnds} {
+	for _, loop := range []func(){in.watchConfig, in.confirmConfig, in.followPeers, in.watchLeader, in.followLeader, in.campaign, in.saveEnds} {
 		in.spawn(func() { in.restartOnPanic(loop) })
 	}
 
@@ -192,8 +199,10 @@
 	if l := in.leader.Load(); l != nil {
 		l.stop("instance is shutting down")
 	}
-	if c := in.leaderConn.Load(); c != nil {
-		c.Close()
+	for _, conn := range [...]*linker.Conn{in.leaderConn.Load(), in.peerConn.Load()} {
+		if conn != nil {
+			conn.Close()
+		}
 	}
 	in.wg.Wait()
 	in.Log.Info("instance stopped", "instance", in.id)
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -77,6 +77,7 @@
 
 	mu                 sync.Mutex
 	conns              map[w.InstanceID]*linker.Conn
+	addrs              map[w.InstanceID]string // listen addresses of the instances in conns, "" if unknown
 	status             map[w.InstanceID]memberStatus
 	lastRenewal        time.Time
 	renewalDuration    time.Duration              // duration of the last renewal
@@ -107,7 +108,7 @@
 	l := &leader{
 		in: in, leadership: leadership, events: make(chan func(*coordinator.Coordinator), eventQueueSize),
 		joinedAt: make(map[w.InstanceID]time.Time), memberConns: make(map[w.InstanceID]*linker.Conn),
-		conns: make(map[w.InstanceID]*linker.Conn), status: make(map[w.InstanceID]memberStatus), lastRenewal: time.Now(),
+		conns: make(map[w.InstanceID]*linker.Conn), addrs: make(map[w.InstanceID]string), status: make(map[w.InstanceID]memberStatus), lastRenewal: time.Now(),
 	}
 	l.ctx, l.cancel = context.WithCancel(in.ctx)
 	in.loading.Store(l)
@@ -234,7 +235,7 @@
 func (l *leader) join(h *linker.Hello, conn *linker.Conn) {
 	l.mu.Lock()
 	old := l.conns[h.Instance]
-	l.conns[h.Instance] = conn
+	l.conns[h.Instance], l.addrs[h.Instance] = conn, h.Address
 	l.joinedAt[h.Instance] = time.Now()
 	l.status[h.Instance] = memberStatus{cores: h.Strength}
 	l.mu.Unlock()
@@ -256,6 +257,7 @@
 	current := l.conns[id] == conn
 	if current {
 		delete(l.conns, id)
+		delete(l.addrs, id)
 		delete(l.status, id)
 		delete(l.joinedAt, id)
 	}
@@ -307,6 +309,7 @@
 
 func (l *leader) decide() {
 	l.spawnLoop(l.pollTargets)
+	l.spawnLoop(l.sharePeers)
 	saved := make(chan savedBatch, 1)
 	tick := time.NewTicker(maxRoundInterval)
 	defer tick.Stop()
--- a/instance/link.go
+++ b/instance/link.go
@@ -31,7 +31,13 @@
 
 // relay forwards a call to the store through the leader.
 func (in *Instance) relay(ctx context.Context, call *linker.Call) linker.CallReply {
-	c := in.relayConn(call)
+	r := in.relayOver(ctx, in.relayConn(call), call)
+	in.leaderRelays.Store(!r.Failed)
+	return r
+}
+
+// relayOver forwards a call to the store over a connection, which may be nil.
+func (in *Instance) relayOver(ctx context.Context, c *linker.Conn, call *linker.Call) linker.CallReply {
 	if c == nil {
 		return linker.CallReply{Failed: true, NotDone: true, Unsent: true}
 	}
@@ -86,84 +92,82 @@
 }
 
 // serveConn serves a connection from an instance. The first frame in each direction
-// identifies its sender.
+// identifies its sender, except on a connection that is used for calls to the store only.
 func (in *Instance) serveConn(nc net.Conn) {
-	p := peer{in: in, conn: linker.NewConn(nc), hello: make(chan *linker.Hello, 1)}
-	in.spawn(p.join)
-	err := p.conn.Receive(p.receive)
-	if l := p.leader(); l != nil {
-		l.leave(p.id, p.conn, err)
+	m := member{in: in, conn: linker.NewConn(nc)}
+	err := m.conn.Receive(m.receive)
+	if l := m.leader(); l != nil {
+		l.leave(m.id, m.conn, err)
 	}
 }
 
-// peer is an instance that has connected to this one.
-type peer struct {
-	in    *Instance
-	conn  *linker.Conn
-	hello chan *linker.Hello // the first frame of the peer
-	id    w.InstanceID       // set before joined
+// member is an instance that has connected to this one.
+type member struct {
+	in   *Instance
+	conn *linker.Conn
+	id   w.InstanceID // empty before the first frame
 
 	mu     sync.Mutex
-	joined *leader // nil until the peer has joined it
+	joined *leader // nil until the member has joined it
 }
 
-// join lets the peer join the leader of this instance once it has loaded the cell.
-func (p *peer) join() {
-	p.in.waitingConns.Add(1)
-	l := p.in.awaitLeader(p.conn)
-	p.in.waitingConns.Add(-1)
-	own := &linker.Hello{Instance: p.in.id, Zone: p.in.Zone, Strength: p.in.Cores, Leads: l != nil}
-	if l == nil {
-		p.conn.Send(&linker.Frame{Hello: own})
-		// Leave time to send the frame before the connection is closed.
-		p.in.sleep(linker.HeartbeatInterval)
-		p.conn.Close()
-		return
+// receive processes a frame. Before the member has joined, only its calls to the store are
+// served.
+func (m *member) receive(f *linker.Frame) {
+	if f.Hello != nil && m.id == "" {
+		m.id = f.Hello.Instance
+		m.in.spawn(func() { m.join(f.Hello) })
 	}
-	select {
-	case hello := <-p.hello:
-		// The peer's reaction to the frame is received after it has joined.
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		select {
-		case <-p.conn.Done():
-			return // serveConn has not found a leader to leave
-		default:
-		}
-		p.conn.Send(&linker.Frame{Hello: own})
-		p.id, p.joined = hello.Instance, l
-		l.join(hello, p.conn)
-	case <-p.conn.Done():
+	if len(f.Calls) > 0 {
+		m.in.serveCalls(m.conn, f.Calls)
+	}
+	if l := m.leader(); l != nil {
+		l.receive(m.id, m.conn, f)
 	}
 }
 
-// leader returns the leader that the peer has joined, or nil.
-func (p *peer) leader() *leader {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.joined
-}
-
-// receive processes a frame of the peer. Before the peer has joined, only its calls to the
-// store are served.
-func (p *peer) receive(f *linker.Frame) {
-	if f.Hello != nil {
-		select {
-		case p.hello <- f.Hello:
-		default: // one was received before
-		}
-	}
-	if len(f.Calls) > 0 {
-		p.in.serveCalls(p.conn, f.Calls)
+// join lets the member join the leader of this instance once it has loaded the cell.
+func (m *member) join(hello *linker.Hello) {
+	m.in.waitingConns.Add(1)
+	l := m.in.awaitLeader(m.conn)
+	m.in.waitingConns.Add(-1)
+	// What the member sends in reply to the frame is received after it has joined.
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	select {
+	case <-m.conn.Done():
+		return // serveConn has found no leader to leave
+	default:
 	}
-	if l := p.leader(); l != nil {
-		l.receive(p.id, p.conn, f)
+	m.conn.Send(&linker.Frame{Hello: &linker.Hello{Instance: m.in.id, Zone: m.in.Zone, Strength: m.in.Cores, Leads: l != nil}})
+	if l == nil {
+		m.in.spawn(func() {
+			// Leave time to send the frame before the connection is closed.
+			m.in.sleep(linker.HeartbeatInterval)
+			m.conn.Close()
+		})
+		return
 	}
+	m.joined = l
+	l.join(hello, m.conn)
+}
+
+// leader returns the leader that the member has joined, or nil.
+func (m *member) leader() *leader {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.joined
 }
 
-// serveCalls makes calls to the store on behalf of an instance that can't reach it.
+// serveCalls makes calls to the store on behalf of an instance that can't reach it. An
+// instance that can't reach it either, and doesn't lead, fails them at once.
 func (in *Instance) serveCalls(conn *linker.Conn, calls []linker.Call) {
+	leads := in.leader.Load() != nil || in.loading.Load() != nil
 	for i := range calls {
+		if !leads && in.Store.FailingFor() > 0 {
+			conn.Send(&linker.Frame{Replies: []linker.CallReply{{ID: calls[i].ID, Failed: true, NotDone: true}}})
+			continue
+		}
 		in.spawn(func() {
 			ctx, cancel := context.WithTimeout(in.ctx, calls[i].Timeout)
 			defer cancel()
@@ -272,7 +276,7 @@
 	}
 	e := &executor.Executor{TargetClient: in.TargetClient, Log: in.Log, Send: c.Send}
 	e.Run()
-	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Cores}})
+	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Cores, Address: in.LinkAddr}})
 	result := elector.NoAnswer
 	joined := false
 	stop := make(chan struct{})
@@ -299,6 +303,9 @@
 		if !joined {
 			return
 		}
+		if len(f.Peers) > 0 {
+			in.learnPeers(f.Peers)
+		}
 		if f.Retire && !in.draining.Load() {
 			in.spawn(func() { in.takeOver(leadership, "the leader requested a handover") })
 		}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -50,7 +50,8 @@
 	// are not final are discarded.
 	Reset   bool
 	Replies []CallReply
-	Retire  bool // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
+	Peers   []string // addresses of other instances, which replace those sent before
+	Retire  bool     // the coordinator hands over, as when it lost the store or is shutting down; the receiver may take over
 }
 
 const (
@@ -84,6 +85,7 @@
 	Zone     string
 	Strength float64 // CPU capacity of the instance in cores
 	Leads    bool    // the sender is the coordinator of the cell
+	Address  string  // listen address for connections from instances; coordinators send none
 }
 
 // Status is the periodic health report of an instance.
