--- a/instance/peers.go
+++ b/instance/peers.go
@@ -22,8 +22,10 @@
 	// store and the leader are tried first.
 	peerFraction = 0.3
 	// peerCheckInterval is the interval at which an instance checks whether it needs a
-	// connection to another one, and peerRetryDelay the delay after all have failed.
+	// connection to another one. After peerAttempts of them have failed, as while the store
+	// is away for all, it waits for peerRetryDelay.
 	peerCheckInterval = 100 * time.Millisecond
+	peerAttempts      = 3
 	peerRetryDelay    = 1 * time.Second
 )
 
@@ -82,7 +84,7 @@
 		if peers == nil || !in.needsPeer() {
 			continue
 		}
-		for _, i := range rand.Perm(len(*peers)) {
+		for _, i := range rand.Perm(len(*peers))[:min(peerAttempts, len(*peers))] {
 			if in.ctx.Err() == nil && in.needsPeer() {
 				in.followPeer((*peers)[i])
 			}
--- a/instance/succession.go
+++ b/instance/succession.go
@@ -98,7 +98,8 @@
 				}
 			})
 		}
-		if reason, due := in.checkLeader(needsReports); due {
+		// The heartbeat may have been read through another instance. A leader needs the store.
+		if reason, due := in.checkLeader(needsReports); due && in.Store.FailingFor() == 0 {
 			in.takeOver(leadership, reason)
 		}
 	}
