--- a/gateway/access.go
+++ b/gateway/access.go
@@ -39,12 +39,11 @@
 	return c
 }
 
-// Authenticate returns the sender of a request for a job of a queue. It returns an error
-// that wraps authenticator.ErrUnknownKey if the queue needs a key and the credential has
-// none that is valid, and a RefusedError if the configuration is too old to tell.
-func (g *Gateway) Authenticate(ctx context.Context, q *w.Queue, id w.JobID, credential authenticator.Credential) (Caller, error) {
+// Authenticate returns the sender of a request for a job of a queue of a snapshot. It
+// returns an error that wraps authenticator.ErrUnknownKey if the queue needs a key and the
+// credential has none that is valid, and a RefusedError if the snapshot is too old to tell.
+func (g *Gateway) Authenticate(ctx context.Context, s *authenticator.Snapshot, q *w.Queue, id w.JobID, credential authenticator.Credential) (Caller, error) {
 	c := Caller{credential: credential, exempt: q.AuthExempt}
-	s := g.Freshness.Snapshot()
 	if !requiresKeys(s) {
 		return c, nil
 	}
@@ -80,21 +79,21 @@
 	return &RefusedError{Reason: "staleConfiguration", RetryAfter: g.retryAfter(remaining)}
 }
 
-// CheckRefusal returns a RefusedError if the configuration is too old to refuse a request
-// for good.
-func (g *Gateway) CheckRefusal(ctx context.Context) error {
-	if s := g.Freshness.Snapshot(); s != nil && g.Freshness.CheckRefusal(s) != nil {
+// CheckRefusal returns a RefusedError if a snapshot, by which a request is not allowed, is
+// too old to refuse the request for good.
+func (g *Gateway) CheckRefusal(ctx context.Context, s *authenticator.Snapshot) error {
+	if g.Freshness.CheckRefusal(s) != nil {
 		return g.staleError(ctx)
 	}
 	return nil
 }
 
-// RefuseUnknownQueue refuses a request that matches no queue of the configuration. It
-// returns ErrUnknownQueue, or a RefusedError if the configuration is too old to tell.
-func (g *Gateway) RefuseUnknownQueue(ctx context.Context, path string) error {
-	s, err := g.Freshness.Snapshot(), ErrUnknownQueue
-	if stale := g.CheckRefusal(ctx); stale != nil {
-		err = stale
+// RefuseUnknownQueue refuses a request that matches no queue of a snapshot. It returns
+// ErrUnknownQueue, or a RefusedError if the snapshot is too old to tell.
+func (g *Gateway) RefuseUnknownQueue(ctx context.Context, s *authenticator.Snapshot, path string) error {
+	err := g.CheckRefusal(ctx, s)
+	if err == nil {
+		err = ErrUnknownQueue
 	}
 	reason := refusalReason(err)
 	g.Meter.Count("request", reason)
@@ -167,24 +166,34 @@
 		return err
 	}
 	if tenant != c.Tenant {
-		// The key has moved to another tenant since the request was received.
-		return &RefusedError{Reason: "tenantChanged", RetryAfter: minRetryAfter}
+		return errTenantChanged()
 	}
 	return nil
 }
 
 // checkOwner returns ErrForbidden if the caller may not see the jobs of a tenant, or a
-// RefusedError if the configuration is too old to tell.
+// RefusedError if the configuration is too old to tell or the caller's key has moved to
+// that tenant since the request was received.
 func (g *Gateway) checkOwner(ctx context.Context, owner w.TenantName) error {
-	if owner == "" || owner == callerOf(ctx).Tenant || !requiresKeys(g.Freshness.Snapshot()) {
+	s, c := g.Freshness.Snapshot(), callerOf(ctx)
+	if owner == "" || owner == c.Tenant || !requiresKeys(s) {
 		return nil
 	}
-	if err := g.CheckRefusal(ctx); err != nil {
+	if err := g.CheckRefusal(ctx, s); err != nil {
 		return err
 	}
+	if tenant, err := g.Freshness.Authenticate(s, c.credential); err == nil && tenant == owner {
+		return errTenantChanged()
+	}
 	return ErrForbidden
 }
 
+// errTenantChanged returns the refusal of a request whose key has moved to another tenant
+// since the request was received.
+func errTenantChanged() error {
+	return &RefusedError{Reason: "tenantChanged", RetryAfter: minRetryAfter}
+}
+
 // submissionTenant returns the tenant of a job that the caller submits.
 func submissionTenant(ctx context.Context) w.TenantName {
 	c := callerOf(ctx)
--- a/gateway/access_test.go
+++ b/gateway/access_test.go
@@ -103,7 +103,7 @@
 // as returns a context of a caller with a key.
 func (x *keyedGateway) as(t *testing.T, key string) context.Context {
 	t.Helper()
-	c, err := x.Authenticate(t.Context(), keyedQueue, "j", authenticator.NewCredential(key))
+	c, err := x.Authenticate(t.Context(), x.Freshness.Snapshot(), keyedQueue, "j", authenticator.NewCredential(key))
 	require.NoError(t, err)
 	return WithCaller(t.Context(), c)
 }
@@ -195,7 +195,7 @@
 			require.ErrorIs(t, err, ErrForbidden)
 			require.Equal(t, commits, x.store.commits)
 			require.ErrorIs(t, x.Submit(b, keyedQueue, newJob()), ErrForbidden)
-			exempt, err := x.Authenticate(t.Context(), &w.Queue{AuthExempt: true}, "j", authenticator.Credential{})
+			exempt, err := x.Authenticate(t.Context(), x.Freshness.Snapshot(), &w.Queue{AuthExempt: true}, "j", authenticator.Credential{})
 			require.NoError(t, err)
 			_, err = x.State(WithCaller(t.Context(), exempt), "j")
 			require.ErrorIs(t, err, ErrForbidden, "a caller without a key")
@@ -211,11 +211,26 @@
 	}
 }
 
+// TestKeyMovesDuringSubmission guards against a caller that is told for good that its own job
+// belongs to another tenant, because its key has moved to that tenant meanwhile.
+func TestKeyMovesDuringSubmission(t *testing.T) {
+	x := newKeyedGateway(t)
+	require.NoError(t, x.Submit(x.as(t, "kb"), keyedQueue, newJob()))
+	x.Init()
+	a := x.as(t, "ka")
+	x.store.onCommit = func() { x.Freshness.Apply(keyedConfig(2, "other", "ka"), x.now) }
+	err := x.Submit(a, keyedQueue, newJob())
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ErrForbidden)
+	var refused *RefusedError
+	require.NotErrorAs(t, err, &refused, "the job may run")
+}
+
 // TestJobWithoutTenant guards against a job of an exempt route or of an earlier build that
 // its callers can no longer see, and against an unknown job that is reported as forbidden.
 func TestJobWithoutTenant(t *testing.T) {
 	x := newKeyedGateway(t)
-	exempt, err := x.Authenticate(t.Context(), &w.Queue{AuthExempt: true}, "j", authenticator.NewCredential("ka"))
+	exempt, err := x.Authenticate(t.Context(), x.Freshness.Snapshot(), &w.Queue{AuthExempt: true}, "j", authenticator.NewCredential("ka"))
 	require.NoError(t, err)
 	ctx := WithCaller(t.Context(), exempt)
 	x.now += revokeAfter
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -34,7 +34,7 @@
 	reason := func(tenant w.TenantName, id w.JobID) *RefusedError {
 		g.lastProbe.Store(time.Now().UnixNano())
 		q := &w.Queue{Name: "q", AuthExempt: tenant == ""}
-		caller, err := g.Authenticate(t.Context(), q, id, authenticator.NewCredential(string(tenant)))
+		caller, err := g.Authenticate(t.Context(), g.Freshness.Snapshot(), q, id, authenticator.NewCredential(string(tenant)))
 		require.NoError(t, err)
 		var refused *RefusedError
 		require.ErrorAs(t, g.Submit(WithCaller(t.Context(), caller), q, &w.Job{ID: id, Steps: []w.Step{{Count: 1}}}), &refused)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -311,7 +311,7 @@
 			err = g.checkOwner(ctx, stored.Tenant)
 			if refused := (*RefusedError)(nil); errors.As(err, &refused) {
 				// The stored job may be the caller's, so it can't be said never to run.
-				err = fmt.Errorf("gateway: accept: %w", authenticator.ErrStale)
+				err = errors.New("gateway: accept: " + refused.Reason)
 			}
 			return stored, err
 		}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -93,11 +93,11 @@
 	}
 }
 
-// needsPeer reports whether the store and the leader have not confirmed the configuration
-// for too long.
+// needsPeer reports whether the store and the leader can't be reached and have not confirmed
+// the configuration for too long.
 func (in *Instance) needsPeer() bool {
 	maxAge, s := in.maxConfigAge(), in.Gateway.Freshness.Snapshot()
-	return maxAge > 0 && s != nil && in.Gateway.Freshness.OlderThan(s, fractionOf(maxAge, peerFraction))
+	return maxAge > 0 && s != nil && !in.reachesStore() && in.Gateway.Freshness.OlderThan(s, fractionOf(maxAge, peerFraction))
 }
 
 // reachesStore reports whether calls reach the store directly or through the leader.
