--- a/instance/succession.go
+++ b/instance/succession.go
@@ -13,12 +13,12 @@
 	synced := false
 	for in.ctx.Err() == nil {
 		if !synced {
-			leadership, err := in.Keeper.Leader(in.ctx)
+			leadership, version, err := in.Keeper.LeaderToWatch(in.ctx)
 			if err != nil {
 				in.sleep(retryDelay)
 				continue
 			}
-			synced, after = true, leadership.Version
+			synced, after = true, version
 			in.observeLeader(leadership)
 		}
 		leadership, ver, err := in.Keeper.WatchLeader(in.ctx, after, longPollTimeout)
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -51,11 +51,23 @@
 // Leader reads the leader row. It returns a zero Leadership if the cell has had no
 // leader yet.
 func (k *Keeper) Leader(ctx context.Context) (Leadership, error) {
-	row, err := k.get(ctx, leaderKey)
+	l, _, err := k.LeaderToWatch(ctx)
+	return l, err
+}
+
+// LeaderToWatch is like Leader, but also returns the version of the store from which
+// WatchLeader can go on. The history since the row's own version may be gone.
+func (k *Keeper) LeaderToWatch(ctx context.Context) (Leadership, Version, error) {
+	rows, version, err := k.Store.Scan(ctx, leaderKey.Table, leaderKey.Partition, leaderKey.Name, leaderKey.Name+"\x00")
 	if err != nil {
-		return Leadership{}, fmt.Errorf("keeper: read leader: %w", err)
+		return Leadership{}, 0, fmt.Errorf("keeper: read leader: %w", err)
+	}
+	var row *Row
+	if len(rows) > 0 {
+		row = &rows[0]
 	}
-	return k.leaderOf(ctx, row)
+	l, err := k.leaderOf(ctx, row)
+	return l, version, err
 }
 
 // leaderOf returns the leadership in a leader row. If the row can't be decoded, it returns
