--- a/instance/instance.go
+++ b/instance/instance.go
@@ -44,8 +44,8 @@
 	// SetRelay sets the function that relays calls through the leader while
 	// direct calls fail.
 	SetRelay(relay func(ctx context.Context, c *linker.Call) linker.CallReply)
-	// SetPeerRelay sets the function that relays reads of the configuration through
-	// another instance.
+	// SetPeerRelay sets the function that relays reads through another instance while
+	// neither direct calls nor those through the leader succeed.
 	SetPeerRelay(relay func(ctx context.Context, c *linker.Call) linker.CallReply)
 }
 
