coordinator: the evidence on which a task starts again is logged

No line told what a task had been released by, how old that evidence was, or that a target contradicted it: requeues after an end (stopped, lapsed, broken, alone) were silent, and so were starts.

Each restart of a task now names the earlier run, its target and incarnation, the reason of its release, and the ages of the last report and of the last list with the run. A target that lists a run which was taken for ended, or reports its end later, leaves a warning with the same figures. Both are counted, as restart and releasedRun.

--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -37,6 +37,7 @@
 	missedLists  int       // consecutive complete lists without the run
 	preemptions  int       // number of runs that were preempted
 	waitLogged   bool      // its wait for a near target was logged
+	released     *release  // why the last run was taken for ended, or nil
 	crashRecord
 }
 
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -389,6 +389,7 @@
 	tk := &s.tasks[i]
 	id := s.id(i)
 	tk.run, tk.target, tk.percent, tk.missedLists, tk.fullRun = run, t, 0, 0, tk.checkpoint == ""
+	c.logRestart(id, tk)
 	c.setPhase(s, i, starting)
 	s.job.open = true
 	s.job.stats.runs++
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -102,6 +102,7 @@
 	sl.startedAt = c.now.Add(-time.Duration(r.Percent) * s.Estimate / 100)
 	c.addSlot(t, r.Task, sl)
 	tk := &s.tasks[sl.index]
+	c.checkReleased(t, r.Task, tk, r.Run, "running")
 	if j.state.Final() || tk.phase != waiting {
 		// The task already runs elsewhere or no longer needs to run.
 		c.Meter.Count("adopted", "stopped")
@@ -121,6 +122,15 @@
 	}
 }
 
+// stepOf returns the step of a task, or nil if its job is not known or has ended.
+func (c *Coordinator) stepOf(id w.TaskID) *step {
+	j := c.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.step(id)
+}
+
 func (j *job) step(id w.TaskID) *step {
 	if id.Occurrence >= len(j.occurrences) || id.Step >= len(j.occurrences[id.Occurrence].steps) {
 		return nil
@@ -143,6 +153,11 @@
 	sl := t.slots[e.Task]
 	if sl != nil && sl.run == e.Run {
 		c.removeSlot(t, e.Task, sl)
+		if sl.step != nil && (e.How != w.EndedDone || sl.step.Lasting) {
+			c.recordRelease(sl, t, e.How.String())
+		}
+	} else if s := c.stepOf(e.Task); s != nil {
+		c.checkReleased(t, e.Task, &s.tasks[e.Task.Index], e.Run, e.How.String())
 	}
 	if c.jobs[e.Task.Job] == nil {
 		c.Log.Warn("target reported the end of a run of an unknown job", "task", e.Task, "target", t.ID, "run", e.Run, "how", e.How)
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -243,6 +243,7 @@
 	}
 	s.job.survived = s.job.survived || t.survived(sl)
 	tk := &s.tasks[sl.index]
+	c.recordRelease(sl, t, reason)
 	if tk.target == t && tk.run == sl.run && tk.phase != finished {
 		s.job.stats.lostRuns++
 		c.Meter.Count("lost", reason)
