executor, coordinator: a run that is being stopped is not taken for gone

What callers could see: a task starts elsewhere, or its room is given away, while its target still ends its earlier run.

Cause: after the answer to a stop, a run counted as not started once a later list named it neither as running nor as ended. A target that takes it off the list at once had the run replaced within 25 ms. The same for a start that is rejected as superseded, and for three lists without the run that arrive together. Class of fault: absence from a list is taken for the end.

Now the list must have been asked for after the stop has ended at the latest, by a clock that is 2% slow, and a run must be missing for as long before it is lost. Until then the request waits for the end rather than being repeated.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -504,3 +504,7 @@
 // maxLease returns the time after which a lease has certainly expired, even on a target
 // whose clock is up to 2% slow.
 func (c *Coordinator) maxLease() time.Duration { return c.Lease * 103 / 100 }
+
+// longestStop returns the time within which a run ends that its target stops, by the clocks
+// of instances. Targets may list it neither as running nor as ended meanwhile.
+func (c *Coordinator) longestStop() time.Duration { return c.StopTimeout * 103 / 100 }
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -35,6 +35,7 @@
 	percent      int
 	progressedAt time.Time // when percent last changed
 	missedLists  int       // consecutive complete lists without the run
+	missedSince  time.Time // when the first of them was received
 	preemptions  int       // number of runs that were preempted
 	waitLogged   bool      // its wait for a near target was logged
 	released     *release  // why the last run was taken for ended, or nil
--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -148,6 +148,7 @@
 type uncertainRun struct {
 	run         w.RunID
 	incarnation w.Incarnation
+	settledAt   time.Time // when a stop of the run has ended at the latest
 }
 
 // modelOrder is an order in transit.
@@ -206,6 +207,7 @@
 	begin        time.Time
 	trace        []string
 	caps         []int64 // CPU cap of the only tenant by configuration version, or nil
+	hideStops    bool    // targets don't list the runs that are being stopped until they have ended
 }
 
 const (
@@ -688,7 +690,7 @@
 		m.stopRun(t, o.from, o.stop.Task, o.stop.Run)
 	}
 	if arrives && answered {
-		o.from.uncertain[uncertainKey{t.id, o.stop.Task}] = uncertainRun{o.stop.Run, o.incarnation}
+		o.from.uncertain[uncertainKey{t.id, o.stop.Task}] = uncertainRun{o.stop.Run, o.incarnation, m.now.Add(modelStopTimeout)}
 		m.settled[runKey{t.id, o.stop.Task, o.stop.Run}] = true
 		return
 	}
@@ -749,7 +751,7 @@
 		return linker.Started
 	case run <= t.highestEnded[id] || run < t.runs[id]:
 		// The instance polls the target before it reports an outcome.
-		l.uncertain[uncertainKey{t.id, id}] = uncertainRun{run, o.incarnation}
+		l.uncertain[uncertainKey{t.id, id}] = uncertainRun{run, o.incarnation, m.now.Add(modelStopTimeout)}
 		return linker.Indeterminate
 	}
 	t.epoch = l.leadership.Epoch
@@ -888,7 +890,9 @@
 		m.polledEpoch[t.id] = max(m.polledEpoch[t.id], l.leadership.Epoch)
 		m.retireOlderLeaders(l)
 		for id, run := range t.runs {
-			r.Runs = append(r.Runs, w.Run{Task: id, Run: run})
+			if _, stopping := t.stopsAt[id]; !stopping || !m.hideStops {
+				r.Runs = append(r.Runs, w.Run{Task: id, Run: run})
+			}
 		}
 		r.Ends = slices.Clone(t.ends)
 	}
@@ -896,7 +900,7 @@
 	f := &linker.Frame{Reports: []linker.Report{r}}
 	if r.Complete {
 		for k, u := range l.uncertain {
-			if k.target != t.id || t.runs[k.task] == u.run || slices.ContainsFunc(t.ends, func(e w.End) bool { return e.Task == k.task && e.Run == u.run }) {
+			if k.target != t.id || m.now.Before(u.settledAt) || slices.ContainsFunc(r.Runs, func(run w.Run) bool { return run.Task == k.task && run.Run == u.run }) || slices.ContainsFunc(t.ends, func(e w.End) bool { return e.Task == k.task && e.Run == u.run }) {
 				continue
 			}
 			if u.incarnation == t.incarnation {
@@ -1074,6 +1078,7 @@
 	starts := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
+		m.hideStops = rapid.Bool().Draw(t, "hideStops")
 		events := []func(){m.advance, m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch, m.saveBatch, m.passTime, m.endRandomRun, m.submit, m.findJobs, m.renew, m.applyDelayed}
 		for _, rare := range []func(){m.injectFault, m.continueLoad, m.writeEnds, m.loseAll, m.cancel, m.changeCapacity, m.restartTarget, m.isolateTarget, m.endRandomRun, m.passTime} {
 			if rapid.Bool().Draw(t, "occurs") {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -61,7 +61,10 @@
 		if tk.phase == starting || c.now.Sub(tk.phaseSince) < age {
 			continue
 		}
-		if tk.missedLists++; tk.missedLists >= missingRunLists {
+		if tk.missedLists == 0 {
+			tk.missedSince = c.now
+		}
+		if tk.missedLists++; tk.missedLists >= missingRunLists && c.now.Sub(tk.missedSince) > c.longestStop() {
 			c.Log.Warn("run missing from the lists of its target", "task", id, "target", t.ID, "run", sl.run)
 			c.loseRun(t, id, sl, "unlisted")
 		}
@@ -70,8 +73,8 @@
 
 const (
 	// A run counts as lost if it is missing from missingRunLists successive complete
-	// lists of its target and its task entered its phase at least missingRunAge ago.
-	// Before that, its start order may still be in transit. A run that was never listed
+	// lists of its target, for longer than a stop takes, and its task entered its phase
+	// at least missingRunAge ago. Before that, its start order may still be in transit. A run that was never listed
 	// and whose start got no answer may start until lateStartAge or the answer to its stop.
 	missingRunAge   = 3 * time.Second
 	missingRunLists = 3
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -15,6 +15,7 @@
 // Run is called.
 type Executor struct {
 	TargetClient TargetClient
+	StopTimeout  time.Duration // time within which a target ends a run that it was told to stop
 	Log          *slog.Logger
 	Send         func(*linker.Frame)
 
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -125,10 +125,13 @@
 
 var errNoReply = errors.New("no reply")
 
+// stopTimeout is the longest time that the fake target takes to stop a run.
+const stopTimeout = 400 * time.Millisecond
+
 func startExecutor(t *testing.T, s *fakeTargetClient) (*Executor, *frameRecorder) {
 	t.Helper()
 	c := new(frameRecorder)
-	e := &Executor{TargetClient: s, Log: slog.New(slog.DiscardHandler), Send: c.send}
+	e := &Executor{TargetClient: s, StopTimeout: stopTimeout, Log: slog.New(slog.DiscardHandler), Send: c.send}
 	e.Run()
 	t.Cleanup(e.Close)
 	e.Receive(&linker.Frame{Assign: &linker.Assign{Epoch: 1, Lease: 6 * time.Second, Targets: []linker.AssignedTarget{{ID: "a", Incarnation: 1}}}})
@@ -160,6 +163,34 @@
 	require.NotContains(t, c.outcomes(), linker.NotStarted)
 }
 
+// TestStoppingRunIsNotCalledNotStarted guards against running a task twice: the target
+// lists a run that it is stopping only when it has ended.
+func TestStoppingRunIsNotCalledNotStarted(t *testing.T) {
+	id := w.TaskID{Job: "j"}
+	for name, begin := range map[string]func(*Executor, *fakeTargetClient){
+		"stop": func(e *Executor, _ *fakeTargetClient) {
+			e.Receive(&linker.Frame{Stops: []linker.Stop{{Target: "a", Task: id, Run: 5}}})
+		},
+		"superseded start": func(e *Executor, s *fakeTargetClient) {
+			s.startReply = func(int) (Reply, error) { return Reply{Outcome: linker.Superseded, Clock: 1001}, nil }
+			e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: id, Run: 5}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+			e, c := startExecutor(t, s)
+			begin(e, s)
+			time.Sleep(stopTimeout)
+			s.mu.Lock()
+			s.holdReply.Ends = []w.End{{Seq: 1, Task: id, Run: 5, How: w.EndedStopped}}
+			s.mu.Unlock()
+			require.Eventually(t, func() bool { return c.endCount() == 1 }, 2*time.Second, 5*time.Millisecond)
+			time.Sleep(2 * stopTimeout)
+			require.NotContains(t, c.outcomes(), linker.NotStarted)
+		})
+	}
+}
+
 // TestRejectedRepeatIsNotCalledNotStarted guards against running a task twice: the first
 // start request is carried out after the repeated one was rejected.
 func TestRejectedRepeatIsNotCalledNotStarted(t *testing.T) {
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -57,13 +57,29 @@
 	responsive    bool      // no hold request has failed since the last reply
 	confirmedAt   time.Time // when this incarnation answered the last hold request; zero if that failed
 	uncertainRuns map[w.TaskID]uncertainRun
-	holdSeq       int64 // number of the last hold request
+	holdSentAt    time.Time // when the last hold request was sent
 }
 
 // uncertainRun is a run that the target may or may not have started.
 type uncertainRun struct {
 	run       w.RunID
-	afterHold int64 // number of the last hold request sent before the start or stop request was answered
+	settledAt time.Time // when a stop of the run has ended at the latest
+}
+
+// addUncertainRun records a run whose stop the target has answered, or whose start it has
+// rejected as superseded. The run may take until the stop timeout to end, and be listed
+// neither as running nor as ended meanwhile. s.mu must be held.
+func (s *targetSession) addUncertainRun(task w.TaskID, run w.RunID) {
+	s.uncertainRuns[task] = uncertainRun{run: run, settledAt: time.Now().Add(s.e.StopTimeout * 103 / 100)}
+}
+
+// unsettledFor returns the time until all uncertain runs are settled.
+func (s *targetSession) unsettledFor() time.Duration {
+	var d time.Duration
+	for _, u := range s.uncertainRuns {
+		d = max(d, time.Until(u.settledAt))
+	}
+	return d
 }
 
 func newTargetSession(e *Executor, t linker.AssignedTarget) *targetSession {
@@ -182,13 +198,15 @@
 		req.Deadline = s.leaseDeadline
 	}
 	switch {
-	case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || len(s.uncertainRuns) > 0 || !s.responsive:
+	case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || !s.responsive:
+	case len(s.uncertainRuns) > 0:
+		req.Wait = min(activePollWait, s.unsettledFor())
 	case hasRuns:
 		req.Wait = activePollWait
 	default:
 		req.Wait = idlePollWait
 	}
-	s.holdSeq++
+	s.holdSentAt = time.Now()
 	return req
 }
 
@@ -251,12 +269,11 @@
 
 // resolveUncertainRuns removes the uncertain runs that will no longer start, and
 // returns a NotStarted result for each: those that are absent from the reply to a hold
-// request that was sent after the target had answered the stop request or rejected the
-// start request as superseded.
+// request that was sent after they were settled.
 func (s *targetSession) resolveUncertainRuns(reply *HoldReply) []linker.Result {
 	var out []linker.Result
 	for id, u := range s.uncertainRuns {
-		if s.holdSeq <= u.afterHold {
+		if !s.holdSentAt.After(u.settledAt) {
 			continue
 		}
 		listed := false
@@ -298,7 +315,7 @@
 		// An earlier attempt may have started the run, which has ended since. The next
 		// hold reply shows whether it did.
 		s.mu.Lock()
-		s.uncertainRuns[order.Task] = uncertainRun{run: order.Run, afterHold: s.holdSeq}
+		s.addUncertainRun(order.Task, order.Run)
 		s.mu.Unlock()
 		return
 	}
@@ -391,7 +408,7 @@
 		if err == nil {
 			s.mu.Lock()
 			s.responsive = true
-			s.uncertainRuns[task] = uncertainRun{run: run, afterHold: s.holdSeq}
+			s.addUncertainRun(task, run)
 			s.mu.Unlock()
 			return
 		}
