executor, coordinator: a new leader waits for stops of the earlier one

A leader that takes over reads each target before it starts tasks that an earlier leader may have started. If that one had just stopped a run, the target may list it neither as running nor as ended for up to the stop timeout, so that its task starts elsewhere, and its room is given away, meanwhile.

An instance now marks lists that it has asked for earlier than one stop timeout after its first contact with a target; a target of the earlier leader's roster counts as read only by a later list. Instances of earlier builds don't mark theirs, which then count at once, as before.

--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -179,6 +179,7 @@
 	unreachable map[w.TargetID]bool      // targets that the leader cannot call
 	polledAt    map[w.TargetID]time.Time // when the targets were last polled successfully
 	uncertain   map[uncertainKey]uncertainRun
+	settledAt   map[w.Incarnation]time.Time // when runs that were stopped before its first poll have ended
 }
 
 type model struct {
@@ -302,7 +303,7 @@
 	m.lastEpoch = lead.Epoch
 	m.loading = append(m.loading, &modelLeader{
 		leadership: lead, renewedAt: m.now, unreachable: make(map[w.TargetID]bool), polledAt: make(map[w.TargetID]time.Time),
-		uncertain: make(map[uncertainKey]uncertainRun),
+		uncertain: make(map[uncertainKey]uncertainRun), settledAt: make(map[w.Incarnation]time.Time),
 	})
 }
 
@@ -886,6 +887,12 @@
 		t.epoch = l.leadership.Epoch
 		t.deadline = m.now.Add(modelLease)
 		r.Complete = true
+		at, polled := l.settledAt[t.incarnation]
+		if !polled {
+			at = m.now.Add(modelStopTimeout)
+			l.settledAt[t.incarnation] = at
+		}
+		r.Unsettled = m.now.Before(at)
 		l.polledAt[t.id] = m.now
 		m.polledEpoch[t.id] = max(m.polledEpoch[t.id], l.leadership.Epoch)
 		m.retireOlderLeaders(l)
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -396,7 +396,7 @@
 		return
 	}
 	c.reconcileRuns(t, r.Runs)
-	if !t.synced {
+	if _, waits := c.unsynced[t.ID]; !t.synced && !(waits && r.Unsettled) {
 		t.synced = true
 		delete(c.unsynced, t.ID)
 		c.generation++
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -58,6 +58,7 @@
 	confirmedAt   time.Time // when this incarnation answered the last hold request; zero if that failed
 	uncertainRuns map[w.TaskID]uncertainRun
 	holdSentAt    time.Time // when the last hold request was sent
+	settledAt     time.Time // when runs that were stopped before the first reply have ended at the latest
 }
 
 // uncertainRun is a run that the target may or may not have started.
@@ -70,12 +71,16 @@
 // rejected as superseded. The run may take until the stop timeout to end, and be listed
 // neither as running nor as ended meanwhile. s.mu must be held.
 func (s *targetSession) addUncertainRun(task w.TaskID, run w.RunID) {
-	s.uncertainRuns[task] = uncertainRun{run: run, settledAt: time.Now().Add(s.e.StopTimeout * 103 / 100)}
+	s.uncertainRuns[task] = uncertainRun{run: run, settledAt: time.Now().Add(s.e.longestStop())}
 }
 
-// unsettledFor returns the time until all uncertain runs are settled.
+// longestStop returns the time within which a target ends a run that it was told to stop,
+// even if its clock is 2% slow.
+func (e *Executor) longestStop() time.Duration { return e.StopTimeout * 103 / 100 }
+
+// unsettledFor returns the time until all runs that were stopped have ended.
 func (s *targetSession) unsettledFor() time.Duration {
-	var d time.Duration
+	d := max(0, time.Until(s.settledAt))
 	for _, u := range s.uncertainRuns {
 		d = max(d, time.Until(u.settledAt))
 	}
@@ -127,7 +132,7 @@
 func (s *targetSession) run() {
 	defer s.e.wg.Done()
 	var lastFullReport time.Time
-	hasRuns := false
+	hasRuns, wasSettled := false, false
 	for s.ctx.Err() == nil {
 		req := s.nextHold(hasRuns)
 		sent := time.Now()
@@ -163,8 +168,10 @@
 		hasRuns = len(reply.Runs) > 0
 		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
 		var resolved []linker.Result
-		report.Ends, resolved = s.recordHold(&reply)
-		full := time.Since(lastFullReport) >= fullReportInterval
+		var settled bool
+		report.Ends, resolved, settled = s.recordHold(&reply)
+		full := time.Since(lastFullReport) >= fullReportInterval || (settled && !wasSettled)
+		report.Unsettled, wasSettled = !settled, settled
 		if full {
 			// A run that is not listed may have ended if there are further ends.
 			report.Runs, report.Complete = reply.Runs, !reply.MoreEnds
@@ -199,7 +206,7 @@
 	}
 	switch {
 	case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || !s.responsive:
-	case len(s.uncertainRuns) > 0:
+	case len(s.uncertainRuns) > 0 || !s.settled():
 		req.Wait = min(activePollWait, s.unsettledFor())
 	case hasRuns:
 		req.Wait = activePollWait
@@ -210,13 +217,24 @@
 	return req
 }
 
+// settled reports whether the last hold request was sent when all runs that an earlier
+// session had stopped had ended. s.mu must be held.
+func (s *targetSession) settled() bool {
+	return !s.settledAt.IsZero() && s.holdSentAt.After(s.settledAt)
+}
+
 // recordHold processes the reply to the last hold request. It returns the ends that were
-// not received before, and the results of the uncertain runs that will not start.
-func (s *targetSession) recordHold(reply *HoldReply) (ends []w.End, resolved []linker.Result) {
+// not received before, the results of the uncertain runs that will not start, and whether
+// all runs that an earlier session had stopped have ended.
+func (s *targetSession) recordHold(reply *HoldReply) (ends []w.End, resolved []linker.Result, settled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordReply(reply.Clock)
 	s.confirmedAt = time.Now()
+	settled = s.settled()
+	if s.settledAt.IsZero() {
+		s.settledAt = s.confirmedAt.Add(s.e.longestStop())
+	}
 	for i := range reply.Ends {
 		if reply.Ends[i].Seq > s.receivedSeq {
 			s.receivedSeq = reply.Ends[i].Seq
@@ -226,7 +244,7 @@
 	if !reply.MoreEnds {
 		resolved = s.resolveUncertainRuns(reply)
 	}
-	return ends, resolved
+	return ends, resolved, settled
 }
 
 // waitForAcks delays the next hold request until new end events are stored, because the
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -112,6 +112,7 @@
 	Ends        []w.End
 	Runs        []w.Run
 	Complete    bool // Runs lists all runs on the target
+	Unsettled   bool // runs that an earlier coordinator has stopped may still be ending, and be missing from Runs
 	Unreachable bool // the last hold request failed
 	Closed      bool // set with Unreachable if the target closed or refused the connection
 	Gone        bool // the target answered with another incarnation
