executor, coordinator, linker: leases are extended on confirmed reports only

What callers could see: all tasks of several targets start elsewhere while their runs go on.

Cause: the leader takes the leases on a target for expired 7.98 s after the last report that it has processed, while the instance extends them for as long as it takes itself for connected, that is, receives any byte, however old. A link that delivers late in one direction, a leader that doesn't get to its events, or an assignment that is on its way make the two disagree, and if no other instance reaches the targets, nothing corrects it. Class of fault: two parties judge one lease by different evidence.

Reports now have numbers, and the leader's frames and heartbeats carry the highest one that the coordinator has processed. An instance extends the leases on a target, and carries out starts there, only while a report of that target which is younger than 1.7 s is confirmed. The leader counts reports of the instance that had the target before as well, since that one extends leases until it gets its new assignment. So the last extension ends before the coordinator's wait does, whatever happens to links, queues and processes. Coordinators of earlier builds confirm nothing and say so; for them instances act as before.

--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -155,7 +155,7 @@
 		assigned[best] = append(assigned[best], t)
 	}
 	for _, m := range c.sortedMembers {
-		a := &linker.Assign{Epoch: c.Epoch, Lease: c.Lease}
+		a := &linker.Assign{Epoch: c.Epoch, Lease: c.Lease, Confirms: true}
 		if c.suspended {
 			a.Lease = 0
 		}
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -344,13 +344,17 @@
 	c.sortedTargets = kept
 }
 
-// renewalMargin covers the lease renewals that an instance may have sent since its last
-// report: one long poll, plus the time without contact after which it stops renewing.
-const renewalMargin = linker.HeartbeatTimeout + 1200*time.Millisecond
+// renewalMargin covers the lease renewals that an instance may have sent since the last
+// report that was processed, with readings of the target's clock that are up to 2 s old.
+const renewalMargin = linker.ReportValidity + 100*time.Millisecond
 
 // HandleReport processes the report of a target.
 func (c *Coordinator) HandleReport(m *member, r *linker.Report) {
 	t := c.targets[r.Target]
+	if t != nil && t.member != m && r.Incarnation == t.Incarnation && !r.Gone && !r.Unreachable {
+		// The instance extends leases until it receives its new assignment.
+		t.reportedAt = c.now
+	}
 	if t == nil || t.member != m {
 		if len(r.Ends) > 0 {
 			c.Meter.Count("endsDropped", "member")
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -27,8 +27,11 @@
 	wg        sync.WaitGroup
 	epoch     atomic.Int64 // w.Epoch
 	lease     atomic.Int64 // time.Duration
+	confirms  atomic.Bool  // the coordinator confirms reports
+	confirmed atomic.Int64 // highest number of a frame that the coordinator has processed
 	sessions  map[w.TargetID]*targetSession
 	outFrame  *linker.Frame
+	outSeq    int64 // number of the last frame
 	outReady  chan struct{}
 	asks      chan linker.Ask
 }
@@ -55,6 +58,7 @@
 // Receive processes a frame of the coordinator. It does not wait for the requests that
 // the frame leads to.
 func (e *Executor) Receive(f *linker.Frame) {
+	e.confirmed.Store(max(e.confirmed.Load(), f.Seen))
 	if f.Assign != nil {
 		e.assign(f.Assign)
 	}
@@ -101,6 +105,7 @@
 	defer e.mu.Unlock()
 	e.epoch.Store(int64(a.Epoch))
 	e.lease.Store(int64(a.Lease))
+	e.confirms.Store(a.Confirms)
 	assigned := make(map[w.TargetID]bool, len(a.Targets))
 	for _, t := range a.Targets {
 		assigned[t.ID] = true
@@ -124,23 +129,25 @@
 	}
 }
 
-// enqueue adds to the next frame for the coordinator. enqueueLocked does the same for
-// callers that hold e.mu.
-func (e *Executor) enqueue(add func(*linker.Frame)) {
+// enqueue adds to the next frame for the coordinator, and returns the frame's number.
+// enqueueLocked does the same for callers that hold e.mu.
+func (e *Executor) enqueue(add func(*linker.Frame)) int64 {
 	e.mu.Lock()
-	e.enqueueLocked(add)
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	return e.enqueueLocked(add)
 }
 
-func (e *Executor) enqueueLocked(add func(*linker.Frame)) {
+func (e *Executor) enqueueLocked(add func(*linker.Frame)) int64 {
 	if e.outFrame == nil {
-		e.outFrame = new(linker.Frame)
+		e.outSeq++
+		e.outFrame = &linker.Frame{Seq: e.outSeq}
 	}
 	add(e.outFrame)
 	select {
 	case e.outReady <- struct{}{}:
 	default:
 	}
+	return e.outSeq
 }
 
 // batchDelay is the time for which a frame is held back, so that results that arrive
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -27,6 +28,7 @@
 	paused     int           // number of hold requests up to the one with the pause
 	requests   []HoldRequest
 	stopCalls  int
+	clock      func() int64 // reading of the clock in hold replies, if it is not nil
 }
 
 func (s *fakeTargetClient) Start(context.Context, Target, *StartRequest) (Reply, error) {
@@ -64,7 +66,11 @@
 	if pause > 0 {
 		s.paused = len(s.requests)
 	}
-	return s.holdReply, s.holdErr
+	r := s.holdReply
+	if s.clock != nil {
+		r.Clock = s.clock()
+	}
+	return r, s.holdErr
 }
 
 // nextHold returns a hold request that is sent from now on.
@@ -99,6 +105,7 @@
 func (c *frameRecorder) send(f *linker.Frame) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.received.Seq = f.Seq
 	c.received.Results = append(c.received.Results, f.Results...)
 	c.received.Reports = append(c.received.Reports, f.Reports...)
 }
@@ -113,6 +120,12 @@
 	return out
 }
 
+func (c *frameRecorder) lastSeq() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received.Seq
+}
+
 func (c *frameRecorder) endCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -191,6 +204,40 @@
 	}
 }
 
+// TestUnconfirmedReportsExtendLeases guards against leases, and starts, on a target that the
+// coordinator has given up: it has not received the instance's reports for some seconds.
+func TestUnconfirmedReportsExtendLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := func() int64 { return time.Now().UnixMilli() }
+		s := &fakeTargetClient{holdReply: HoldReply{Incarnation: 1}, clock: clock}
+		s.startReply = func(int) (Reply, error) { return Reply{Outcome: linker.Started, Clock: clock()}, nil }
+		c := new(frameRecorder)
+		e := &Executor{TargetClient: s, Log: slog.New(slog.DiscardHandler), Send: c.send}
+		e.Run()
+		defer e.Close()
+		e.Receive(&linker.Frame{Assign: &linker.Assign{Epoch: 1, Lease: 6 * time.Second, Confirms: true, Targets: []linker.AssignedTarget{{ID: "a", Incarnation: 1}}}})
+		lastDeadline := func() int64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.requests[len(s.requests)-1].Deadline
+		}
+		time.Sleep(3 * time.Second)
+		require.Zero(t, lastDeadline(), "no report was confirmed")
+		e.Receive(&linker.Frame{Seen: c.lastSeq(), Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 1}}})
+		time.Sleep(time.Second)
+		require.Equal(t, []linker.Outcome{linker.Started}, c.outcomes())
+		e.Receive(&linker.Frame{Seen: c.lastSeq()})
+		confirmedAt := clock()
+		time.Sleep(linker.ReportValidity / 2)
+		require.Greater(t, lastDeadline(), confirmedAt+6000)
+		time.Sleep(4 * time.Second)
+		require.LessOrEqual(t, lastDeadline(), confirmedAt+6000+linker.ReportValidity.Milliseconds())
+		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 2}}})
+		time.Sleep(time.Second)
+		require.Equal(t, []linker.Outcome{linker.Started, linker.NotStarted}, c.outcomes())
+	})
+}
+
 // TestRejectedRepeatIsNotCalledNotStarted guards against running a task twice: the first
 // start request is carried out after the repeated one was rejected.
 func TestRejectedRepeatIsNotCalledNotStarted(t *testing.T) {
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -16,6 +16,9 @@
 	// runs are in progress, because the reply also carries their progress.
 	activePollWait = 500 * time.Millisecond
 	idlePollWait   = 900 * time.Millisecond
+	// unconfirmedPollWait is that time while the coordinator has confirmed no recent report
+	// of the target, whose leases are not extended meanwhile.
+	unconfirmedPollWait = 200 * time.Millisecond
 	// callTimeout bounds a request that a target answers immediately.
 	callTimeout = 400 * time.Millisecond
 	// ackTimeout bounds the wait for new end events to be stored and acknowledged
@@ -57,8 +60,15 @@
 	responsive    bool      // no hold request has failed since the last reply
 	confirmedAt   time.Time // when this incarnation answered the last hold request; zero if that failed
 	uncertainRuns map[w.TaskID]uncertainRun
-	holdSentAt    time.Time // when the last hold request was sent
-	settledAt     time.Time // when runs that were stopped before the first reply have ended at the latest
+	holdSentAt    time.Time    // when the last hold request was sent
+	settledAt     time.Time    // when runs that were stopped before the first reply have ended at the latest
+	reports       []sentReport // reports that the coordinator may not have processed, and the last one before
+}
+
+// sentReport is a report that the target is alive.
+type sentReport struct {
+	seq int64 // number of its frame
+	at  time.Time
 }
 
 // uncertainRun is a run that the target may or may not have started.
@@ -178,10 +188,16 @@
 			lastFullReport = time.Now()
 		}
 		if full || len(report.Ends) > 0 || len(resolved) > 0 {
-			s.e.enqueue(func(f *linker.Frame) {
+			answeredAt := time.Now()
+			seq := s.e.enqueue(func(f *linker.Frame) {
 				f.Reports = append(f.Reports, report)
 				f.Results = append(f.Results, resolved...)
 			})
+			s.mu.Lock()
+			if s.e.confirms.Load() {
+				s.reports = append(s.reports, sentReport{seq, answeredAt})
+			}
+			s.mu.Unlock()
 		}
 		s.waitForAcks()
 	}
@@ -197,9 +213,9 @@
 		// numbers its ends from 1 and would discard those up to the cursor, and its
 		// clock started anew, so that its leases would become too long.
 		req.AckCursor = s.ackedSeq
-		// The leases of an unresponsive target are not extended, so that the time at
-		// which they expire is known.
-		if now, lease := s.targetNow(), s.e.currentLease(); now > 0 && lease > 0 && !s.clockStale() {
+		// The leases of an unresponsive target, and of one that the coordinator may not hear
+		// of, are not extended, so that the time at which they expire is known.
+		if now, lease := s.targetNow(), s.e.currentLease(); now > 0 && lease > 0 && !s.clockStale() && s.reportConfirmed() {
 			s.leaseDeadline = max(s.leaseDeadline, now+lease.Milliseconds())
 		}
 		req.Deadline = s.leaseDeadline
@@ -208,6 +224,8 @@
 	case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || !s.responsive:
 	case len(s.uncertainRuns) > 0 || !s.settled():
 		req.Wait = min(activePollWait, s.unsettledFor())
+	case !s.reportConfirmed():
+		req.Wait = unconfirmedPollWait
 	case hasRuns:
 		req.Wait = activePollWait
 	default:
@@ -217,6 +235,19 @@
 	return req
 }
 
+// reportConfirmed reports whether the coordinator has processed a recent report of the
+// target. s.mu must be held.
+func (s *targetSession) reportConfirmed() bool {
+	if !s.e.confirms.Load() {
+		return true
+	}
+	confirmed := s.e.confirmed.Load()
+	for len(s.reports) > 1 && s.reports[1].seq <= confirmed {
+		s.reports = s.reports[1:]
+	}
+	return len(s.reports) > 0 && s.reports[0].seq <= confirmed && time.Since(s.reports[0].at) <= linker.ReportValidity
+}
+
 // settled reports whether the last hold request was sent when all runs that an earlier
 // session had stopped had ended. s.mu must be held.
 func (s *targetSession) settled() bool {
@@ -312,12 +343,13 @@
 }
 
 // start carries out a start order. It reports a run as not started, without a request,
-// if the target's clock is unknown or its last reading is stale.
+// if the target's clock is unknown or its last reading is stale, or if the order may have
+// been on its way for so long that the coordinator has given the target up since.
 func (s *targetSession) start(order linker.Start, spec string) {
 	defer s.e.wg.Done()
 	s.mu.Lock()
 	now := s.targetNow()
-	if s.clockStale() {
+	if s.clockStale() || !s.reportConfirmed() {
 		now = 0
 	}
 	s.mu.Unlock()
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -292,6 +292,7 @@
 	l.post(func(c *coordinator.Coordinator) {
 		if l.memberConns[id] == conn {
 			c.Receive(id, f, time.Now())
+			conn.Confirm(f.Seq)
 		}
 	})
 }
--- a/linker/conn.go
+++ b/linker/conn.go
@@ -44,6 +44,7 @@
 	done      chan struct{}
 	closeOnce sync.Once
 	frames    atomic.Int64 // received
+	confirmed atomic.Int64 // see Confirm
 	failure   atomic.Pointer[error]
 }
 
@@ -164,6 +165,14 @@
 	}
 }
 
+// Confirm tells the peer, with the next frame or heartbeat, that its frames up to a number
+// were processed.
+func (c *Conn) Confirm(seq int64) {
+	if seq > c.confirmed.Load() {
+		c.confirmed.Store(seq)
+	}
+}
+
 // Receive calls handle for each frame until the connection is closed, and returns
 // the reason. A panic in handle is recovered and returned as an error, so that a
 // faulty frame closes the connection but does not crash the process.
@@ -218,6 +227,7 @@
 				c.fail(errLate)
 				return
 			}
+			f.Seen = c.confirmed.Load()
 			if err := enc.Encode(f.Frame); err != nil {
 				c.fail(fmt.Errorf("linker: encode frame: %w", err))
 				return
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -16,6 +16,7 @@
 type Frame struct {
 	// Sent by an instance.
 	Hello   *Hello
+	Seq     int64     // number of the frame on its connection, if it has reports; they rise
 	Jobs    []w.Job   // accepted jobs, already stored
 	Again   bool      // Jobs may have been sent to a previous coordinator
 	Cancels []w.JobID // cancelled jobs; the cancellations are already stored
@@ -32,6 +33,7 @@
 	SavedEnds []JobState
 
 	// Sent by the coordinator.
+	Seen   int64 // highest Seq of the frames that it has processed, see Conn.Confirm
 	Assign *Assign
 	Specs  []Spec // specs of the jobs in Starts
 	Starts []Start
@@ -220,8 +222,18 @@
 	Epoch   w.Epoch
 	Lease   time.Duration
 	Targets []AssignedTarget
+	// Confirms is set if the coordinator confirms frames with reports, see Frame.Seen. The
+	// instance then extends the leases on a target only while it has a confirmed report of
+	// the target that is younger than ReportValidity. Coordinators of earlier builds don't
+	// set it.
+	Confirms bool
 }
 
+// ReportValidity is the age of the last confirmed report of a target up to which its leases
+// are extended. A coordinator that has got no report of a target for this time and a lease
+// takes the leases for expired.
+const ReportValidity = 1700 * time.Millisecond
+
 // AssignedTarget is a target in an Assign message.
 type AssignedTarget struct {
 	ID          w.TargetID
