--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -65,3 +65,31 @@
 		require.Empty(t, f.Starts, "the task is running for %v more", leaseEnd.Sub(x.now))
 	}
 }
+
+// TestRejectedStartExtendsLeaseOfNextIncarnation guards against starting a task elsewhere
+// while it runs on a target that has restarted: a start that the next incarnation rejected
+// carried a deadline on the clock of the earlier one, so that it got its longest lease.
+func TestRejectedStartExtendsLeaseOfNextIncarnation(t *testing.T) {
+	x := newCell(t, 1, 2, nil)
+	x.c.MaxLease = 10 * time.Second
+	x.reportRuns("a")
+	x.submit(singleTaskJob("j"))
+	order := x.advance(0).Starts[0]
+	// The next incarnation has rejected the start, and the old session reports it.
+	leaseEnd := x.now.Add(x.c.MaxLease * 102 / 100)
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Incarnation: 1, Task: order.Task, Run: order.Run, Outcome: linker.InsufficientResources}}})
+	x.restart(2)
+	x.advance(0)
+	x.reportSynced()
+	order = x.advance(0).Starts[0]
+	require.Equal(t, w.TargetID("a"), order.Target)
+	x.receive(&linker.Frame{Results: []linker.Result{{Target: "a", Incarnation: 2, Task: order.Task, Run: order.Run, Outcome: linker.Started}}})
+	x.advance(survivalTime)
+	x.reportSynced(w.Run{Task: order.Task, Run: order.Run})
+	// The target is cut off.
+	for x.now.Before(leaseEnd) {
+		x.reportRuns("b")
+		f := x.advance(100 * time.Millisecond)
+		require.Empty(t, f.Starts, "the task is running for %v more", leaseEnd.Sub(x.now))
+	}
+}
