coordinator, executor: a target is replaced only if nobody serves its address any more

What callers could see: all tasks of a target start elsewhere at the same instant while their runs go on.

Cause: the runs of a target counted as gone as soon as one request to it got no answer while a later target that names the same machine had answered.

A report now tells whether the address of the target refuses connections or is served by another target (421). Only then, with the later target, its runs are gone; else they wait for the lease. TestSharedMachineReplacesNothing failed before. The tests of crashes report refused connections now, as executors do for a target whose process has ended.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -134,7 +134,7 @@
 // recordAnswer records that a target has answered, at the given time at its member.
 func (c *Coordinator) recordAnswer(t *target, at time.Duration) {
 	t.answeredAtMember = max(t.answeredAtMember, at)
-	t.answeredAt, t.replaced, t.closed = c.now, false, false
+	t.answeredAt, t.replaced, t.closed, t.absent = c.now, false, false, false
 	if !t.closedAt.IsZero() {
 		t.closedAt = time.Time{}
 		c.losses.Retract(string(t.ID))
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -53,7 +53,7 @@
 // after 3 s.
 func (x *testCell) crash(id w.TargetID) {
 	t := x.c.targets[id]
-	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: t.Incarnation, Unreachable: true, Closed: true}}})
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: id, Incarnation: t.Incarnation, Unreachable: true, Closed: true, Absent: true}}})
 	for range 30 {
 		require.Empty(x.t, x.advance(100*time.Millisecond).Starts, "nothing starts again before the crash is certain")
 		x.syncTargets()
@@ -199,7 +199,7 @@
 		crashed++
 		x.down[r.Target] = x.now.Add(3 * time.Second)
 		x.runs = slices.DeleteFunc(x.runs, func(o *replayRun) bool { return o.Target == r.Target })
-		x.receive(&linker.Frame{Reports: []linker.Report{{Target: r.Target, Incarnation: x.incarnation(r.Target), Unreachable: true, Closed: true}}})
+		x.receive(&linker.Frame{Reports: []linker.Report{{Target: r.Target, Incarnation: x.incarnation(r.Target), Unreachable: true, Closed: true, Absent: true}}})
 	}
 	if x.now.UnixMilli()%1000 != 0 {
 		return crashed
@@ -324,6 +324,31 @@
 	require.Empty(t, x.advance(0).Starts)
 }
 
+// Guards against running the tasks of a target twice that resets a connection, because
+// another target that answers names the same machine.
+func TestSharedMachineReplacesNothing(t *testing.T) {
+	x := newCrashCell(t, 1, 2, nil)
+	x.submit(singleTaskJob("j"))
+	s := x.startsOf("j", time.Second)
+	require.Equal(t, w.TargetID("a"), s[0].Target)
+	x.startsOf("none", time.Second)
+	other := x.c.targets["b"].Target
+	other.Machine, other.Incarnation = "m-a", 2
+	x.restart(1)
+	x.c.SetTargets([]w.Target{x.c.targets["a"].Target, other}, true, x.now)
+	x.syncTargets()
+	report := linker.Report{Target: "a", Incarnation: 1, Unreachable: true, Closed: true}
+	x.receive(&linker.Frame{Reports: []linker.Report{report}})
+	x.advance(time.Second)
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "b", Incarnation: 2, Complete: true}}})
+	x.c.SetTargets([]w.Target{x.c.targets["a"].Target, other}, true, x.now)
+	require.Empty(t, x.advance(0).Starts)
+	report.Absent = true
+	x.receive(&linker.Frame{Reports: []linker.Report{report}})
+	x.c.SetTargets([]w.Target{x.c.targets["a"].Target, other}, true, x.now)
+	require.Len(t, x.startsOf("j", time.Second), 1, "its address refuses connections")
+}
+
 // Guards against rounds of decisions that take time with the square of the tasks of a
 // contained job.
 func TestContainedJobIsExaminedOnce(t *testing.T) {
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -44,6 +44,7 @@
 	answeredAtMember  time.Duration // time of that answer at its member, or 0 if it is not known
 	closedAt          time.Time     // when it closed its connection, or its loss was noticed, if it has not answered since
 	closed            bool          // it closed its connection and has not answered since
+	absent            bool          // nobody or another target served its address, and it has not answered since
 	probe             *slot         // run that started under suspicion, or nil, see probeOn
 	lateLeaseEnd      time.Time     // when the leases of starts that were carried out late have certainly expired
 	endSeq            int64         // highest sequence number of a received end
@@ -158,10 +159,11 @@
 	}
 }
 
-// releaseIfReplaced frees the slots of a target that doesn't answer if a later one on its
-// machine has answered since. Its row alone is no proof, as other writers leave rows, too.
+// releaseIfReplaced frees the slots of a target whose address it no longer serves if a later
+// one on its machine has answered since. Its row alone is no proof, as other writers leave
+// rows, too, nor is a request without an answer.
 func (c *Coordinator) releaseIfReplaced(t, by *target) {
-	if t.Machine == "" || t.Machine != by.Machine || by.Incarnation <= t.Incarnation || !by.answeredAt.After(t.answeredAt) || !t.health.unreachable || t.replaced {
+	if t.Machine == "" || t.Machine != by.Machine || by.Incarnation <= t.Incarnation || !by.answeredAt.After(t.answeredAt) || !t.absent || t.replaced {
 		return
 	}
 	t.replaced = true
@@ -215,7 +217,7 @@
 	t.endSeq, t.ackedSeq, t.orphans = 0, 0, nil
 	delete(c.endSeqs, t.ID)
 	t.synced = false
-	t.closedAt, t.closed, t.answeredAt, t.answeredAtMember = time.Time{}, false, time.Time{}, 0
+	t.closedAt, t.closed, t.absent, t.answeredAt, t.answeredAtMember = time.Time{}, false, false, time.Time{}, 0
 	t.health = health{}
 	t.speed.Restart()
 	t.reportedAt = c.now
@@ -380,6 +382,7 @@
 		if r.Closed {
 			c.recordClosed(t)
 		}
+		t.absent = t.absent || r.Absent
 		if !t.health.unreachable {
 			t.health.unreachable = true
 			c.Log.Warn("target unreachable", "target", t.ID, "slots", len(t.slots))
--- a/executor/caller.go
+++ b/executor/caller.go
@@ -65,6 +65,8 @@
 	// ErrClosed reports that the target closed or refused the connection, as it does when
 	// its process has ended.
 	ErrClosed = errors.New("executor: connection closed or refused by the target")
+	// ErrOtherTarget reports that another target serves the address.
+	ErrOtherTarget = errors.New("executor: another target serves the address")
 	// ErrNotSent reports that no connection was established, so that the target has not
 	// received the request.
 	ErrNotSent = errors.New("executor: request not sent")
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -420,9 +420,18 @@
 // TestClosedConnectionIsReported guards against a crashed target that can't be told from
 // one that is slow or cut off.
 func TestClosedConnectionIsReported(t *testing.T) {
-	for _, err := range []error{fmt.Errorf("hold: %w", ErrClosed), context.DeadlineExceeded} {
-		_, f := startExecutor(t, &fakeTargetClient{holdErr: err})
-		require.True(t, f.hasReport(func(r *linker.Report) bool { return r.Unreachable && r.Closed == errors.Is(err, ErrClosed) }), "%v", err)
+	for _, x := range []struct {
+		err            error
+		closed, absent bool
+	}{
+		{err: fmt.Errorf("hold: %w", ErrClosed), closed: true},
+		{err: fmt.Errorf("hold: %w: %w", ErrClosed, ErrNotSent), closed: true, absent: true},
+		{err: fmt.Errorf("hold: %w", ErrOtherTarget), absent: true},
+		{err: fmt.Errorf("hold: %w", ErrNotSent)},
+		{err: context.DeadlineExceeded},
+	} {
+		_, f := startExecutor(t, &fakeTargetClient{holdErr: x.err})
+		require.True(t, f.hasReport(func(r *linker.Report) bool { return r.Unreachable && r.Closed == x.closed && r.Absent == x.absent }), "%v", x.err)
 	}
 }
 
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -159,7 +159,7 @@
 			s.e.Log.Debug("hold request failed", "target", s.target.ID, "error", err)
 			s.e.enqueue(func(f *linker.Frame) {
 				f.Reports = append(f.Reports, linker.Report{
-					Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true, Closed: errors.Is(err, ErrClosed),
+					Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true, Closed: errors.Is(err, ErrClosed), Absent: absent(err),
 				})
 			})
 			s.sleep(retryDelay)
@@ -203,6 +203,12 @@
 	}
 }
 
+// absent reports whether the error of a request shows that the target's process has ended:
+// nobody or another target serves its address.
+func absent(err error) bool {
+	return errors.Is(err, ErrOtherTarget) || (errors.Is(err, ErrClosed) && errors.Is(err, ErrNotSent))
+}
+
 // nextHold returns the next hold request.
 func (s *targetSession) nextHold(hasRuns bool) HoldRequest {
 	s.mu.Lock()
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -117,6 +117,7 @@
 	Unsettled   bool // runs that an earlier coordinator has stopped may still be ending, and be missing from Runs
 	Unreachable bool // the last hold request failed
 	Closed      bool // set with Unreachable if the target closed or refused the connection
+	Absent      bool // set with Unreachable if nobody or another target serves its address
 	Gone        bool // the target answered with another incarnation
 	Latency     time.Duration
 	At          time.Duration // when the target answered, since the executor was started
