coordinator, executor: ends that were dropped are not acknowledged by later ones

What callers could see: a task starts again after its run has ended as done and the end was acknowledged.

Cause: an instance reads the end of a run, but the target was assigned to another instance meanwhile, and the report is dropped. If the target returns to the first instance before that one has received the change, its session goes on and reports only later ends. The coordinator takes them for all, and acknowledges the dropped one as well. The run then counts as running until it is missing from the lists, and its task starts again. Class of fault: evidence of an earlier session is taken for that of the present one.

Assignments have numbers now, which reports repeat; one of an earlier assignment is only evidence that its sender may have extended leases, and an instance begins a new session for each number. Earlier builds have none and are treated as before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -108,6 +108,7 @@
 	backlog             []*step               // ready steps with waiting tasks
 	upcomingOccurrences []*occurrence         // occurrences whose start time has not passed
 	lastRunID           w.RunID               // last assigned run ID; the IDs increase
+	lastSession         int64                 // session of the last assignment of a target
 	lastCallID          int64                 // ID of the last advice call
 	sentCalls           map[int64]*adviceCall // advice calls that were sent and not answered, by ID
 	queuedCalls         []*adviceCall         // advice calls that were not sent yet
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -139,6 +140,8 @@
 		}
 		if t.member != best {
 			t.member = best
+			c.lastSession++
+			t.session = c.lastSession
 			t.answeredAtMember = 0
 			c.generation++
 			// Orders sent through the previous instance may be lost or still in
@@ -161,8 +164,8 @@
 		}
 		var key strings.Builder
 		for _, t := range assigned[m] {
-			a.Targets = append(a.Targets, linker.AssignedTarget{ID: t.ID, Address: t.Address, Incarnation: t.Incarnation, Acked: t.ackedSeq})
-			key.WriteString(string(t.ID) + "@" + t.Address + "@" + time.UnixMilli(int64(t.Incarnation)).String() + ",")
+			a.Targets = append(a.Targets, linker.AssignedTarget{ID: t.ID, Address: t.Address, Incarnation: t.Incarnation, Acked: t.ackedSeq, Session: t.session})
+			fmt.Fprintf(&key, "%s@%s@%d@%d,", t.ID, t.Address, t.Incarnation, t.session)
 		}
 		if m.assignmentKey == key.String()+"." {
 			continue
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -33,6 +33,7 @@
 	fillSlots         int // slots of tasks that run on idle CPU only
 	servingSlots      int // slots of serving tasks, which have a tail latency goal
 	member            *member
+	session           int64         // numbers its assignments to members
 	listed            bool          // on the platform's current list of targets
 	listedIncarnation w.Incarnation // incarnation whose capacity and labels the list has shown
 	synced            bool          // this coordinator has received a complete list of its runs
@@ -354,11 +355,13 @@
 // HandleReport processes the report of a target.
 func (c *Coordinator) HandleReport(m *member, r *linker.Report) {
 	t := c.targets[r.Target]
-	if t != nil && t.member != m && r.Incarnation == t.Incarnation && !r.Gone && !r.Unreachable {
-		// The instance extends leases until it receives its new assignment.
+	// Under an earlier assignment the member may have reported ends before that were
+	// dropped. It extends leases until it receives the present one.
+	current := t != nil && t.member == m && (r.Session == 0 || r.Session == t.session)
+	if t != nil && !current && r.Incarnation == t.Incarnation && !r.Gone && !r.Unreachable {
 		t.reportedAt = c.now
 	}
-	if t == nil || t.member != m {
+	if !current {
 		if len(r.Ends) > 0 {
 			c.Meter.Count("endsDropped", "member")
 			c.Log.Info("dropped ends reported by another instance", "target", r.Target, "instance", m.id, "ends", len(r.Ends), "first", r.Ends[0].Task)
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -47,6 +47,7 @@
 	e           *Executor
 	target      Target
 	incarnation w.Incarnation
+	session     int64 // of the assignment
 	ctx         context.Context
 	cancel      context.CancelFunc
 	ackSignal   chan struct{}
@@ -99,7 +100,7 @@
 
 func newTargetSession(e *Executor, t linker.AssignedTarget) *targetSession {
 	s := &targetSession{
-		e: e, target: Target{t.ID, t.Address}, incarnation: t.Incarnation, ackedSeq: t.Acked, receivedSeq: t.Acked,
+		e: e, target: Target{t.ID, t.Address}, incarnation: t.Incarnation, session: t.Session, ackedSeq: t.Acked, receivedSeq: t.Acked,
 		ackSignal: make(chan struct{}, 1), uncertainRuns: make(map[w.TaskID]uncertainRun), responsive: true,
 	}
 	s.ctx, s.cancel = context.WithCancel(e.ctx)
@@ -159,7 +160,7 @@
 			s.e.Log.Debug("hold request failed", "target", s.target.ID, "error", err)
 			s.e.enqueue(func(f *linker.Frame) {
 				f.Reports = append(f.Reports, linker.Report{
-					Target: s.target.ID, Incarnation: s.incarnation, Unreachable: true, Closed: errors.Is(err, ErrClosed), Absent: absent(err),
+					Target: s.target.ID, Incarnation: s.incarnation, Session: s.session, Unreachable: true, Closed: errors.Is(err, ErrClosed), Absent: absent(err),
 				})
 			})
 			s.sleep(retryDelay)
@@ -170,13 +171,13 @@
 			s.confirmedAt = time.Time{}
 			s.mu.Unlock()
 			s.e.enqueue(func(f *linker.Frame) {
-				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: reply.Incarnation, Gone: true})
+				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: reply.Incarnation, Session: s.session, Gone: true})
 			})
 			s.sleep(retryDelay)
 			continue
 		}
 		hasRuns = len(reply.Runs) > 0
-		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
+		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Session: s.session, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
 		var resolved []linker.Result
 		var settled bool
 		report.Ends, resolved, settled = s.recordHold(&reply)
@@ -391,7 +392,7 @@
 	reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (HoldReply, error) {
 		return s.e.client.Hold(ctx, s.target, &HoldRequest{Epoch: s.e.currentEpoch()})
 	})
-	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, At: time.Since(s.e.startedAt)}
+	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Session: s.session, At: time.Since(s.e.startedAt)}
 	switch {
 	case err != nil && !errors.Is(err, ErrClosed), reply.Incarnation != 0 && reply.Incarnation != s.incarnation:
 		return // the next hold request shows the state of the target
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -111,6 +111,7 @@
 type Report struct {
 	Target      w.TargetID
 	Incarnation w.Incarnation
+	Session     int64 // of the assignment under which the instance calls the target
 	Ends        []w.End
 	Runs        []w.Run
 	Complete    bool // Runs lists all runs on the target
@@ -241,6 +242,9 @@
 	Address     string
 	Incarnation w.Incarnation
 	Acked       int64
+	// Session numbers the assignments of a target. Coordinators of earlier builds don't set
+	// it.
+	Session int64
 }
 
 // Ask requests advice on which of the targets may run the tasks of a step.
