coordinator: a restarted target may hold the longest lease by any late request

A request that got no answer may be carried out seconds later, also by the next incarnation under the same ID, with a deadline on the clock of the old one: a hold, or a start that it rejects. Several runs that start there have a lease of up to 10 s then; if the target is silent from soon after, all of them are given up together after 7.98 s, while it is up and they run. This is what the users' record shows: targets that died seconds before and are back under their ID, tasks doubled at one instant, no order carried out late.

After each restart under the same ID the leases are taken to last as long as a late request and the longest lease.

--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -178,16 +178,15 @@
 func (c *Coordinator) resetTarget(t *target, incarnation w.Incarnation) {
 	c.Log.Info("target has a new incarnation", "target", t.ID, "slots", len(t.slots))
 	c.recordCrash(t, true)
-	// Until its instance has a new session, the new incarnation may get deadlines on the
-	// clock of the old one, and grants its longest lease for them.
-	t.lateLeaseEnd = later(t.lateLeaseEnd, c.now.Add(linker.MaxFrameDelay+c.MaxLease*103/100))
+	// The new incarnation may get requests with deadlines on the clock of the old one, and
+	// carry out earlier ones that got no answer. It grants its longest lease for them.
+	t.lateLeaseEnd = c.now.Add(lateStartAge + c.MaxLease*103/100)
 	for id, sl := range t.slots {
 		if sl.step != nil && (sl.listedAt.IsZero() || !sl.answered) {
 			// Orders name the ID of a target only, so the new incarnation may still
 			// carry out a start that got no answer. After it has answered the stop, it
 			// rejects the start.
 			sl.listedAt, sl.startedAt, sl.startedAtMember, sl.answered = time.Time{}, time.Time{}, 0, false
-			t.lateLeaseEnd = c.now.Add(lateStartAge + c.MaxLease*103/100)
 			if tk := &sl.step.tasks[sl.index]; tk.run == sl.run && tk.target == t && (tk.phase == starting || tk.phase == running) {
 				c.stopTask(sl.step, sl.index)
 			} else {
--- a/linker/conn.go
+++ b/linker/conn.go
@@ -27,10 +27,10 @@
 	// socketBufferSize limits the data that waits in the operating system, which heartbeats
 	// and orders queue behind on a narrow link.
 	socketBufferSize = 64 << 10
-	// MaxFrameDelay is the time after which a frame that was not written ends the connection.
+	// maxFrameDelay is the time after which a frame that was not written ends the connection.
 	// Orders that are later than that do more harm than a connection that begins anew, and a
 	// link that carries less than is sent makes them later and later.
-	MaxFrameDelay = 2 * time.Second
+	maxFrameDelay = 2 * time.Second
 	// sendQueueSize is the number of frames buffered for a slow peer. When the
 	// buffer is full, the connection is closed.
 	sendQueueSize = 1024
@@ -223,7 +223,7 @@
 			return
 		}
 		for f.Frame != nil {
-			if time.Since(f.since) > MaxFrameDelay {
+			if time.Since(f.since) > maxFrameDelay {
 				c.fail(errLate)
 				return
 			}
--- a/linker/conn_test.go
+++ b/linker/conn_test.go
@@ -138,10 +138,10 @@
 		for _, s := range f.Specs {
 			sent, err := strconv.ParseInt(s.Text[:19], 10, 64)
 			require.NoError(t, err)
-			if longest = max(longest, time.Since(time.Unix(0, sent))); longest > 2*MaxFrameDelay {
+			if longest = max(longest, time.Since(time.Unix(0, sent))); longest > 2*maxFrameDelay {
 				receiver.Close()
 			}
 		}
 	})
-	require.Less(t, longest, 2*MaxFrameDelay, err)
+	require.Less(t, longest, 2*maxFrameDelay, err)
 }
