--- a/coordinator/cosim_faults_test.go
+++ b/coordinator/cosim_faults_test.go
@@ -43,7 +43,7 @@
 	},
 	"rebirth": func(c *cosim) {
 		for _, m := range c.pickMachines() {
-			c.crash(m, true, c.between(0, 4000))
+			c.crash(m, true, c.between(0, []int{200, 1000, 4000}[c.random(3)]))
 		}
 	},
 	"replace": func(c *cosim) {
@@ -101,14 +101,8 @@
 			}
 		}
 	},
-	"linklag": func(c *cosim) {
-		h := c.pickHost()
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		l := &h.links[c.rng.IntN(2)]
-		l.lagFrom, l.lagUntil, l.lagRate = time.Now(), time.Now().Add(c.duration(2000, 15000)), 0.2+2*c.rng.Float64()
-		c.logf("fault: a link of %s is narrow until %.3f", h.name, l.lagUntil.Sub(c.begin).Seconds())
-	},
+	"lagto":   func(c *cosim) { c.narrow(0) },
+	"lagfrom": func(c *cosim) { c.narrow(1) },
 	"linkclose": func(c *cosim) {
 		h := c.pickHost()
 		c.mu.Lock()
@@ -191,6 +185,16 @@
 	c.logf("fault: %s %s until %.3f", m.name, what, field.Sub(c.begin).Seconds())
 }
 
+// narrow delays the data on one direction of a link more and more.
+func (c *cosim) narrow(direction int) {
+	h := c.pickHost()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := &h.links[direction]
+	l.lagFrom, l.lagUntil, l.lagRate = time.Now(), time.Now().Add(c.duration(2000, 15000)), 0.2+2*c.rng.Float64()
+	c.logf("fault: link %d of %s is narrow until %.3f", direction, h.name, l.lagUntil.Sub(c.begin).Seconds())
+}
+
 // silence makes a machine leave requests unanswered. Some are carried out when it ends.
 func (c *cosim) silence(m *simMachine, d time.Duration) {
 	c.mu.Lock()
--- a/coordinator/cosim_link_test.go
+++ b/coordinator/cosim_link_test.go
@@ -25,9 +25,6 @@
 	leaving     bool
 }
 
-// simMaxLag is the time by which the data that fits into socket buffers is delayed.
-const simMaxLag = 3 * time.Second
-
 // simLink is one direction of a link.
 type simLink struct {
 	stalledUntil time.Time
@@ -124,7 +121,7 @@
 			c.mu.Lock()
 			at := it.since.Add(500 * time.Microsecond)
 			if l := e.link; time.Now().Before(l.lagUntil) && it.since.After(l.lagFrom) {
-				at = at.Add(min(simMaxLag, time.Duration(l.lagRate*float64(it.since.Sub(l.lagFrom)))))
+				at = at.Add(min(*cosimLag, time.Duration(l.lagRate*float64(it.since.Sub(l.lagFrom)))))
 			}
 			if e.link.stalledUntil.After(at) {
 				at = e.link.stalledUntil
--- a/coordinator/cosim_target_test.go
+++ b/coordinator/cosim_target_test.go
@@ -35,6 +35,7 @@
 	bootedAt   time.Time
 	rate       float64 // of its clock
 	draining   bool
+	oldHold    bool // has carried out a hold request that was sent before its start
 	dead       chan struct{}
 	ended      chan struct{} // closed and replaced when a run ends
 	epoch      w.Epoch
@@ -435,9 +436,18 @@
 }
 
 func (s simClient) Hold(ctx context.Context, t executor.Target, req *executor.HoldRequest) (executor.HoldReply, error) {
-	held := *req
+	held, sent := *req, time.Now()
 	ok := false
-	p, err := s.send(ctx, t, func(p *simProcess) { ok = p.hold(&held) })
+	p, err := s.send(ctx, t, func(p *simProcess) {
+		if sent.Before(p.bootedAt) {
+			if s.c.sc.noOldHolds {
+				return
+			}
+			p.c.logf("target %s carries out a hold of before its start: deadline %d, cursor %d", p.id, held.Deadline, held.AckCursor)
+			p.oldHold = p.oldHold || held.Deadline > 0 || held.AckCursor > 0
+		}
+		ok = p.hold(&held)
+	})
 	if err != nil {
 		return executor.HoldReply{}, err
 	}
--- a/coordinator/cosim_test.go
+++ b/coordinator/cosim_test.go
@@ -35,6 +35,7 @@
 	cosimTime   = flag.Duration("cosim.time", 2*time.Minute, "simulated time for each seed")
 	cosimFaults = flag.String("cosim.faults", "", "comma-separated faults of the only scenario, or \"mix\" for random ones")
 	cosimNot    = flag.String("cosim.without", "", "comma-separated faults that random mixes leave out")
+	cosimLag    = flag.Duration("cosim.lag", 3*time.Second, "longest delay of the data on a narrow link, which waits in socket buffers")
 	cosimTrace  = flag.String("cosim.trace", "", "directory for the full traces of the seeds that break a rule")
 )
 
@@ -42,6 +43,7 @@
 type scenario struct {
 	faults       []string
 	admission    bool // targets reject what doesn't fit
+	noOldHolds   bool // targets drop hold requests that were sent before their start
 	hideStopping bool // runs that are being stopped aren't listed
 }
 
@@ -136,8 +138,8 @@
 			c.allowed++
 			continue
 		}
-		c.violate("TWICE", fmt.Sprintf("%v starts on %s as run %d (sent %v ago) while it runs on %s as run %d since %v (late %v, stopping %v)",
-			r.task, r.p.id, r.run, time.Since(sent), o.p.id, o.run, time.Since(o.startedAt), o.late, o.stopping), r.task)
+		c.violate("TWICE", fmt.Sprintf("%v starts on %s as run %d (sent %v ago) while it runs on %s as run %d since %v (late %v, stopping %v, old hold %v)",
+			r.task, r.p.id, r.run, time.Since(sent), o.p.id, o.run, time.Since(o.startedAt), o.late, o.stopping, o.p.oldHold), r.task)
 	}
 	if c.acked[c.unit(r.task)] && !r.inherited {
 		c.violate("TWICE", fmt.Sprintf("%v starts on %s as run %d after its end was acknowledged (sent %v ago)", r.task, r.p.id, r.run, time.Since(sent)), r.task)
@@ -309,7 +311,7 @@
 	for _, faults := range scenarios {
 		for seed := *cosimSeed; seed < *cosimSeed+uint64(*cosimSeeds); seed++ {
 			rng := rand.New(rand.NewPCG(seed, 1))
-			sc := scenario{faults: faults, admission: rng.IntN(2) == 0, hideStopping: slices.Contains(faults, "hide")}
+			sc := scenario{faults: faults, admission: rng.IntN(2) == 0, noOldHolds: slices.Contains(strings.Split(*cosimNot, ","), "oldhold"), hideStopping: slices.Contains(faults, "hide")}
 			if *cosimFaults == "mix" {
 				sc.faults = nil
 				for _, k := range rng.Perm(len(names))[:2+rng.IntN(5)] {
