--- a/coordinator/cosim_faults_test.go
+++ b/coordinator/cosim_faults_test.go
@@ -112,6 +112,18 @@
 			h.conn.close()
 		}
 	},
+	"kill": func(c *cosim) {
+		h := c.pickHost()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		h.starts++
+		h.name, h.downUntil = w.InstanceID(fmt.Sprintf("i%d-%d", h.index, h.starts)), time.Now().Add(c.duration(300, 4000))
+		c.logf("fault: i%d is killed and restarts as %s at %.3f", h.index, h.name, h.downUntil.Sub(c.begin).Seconds())
+		if h.conn != nil {
+			h.conn.close()
+		}
+	},
+	"deadly": nil,
 	"pause": func(c *cosim) {
 		h := c.pickHost()
 		c.mu.Lock()
--- a/coordinator/cosim_link_test.go
+++ b/coordinator/cosim_link_test.go
@@ -23,6 +23,8 @@
 	links       [2]simLink // to and from the leader
 	conn        *simEnd    // end at the instance, nil while it is disconnected
 	leaving     bool
+	downUntil   time.Time // the process was killed and restarts then
+	starts      int
 }
 
 // simLink is one direction of a link.
@@ -177,7 +179,7 @@
 	c := h.c
 	for !c.stopped() {
 		c.mu.Lock()
-		stalled := time.Now().Before(h.links[0].stalledUntil) || time.Now().Before(h.links[1].stalledUntil)
+		stalled := time.Now().Before(h.downUntil) || time.Now().Before(h.links[0].stalledUntil) || time.Now().Before(h.links[1].stalledUntil)
 		c.mu.Unlock()
 		if stalled {
 			time.Sleep(linker.HeartbeatTimeout / 2)
@@ -191,6 +193,9 @@
 func (h *simHost) serve() {
 	c := h.c
 	h.waitPause()
+	c.mu.Lock()
+	name := h.name
+	c.mu.Unlock()
 	conn, lead := newSimConn(h, c.hosts[0])
 	go c.leader.serveConn(lead)
 	c.mu.Lock()
@@ -201,7 +206,7 @@
 	}
 	e := &executor.Executor{TargetClient: simClient{c, h}, Log: slog.New(slog.DiscardHandler), Send: conn.send}
 	e.Run()
-	conn.send(&linker.Frame{Hello: &linker.Hello{Instance: h.name, Zone: h.zone, Strength: 1}})
+	conn.send(&linker.Frame{Hello: &linker.Hello{Instance: name, Zone: h.zone, Strength: 1}})
 	go func() {
 		for {
 			select {
@@ -225,7 +230,7 @@
 	e.Close()
 	c.mu.Lock()
 	h.conn = nil
-	c.logf("instance %s: connection to the leader ended: %s", h.name, reason)
+	c.logf("instance %s: connection to the leader ended: %s", name, reason)
 	c.mu.Unlock()
 }
 
--- a/coordinator/cosim_target_test.go
+++ b/coordinator/cosim_target_test.go
@@ -87,7 +87,7 @@
 
 func (p *simProcess) row() w.Target {
 	t := w.Target{
-		ID: p.id, Service: "s", Address: p.machine.name, Zone: p.machine.zone, Machine: p.machine.name,
+		ID: p.id, Service: "s", Address: p.machine.name, Zone: p.machine.zone, Machine: p.c.sc.machineName(p.machine.index),
 		Capacity: w.Resources{CPU: simCPU, Mem: 1 << 20}, Incarnation: w.Incarnation(p.bootedAt.UnixMilli()),
 	}
 	if p.draining {
--- a/coordinator/cosim_test.go
+++ b/coordinator/cosim_test.go
@@ -36,6 +36,7 @@
 	cosimFaults = flag.String("cosim.faults", "", "comma-separated faults of the only scenario, or \"mix\" for random ones")
 	cosimNot    = flag.String("cosim.without", "", "comma-separated faults that random mixes leave out")
 	cosimLag    = flag.Duration("cosim.lag", 3*time.Second, "longest delay of the data on a narrow link, which waits in socket buffers")
+	cosimLarge  = flag.Bool("cosim.large", false, "simulate 48 targets and tasks of 12 to 35 s")
 	cosimTrace  = flag.String("cosim.trace", "", "directory for the full traces of the seeds that break a rule")
 )
 
@@ -49,6 +50,15 @@
 
 func (s *scenario) on(fault string) bool { return slices.Contains(s.faults, fault) }
 
+// machineName returns the name of a machine. Several have the same one where targets run
+// beside each other.
+func (s *scenario) machineName(i int) string {
+	if s.on("shared") {
+		i /= 3
+	}
+	return fmt.Sprint("m", i)
+}
+
 type simPath struct{ host, machine int }
 
 type simRow struct {
@@ -71,6 +81,7 @@
 	rows       map[w.TargetID]simRow
 	cuts       map[simPath]time.Time
 	jobs       map[w.JobID]*w.Job
+	deadly     map[w.JobID]int // number of starts that the targets don't survive
 	running    map[w.TaskID][]*simRun
 	acked      map[string]bool // tasks and gangs whose successful end was acknowledged
 	trace      []string
@@ -145,6 +156,16 @@
 		c.violate("TWICE", fmt.Sprintf("%v starts on %s as run %d after its end was acknowledged (sent %v ago)", r.task, r.p.id, r.run, time.Since(sent)), r.task)
 	}
 	c.running[r.task] = append(c.running[r.task], r)
+	if c.deadly[r.task.Job] > 0 {
+		c.deadly[r.task.Job]--
+		c.after(c.duration(5, 300), func() {
+			if r.p.runs != nil {
+				r.p.machine.refuses = c.rng.IntN(3) > 0
+				c.kill(r.p)
+				c.reboot(r.p.machine, c.rng.IntN(2) == 0, c.duration(500, 4000), r.p)
+			}
+		})
+	}
 }
 
 func (c *cosim) checkEnd(r *simRun) {
@@ -185,7 +206,7 @@
 func newCosim(seed uint64, sc scenario) (*cosim, context.CancelFunc) {
 	c := &cosim{
 		sc: sc, begin: time.Now(), rng: rand.New(rand.NewPCG(seed, 46)), byName: make(map[string]*simMachine), rows: make(map[w.TargetID]simRow),
-		cuts: make(map[simPath]time.Time), jobs: make(map[w.JobID]*w.Job), running: make(map[w.TaskID][]*simRun), acked: make(map[string]bool),
+		cuts: make(map[simPath]time.Time), jobs: make(map[w.JobID]*w.Job), deadly: make(map[w.JobID]int), running: make(map[w.TaskID][]*simRun), acked: make(map[string]bool),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.ctx = ctx
@@ -205,14 +226,19 @@
 		Queues:   []w.Queue{{Name: "urgent", Service: "s", Attempts: 100}, {Name: "low", Service: "s", Attempts: 100, Priority: 1}},
 		Services: []w.Service{{Name: "s", AdmissionControl: sc.admission}},
 	})
-	c.mu.Lock()
-	for i := range 6 + c.rng.IntN(10) {
+	targets := 6 + c.rng.IntN(10)
+	if *cosimLarge {
+		targets = 48
+	}
+	for i := range targets {
 		m := &simMachine{index: i, name: fmt.Sprint("m", i), zone: fmt.Sprint("z", i%3)}
+		time.Sleep(time.Millisecond) // their births differ
+		c.mu.Lock()
 		c.machines = append(c.machines, m)
 		c.byName[m.name] = m
 		c.boot(m, w.TargetID(fmt.Sprint("t", i)))
+		c.mu.Unlock()
 	}
-	c.mu.Unlock()
 	go c.leader.run()
 	go c.leader.pollTargets()
 	for _, h := range c.hosts {
@@ -242,9 +268,15 @@
 			Count: 1 + c.rng.IntN(4), Need: w.Resources{CPU: 500 * (1 + c.rng.Int64N(4)), Mem: 10}, Saves: c.rng.IntN(3) == 0,
 			Gang: c.rng.IntN(8) == 0, Estimate: time.Duration(500+c.rng.IntN(20000)) * time.Millisecond,
 		}
+		if *cosimLarge {
+			s.Count, s.Estimate = 1+c.rng.IntN(16), time.Duration(12000+c.rng.IntN(23000))*time.Millisecond
+		}
 		j := &w.Job{ID: w.JobID(fmt.Sprint("j", n)), Queue: []string{"urgent", "low", "low"}[c.rng.IntN(3)], Service: "s", Attempts: 100, Steps: []w.Step{s}}
 		n++
 		c.jobs[j.ID] = j
+		if c.sc.on("deadly") && c.rng.IntN(12) == 0 {
+			c.deadly[j.ID] = 1 + c.rng.IntN(6)
+		}
 		c.mu.Unlock()
 		c.leader.post(func(co *coordinator.Coordinator) { co.AddJob(j, true) })
 	}
