--- a/coordinator/cosim_test.go
+++ b/coordinator/cosim_test.go
@@ -312,9 +312,13 @@
 		h.leaving = true
 		c.after(c.duration(500, 4000), func() { h.leaving = false })
 	case "paused":
-		h.pausedUntil = soon(100, 4000)
+		if time.Now().After(h.pausedUntil) {
+			h.pausedUntil = soon(100, 4000)
+		}
 	case "paused leader":
-		c.hosts[0].pausedUntil = soon(100, 1000)
+		if time.Now().After(c.hosts[0].pausedUntil) {
+			c.hosts[0].pausedUntil = soon(100, 1000)
+		}
 	case "held events":
 		c.leader.heldUntil = soon(200, 8000)
 	case "slow store":
