executor: a target is told a cursor only until it knows it

What callers could see: a task starts again after its run has ended as done.

Cause: each hold request repeats the cursor. One that gets no answer may be carried out seconds later by the next incarnation of the target, which numbers its ends from 1 again and discards those up to the cursor unread. The run is then missing from its lists, and its task starts again.

The cursor is now sent only until a request with it was answered, so few requests carry one. An acknowledgement that names its incarnation would exclude it, which the protocol has not.

--- a/coordinator/cosim_test.go
+++ b/coordinator/cosim_test.go
@@ -41,6 +41,7 @@
 	faults       []string
 	delay        time.Duration // longest delay of the data on a narrow link
 	oldHolds     bool          // a hold request may be carried out by the next incarnation of its target
+	oldCursors   bool          // such a request acknowledges ends, too
 	hideStopping bool          // targets don't list runs that are being stopped
 	admission    bool          // targets reject what doesn't fit; drawn from the seed
 }
@@ -431,6 +432,12 @@
 	(&scenario{faults: []string{"reborn", "late"}, oldHolds: true}).check(t, 3)
 }
 
+// TestCosimOldCursors guards against starting a task again whose end was acknowledged unread
+// by a call to the last incarnation of its target, which the next one has carried out late.
+func TestCosimOldCursors(t *testing.T) {
+	(&scenario{faults: []string{"reborn", "late"}, oldHolds: true, oldCursors: true}).check(t, 12)
+}
+
 // TestCosimUnlistedStops guards against starting a task again while its last run, which its
 // target no longer lists, is being stopped.
 func TestCosimUnlistedStops(t *testing.T) {
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -62,6 +62,8 @@
 	confirmedAt   time.Time // when this incarnation answered the last hold request; zero if that failed
 	uncertainRuns map[w.TaskID]uncertainRun
 	holdSentAt    time.Time    // when the last hold request was sent
+	holdCursor    int64        // cursor of that request
+	cursor        int64        // highest cursor that the target has received
 	settledAt     time.Time    // when runs that were stopped before the first reply have ended at the latest
 	reports       []sentReport // reports that the coordinator may not have processed, and the last one before
 }
@@ -218,8 +220,11 @@
 	if !s.confirmedAt.IsZero() && time.Since(s.confirmedAt) <= linker.HeartbeatTimeout {
 		// Otherwise the target may have restarted under its ID. The new incarnation
 		// numbers its ends from 1 and would discard those up to the cursor, and its
-		// clock started anew, so that its leases would become too long.
-		req.AckCursor = s.ackedSeq
+		// clock started anew, so that its leases would become too long. The same holds for a
+		// request that is carried out late, so the cursor is sent only until it is known.
+		if s.ackedSeq > s.cursor {
+			req.AckCursor = s.ackedSeq
+		}
 		// The leases of an unresponsive target, and of one that the coordinator may not hear
 		// of, are not extended, so that the time at which they expire is known.
 		if now, lease := s.targetNow(), s.e.currentLease(); now > 0 && lease > 0 && !s.clockStale() && s.reportConfirmed() {
@@ -238,7 +243,7 @@
 	default:
 		req.Wait = idlePollWait
 	}
-	s.holdSentAt = time.Now()
+	s.holdSentAt, s.holdCursor = time.Now(), req.AckCursor
 	return req
 }
 
@@ -269,6 +274,7 @@
 	defer s.mu.Unlock()
 	s.recordReply(reply.Clock)
 	s.confirmedAt = time.Now()
+	s.cursor = max(s.cursor, s.holdCursor)
 	settled = s.settled()
 	if s.settledAt.IsZero() {
 		s.settledAt = s.confirmedAt.Add(s.e.longestStop())
