--- /dev/null
+++ b/soak/links_test.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/masticlead/masticlead/platform/standin"
+)
+
+// linkFault is a fault of the connections that one instance opens to another. The first
+// of two values holds for what the opening side sends, the second for what it receives.
+type linkFault struct {
+	delay   [2]time.Duration // of each piece of data
+	stalled [2]bool          // nothing is delivered until the end of the fault
+	rate    [2]int           // bytes per second, 0 for no limit
+}
+
+// link is a TCP proxy for the connections that one instance opens to another.
+type link struct {
+	to       string
+	listener net.Listener
+	mu       sync.Mutex
+	fault    linkFault
+	conns    map[net.Conn]bool
+}
+
+func (l *link) setFault(f linkFault) {
+	l.mu.Lock()
+	l.fault = f
+	l.mu.Unlock()
+}
+
+// reset closes the current connections.
+func (l *link) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+func (l *link) run() {
+	for {
+		from, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.forward(from)
+	}
+}
+
+// linkBufferSize bounds what waits in the proxy's sockets, as routers hold little.
+const linkBufferSize = 32 << 10
+
+func (l *link) forward(from net.Conn) {
+	to, err := net.Dial("tcp", l.to)
+	if err != nil {
+		_ = from.Close()
+		return
+	}
+	pair := [2]net.Conn{from, to}
+	l.mu.Lock()
+	for _, c := range pair {
+		// Connections with buffers of the default size work as well.
+		_ = c.(*net.TCPConn).SetReadBuffer(linkBufferSize)
+		_ = c.(*net.TCPConn).SetWriteBuffer(linkBufferSize)
+		l.conns[c] = true
+	}
+	l.mu.Unlock()
+	var wg sync.WaitGroup
+	for direction := range pair {
+		wg.Go(func() {
+			l.pump(direction, pair[direction], pair[1-direction])
+			_ = from.Close()
+			_ = to.Close()
+		})
+	}
+	wg.Wait()
+	l.mu.Lock()
+	delete(l.conns, from)
+	delete(l.conns, to)
+	l.mu.Unlock()
+}
+
+// pump copies data in one direction until either connection is closed.
+func (l *link) pump(direction int, src io.Reader, dst io.Writer) {
+	buf := make([]byte, 4<<10)
+	current := func() linkFault {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.fault
+	}
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		f := current()
+		for f.stalled[direction] {
+			time.Sleep(5 * time.Millisecond)
+			f = current()
+		}
+		time.Sleep(f.delay[direction])
+		if rate := f.rate[direction]; rate > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+		}
+		if _, err := dst.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// links are the links between all instances, by the opening and the accepting one.
+type links [][]*link
+
+// newLinks starts links and stores in storeAddrs the address of a store for each instance
+// that shows it the links in place of the addresses of the other instances.
+func newLinks(t *testing.T, sim *standin.Platform, count int) (all links, storeAddrs []string) {
+	t.Helper()
+	for i := range count {
+		var row []*link
+		for j := range count {
+			listener, err := net.Listen("tcp", standin.FreeAddr())
+			require.NoError(t, err)
+			l := &link{to: linkAddr(j, count), listener: listener, conns: make(map[net.Conn]bool)}
+			go l.run()
+			t.Cleanup(func() {
+				_ = listener.Close()
+				l.setFault(linkFault{})
+				l.reset()
+			})
+			row = append(row, l)
+		}
+		all = append(all, row)
+		addr, err := sim.Serve(sim.Store.View(func(value []byte) []byte {
+			for j, l := range row {
+				if j != i {
+					value = bytes.ReplaceAll(value, []byte(`"`+l.to+`"`), []byte(`"`+l.listener.Addr().String()+`"`))
+				}
+			}
+			return value
+		}))
+		require.NoError(t, err)
+		storeAddrs = append(storeAddrs, addr)
+	}
+	return all, storeAddrs
+}
+
+// disturb makes the links of some instances faulty for a while.
+func (l links) disturb(rng *rand.Rand) (what string, end func()) {
+	var chosen []*link
+	i := rng.IntN(len(l))
+	for j := range l {
+		chosen = append(chosen, l[j][i], l[i][j])
+	}
+	if rng.IntN(3) == 0 {
+		// Those of another instance, too.
+		k := rng.IntN(len(l))
+		for j := range l {
+			chosen = append(chosen, l[j][k], l[k][j])
+		}
+	}
+	var f linkFault
+	direction := rng.IntN(2)
+	switch rng.IntN(5) {
+	case 0:
+		what = "stalled one way"
+		f.stalled[direction] = true
+	case 1:
+		what = "stalled"
+		f.stalled = [2]bool{true, true}
+	case 2:
+		what = "narrow"
+		f.rate[direction] = 1000 << rng.IntN(6)
+	case 3:
+		what = "delayed"
+		f.delay[direction] = time.Duration(50+rng.IntN(500)) * time.Millisecond
+	case 4:
+		what = "reset"
+	}
+	for _, x := range chosen {
+		x.setFault(f)
+		if what == "reset" {
+			x.reset()
+		}
+	}
+	return what, func() {
+		for _, x := range chosen {
+			x.setFault(linkFault{})
+		}
+	}
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,6 +22,8 @@
 type process struct {
 	t          *testing.T
 	bin        string
+	args       []string
+	linkAddr   string // address for connections of other instances
 	configPath string
 	logFile    *os.File
 	frontAddr  string
@@ -38,7 +42,7 @@
 }
 
 func (p *process) start() {
-	cmd := exec.Command(p.bin, "platform")
+	cmd := exec.Command(p.bin, append([]string{"platform"}, p.args...)...)
 	cmd.Env = []string{platform.SettingsEnv + "=" + p.configPath}
 	cmd.Stdout, cmd.Stderr = p.logFile, p.logFile
 	require.NoError(p.t, cmd.Start())
@@ -91,6 +95,11 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+16*i+pid>>16&0xf, pid>>8&0xff, pid&0xff)
 }
 
+// linkAddr returns the address at which an instance accepts connections of other instances.
+func linkAddr(i, count int) string {
+	return net.JoinHostPort(nodeIP(i, count), strconv.Itoa(firstLinkPort+linkPortsPerInstance*i))
+}
+
 // startCell starts a platform whose tasks run as run says, and instances of this tree on it.
 // It returns once the instances serve.
 func startCell(t *testing.T, targets, instances int, run standin.RunFunc) (*standin.Platform, []*process) {
@@ -115,6 +124,12 @@
 // binary, the second half the second one. The logs stay in the directory
 // that MASTICLEAD_LOGS names, if it is set.
 func newProcesses(t *testing.T, sim *standin.Platform, count int, firstBin, secondBin string) []*process {
+	t.Helper()
+	return newProcessesWith(t, sim, count, firstBin, secondBin, func(int) string { return "" })
+}
+
+// newProcessesWith is newProcesses with further lines of the settings of each instance.
+func newProcessesWith(t *testing.T, sim *standin.Platform, count int, firstBin, secondBin string, settings func(i int) string) []*process {
 	t.Helper()
 	dir := t.TempDir()
 	if logDir := os.Getenv("MASTICLEAD_LOGS"); logDir != "" {
@@ -132,10 +147,10 @@
 			"platform.address=%s\nadvice=%s\nplatform.across=true\nlimits.memoryMb=284\nbounds.graceS=4\nbounds.maxHoldMs=10000\nbounds.stopTimeoutMs=200\n"+
 			"bounds.revokeStrict=true\nbounds.revokeMs=%d\nbounds.quotaExcess=%g\n",
 			i, nodeIP(i, count), frontAddr, standin.FreeAddr(), firstPort, firstPort+linkPortsPerInstance-1, sim.StoreAddr, sim.AdviceAddr, revocationBound.Milliseconds(), capExcess)
-		require.NoError(t, os.WriteFile(configPath, []byte(config), 0o600))
+		require.NoError(t, os.WriteFile(configPath, []byte(config+settings(i)), 0o600))
 		logFile, err := os.Create(filepath.Join(dir, fmt.Sprintf("node%d.log", i)))
 		require.NoError(t, err)
-		p := &process{t: t, bin: bin, configPath: configPath, logFile: logFile, frontAddr: frontAddr}
+		p := &process{t: t, bin: bin, configPath: configPath, logFile: logFile, frontAddr: frontAddr, linkAddr: linkAddr(i, count)}
 		t.Cleanup(func() {
 			p.terminate(syscall.SIGKILL)
 			require.NoError(t, p.logFile.Close())
