--- a/soak/long_runs_test.go
+++ b/soak/long_runs_test.go
@@ -376,10 +376,12 @@
 		}
 	}
 	c.log("%d accepted jobs, %d did not end, %d runs started", len(c.jobs), open, c.sim.Checker.Starts)
-	for _, task := range c.sim.Checker.Repeated() {
-		c.t.Logf("history of %s:\n%s", task, strings.Join(c.sim.Checker.History(task), "\n"))
+	violations := c.sim.Checker.Violations()
+	for _, v := range violations {
+		task, _, _ := strings.Cut(strings.TrimPrefix(v, "task "), " ")
+		c.t.Logf("violation: %s\n%s", v, strings.Join(c.sim.Checker.History(task), "\n"))
 	}
-	require.Empty(c.t, c.sim.Checker.Violations())
+	require.Empty(c.t, violations)
 	require.Zero(c.t, open, "accepted jobs end")
 }
 
