--- a/soak/long_runs_test.go
+++ b/soak/long_runs_test.go
@@ -137,7 +137,7 @@
 
 // faultKinds are the kinds of faults of injectFaults, and stalled runs.
 var faultKinds = []string{
-	"kill", "term", "stop", "slow", "store", "compact", "crash", "renew", "answers", "late", "silent", "refuse", "drain", "links", "stall",
+	"kill", "term", "stop", "slow", "store", "compact", "crash", "renew", "answers", "late", "silent", "refuse", "drain", "links", "stall", "isolate",
 }
 
 // chooseFaults returns the kinds that MASTICLEAD_FAULTS names, or random ones.
@@ -214,6 +214,19 @@
 			for _, x := range some {
 				x.SetUnresponsive(false)
 			}
+		case "isolate":
+			// Only instances that are connected to the targets reach them, and the
+			// links of one of these stop to work.
+			for _, x := range c.sim.Targets {
+				x.SetFaults(standin.TargetFaults{IgnoresConns: true})
+			}
+			what, end := c.links.disturb(rng)
+			c.log("links %s", what)
+			time.Sleep(between(500, 20_000))
+			end()
+			for _, x := range c.sim.Targets {
+				x.SetFaults(standin.TargetFaults{})
+			}
 		case "links":
 			what, end := c.links.disturb(rng)
 			c.log("links %s", what)
