--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -17,7 +17,7 @@
 // linkFault is a fault of the connections that one instance opens to another. The first
 // of two values holds for what the opening side sends, the second for what it receives.
 type linkFault struct {
-	delay   [2]time.Duration // of each piece of data
+	delay   [2]time.Duration // of each piece of data, which it reaches gradually
 	stalled [2]bool          // nothing is delivered until the end of the fault
 	rate    [2]int           // bytes per second, 0 for no limit
 }
@@ -28,12 +28,13 @@
 	listener net.Listener
 	mu       sync.Mutex
 	fault    linkFault
+	since    time.Time // start of the fault
 	conns    map[net.Conn]bool
 }
 
 func (l *link) setFault(f linkFault) {
 	l.mu.Lock()
-	l.fault = f
+	l.fault, l.since = f, time.Now()
 	l.mu.Unlock()
 }
 
@@ -76,11 +77,7 @@
 	l.mu.Unlock()
 	var wg sync.WaitGroup
 	for direction := range pair {
-		wg.Go(func() {
-			l.pump(direction, pair[direction], pair[1-direction])
-			_ = from.Close()
-			_ = to.Close()
-		})
+		wg.Go(func() { l.pump(direction, pair[direction], pair[1-direction]) })
 	}
 	wg.Wait()
 	l.mu.Lock()
@@ -89,34 +86,72 @@
 	l.mu.Unlock()
 }
 
-// pump copies data in one direction until either connection is closed.
-func (l *link) pump(direction int, src io.Reader, dst io.Writer) {
-	buf := make([]byte, 4<<10)
-	current := func() linkFault {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return l.fault
-	}
-	for {
-		n, err := src.Read(buf)
-		if err != nil {
-			return
+// packet is data that waits to be delivered, or the end of a connection if it is empty.
+type packet struct {
+	data []byte
+	due  time.Time
+}
+
+// maxQueuedPackets bounds the data that waits in a link, in packets of up to 1 KB.
+const maxQueuedPackets = 256
+
+// pump delivers the data of one direction, and then the end of the connection, which
+// waits behind the data.
+func (l *link) pump(direction int, src io.Reader, dst io.WriteCloser) {
+	queue := make(chan packet, maxQueuedPackets)
+	go func() {
+		defer close(queue)
+		due := time.Now()
+		for {
+			buf := make([]byte, 1<<10)
+			n, err := src.Read(buf)
+			now := time.Now()
+			due = l.dueTime(direction, n, now, due)
+			if err != nil {
+				queue <- packet{nil, due}
+				return
+			}
+			queue <- packet{buf[:n], due}
 		}
-		f := current()
-		for f.stalled[direction] {
+	}()
+	for p := range queue {
+		time.Sleep(time.Until(p.due))
+		for l.stalls(direction) {
 			time.Sleep(5 * time.Millisecond)
-			f = current()
 		}
-		time.Sleep(f.delay[direction])
-		if rate := f.rate[direction]; rate > 0 {
-			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
-		}
-		if _, err := dst.Write(buf[:n]); err != nil {
-			return
+		if p.data == nil {
+			_ = dst.Close()
+			continue
 		}
+		// The reader notices a closed connection as well.
+		_, _ = dst.Write(p.data)
 	}
 }
 
+// delayGrowth is the delay that a link reaches per second.
+const delayGrowth = 0.5
+
+// dueTime returns when data that was read now is delivered, after earlier data.
+func (l *link) dueTime(direction, n int, now, earlier time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := &l.fault
+	due := now.Add(min(f.delay[direction], time.Duration(delayGrowth*float64(now.Sub(l.since)))))
+	if due.Before(earlier) {
+		due = earlier
+	}
+	if f.rate[direction] > 0 {
+		due = due.Add(time.Duration(n) * time.Second / time.Duration(f.rate[direction]))
+	}
+	return due
+}
+
+func (l *link) stalls(direction int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault.stalled[direction]
+}
+
 // links are the links between all instances, by the opening and the accepting one.
 type links [][]*link
 
@@ -181,7 +216,7 @@
 		f.rate[direction] = 1000 << rng.IntN(6)
 	case 3:
 		what = "delayed"
-		f.delay[direction] = time.Duration(50+rng.IntN(500)) * time.Millisecond
+		f.delay[direction] = time.Duration(50+rng.IntN(4000)) * time.Millisecond
 	case 4:
 		what = "reset"
 	}
