--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -35,7 +35,10 @@
 
 func (l *link) setFault(f linkFault) {
 	l.mu.Lock()
-	l.fault, l.since = f, time.Now()
+	if l.fault.delay != f.delay {
+		l.since = time.Now()
+	}
+	l.fault = f
 	l.mu.Unlock()
 }
 
--- a/soak/long_runs_test.go
+++ b/soak/long_runs_test.go
@@ -78,10 +78,13 @@
 	cancelled  bool
 }
 
-func startLongRuns(t *testing.T, seed uint64, targets, longest int) *longRunCell {
+func startLongRuns(t *testing.T, seed uint64, targets, longest int, kinds ...string) *longRunCell {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
-	c := &longRunCell{t: t, kinds: chooseFaults(rng)}
+	c := &longRunCell{t: t, kinds: kinds}
+	if len(kinds) == 0 {
+		c.kinds = chooseFaults(rng)
+	}
 	hide, saves := rng.IntN(2) == 0, rng.IntN(2) == 0
 	if text := os.Getenv("MASTICLEAD_HIDE"); text != "" {
 		hide = text == "true"
