--- a/soak/long_runs_test.go
+++ b/soak/long_runs_test.go
@@ -38,8 +38,8 @@
 // TestLongRuns guards against tasks that start again while an earlier run goes on, which
 // outlasts leases and faults: targets that crash together, answer or act late, drain and
 // return under another ID, instances that are stopped, slow or killed, and links between
-// them that are stalled or narrow. MASTICLEAD_FAULTS names the kinds of faults, which a seed
-// chooses otherwise; MASTICLEAD_RUN_MS sets the longest duration of a run.
+// them that are stalled or narrow. MASTICLEAD_FAULTS names the kinds of faults, which the
+// seed chooses otherwise; MASTICLEAD_RUN_MS sets the longest duration of a run.
 func TestLongRuns(t *testing.T) {
 	seed := uint64(intFromEnv("MASTICLEAD_SEED", 1))
 	targets, longest := intFromEnv("MASTICLEAD_TARGETS", longRunTargets), intFromEnv("MASTICLEAD_RUN_MS", 15_000)
@@ -57,6 +57,16 @@
 	c.requireEnd()
 }
 
+// TestUnlistedStops guards against taking a run for not started that is being stopped,
+// where targets don't list such runs: its task starts again, or its capacity is used, while
+// it goes on. No faults are injected, and urgent jobs preempt others.
+func TestUnlistedStops(t *testing.T) {
+	const seed, load = 1, 12 * time.Second
+	c := startLongRuns(t, seed, 6, 4000, "hide")
+	c.submit(rand.New(rand.NewPCG(seed, 2)), 100*time.Millisecond, time.Now().Add(load))
+	c.requireEnd()
+}
+
 // tasksPerJob is the mean number of tasks of a job.
 const tasksPerJob = 9
 
@@ -85,10 +95,7 @@
 	if len(kinds) == 0 {
 		c.kinds = chooseFaults(rng)
 	}
-	hide, saves := rng.IntN(2) == 0, rng.IntN(2) == 0
-	if text := os.Getenv("MASTICLEAD_HIDE"); text != "" {
-		hide = text == "true"
-	}
+	hide, saves := c.chosen("hide"), rng.IntN(2) == 0
 	t.Logf("seed %d, %d targets, faults %s, runs up to %d ms, stopping runs hidden %v, saved %v", seed, targets, strings.Join(c.kinds, ","), longest, hide, saves)
 	gangs := &standin.Gangs{Timeout: 5 * time.Second, Size: func(step string) int {
 		if _, ok := c.gangs.Load(step); ok {
@@ -138,7 +145,8 @@
 
 func zoneOf(i int) string { return "z" + strconv.Itoa(1+i%longRunZones) }
 
-// faultKinds are the kinds of faults of injectFaults, and stalled runs.
+// faultKinds are the kinds of faults of injectFaults, and stalled runs. Besides, targets
+// don't list runs that are being stopped for the kind hide.
 var faultKinds = []string{
 	"kill", "term", "stop", "slow", "store", "compact", "crash", "renew", "answers", "late", "silent", "refuse", "drain", "links", "stall", "isolate",
 }
