--- a/soak/long_runs_test.go
+++ b/soak/long_runs_test.go
@@ -400,13 +400,18 @@
 		}
 	}
 	c.log("%d accepted jobs, %d did not end, %d runs started", len(c.jobs), open, c.sim.Checker.Starts)
+	c.requireNoViolations()
+	require.Zero(c.t, open, "accepted jobs end")
+}
+
+// requireNoViolations checks that no rule was broken so far.
+func (c *longRunCell) requireNoViolations() {
 	violations := c.sim.Checker.Violations()
 	for _, v := range violations {
 		task, _, _ := strings.Cut(strings.TrimPrefix(v, "task "), " ")
 		c.t.Logf("violation: %s\n%s", v, strings.Join(c.sim.Checker.History(task), "\n"))
 	}
 	require.Empty(c.t, violations)
-	require.Zero(c.t, open, "accepted jobs end")
 }
 
 // ended reports whether an instance shows that a job has ended.
