--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -241,7 +241,7 @@
 	x.c.Stored(b)
 	f := x.advance(0)
 	require.Empty(t, f.Acks)
-	require.Equal(t, []linker.AssignedTarget{{ID: "a", Address: "x", Incarnation: 2}}, f.Assign.Targets)
+	require.Equal(t, []linker.AssignedTarget{{ID: "a", Address: "x", Incarnation: 2, Session: 1}}, f.Assign.Targets)
 }
 
 // TestResultOfEarlierIncarnationIsIgnored guards against running a task twice: a start order
