coordinator: a new leader waits for extensions on the last confirmed report

An earlier leader acts for up to 1.5 s after its last renewal, and a report that it confirms then extends leases for 1.7 s more, 9.36 s in all with a clock that is 2% slow. The new one waited 9.18 s; now 9.48 s.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -495,8 +495,8 @@
 
 // handoverMargin is the time for which an earlier coordinator that has not noticed its
 // replacement may still extend leases: it suspends itself LeadershipGrace after its last
-// renewal, and a request that it has sent can take as long as a long poll.
-const handoverMargin = LeadershipGrace + 1500*time.Millisecond
+// renewal, and reports that it has confirmed until then extend leases for renewalMargin.
+const handoverMargin = LeadershipGrace + renewalMargin
 
 // LeadershipGrace is the time after its last renewal for which a leader that has lost
 // most of its instances continues to act.
