executor: starts need a confirmed report of the last 5.7 s only

A start extends the leases of its target by 2 s, a hold request by 6 s, so a start may follow an older confirmed report: 1.7 s and the difference.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -245,6 +245,7 @@
 		require.Greater(t, lastDeadline(), confirmedAt+6000)
 		time.Sleep(4 * time.Second)
 		require.LessOrEqual(t, lastDeadline(), confirmedAt+6000+linker.ReportValidity.Milliseconds())
+		time.Sleep(linker.ReportValidity)
 		e.Receive(&linker.Frame{Starts: []linker.Start{{Target: "a", Task: w.TaskID{Job: "j"}, Run: 2}}})
 		time.Sleep(time.Second)
 		require.Equal(t, []linker.Outcome{linker.Started, linker.NotStarted}, c.outcomes())
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -249,7 +249,18 @@
 
 // reportConfirmed reports whether the coordinator has processed a recent report of the
 // target. s.mu must be held.
-func (s *targetSession) reportConfirmed() bool {
+func (s *targetSession) reportConfirmed() bool { return s.confirmedWithin(linker.ReportValidity) }
+
+// mayStart reports whether the coordinator can't have given the target up before the leases
+// end that a start extends, which are shorter than those that a hold request extends. s.mu
+// must be held.
+func (s *targetSession) mayStart() bool {
+	return s.confirmedWithin(linker.ReportValidity + s.e.currentLease() - startTTL)
+}
+
+// confirmedWithin reports whether the coordinator has processed a report of the target that
+// is younger than d. s.mu must be held.
+func (s *targetSession) confirmedWithin(d time.Duration) bool {
 	if !s.e.confirms.Load() {
 		return true
 	}
@@ -257,7 +268,7 @@
 	for len(s.reports) > 1 && s.reports[1].seq <= confirmed {
 		s.reports = s.reports[1:]
 	}
-	return len(s.reports) > 0 && s.reports[0].seq <= confirmed && time.Since(s.reports[0].at) <= linker.ReportValidity
+	return len(s.reports) > 0 && s.reports[0].seq <= confirmed && time.Since(s.reports[0].at) <= d
 }
 
 // settled reports whether the last hold request was sent when all runs that an earlier
@@ -362,7 +373,7 @@
 	defer s.e.wg.Done()
 	s.mu.Lock()
 	now := s.targetNow()
-	if s.clockStale() || !s.reportConfirmed() {
+	if s.clockStale() || !s.mayStart() {
 		now = 0
 	}
 	s.mu.Unlock()
