coordinator: the room of a stopped run of an ended job is kept until it has ended

A run that is found for a job that has ended is stopped, and its room was given away with the first list that doesn't name it, up to the stop timeout before its end.

--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -19,7 +19,7 @@
 			c.adopt(t, r)
 			continue
 		}
-		sl.listedAt = c.now
+		sl.listedAt, sl.missedSince = c.now, time.Time{}
 		if sl.startedAt.IsZero() && sl.run == r.Run {
 			sl.startedAt = c.now
 		}
@@ -50,7 +50,12 @@
 			continue
 		}
 		if sl.step == nil {
-			c.removeSlot(t, id, sl)
+			if sl.missedSince.IsZero() {
+				sl.missedSince = c.now
+			}
+			if !sl.stopping || c.now.Sub(sl.missedSince) > c.longestStop() {
+				c.removeSlot(t, id, sl)
+			}
 			continue
 		}
 		tk := &sl.step.tasks[sl.index]
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -18,6 +18,7 @@
 	resources       w.Resources
 	account         *slotAccount  // what it counts for its tenant, or nil if the job is not known
 	listedAt        time.Time     // last complete list of runs that contained the run
+	missedSince     time.Time     // first list without it since, if its step is nil
 	answered        bool          // the start order was answered at once, so that no copy of it is in transit
 	stopping        bool          // a stop was ordered
 	orderedAt       time.Time     // when its start was ordered or, for a run that was found, when it was found
@@ -47,7 +48,7 @@
 	closed            bool          // it closed its connection and has not answered since
 	absent            bool          // nobody or another target served its address, and it has not answered since
 	probe             *slot         // run that started under suspicion, or nil, see probeOn
-	lateLeaseEnd      time.Time     // when the leases of starts that were carried out late have certainly expired
+	lateLeaseEnd      time.Time     // when leases by late requests from before its restart have certainly expired
 	endSeq            int64         // highest sequence number of a received end
 	ackedSeq          int64         // highest acknowledged sequence number
 	health            health
@@ -144,8 +145,8 @@
 	slices.SortFunc(c.sortedTargets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
 
-// releaseReplaced frees the slots of the targets that don't answer and whose machines run
-// a later target, since a machine runs one target at a time.
+// releaseReplaced frees the slots of the targets that have ended and whose machines run a
+// later target.
 func (c *Coordinator) releaseReplaced() {
 	latest := make(map[string]*target, len(c.sortedTargets))
 	for _, t := range c.sortedTargets {
@@ -318,7 +319,8 @@
 		}
 	}
 	for _, t := range c.sortedTargets {
-		if t.leaseExpired || c.now.Sub(t.reportedAt) < c.maxLease()+renewalMargin || c.now.Before(t.lateLeaseEnd) {
+		if t.leaseExpired || c.now.Sub(t.reportedAt) < c.maxLease()+renewalMargin ||
+			c.now.Before(t.lateLeaseEnd) {
 			continue
 		}
 		t.leaseExpired = true
