coordinator: no wait for the leases of a restarted target that has ended

A target that restarts and then refuses connections, or whose address another target serves, has no process that could hold a lease.

--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -320,7 +320,7 @@
 	}
 	for _, t := range c.sortedTargets {
 		if t.leaseExpired || c.now.Sub(t.reportedAt) < c.maxLease()+renewalMargin ||
-			c.now.Before(t.lateLeaseEnd) {
+			(c.now.Before(t.lateLeaseEnd) && !t.absent) {
 			continue
 		}
 		t.leaseExpired = true
