--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -79,8 +79,9 @@
 const (
 	// A run counts as lost if it is missing from missingRunLists successive complete
 	// lists of its target, for longer than a stop takes, and its task entered its phase
-	// at least missingRunAge ago. Before that, its start order may still be in transit. A run that was never listed
-	// and whose start got no answer may start until lateStartAge or the answer to its stop.
+	// at least missingRunAge ago. Before that, its start order may still be in transit. A
+	// run that was never listed and whose start got no answer may start until lateStartAge
+	// or the answer to its stop.
 	missingRunAge   = 3 * time.Second
 	missingRunLists = 3
 )
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -110,7 +110,7 @@
 	for _, t := range a.Targets {
 		assigned[t.ID] = true
 		session := e.sessions[t.ID]
-		if session != nil && session.incarnation == t.Incarnation && session.target.Address == t.Address && session.session == t.Session {
+		if session != nil && session.incarnation == t.Incarnation && session.target.Address == t.Address && session.assignment == t.Session {
 			continue
 		}
 		if session != nil {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -217,6 +217,22 @@
 	}
 }
 
+// TestFirstListsAreUnsettled guards against a new leader that takes the first list of a target
+// for complete although the earlier leader's stops may still be in progress.
+func TestFirstListsAreUnsettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeTargetClient{holdReply: HoldReply{Clock: 1000, Incarnation: 1}}
+		_, c := startExecutor(t, s)
+		settled := func() bool {
+			return c.hasReport(func(r *linker.Report) bool { return r.Complete && !r.Unsettled })
+		}
+		time.Sleep(stopTimeout - 20*time.Millisecond)
+		require.False(t, settled())
+		time.Sleep(200 * time.Millisecond)
+		require.True(t, settled())
+	})
+}
+
 // TestUnconfirmedReportsExtendLeases guards against leases, and starts, on a target that the
 // coordinator has given up: it has not received the instance's reports for some seconds.
 func TestUnconfirmedReportsExtendLeases(t *testing.T) {
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -47,7 +47,7 @@
 	e           *Executor
 	target      Target
 	incarnation w.Incarnation
-	session     int64 // of the assignment
+	assignment  int64 // number of the assignment
 	ctx         context.Context
 	cancel      context.CancelFunc
 	ackSignal   chan struct{}
@@ -63,7 +63,7 @@
 	uncertainRuns map[w.TaskID]uncertainRun
 	holdSentAt    time.Time    // when the last hold request was sent
 	holdCursor    int64        // cursor of that request
-	cursor        int64        // highest cursor that the target has received
+	knownCursor   int64        // highest cursor that the target has received
 	settledAt     time.Time    // when runs that were stopped before the first reply have ended at the latest
 	reports       []sentReport // reports that the coordinator may not have processed, and the last one before
 }
@@ -102,7 +102,7 @@
 
 func newTargetSession(e *Executor, t linker.AssignedTarget) *targetSession {
 	s := &targetSession{
-		e: e, target: Target{t.ID, t.Address}, incarnation: t.Incarnation, session: t.Session, ackedSeq: t.Acked, receivedSeq: t.Acked,
+		e: e, target: Target{t.ID, t.Address}, incarnation: t.Incarnation, assignment: t.Session, ackedSeq: t.Acked, receivedSeq: t.Acked,
 		ackSignal: make(chan struct{}, 1), uncertainRuns: make(map[w.TaskID]uncertainRun), responsive: true,
 	}
 	s.ctx, s.cancel = context.WithCancel(e.ctx)
@@ -162,7 +162,7 @@
 			s.e.Log.Debug("hold request failed", "target", s.target.ID, "error", err)
 			s.e.enqueue(func(f *linker.Frame) {
 				f.Reports = append(f.Reports, linker.Report{
-					Target: s.target.ID, Incarnation: s.incarnation, Session: s.session, Unreachable: true, Closed: errors.Is(err, ErrClosed), Absent: absent(err),
+					Target: s.target.ID, Incarnation: s.incarnation, Session: s.assignment, Unreachable: true, Closed: errors.Is(err, ErrClosed), Absent: absent(err),
 				})
 			})
 			s.sleep(retryDelay)
@@ -173,13 +173,13 @@
 			s.confirmedAt = time.Time{}
 			s.mu.Unlock()
 			s.e.enqueue(func(f *linker.Frame) {
-				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: reply.Incarnation, Session: s.session, Gone: true})
+				f.Reports = append(f.Reports, linker.Report{Target: s.target.ID, Incarnation: reply.Incarnation, Session: s.assignment, Gone: true})
 			})
 			s.sleep(retryDelay)
 			continue
 		}
 		hasRuns = len(reply.Runs) > 0
-		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Session: s.session, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
+		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Session: s.assignment, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
 		var resolved []linker.Result
 		var settled bool
 		report.Ends, resolved, settled = s.recordHold(&reply)
@@ -222,7 +222,7 @@
 		// numbers its ends from 1 and would discard those up to the cursor, and its
 		// clock started anew, so that its leases would become too long. The same holds for a
 		// request that is carried out late, so the cursor is sent only until it is known.
-		if s.ackedSeq > s.cursor {
+		if s.ackedSeq > s.knownCursor {
 			req.AckCursor = s.ackedSeq
 		}
 		// The leases of an unresponsive target, and of one that the coordinator may not hear
@@ -285,7 +285,7 @@
 	defer s.mu.Unlock()
 	s.recordReply(reply.Clock)
 	s.confirmedAt = time.Now()
-	s.cursor = max(s.cursor, s.holdCursor)
+	s.knownCursor = max(s.knownCursor, s.holdCursor)
 	settled = s.settled()
 	if s.settledAt.IsZero() {
 		s.settledAt = s.confirmedAt.Add(s.e.longestStop())
@@ -409,7 +409,7 @@
 	reply, err := call(s.ctx, callTimeout, func(ctx context.Context) (HoldReply, error) {
 		return s.e.client.Hold(ctx, s.target, &HoldRequest{Epoch: s.e.currentEpoch()})
 	})
-	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Session: s.session, At: time.Since(s.e.startedAt)}
+	report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Session: s.assignment, At: time.Since(s.e.startedAt)}
 	switch {
 	case err != nil && !errors.Is(err, ErrClosed), reply.Incarnation != 0 && reply.Incarnation != s.incarnation:
 		return // the next hold request shows the state of the target
--- a/linker/conn_test.go
+++ b/linker/conn_test.go
@@ -48,6 +48,31 @@
 	}
 }
 
+// TestConfirmationReachesIdlePeer guards against leases that end because no frame carries
+// the confirmation of the reports.
+func TestConfirmationReachesIdlePeer(t *testing.T) {
+	local, remote := net.Pipe()
+	leader, member := NewConn(local), NewConn(remote)
+	defer leader.Close()
+	go func() { _ = leader.Receive(func(f *Frame) { leader.Confirm(f.Seq) }) }()
+	for _, seq := range []int64{1, 2} {
+		member.Send(&Frame{Seq: seq})
+	}
+	seen := make(chan int64, 100)
+	go func() { _ = member.Receive(func(f *Frame) { seen <- f.Seen }) }()
+	deadline := time.After(HeartbeatTimeout)
+	for {
+		select {
+		case n := <-seen:
+			if n == 2 {
+				return
+			}
+		case <-deadline:
+			require.Fail(t, "not confirmed in time")
+		}
+	}
+}
+
 // TestEmptyAllowances guards against the end of all allowances that gets lost because
 // the encoding omits empty values.
 func TestEmptyAllowances(t *testing.T) {
