executor: targets are not polled more often while reports are unconfirmed

A coordinator that confirms late is busy; five holds a second for each target, with a report each, made it busier, as the review feared. The second hold of a session, which waits for stops to settle, comes after the first confirmation anyway.

--- a/executor/loop.go
+++ b/executor/loop.go
@@ -16,9 +16,6 @@
 	// runs are in progress, because the reply also carries their progress.
 	activePollWait = 500 * time.Millisecond
 	idlePollWait   = 900 * time.Millisecond
-	// unconfirmedPollWait is that time while the coordinator has confirmed no recent report
-	// of the target, whose leases are not extended meanwhile.
-	unconfirmedPollWait = 200 * time.Millisecond
 	// callTimeout bounds a request that a target answers immediately.
 	callTimeout = 400 * time.Millisecond
 	// ackTimeout bounds the wait for new end events to be stored and acknowledged
@@ -236,8 +233,6 @@
 	case s.receivedSeq > s.ackedSeq || s.clockReadAt.IsZero() || !s.responsive:
 	case len(s.uncertainRuns) > 0 || !s.settled():
 		req.Wait = min(activePollWait, s.unsettledFor())
-	case !s.reportConfirmed():
-		req.Wait = unconfirmedPollWait
 	case hasRuns:
 		req.Wait = activePollWait
 	default:
