coordinator, instance: logs tell whether acknowledged ends are stored

No line told whether the progress behind an acknowledgement was in the store, or what a new leader read of it. Stored now logs acknowledgements of a batch with refused rows, and "cell loaded" counts the jobs with progress.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -462,6 +462,9 @@
 			c.generation++
 		}
 	}
+	if len(b.refused) > 0 && len(b.endSeqs) > 0 {
+		c.Log.Error("ends are acknowledged although progress is not stored", "jobs", len(b.refused), "targets", len(b.endSeqs), "epoch", c.Epoch)
+	}
 	for id, stored := range b.endSeqs {
 		t := c.targets[id]
 		if t == nil || t.Incarnation != stored.incarnation {
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -199,7 +199,7 @@
 	l.loadedAt = time.Now()
 	l.mu.Unlock()
 	in.Meter.ObserveDuration("load", time.Since(start))
-	in.Log.Info("cell loaded", "jobs", len(s.Jobs), "targets", len(s.Roster.Open)+len(s.Roster.Closed), "ends", len(s.Ends), "took", time.Since(start))
+	in.Log.Info("cell loaded", "epoch", l.leadership.Epoch, "jobs", len(s.Jobs), "progress", len(s.Progress), "targets", len(s.Roster.Open)+len(s.Roster.Closed), "ends", len(s.Ends), "took", time.Since(start))
 	return nil
 }
 
