keeper: checkpoints don't keep the progress of a job from being stored

A chunk held the progress of 256 tasks, taken for 100 bytes each. With checkpoints of 400 bytes the job's row had 73,072 bytes, the store refuses more than 65,536, and the row was left out of the save, with the ends in it. The next leader loaded the former row.

Ruled out: a row lost at the takeover, and a load that ignores a chunk (the row was never written, and the load has the former one).

Progress is now spread over rows by its encoded size, which follows platform.rowBytes, and checkpoints have rows of their own. A checkpoint longer than a row is logged and counted, and its task may start without it. Those of running tasks are written every 2 s at most, since targets list them too. The roster follows platform.rowBytes as well. A refused row is tried again after 50 saves, not only once it has become smaller.

TestLongCheckpointsRefuseNoProgress, TestOverlappingChunks and TestCheckpointsOfRunningTasksAreSavedSeldom look at rows. TestRefusedRowHoldsUpNoOthers used a long checkpoint as the odd row, which is stored now; it uses a long list of failed runs, asks that the rest of the job is stored, counts the refusals, and asks for the repetition.

--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -48,6 +48,9 @@
 					sp = p.AddStep(keeper.StepKey{Occurrence: o.index, Index: s.index}, first, s.Count)
 				}
 				sp.SetTask(i, tk.phase == finished, tk.failedRuns, tk.checkpoint)
+				if tk.phase == waiting && tk.checkpoint != "" {
+					sp.SetWaiting(i)
+				}
 				if tk.phase != finished {
 					sp.SetCrashes(i, tk.crashed, tk.unclear)
 				}
--- a/instance/saves.go
+++ b/instance/saves.go
@@ -46,10 +46,18 @@
 // reportRefused logs and counts the rows that the store refused to save.
 func (l *leader) reportRefused(changes *keeper.ChangeSet) {
 	for _, r := range changes.SetAside {
-		l.in.Meter.Count("refused", "row")
+		kind := "row"
+		if r.IsCheckpoint() {
+			kind = "checkpoint"
+		}
+		l.in.Meter.Count("refused", kind)
 		if r.Repeated {
 			continue
 		}
+		if r.IsCheckpoint() {
+			l.in.Log.Warn("checkpoint is not stored", "epoch", l.leadership.Epoch, "key", r.Name, "bytes", r.Size, "error", brief(r.Err))
+			continue
+		}
 		l.in.Log.Error("row refused by the store is not saved", "epoch", l.leadership.Epoch, "table", r.Table, "key", r.Name, "bytes", r.Size, "error", brief(r.Err))
 	}
 }
--- a/keeper/chunks_test.go
+++ b/keeper/chunks_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -20,22 +21,19 @@
 type limitedStore struct {
 	Store
 	refuseAll bool
+	refusals  int
 }
 
 var errOverLimit = fmt.Errorf("%w: %w", ErrRejected, ErrNotExecuted)
 
 func (s *limitedStore) Commit(ctx context.Context, tx *Tx) (Version, error) {
-	if s.refuseAll {
-		return 0, errOverLimit
-	}
 	size := 0
-	for _, r := range tx.Writes {
-		if len(r.Value) > maxRowBytes {
-			return 0, errOverLimit
-		}
+	oversized := slices.ContainsFunc(tx.Writes, func(r Row) bool {
 		size += base64.StdEncoding.EncodedLen(len(r.Value)) + 100
-	}
-	if size > 1_000_000 || len(tx.Preconditions)+len(tx.Writes)+len(tx.Deletes) > 100 {
+		return len(r.Value) > maxRowBytes
+	})
+	if s.refuseAll || oversized || size > 1_000_000 || len(tx.Preconditions)+len(tx.Writes)+len(tx.Deletes) > 100 {
+		s.refusals++
 		return 0, errOverLimit
 	}
 	return s.Store.Commit(ctx, tx)
@@ -116,13 +114,15 @@
 // TestProgressChunkNames guards against a chunk that is taken for that of another job.
 func TestProgressChunkNames(t *testing.T) {
 	for _, id := range []w.JobID{"0123456789abcdef", "urgent/0123456789abcdef", "a/1"} {
-		got, n, err := parseProgressChunk(progressChunkKey(id, 12).Name)
-		require.NoError(t, err)
-		require.Equal(t, id, got)
-		require.Equal(t, 12, n)
+		for _, n := range []chunkNumber{12, newChunkNumber(12, 1), newChunkNumber(0, 511)} {
+			got, number, err := parseChunkKey(chunkKey(tableProgressChunks, id, n))
+			require.NoError(t, err)
+			require.Equal(t, id, got)
+			require.Equal(t, n, number)
+		}
 	}
 	for _, name := range []string{"", "a", "a/", "a/x", "a/0", "a/-1"} {
-		_, _, err := parseProgressChunk(name)
+		_, _, err := parseChunkKey(Key{Table: tableProgressChunks, Name: name})
 		require.Error(t, err, fmt.Sprintf("%q", name))
 	}
 }
@@ -131,9 +131,10 @@
 // that the leader writes again and again, together with those of all other jobs.
 func TestRefusedRowHoldsUpNoOthers(t *testing.T) {
 	s, k, leadership := newLeader(t)
-	k.Store = &limitedStore{Store: s}
+	store := &limitedStore{Store: s}
+	k.Store = store
 	odd := Progress{ID: "odd"}
-	odd.AddStep(StepKey{}, 0, 1).SetTask(0, false, nil, strings.Repeat("x", maxRowBytes))
+	odd.AddStep(StepKey{}, 0, 1).SetTask(0, false, slices.Repeat([]w.RunID{1 << 50}, 5000), "")
 	changes := func() *ChangeSet {
 		c := &ChangeSet{Roster: Roster{Open: []w.TargetID{"a"}}, RosterChanged: true}
 		for i := range 20 {
@@ -151,22 +152,154 @@
 		require.False(t, c.RosterRefused())
 		snap, err := k.Load(t.Context())
 		require.NoError(t, err)
-		require.Len(t, snap.Progress, 19)
+		require.Len(t, snap.Progress, 20)
+		require.Empty(t, snap.Progress["odd"].Steps)
 		require.Equal(t, []w.TargetID{"a"}, snap.Roster.Open)
 	}
-	before := s.ver
-	c := &ChangeSet{Progress: []Progress{odd}}
-	require.NoError(t, k.Save(t.Context(), leadership, c))
+	k.MaxRowBytes = 0
+	refusals := store.refusals
+	save := func(p Progress) *ChangeSet {
+		c := &ChangeSet{Progress: []Progress{p}}
+		require.NoError(t, k.Save(t.Context(), leadership, c))
+		return c
+	}
+	c := save(odd)
 	require.True(t, c.SetAside[0].Repeated)
-	require.Equal(t, before, s.ver, "a refused row is not written again")
-	require.NoError(t, k.Save(t.Context(), leadership, &ChangeSet{Progress: []Progress{{ID: "odd", State: w.Failed}}}))
+	require.Equal(t, refusals, store.refusals, "a refused row is not written again")
+	for range refusedRetryInterval {
+		save(odd)
+	}
+	require.Greater(t, store.refusals, refusals, "it is after a while")
+	refusals = store.refusals
+	save(Progress{ID: "odd", State: w.Failed})
 	require.Contains(t, s.rows, progressKey("odd"))
+	require.Equal(t, refusals, store.refusals)
 
 	// A store that refuses everything does so for another reason than the rows.
 	k.Store = &limitedStore{refuseAll: true}
 	require.ErrorIs(t, k.Save(t.Context(), leadership, changes()), ErrRejected)
 }
 
+// TestLongCheckpointsRefuseNoProgress guards against progress that is not stored for the
+// size or the number of checkpoints.
+func TestLongCheckpointsRefuseNoProgress(t *testing.T) {
+	for name, test := range map[string]struct{ rowBytes, tasks, size, stored int }{
+		"many":             {maxRowBytes, 180, 400, 168},
+		"long":             {maxRowBytes, 36, 20_000, 24},
+		"longer than rows": {maxRowBytes, 36, 70_000, 0},
+		"small rows":       {4 << 10, 300, 400, 288},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, k, leadership := newLeader(t)
+			k.Store, k.MaxRowBytes = &limitedStore{Store: s}, test.rowBytes
+			_, err := k.Accept(t.Context(), []*w.Job{{ID: "j", Steps: []w.Step{{Count: test.tasks}}}})
+			require.NoError(t, err)
+			p := Progress{ID: "j", Started: true}
+			step := p.AddStep(StepKey{}, 0, test.tasks)
+			for task := range test.tasks {
+				step.SetTask(task, task < 12, []w.RunID{1 << 50, 1<<50 + 1, 1<<50 + 2}, strings.Repeat("x", test.size))
+				step.SetCrashes(task, []w.RunID{1 << 50}, []w.RunID{1<<50 + 1})
+			}
+			c := &ChangeSet{Progress: []Progress{p}}
+			require.NoError(t, k.Save(t.Context(), leadership, c))
+			require.Empty(t, c.RefusedJobs())
+			for key, r := range s.rows {
+				require.LessOrEqual(t, len(r.Value), test.rowBytes, key)
+			}
+			snap, err := k.Load(t.Context())
+			require.NoError(t, err)
+			require.Empty(t, snap.DecodeErrors)
+			stored := snap.Progress["j"]
+			loaded := stored.StepIndex()[StepKey{}]
+			require.Equal(t, step.DoneBits, loaded.DoneBits[:len(step.DoneBits)])
+			require.Equal(t, step.FailedRuns, loaded.FailedRuns)
+			require.Equal(t, step.CrashedRuns, loaded.CrashedRuns)
+			require.Equal(t, step.UnclearRuns, loaded.UnclearRuns)
+			require.Len(t, loaded.Checkpoints, test.stored)
+		})
+	}
+}
+
+// TestCheckpointsOfRunningTasksAreSavedSeldom guards against writing all long checkpoints
+// of a job whenever one of its tasks ends.
+func TestCheckpointsOfRunningTasksAreSavedSeldom(t *testing.T) {
+	s, k, leadership := newLeader(t)
+	save := func(waiting int, text string) (written int) {
+		p := Progress{ID: "j"}
+		step := p.AddStep(StepKey{}, 0, 36)
+		for task := range 36 {
+			step.SetTask(task, false, nil, strings.Repeat(text, 7000))
+		}
+		if waiting >= 0 {
+			step.SetWaiting(waiting)
+		}
+		before := s.ver
+		require.NoError(t, k.Save(t.Context(), leadership, &ChangeSet{Progress: []Progress{p}}))
+		for key, row := range s.rows {
+			if key.Table == tableCheckpoints && row.Version > before {
+				written++
+			}
+		}
+		return written
+	}
+	all := save(-1, "a")
+	require.Greater(t, all, 1)
+	require.Zero(t, save(-1, "b"), "the targets have the checkpoints of running tasks")
+	require.Equal(t, 1, save(30, "c"), "nobody else has that of a waiting task")
+	require.Zero(t, save(30, "c"))
+}
+
+// TestOverlappingChunks guards against losing progress when a leader is replaced after it
+// has spread a chunk over others and before it has deleted it.
+func TestOverlappingChunks(t *testing.T) {
+	s, k, leadership := newLeader(t)
+	_, err := k.Accept(t.Context(), []*w.Job{{ID: "j", Steps: []w.Step{{Count: 1200}}}})
+	require.NoError(t, err)
+	progress := func(done, failures int) Progress {
+		p := Progress{ID: "j"}
+		step := p.AddStep(StepKey{}, 0, 1200)
+		runs := slices.Repeat([]w.RunID{1 << 50}, failures)
+		for i := range runs {
+			runs[i] += w.RunID(i)
+		}
+		for task := range 1200 {
+			step.SetTask(task, task < done, runs, "")
+		}
+		return p
+	}
+	require.NoError(t, k.Save(t.Context(), leadership, &ChangeSet{Progress: []Progress{progress(300, 2)}}))
+	before := maps.Clone(s.rows)
+	k.MaxRowBytes = 8 << 10
+	require.NoError(t, k.Save(t.Context(), leadership, &ChangeSet{Progress: []Progress{progress(600, 3)}}))
+	overlapping := 0
+	for key, row := range before {
+		if _, ok := s.rows[key]; !ok && key.Table == tableProgressChunks {
+			s.rows[key] = row
+			overlapping++
+		}
+	}
+	require.NotZero(t, overlapping)
+
+	next, err := k.TakeOver(t.Context(), *leadership, Leadership{Instance: "b"})
+	require.NoError(t, err)
+	snap, err := k.Load(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, snap.DecodeErrors)
+	stored := snap.Progress["j"]
+	loaded := stored.StepIndex()[StepKey{}]
+	for task := range 1200 {
+		require.Equal(t, task < 600, loaded.Done(task), task)
+		if task >= 600 {
+			require.Len(t, loaded.FailedRuns[task], 3, task)
+		}
+	}
+	next.InitSaves(snap)
+	require.NoError(t, k.Save(t.Context(), &next, &ChangeSet{Progress: []Progress{{ID: "j", State: w.Completed}}}))
+	for key := range s.rows {
+		require.NotEqual(t, tableProgressChunks, key.Table, "the job has ended")
+	}
+}
+
 // TestOversizedJobIsRejected guards against a job that can't be stored and is submitted
 // again and again, together with other jobs of its partition.
 func TestOversizedJobIsRejected(t *testing.T) {
--- a/keeper/leadership.go
+++ b/keeper/leadership.go
@@ -35,12 +35,13 @@
 	MaxCores  float64 `json:"-"` // for the first heartbeat, see Heartbeat.MaxCores
 	Version   Version `json:"-"`
 
-	saveSeqVersion     Version                 // version of the row with the save sequence number
-	saveSeq            int64                   // sequence number of the last save
-	saveOutcomeUnknown bool                    // the last save may or may not have been applied
-	chunks             map[w.JobID]chunkHashes // chunks of progress that are in the store, besides the first ones
-	rosterChunks       chunkHashes             // chunks of the roster that are in the store
-	refused            map[Key]int             // sizes of the rows that the store refused when they were written last
+	saveSeqVersion     Version                // version of the row with the save sequence number
+	saveSeq            int64                  // sequence number of the last save
+	saveOutcomeUnknown bool                   // the last save may or may not have been applied
+	chunks             map[w.JobID]*jobChunks // progress that is not in the rows of TableProgress
+	rosterChunks       rosterHashes           // chunks of the roster that are in the store
+	saves              int                    // number of calls of Save
+	refused            map[Key]refusal        // rows that the store refused when they were written last
 }
 
 // InitSaves prepares a leader that has loaded the cell for saving.
--- a/keeper/load.go
+++ b/keeper/load.go
@@ -29,8 +29,8 @@
 	DecodeErrors []error            // one per row that could not be decoded; the jobs of these rows are omitted
 
 	saveSeqVersion Version // version of the row with the save sequence number
-	chunks         map[w.JobID]chunkHashes
-	rosterChunks   chunkHashes
+	chunks         map[w.JobID]*jobChunks
+	rosterChunks   rosterHashes
 }
 
 // Load reads the state of the cell. Only the loading leader writes progress, so it
@@ -48,8 +48,8 @@
 		Progress:     make(map[w.JobID]Progress),
 		Cancelled:    make(map[w.JobID]bool),
 		Versions:     make(map[string]Version),
-		chunks:       make(map[w.JobID]chunkHashes),
-		rosterChunks: make(chunkHashes),
+		chunks:       make(map[w.JobID]*jobChunks),
+		rosterChunks: make(rosterHashes),
 	}
 	var roster, saveSeq *Row
 	scans, err := k.scanAll(m.WithProgress(ctx), m, &roster, &saveSeq)
@@ -90,6 +90,11 @@
 		undecodable[id] = undecodable[id] || err != nil
 		return err
 	})
+	// Without a checkpoint, a task starts from the beginning.
+	forEachRow(tableCheckpoints, func(r *Row) error {
+		_, err := s.addChunk(r)
+		return err
+	})
 	forEachRow(TableJobs, func(r *Row) error {
 		id := w.JobID(r.Name)
 		if undecodable[id] {
@@ -143,18 +148,24 @@
 
 // addChunk adds a chunk of a job's progress to that in the job's own row.
 func (s *Snapshot) addChunk(r *Row) (w.JobID, error) {
-	id, n, err := parseProgressChunk(r.Name)
+	id, n, err := parseChunkKey(r.Key)
 	if err != nil {
 		return id, err
 	}
+	stored := s.chunks[id]
+	if stored == nil {
+		stored = newJobChunks()
+		s.chunks[id] = stored
+	}
+	if r.Table == tableCheckpoints {
+		stored.checkpoints[n] = checkpointChunk{}
+	} else {
+		stored.progress[n] = 0
+	}
 	chunk, err := decodeProgress(r)
 	if err != nil {
 		return id, err
 	}
-	if s.chunks[id] == nil {
-		s.chunks[id] = make(chunkHashes)
-	}
-	s.chunks[id][n] = 0
 	p := s.Progress[id]
 	p.ID = id
 	p.merge(&chunk)
@@ -316,7 +327,7 @@
 	switch table {
 	case TableEnds:
 		partitions = k.endPartitions()
-	case tableProgressChunks, tableRosterChunks:
+	case tableProgressChunks, tableCheckpoints, tableRosterChunks:
 		partitions = []string{""}
 	}
 	if table != TableProgress {
@@ -335,7 +346,7 @@
 
 // loadOrder lists the tables in the order in which they are scanned: what decides
 // which jobs and tasks may not run, before the jobs themselves, which are the largest.
-var loadOrder = [...]string{TableEnds, TableProgress, tableProgressChunks, tableRosterChunks, TableCancellations, TableJobs}
+var loadOrder = [...]string{TableEnds, TableProgress, tableProgressChunks, tableCheckpoints, tableRosterChunks, TableCancellations, TableJobs}
 
 // scanAll scans all partitions of the tables, and reads the roster row and the row
 // with the save sequence number.
--- a/keeper/progress.go
+++ b/keeper/progress.go
@@ -29,6 +29,9 @@
 	CrashedRuns map[int][]w.RunID `json:"x,omitempty"`
 	UnclearRuns map[int][]w.RunID `json:"u,omitempty"`
 
+	// Waiting are the tasks that don't run, so that no target has their checkpoints.
+	Waiting map[int]bool `json:"-"`
+
 	// First is the number of the step's first task among all tasks of the job, and Count
 	// the number of its tasks. They decide in which row the progress is.
 	First int `json:"-"`
@@ -90,6 +93,15 @@
 	}
 }
 
+// SetWaiting records that a task doesn't run, so that its checkpoint is stored without
+// delay.
+func (s *StepProgress) SetWaiting(task int) {
+	if s.Waiting == nil {
+		s.Waiting = make(map[int]bool)
+	}
+	s.Waiting[task] = true
+}
+
 // SetCrashes records the runs of a task under which a target crashed or may have crashed.
 func (s *StepProgress) SetCrashes(task int, crashed, unclear []w.RunID) {
 	if len(crashed) > 0 {
--- a/keeper/remove.go
+++ b/keeper/remove.go
@@ -19,8 +19,8 @@
 	list := make([]Removal, len(ids))
 	for i, id := range ids {
 		list[i].ID = id
-		for n := range l.chunks[id] {
-			list[i].chunks = append(list[i].chunks, progressChunkKey(id, n))
+		if c := l.chunks[id]; c != nil {
+			list[i].chunks = c.keys(id)
 		}
 		delete(l.chunks, id)
 	}
--- a/keeper/roster.go
+++ b/keeper/roster.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/bits"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,12 +21,12 @@
 	Closed map[w.TargetID][]string `json:"closed,omitempty"`
 }
 
-const (
-	// tableRosterChunks holds the part of the roster that does not fit into its row.
-	tableRosterChunks = "rosterChunks"
-	// rosterChunkBytes is the size of the chunks of a roster that is spread over several.
-	rosterChunkBytes = 16 << 10
-)
+// tableRosterChunks holds the part of the roster that does not fit into its row.
+const tableRosterChunks = "rosterChunks"
+
+// rosterHashes holds the hashes of the chunks of the roster that are in the store, by
+// number. A hash is 0 if the content of the chunk is not known.
+type rosterHashes map[int]uint64
 
 // rosterChunkKey returns the key of a chunk of the roster. The first one is the row of
 // which earlier versions know.
@@ -39,30 +40,21 @@
 // rosterItem returns what has to be written so that a roster is stored. A roster that is
 // too large for a row is spread over chunks by the hash of the targets, so that most
 // changes write one of them.
-func (l *Leadership) rosterItem(r *Roster) (saveItem, error) {
-	value, err := json.Marshal(r)
+func (k *Keeper) rosterItem(l *Leadership, r *Roster) (saveItem, error) {
+	values, err := r.encode(k.chunkBytes())
 	if err != nil {
-		return saveItem{}, fmt.Errorf("keeper: encode roster: %w", err)
-	}
-	chunks := 1
-	if len(value) > maxWholeBytes {
-		chunks = 1 << bits.Len(uint(len(value)/rosterChunkBytes))
+		return saveItem{}, err
 	}
 	var item saveItem
-	next := make(chunkHashes, chunks)
-	for n, part := range r.split(chunks) {
-		if chunks > 1 {
-			if value, err = json.Marshal(part); err != nil {
-				return saveItem{}, fmt.Errorf("keeper: encode roster: %w", err)
-			}
-		}
+	next := make(rosterHashes, len(values))
+	for n, value := range values {
 		next[n] = xxhash.Sum64(value)
 		if l.rosterChunks[n] != next[n] {
 			item.writes = append(item.writes, Row{Key: rosterChunkKey(n), Value: value})
 		}
 	}
 	for n := range l.rosterChunks {
-		if n >= chunks {
+		if n >= len(values) {
 			item.deletes = append(item.deletes, rosterChunkKey(n))
 		}
 	}
@@ -70,6 +62,55 @@
 	return item, nil
 }
 
+// encode encodes the roster in chunks of at most limit bytes. Closed targets whose steps
+// take more than half of that become open, which is safe.
+func (r *Roster) encode(limit int) ([][]byte, error) {
+	whole := r.openWide(limit / 2)
+	value, err := json.Marshal(whole)
+	if err != nil {
+		return nil, fmt.Errorf("keeper: encode roster: %w", err)
+	}
+	if len(value) <= limit {
+		return [][]byte{value}, nil
+	}
+	for parts := 1 << bits.Len(uint(2*len(value)/limit)); ; parts *= 2 {
+		values := make([][]byte, 0, parts)
+		for _, part := range whole.split(parts) {
+			if value, err = json.Marshal(part); err != nil {
+				return nil, fmt.Errorf("keeper: encode roster: %w", err)
+			}
+			if len(value) > limit && parts < len(r.Open)+len(r.Closed) {
+				break
+			}
+			values = append(values, value)
+		}
+		if len(values) == parts {
+			return values, nil
+		}
+	}
+}
+
+// openWide returns a roster in which closed targets with more than limit bytes of step
+// names are open.
+func (r *Roster) openWide(limit int) *Roster {
+	out := &Roster{Open: slices.Clip(r.Open)}
+	for id, steps := range r.Closed {
+		size := 0
+		for _, name := range steps {
+			size += len(name) + len(`"",`)
+		}
+		if size > limit {
+			out.Open = append(out.Open, id)
+			continue
+		}
+		if out.Closed == nil {
+			out.Closed = make(map[w.TargetID][]string)
+		}
+		out.Closed[id] = steps
+	}
+	return out
+}
+
 // split spreads a roster over a number of parts.
 func (r *Roster) split(parts int) []Roster {
 	if parts == 1 {
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -27,7 +27,12 @@
 	Repeated bool // it was refused in an earlier save already
 }
 
-// RefusedJobs returns the jobs whose progress is among the rows that were set aside.
+// IsCheckpoint reports whether the row has checkpoints only, whose loss costs work but no
+// end of a run.
+func (r *RefusedRow) IsCheckpoint() bool { return r.Table == tableCheckpoints }
+
+// RefusedJobs returns the jobs whose progress is among the rows that were set aside,
+// without those of which only checkpoints are.
 func (c *ChangeSet) RefusedJobs() []w.JobID {
 	var ids []w.JobID
 	for _, r := range c.SetAside {
@@ -35,7 +40,7 @@
 		case TableProgress:
 			ids = append(ids, w.JobID(r.Name))
 		case tableProgressChunks:
-			if id, _, err := parseProgressChunk(r.Name); err == nil {
+			if id, _, err := parseChunkKey(r.Key); err == nil {
 				ids = append(ids, id)
 			}
 		}
@@ -109,9 +114,10 @@
 // leadership. It returns a ConflictError if another leader took over. Rows that the store
 // refuses are set aside, so that they don't hold up all others.
 func (k *Keeper) Save(ctx context.Context, leadership *Leadership, changes *ChangeSet) error {
+	leadership.saves++
 	var items []saveItem
 	for i := range changes.Progress {
-		next, err := leadership.progressItems(&changes.Progress[i])
+		next, err := k.progressItems(leadership, &changes.Progress[i])
 		if err != nil {
 			return err
 		}
@@ -119,7 +125,7 @@
 	}
 	// The roster omits runs whose ends are in the progress, so it is written after it.
 	if changes.RosterChanged {
-		item, err := leadership.rosterItem(&changes.Roster)
+		item, err := k.rosterItem(leadership, &changes.Roster)
 		if err != nil {
 			return err
 		}
@@ -184,13 +190,24 @@
 	return nil
 }
 
+// refusal describes a row that the store refused.
+type refusal struct {
+	size int // in bytes
+	save int // number of the save
+}
+
+// refusedRetryInterval is the number of saves after which a refused row is written again,
+// if it has not become smaller before.
+const refusedRetryInterval = 50
+
 var errOversized = errors.New("keeper: row exceeds the size limit of the store")
 
 // setAsideOversized sets an item aside that the store would refuse, and reports whether it
-// did: one with a row over the limit, or one that is as large as when it was refused.
+// did: one with a row over the limit, or one that was refused lately and has not become
+// smaller.
 func (k *Keeper) setAsideOversized(leadership *Leadership, item *saveItem, changes *ChangeSet) bool {
 	for _, r := range item.writes {
-		if refused, ok := leadership.refused[r.Key]; ok && len(r.Value) >= refused {
+		if refused, ok := leadership.refused[r.Key]; ok && len(r.Value) >= refused.size && leadership.saves-refused.save < refusedRetryInterval {
 			changes.SetAside = append(changes.SetAside, RefusedRow{Key: r.Key, Size: len(r.Value), Err: ErrRejected, Repeated: true})
 			return true
 		}
@@ -207,10 +224,10 @@
 // setAside records that the store refuses an item.
 func (l *Leadership) setAside(item *saveItem, err error, changes *ChangeSet) {
 	if l.refused == nil {
-		l.refused = make(map[Key]int)
+		l.refused = make(map[Key]refusal)
 	}
 	for _, r := range item.writes {
-		l.refused[r.Key] = len(r.Value)
+		l.refused[r.Key] = refusal{size: len(r.Value), save: l.saves}
 		changes.SetAside = append(changes.SetAside, RefusedRow{Key: r.Key, Size: len(r.Value), Err: err})
 	}
 	for _, key := range item.deletes {
