coordinator: ends are acknowledged only if their progress is stored

A batch of which the store refused a row counted as stored but for the states of jobs: the ends of runs in the row were acknowledged (Batch.Exclude said so), and crash records in it counted as stored.

Ends whose job's progress was refused now hold up the acknowledgements of their target from there on, the job is saved again with each batch, and a crash record counts as stored only if it is.

TestModelKeepsRules lets the store refuse the progress of jobs and passes 3,000 sequences. Without the change it fails ("starts as run after its end was acknowledged"), and so does TestRefusedProgressIsNotAcknowledged.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -58,8 +58,7 @@
 }
 
 // Exclude records that the store refuses some rows of the batch, which is stored without
-// them. The ends of runs in them count as stored all the same: keeping them unacknowledged
-// would hold up those of all other jobs. The ends of jobs do not, nor does the roster.
+// them. Nothing in them counts as stored: neither ends of runs and jobs nor the roster.
 func (b *Batch) Exclude(jobs []w.JobID, roster bool) {
 	b.refused = make(map[w.JobID]bool, len(jobs))
 	for _, id := range jobs {
@@ -116,6 +115,7 @@
 	adviserFailures     map[w.InstanceID]adviserFailures
 
 	dirty            map[w.JobID]*job      // changed since they were last included in a batch
+	unstored         map[w.JobID]bool      // jobs whose progress the store refused
 	endSeqs          map[w.TargetID]endSeq // highest sequence number of the received ends, for the next batch
 	unstoredStates   []linker.JobState     // published once the next batch is stored
 	expiredJobs      []w.JobID             // removed with the next batch
@@ -190,6 +190,7 @@
 		sentCalls:       make(map[int64]*adviceCall),
 		adviserFailures: make(map[w.InstanceID]adviserFailures),
 		dirty:           make(map[w.JobID]*job),
+		unstored:        make(map[w.JobID]bool),
 		endSeqs:         make(map[w.TargetID]endSeq),
 		roster:          make(roster),
 		permittedShares: make(map[string]float64),
@@ -457,24 +458,22 @@
 		c.generation++
 	}
 	for id, n := range b.suspicions {
-		if j := c.jobs[id]; j != nil {
+		if j := c.jobs[id]; j != nil && !b.refused[id] {
 			j.suspicionsStored = n
 			c.generation++
 		}
 	}
-	if len(b.refused) > 0 && len(b.endSeqs) > 0 {
-		c.Log.Error("ends are acknowledged although progress is not stored", "jobs", len(b.refused), "targets", len(b.endSeqs), "epoch", c.Epoch)
-	}
+	c.recordRefused(b)
 	for id, stored := range b.endSeqs {
 		t := c.targets[id]
 		if t == nil || t.Incarnation != stored.incarnation {
 			continue
 		}
-		seq := t.ackableSeq(stored.seq)
+		seq := c.ackableSeq(t, stored.seq)
 		if seq <= t.ackedSeq {
 			continue
 		}
-		t.ackedSeq = seq
+		t.acknowledge(seq)
 		if t.member != nil {
 			f := t.member.nextFrame()
 			f.Acks = append(f.Acks, linker.Ack{Target: id, Incarnation: t.Incarnation, Seq: seq})
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -116,3 +116,39 @@
 	}
 	require.False(t, x.c.roster.allowsStarts("new"))
 }
+
+// TestRefusedProgressIsNotAcknowledged guards against acknowledging the end of a run
+// although the store refused the progress with it: the next leader runs the task again.
+func TestRefusedProgressIsNotAcknowledged(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.reportRuns("a")
+	for _, id := range []w.JobID{"refused", "stored"} {
+		j := singleTaskJob(id)
+		j.Steps[0].Count = 2
+		x.submit(j)
+	}
+	starts := make(map[w.JobID]linker.Start)
+	for _, s := range x.advance(0).Starts {
+		x.confirmStart(s)
+		starts[s.Task.Job] = s
+	}
+	require.Len(t, starts, 2)
+	// save saves all changes, and returns up to which end of the target is acknowledged.
+	save := func(refused ...w.JobID) int64 {
+		x.now = x.now.Add(progressPeriod)
+		x.c.Advance(x.now)
+		b := x.c.Flush()
+		require.NotNil(t, b)
+		b.Exclude(refused, false)
+		x.c.Stored(b)
+		return x.c.targets["a"].ackedSeq
+	}
+	x.reportEnd("a", starts["stored"], w.EndedDone)
+	x.reportEnd("a", starts["refused"], w.EndedDone)
+	require.EqualValues(t, 1, save("refused"), "only the end before the refused one is acknowledged")
+	require.EqualValues(t, 1, save("refused"))
+	x.reportEnd("a", starts["stored"], w.EndedDone)
+	require.EqualValues(t, 1, save("refused"), "later ends wait as well")
+	require.EqualValues(t, 1, save(), "the progress is stored again")
+	require.EqualValues(t, 3, save())
+}
--- a/coordinator/model_test.go
+++ b/coordinator/model_test.go
@@ -31,6 +31,7 @@
 	rows         map[keeper.Key]keeper.Row
 	version      keeper.Version
 	unresponsive bool
+	refused      w.JobID // progress of this job is refused
 	delayed      []keeper.Tx
 }
 
@@ -39,6 +40,9 @@
 		s.delayed = append(s.delayed, keeper.Tx{Preconditions: slices.Clone(tx.Preconditions), Writes: slices.Clone(tx.Writes), Deletes: slices.Clone(tx.Deletes)})
 		return 0, keeper.ErrOutcomeUnknown
 	}
+	if slices.ContainsFunc(tx.Writes, func(r keeper.Row) bool { return r.Table == keeper.TableProgress && r.Name == string(s.refused) }) {
+		return 0, fmt.Errorf("%w: %w", keeper.ErrRejected, keeper.ErrNotExecuted)
+	}
 	return s.apply(tx)
 }
 
@@ -585,7 +589,9 @@
 	}
 	b := l.batch
 	if !b.Empty() {
-		err := m.keeper.Save(context.Background(), &l.leadership, &keeper.ChangeSet{Progress: b.Progress, Roster: b.Roster, RosterChanged: b.RosterChanged})
+		changes := &keeper.ChangeSet{Progress: b.Progress, Roster: b.Roster, RosterChanged: b.RosterChanged}
+		err := m.keeper.Save(context.Background(), &l.leadership, changes)
+		b.Exclude(changes.RefusedJobs(), changes.RosterRefused())
 		if err == nil {
 			_, err = m.keeper.RemoveJobs(context.Background(), l.leadership.Removals(b.Remove))
 		}
@@ -601,6 +607,15 @@
 	l.coordinator.Stored(b)
 }
 
+// refuseRows makes the store refuse the progress of a job, or of none.
+func (m *model) refuseRows() {
+	m.store.refused = ""
+	if n := m.draw(len(m.jobs)+1, "refused"); n < len(m.jobs) {
+		m.store.refused = m.jobs[n].ID
+	}
+	m.logf("store refuses progress of %q", m.store.refused)
+}
+
 // renew makes a leader renew its leadership in the store.
 func (m *model) renew() {
 	l := m.pickLeader()
@@ -1087,7 +1102,7 @@
 		m := newModel(t)
 		m.hideStops = rapid.Bool().Draw(t, "hideStops")
 		events := []func(){m.advance, m.advance, m.advance, m.advance, m.deliverOrder, m.deliverOrder, m.deliverOrder, m.pollTarget, m.pollTarget, m.pollTarget, m.pollTarget, m.saveBatch, m.saveBatch, m.saveBatch, m.passTime, m.endRandomRun, m.submit, m.findJobs, m.renew, m.applyDelayed}
-		for _, rare := range []func(){m.injectFault, m.continueLoad, m.writeEnds, m.loseAll, m.cancel, m.changeCapacity, m.restartTarget, m.isolateTarget, m.endRandomRun, m.passTime} {
+		for _, rare := range []func(){m.injectFault, m.continueLoad, m.writeEnds, m.loseAll, m.cancel, m.changeCapacity, m.restartTarget, m.isolateTarget, m.endRandomRun, m.passTime, m.refuseRows} {
 			if rapid.Bool().Draw(t, "occurs") {
 				events = append(events, rare)
 			}
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -157,6 +157,7 @@
 		return
 	}
 	t.endSeq = e.Seq
+	t.unackedEnds = append(t.unackedEnds, unackedEnd{e.Seq, e.Task.Job})
 	c.endSeqs[t.ID] = endSeq{t.Incarnation, e.Seq}
 	c.Meter.Count("end", e.How.String())
 	sl := t.slots[e.Task]
@@ -188,15 +189,6 @@
 // been removed from the store, if the store was read meanwhile.
 const orphanTimeout = 15 * time.Second
 
-// ackableSeq returns the highest sequence number, at most seq, up to which the ends of
-// the target can be acknowledged.
-func (t *target) ackableSeq(seq int64) int64 {
-	for i := range t.orphans {
-		seq = min(seq, t.orphans[i].end.Seq-1)
-	}
-	return seq
-}
-
 // adoptOrphans applies the runs and ends that targets reported before their job was
 // known.
 func (c *Coordinator) adoptOrphans(id w.JobID) {
--- a/coordinator/targets.go
+++ b/coordinator/targets.go
@@ -51,6 +51,7 @@
 	lateLeaseEnd      time.Time     // when leases by late requests from before its restart have certainly expired
 	endSeq            int64         // highest sequence number of a received end
 	ackedSeq          int64         // highest acknowledged sequence number
+	unackedEnds       []unackedEnd  // received ends after that, by sequence number
 	health            health
 	orphans           []orphanEnd // ends of jobs that are not known yet
 	nominatedStep     *step       // step that preempted runs here and may use their resources first, until nominatedUntil
@@ -215,7 +216,7 @@
 	}
 	c.generation++
 	t.Incarnation = incarnation
-	t.endSeq, t.ackedSeq, t.orphans = 0, 0, nil
+	t.endSeq, t.ackedSeq, t.orphans, t.unackedEnds = 0, 0, nil, nil
 	delete(c.endSeqs, t.ID)
 	t.synced = false
 	t.closedAt, t.closed, t.absent, t.answeredAt, t.answeredAtMember = time.Time{}, false, false, time.Time{}, 0
