platform, executor, coordinator: long checkpoints silence no target

With 70,000 bytes a checkpoint and a dozen runs on a target, a job never ended: the reply to a hold request exceeds the 512 KiB that are read of it, so none of the target's replies was read.

A log line of the target and masticlead_events_total{kind="checkpoint"} tell.

--- a/cmd/masticlead/platform.go
+++ b/cmd/masticlead/platform.go
@@ -94,7 +94,7 @@
 			front := &platform.Handler{Gateway: g, Budget: reserver.Budget{Bytes: s.MaxBodyMemory()}, Refusals: refusals}
 			clientConns, linkConns := s.MaxConns()
 			inst := &instance.Instance{
-				Name: s.InstanceName, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Cores: s.Cores,
+				Name: s.InstanceName, Zone: s.Zone, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, LinkAddr: s.LinkAddr, Cores: s.Cores, CheckpointMemory: s.MaxCheckpointMemory(),
 				Keeper: k, Directory: &platform.Directory{Store: store, Log: log, Meter: m}, Store: store, ConfigReads: configReads(store),
 				TargetClient: targetClient, Gateway: g, Front: front, Log: log,
 				Meter: m, MetricsAddr: s.MetricsAddr,
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -28,6 +28,9 @@
 	StopTimeout time.Duration // upper bound of the time to stop a run
 	RestoreTime time.Duration // time to restore a run from a checkpoint
 	Retention   time.Duration // time for which the state of an ended job is kept
+	// CheckpointMemory is the memory for the checkpoints of tasks in bytes. Zero means no
+	// limit.
+	CheckpointMemory int64
 	// QuotaExcess is the fraction by which a tenant's runs may exceed its cap.
 	QuotaExcess float64
 	// RemoteFactor is the ratio of a task's run time away from its data, or of a gang's
@@ -116,6 +119,8 @@
 
 	dirty            map[w.JobID]*job      // changed since they were last included in a batch
 	unstored         map[w.JobID]bool      // jobs whose progress the store refused
+	checkpointBytes  int64                 // total size of the checkpoints of all tasks
+	checkpointsFull  bool                  // a checkpoint was not kept for the size of all others
 	endSeqs          map[w.TargetID]endSeq // highest sequence number of the received ends, for the next batch
 	unstoredStates   []linker.JobState     // published once the next batch is stored
 	expiredJobs      []w.JobID             // removed with the next batch
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -309,7 +309,7 @@
 	i := 0
 	for _, sh := range plan {
 		for range sh.tasks {
-			s.tasks[i].checkpoint = checkpoint
+			c.setCheckpoint(&s.tasks[i], checkpoint)
 			c.startRun(s, i, sh.target, run, s.probe)
 			i++
 		}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -343,6 +343,7 @@
 		return
 	}
 	c.setPhase(s, i, finished)
+	c.setCheckpoint(&s.tasks[i], "")
 	s.done++
 	c.dirty[s.job.ID] = s.job
 	if s.done == s.Count {
@@ -393,6 +394,7 @@
 			c.cancelBookingAndNominations(s)
 			s.clearAdvice()
 			for i := range s.tasks {
+				c.setCheckpoint(&s.tasks[i], "")
 				switch s.tasks[i].phase {
 				case starting, running:
 					c.stopTask(s, i)
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -14,7 +14,7 @@
 		for i := range s.tasks {
 			tk := &s.tasks[i]
 			tk.failedRuns = sp.FailedRuns[i]
-			tk.checkpoint = sp.Checkpoints[i]
+			c.setCheckpoint(tk, sp.Checkpoints[i])
 			tk.crashed, tk.unclear = sp.CrashedRuns[i], sp.UnclearRuns[i]
 			tk.retryAt = c.now.Add(tk.pause())
 			if sp.Done(i) {
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -41,9 +41,7 @@
 			tk.progressedAt = c.now
 			t.health.progressedAt = c.now
 		}
-		if r.Checkpoint != "" {
-			tk.checkpoint = r.Checkpoint
-		}
+		c.keepCheckpoint(tk, r.Checkpoint)
 	}
 	for id, sl := range t.slots {
 		if sl.listedAt.Equal(c.now) {
@@ -121,9 +119,7 @@
 		return
 	}
 	tk.run, tk.target, tk.percent, tk.progressedAt, tk.fullRun = r.Run, t, r.Percent, c.now, false
-	if r.Checkpoint != "" {
-		tk.checkpoint = r.Checkpoint
-	}
+	c.keepCheckpoint(tk, r.Checkpoint)
 	c.setPhase(s, sl.index, running)
 	c.markStarted(j)
 	if slices.Contains(s.crashes(sl.index).unclear, r.Run) {
@@ -250,8 +246,7 @@
 		return
 	}
 	c.removeUnclear(s, e.Task.Index, e.Run)
-	if s.Saves && e.Checkpoint != "" && (current || tk.phase == waiting) {
-		tk.checkpoint = e.Checkpoint
+	if s.Saves && (current || tk.phase == waiting) && c.keepCheckpoint(tk, e.Checkpoint) {
 		c.dirty[j.ID] = j
 	}
 	switch e.How {
--- a/executor/caller.go
+++ b/executor/caller.go
@@ -52,6 +52,8 @@
 	Runs        []w.Run
 	Ends        []w.End
 	MoreEnds    bool // the target may have further ends than Ends
+	// OmittedCheckpoints is the number of checkpoints that were left out for their size.
+	OmittedCheckpoints int
 }
 
 // Ticket is the advice service's permission to start tasks of one step on a target.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/masticlead/masticlead/linker"
+	"github.com/masticlead/masticlead/meter"
 	w "github.com/masticlead/masticlead/workload"
 )
 
@@ -17,6 +18,7 @@
 	TargetClient TargetClient
 	StopTimeout  time.Duration // time within which a target ends a run that it was told to stop
 	Log          *slog.Logger
+	Meter        *meter.Meter // may be nil
 	Send         func(*linker.Frame)
 
 	client    recoveringClient
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -501,3 +502,23 @@
 		require.Equal(t, c.want, f.outcomes()[0], "%v", c.errs)
 	}
 }
+
+// TestLongCheckpointsAreReportedSeldom guards against a target whose long checkpoints take
+// the link to the coordinator.
+func TestLongCheckpointsAreReportedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(targetSession)
+		long, short := strings.Repeat("x", longCheckpoint+1), strings.Repeat("x", longCheckpoint)
+		report := func() (checkpoints []string) {
+			for _, r := range s.paceCheckpoints([]w.Run{{Checkpoint: long}, {Checkpoint: short}, {Checkpoint: long}}) {
+				checkpoints = append(checkpoints, r.Checkpoint)
+			}
+			return checkpoints
+		}
+		require.Equal(t, []string{long, short, long}, report())
+		time.Sleep(longCheckpointInterval - time.Millisecond)
+		require.Equal(t, []string{"", short, ""}, report())
+		time.Sleep(time.Millisecond)
+		require.Equal(t, []string{long, short, long}, report())
+	})
+}
--- a/executor/loop.go
+++ b/executor/loop.go
@@ -36,6 +36,10 @@
 	// fullReportInterval is the least time between two reports to the coordinator
 	// that list all runs of a target.
 	fullReportInterval = 400 * time.Millisecond
+	// longCheckpoint is the size in bytes above which the checkpoints of running tasks are
+	// reported only every longCheckpointInterval. The last one is in the end of the run.
+	longCheckpoint         = 1 << 10
+	longCheckpointInterval = 2 * time.Second
 )
 
 // targetSession renews the leases of one target incarnation and carries out the start
@@ -62,6 +66,8 @@
 	holdCursor    int64        // cursor of that request
 	knownCursor   int64        // highest cursor that the target has received
 	settledAt     time.Time    // when runs that were stopped before the first reply have ended at the latest
+	omitted       int          // checkpoints left out of the last reply for their size
+	longReported  time.Time    // when long checkpoints were last reported
 	reports       []sentReport // reports that the coordinator may not have processed, and the last one before
 }
 
@@ -176,6 +182,7 @@
 			continue
 		}
 		hasRuns = len(reply.Runs) > 0
+		s.noteOmitted(reply.OmittedCheckpoints)
 		report := linker.Report{Target: s.target.ID, Incarnation: s.incarnation, Session: s.assignment, Latency: time.Since(sent) - req.Wait, At: time.Since(s.e.startedAt)}
 		var resolved []linker.Result
 		var settled bool
@@ -184,7 +191,7 @@
 		report.Unsettled, wasSettled = !settled, settled
 		if full {
 			// A run that is not listed may have ended if there are further ends.
-			report.Runs, report.Complete = reply.Runs, !reply.MoreEnds
+			report.Runs, report.Complete = s.paceCheckpoints(reply.Runs), !reply.MoreEnds
 			lastFullReport = time.Now()
 		}
 		if full || len(report.Ends) > 0 || len(resolved) > 0 {
@@ -209,6 +216,33 @@
 	return errors.Is(err, ErrOtherTarget) || (errors.Is(err, ErrClosed) && errors.Is(err, ErrNotSent))
 }
 
+// noteOmitted logs and counts checkpoints that were left out of a reply for their size.
+func (s *targetSession) noteOmitted(n int) {
+	if n > 0 && s.omitted == 0 {
+		s.e.Log.Warn("checkpoints of a target are too long to be kept", "target", s.target.ID, "checkpoints", n)
+	}
+	s.omitted = n
+	for range n {
+		s.e.Meter.Count("checkpoint", "tooLong")
+	}
+}
+
+// paceCheckpoints leaves out long checkpoints that are due later. The coordinator keeps the
+// earlier ones.
+func (s *targetSession) paceCheckpoints(runs []w.Run) []w.Run {
+	due := time.Since(s.longReported) >= longCheckpointInterval
+	for i := range runs {
+		switch {
+		case len(runs[i].Checkpoint) <= longCheckpoint:
+		case due:
+			s.longReported = time.Now()
+		default:
+			runs[i].Checkpoint = ""
+		}
+	}
+	return runs
+}
+
 // nextHold returns the next hold request.
 func (s *targetSession) nextHold(hasRuns bool) HoldRequest {
 	s.mu.Lock()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -82,9 +82,12 @@
 	ReadyAddr string  // listen address for readiness checks
 	LinkAddr  string  // listen address for connections from instances
 	Cores     float64 // CPU capacity of this instance
-	Keeper    *keeper.Keeper
-	Directory Directory
-	Store     Store
+	// CheckpointMemory is the memory for the checkpoints of tasks in bytes while this
+	// instance leads the cell. Zero means no limit.
+	CheckpointMemory int64
+	Keeper           *keeper.Keeper
+	Directory        Directory
+	Store            Store
 	// ConfigReads read the configuration over one path to the store each, in the order in
 	// which they are tried to confirm that the active configuration is current. If there
 	// are none, Directory is used.
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -125,7 +125,7 @@
 	bounds := in.bounds.Load()
 	l.coordinator = coordinator.New(coordinator.Settings{
 		Epoch: leadership.Epoch, Self: in.id, Lease: min(targetLease, bounds.MaxLease), MaxLease: bounds.MaxLease, StopTimeout: bounds.StopTimeout,
-		RestoreTime: bounds.RestoreTime, QuotaExcess: bounds.QuotaExcess, RemoteFactor: bounds.RemoteFactor,
+		CheckpointMemory: in.CheckpointMemory, RestoreTime: bounds.RestoreTime, QuotaExcess: bounds.QuotaExcess, RemoteFactor: bounds.RemoteFactor,
 		Retention: bounds.StateRetention + retentionMargin, LoadProgress: l.monitor.Advance, Log: in.Log, Meter: in.Meter,
 	}, start)
 	l.spawnLoop(l.renew)
--- a/instance/link.go
+++ b/instance/link.go
@@ -195,7 +195,7 @@
 		// stored.
 		c.Close()
 	}
-	e := &executor.Executor{TargetClient: in.TargetClient, StopTimeout: in.bounds.Load().StopTimeout, Log: in.Log, Send: c.Send}
+	e := &executor.Executor{TargetClient: in.TargetClient, StopTimeout: in.bounds.Load().StopTimeout, Log: in.Log, Meter: in.Meter, Send: c.Send}
 	e.Run()
 	c.Send(&linker.Frame{Hello: &linker.Hello{Instance: in.id, Zone: in.Zone, Strength: in.Cores, Address: in.LinkAddr}})
 	result := elector.NoAnswer
--- a/soak/checkpoints_test.go
+++ b/soak/checkpoints_test.go
@@ -20,7 +20,7 @@
 // TestLongCheckpointsLoseNoEnds guards against ends that are acknowledged although the row
 // with them was refused for the size of checkpoints: the next leader runs the tasks again.
 func TestLongCheckpointsLoseNoEnds(t *testing.T) {
-	for _, c := range []struct{ size, tasks int }{{400, 180}, {20_000, 36}} {
+	for _, c := range []struct{ size, tasks int }{{400, 180}, {20_000, 36}, {70_000, 36}} {
 		t.Run(fmt.Sprintf("%d tasks, %d bytes", c.tasks, c.size), func(t *testing.T) { killLeaderAfterAcks(t, c.size, c.tasks) })
 	}
 }
