--- a/soak/long_runs_test.go
+++ b/soak/long_runs_test.go
@@ -96,7 +96,10 @@
 		c.kinds = chooseFaults(rng)
 	}
 	hide, saves := c.chosen("hide"), rng.IntN(2) == 0
-	t.Logf("seed %d, %d targets, faults %s, runs up to %d ms, stopping runs hidden %v, saved %v", seed, targets, strings.Join(c.kinds, ","), longest, hide, saves)
+	sizes := [...]int{0, 16, 400, 7000, 70_000}
+	checkpointSize := sizes[rand.New(rand.NewPCG(seed, 4)).IntN(len(sizes))]
+	t.Logf("seed %d, %d targets, faults %s, runs up to %d ms, stopping runs hidden %v, saved %v, checkpoints of %d bytes",
+		seed, targets, strings.Join(c.kinds, ","), longest, hide, saves, checkpointSize)
 	gangs := &standin.Gangs{Timeout: 5 * time.Second, Size: func(step string) int {
 		if _, ok := c.gangs.Load(step); ok {
 			return gangSize
@@ -121,6 +124,7 @@
 		target.CPU, target.TaskCPU, target.Run, target.Stalls = longRunCPU, func(string) int64 { return taskCPU }, run, stalls
 		target.Addr, target.Zone, target.Machine = standin.FreeAddr(), zoneOf(i), fmt.Sprintf("m%02d", i)
 		target.StopTimeout, target.HidesStopped, target.MaxLease, target.Gangs, target.Saves = 400*time.Millisecond, hide, 10*time.Second, gangs, saves
+		target.CheckpointSize = checkpointSize
 		target.ClockRate = 1 - 0.02*rng.Float64()
 	})
 	require.NoError(t, err)
