keeper: a refused chunk leaves the former rows of its job as they are

The same cause as on a related path, found while reading: when progress moves to other rows and the store refuses one of them, the job's row was still written without what had moved, and unused chunks were deleted. With them went ends that had been stored and acknowledged before. The job's row and the deletions now depend on the chunks before them.

TestRefusedChunkKeepsFormerProgress fails without the change (the job has no progress left) and passes with it. TestRefusedRowHoldsUpNoOthers asks again that nothing of the refused job is written.

--- a/keeper/chunks.go
+++ b/keeper/chunks.go
@@ -100,7 +100,8 @@
 // Progress that is too large for a row is spread over chunks by its encoded size, and its
 // checkpoints over chunks of their own. Unchanged chunks are left out. The job's row comes
 // after the chunks: until it is written, the former one still has what was moved. Chunks
-// that are no longer used are deleted last. While both exist, a load merges them.
+// that are no longer used are deleted last. While both exist, a load merges them. If the
+// store refuses a chunk, the former rows stay as they are.
 func (k *Keeper) progressItems(l *Leadership, p *Progress) ([]saveItem, error) {
 	limit := k.chunkBytes()
 	stored := l.chunks[p.ID]
@@ -128,17 +129,18 @@
 		return nil, err
 	}
 	items := stored.checkpointItems(p.ID, checkpointChunks)
-	items = append(items, stored.progressItems(p.ID, factChunks)...)
+	group := new(itemGroup)
+	items = append(items, stored.progressItems(p.ID, factChunks, group)...)
 	first := factChunks[0].value
 	if first == nil {
 		if first, err = encodeProgress(&Progress{ID: p.ID, State: p.State, Started: p.Started}); err != nil {
 			return nil, err
 		}
 	}
-	items = append(items, saveItem{writes: []Row{{Key: progressKey(p.ID), Value: first}}})
+	items = append(items, saveItem{writes: []Row{{Key: progressKey(p.ID), Value: first}}, group: group, dependent: true})
 	unused := stored.unused(p.ID, factChunks, checkpointChunks)
 	for keys := range slices.Chunk(unused, maxTxRows) {
-		items = append(items, saveItem{deletes: keys, stored: func() { l.forgetChunks(p.ID, keys) }})
+		items = append(items, saveItem{deletes: keys, stored: func() { l.forgetChunks(p.ID, keys) }, group: group, dependent: true})
 	}
 	return items, nil
 }
@@ -171,7 +173,7 @@
 
 // progressItems returns the chunks of progress that have to be written, but for chunk 0,
 // which is the job's row in TableProgress.
-func (c *jobChunks) progressItems(id w.JobID, chunks map[chunkNumber]chunk) []saveItem {
+func (c *jobChunks) progressItems(id w.JobID, chunks map[chunkNumber]chunk, group *itemGroup) []saveItem {
 	var items []saveItem
 	for _, n := range slices.Sorted(maps.Keys(chunks)) {
 		hash := xxhash.Sum64(chunks[n].value)
@@ -181,6 +183,7 @@
 		items = append(items, saveItem{
 			writes: []Row{{Key: chunkKey(tableProgressChunks, id, n), Value: chunks[n].value}},
 			stored: func() { c.progress[n] = hash },
+			group:  group,
 		})
 	}
 	return items
--- a/keeper/save.go
+++ b/keeper/save.go
@@ -97,8 +97,18 @@
 	writes  []Row
 	deletes []Key
 	stored  func() // called once the item is stored, if it is not nil
+
+	// group has the items of a job's progress, or is nil. Those with dependent set remove
+	// what others write elsewhere, and are left out if any of the group before is refused.
+	group     *itemGroup
+	dependent bool
 }
 
+type itemGroup struct{ refused bool }
+
+// leftOut reports whether the item depends on one that was refused.
+func (i *saveItem) leftOut() bool { return i.dependent && i.group.refused }
+
 func (i *saveItem) rows() int { return len(i.writes) + len(i.deletes) }
 
 // size returns the size of the item's values in bytes.
@@ -136,7 +146,7 @@
 
 // saveItems writes items in transactions of up to maxTxRows rows and maxTxBytes.
 func (k *Keeper) saveItems(ctx context.Context, leadership *Leadership, items []saveItem, changes *ChangeSet) error {
-	items = slices.DeleteFunc(items, func(i saveItem) bool { return k.setAsideOversized(leadership, &i, changes) })
+	items = slices.DeleteFunc(items, func(i saveItem) bool { return i.leftOut() || k.setAsideOversized(leadership, &i, changes) })
 	for len(items) > 0 {
 		rows, size, n := 0, 0, 0
 		for n < len(items) && (n == 0 || (rows+items[n].rows() <= maxTxRows && size+items[n].size() <= maxTxBytes)) {
@@ -155,6 +165,7 @@
 // saveTogether writes items in one transaction or, if the store refuses that, in several,
 // so that only what it refuses by itself is set aside.
 func (k *Keeper) saveTogether(ctx context.Context, leadership *Leadership, items []saveItem, changes *ChangeSet) error {
+	items = slices.DeleteFunc(slices.Clone(items), func(i saveItem) bool { return i.leftOut() })
 	var tx Tx
 	for i := range items {
 		tx.Writes = append(tx.Writes, items[i].writes...)
@@ -209,6 +220,7 @@
 	for _, r := range item.writes {
 		if refused, ok := leadership.refused[r.Key]; ok && len(r.Value) >= refused.size && leadership.saves-refused.save < refusedRetryInterval {
 			changes.SetAside = append(changes.SetAside, RefusedRow{Key: r.Key, Size: len(r.Value), Err: ErrRejected, Repeated: true})
+			item.recordRefused()
 			return true
 		}
 	}
@@ -221,8 +233,15 @@
 	return false
 }
 
+func (i *saveItem) recordRefused() {
+	if i.group != nil {
+		i.group.refused = true
+	}
+}
+
 // setAside records that the store refuses an item.
 func (l *Leadership) setAside(item *saveItem, err error, changes *ChangeSet) {
+	item.recordRefused()
 	if l.refused == nil {
 		l.refused = make(map[Key]refusal)
 	}
