coordinator: the checkpoint in an end is stored also if it was listed before

One that the target had listed before was in memory only, and the target forgets it with the acknowledgement: after a takeover the task would have started from the beginning.

--- a/coordinator/checkpoints.go
+++ b/coordinator/checkpoints.go
@@ -2,10 +2,9 @@
 
 // keepCheckpoint records the checkpoint that a target has listed for a task, unless all
 // checkpoints would take more than CheckpointMemory. The task then keeps its earlier one.
-// It reports whether the checkpoint has changed.
-func (c *Coordinator) keepCheckpoint(tk *task, checkpoint string) bool {
-	if checkpoint == "" || checkpoint == tk.checkpoint {
-		return false
+func (c *Coordinator) keepCheckpoint(tk *task, checkpoint string) {
+	if checkpoint == "" {
+		return
 	}
 	more := int64(len(checkpoint) - len(tk.checkpoint))
 	if more > 0 && c.CheckpointMemory > 0 && c.checkpointBytes+more > c.CheckpointMemory {
@@ -14,10 +13,9 @@
 			c.checkpointsFull = true
 			c.Log.Warn("checkpoints take too much memory; further ones are not kept", "bytes", c.checkpointBytes, "limit", c.CheckpointMemory, "epoch", c.Epoch)
 		}
-		return false
+		return
 	}
 	c.setCheckpoint(tk, checkpoint)
-	return true
 }
 
 func (c *Coordinator) setCheckpoint(tk *task, checkpoint string) {
--- a/coordinator/checkpoints_test.go
+++ b/coordinator/checkpoints_test.go
@@ -43,3 +43,25 @@
 	}
 	require.Zero(t, x.c.checkpointBytes)
 }
+
+// TestListedCheckpointOfEndIsStored guards against losing the checkpoint of a run that its
+// target has listed before: after the acknowledgement of the end, nobody else has it.
+func TestListedCheckpointOfEndIsStored(t *testing.T) {
+	x := newCell(t, 1, 1, nil)
+	x.reportRuns("a")
+	j := singleTaskJob("j")
+	j.Steps[0].Saves = true
+	x.submit(j)
+	start := x.advance(0).Starts[0]
+	x.confirmStart(start)
+	x.reportRuns("a", w.Run{Task: start.Task, Run: start.Run, Checkpoint: "saved"})
+	x.advance(0)
+	x.receive(&linker.Frame{Reports: []linker.Report{{Target: "a", Incarnation: 1, Ends: []w.End{
+		{Seq: 1, Task: start.Task, Run: start.Run, How: w.EndedStopped, Checkpoint: "saved"},
+	}}}})
+	x.c.progressDue = x.now
+	b := x.c.Flush()
+	require.NotNil(t, b)
+	require.Len(t, b.Progress, 1)
+	require.Equal(t, "saved", b.Progress[0].Steps[0].Checkpoints[0])
+}
--- a/coordinator/runs.go
+++ b/coordinator/runs.go
@@ -246,7 +246,8 @@
 		return
 	}
 	c.removeUnclear(s, e.Task.Index, e.Run)
-	if s.Saves && (current || tk.phase == waiting) && c.keepCheckpoint(tk, e.Checkpoint) {
+	if s.Saves && e.Checkpoint != "" && (current || tk.phase == waiting) {
+		c.keepCheckpoint(tk, e.Checkpoint)
 		c.dirty[j.ID] = j
 	}
 	switch e.How {
