--- a/soak/builds_test.go
+++ b/soak/builds_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -28,6 +29,19 @@
 	return name
 }
 
+// restartLeader kills the leader and starts it again.
+func restartLeader(t *testing.T, sim *standin.Platform, processes []*process) {
+	t.Helper()
+	k := &keeper.Keeper{Store: platform.NewStore(sim.StoreAddr), Partitions: 1}
+	for i, p := range processes {
+		if leaderName(t, k) == fmt.Sprintf("n%d", i) {
+			p.terminate(syscall.SIGKILL)
+			p.start()
+			return
+		}
+	}
+}
+
 // TestTwoBuilds runs instances of two builds in one cell, and moves the leadership from
 // each build to the other by a shutdown, by a kill, and by a restart of the whole cell
 // from what the other build stored. It guards against builds that do not understand each
--- a/soak/checkpoints_test.go
+++ b/soak/checkpoints_test.go
@@ -6,14 +6,11 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/masticlead/masticlead/keeper"
-	"github.com/masticlead/masticlead/platform"
 	"github.com/masticlead/masticlead/platform/standin"
 )
 
@@ -69,14 +66,7 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Eventually(t, func() bool { return sim.Checker.Acked(id) >= short }, acknowledgeLimit, 20*time.Millisecond, "ends are acknowledged")
 
-	k := &keeper.Keeper{Store: platform.NewStore(sim.StoreAddr), Partitions: 1}
-	for i, p := range processes {
-		if leaderName(t, k) == fmt.Sprintf("n%d", i) {
-			p.terminate(syscall.SIGKILL)
-			p.start()
-			break
-		}
-	}
+	restartLeader(t, sim, processes)
 	requireJobsEnd(t, sim, processes, []acceptedJob{{id: id}})
 	require.Equal(t, tasks, sim.Checker.Starts, "no task runs again")
 }
--- a/soak/odd_test.go
+++ b/soak/odd_test.go
@@ -7,14 +7,11 @@
 	"os"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/masticlead/masticlead/keeper"
-	"github.com/masticlead/masticlead/platform"
 	"github.com/masticlead/masticlead/platform/standin"
 )
 
@@ -108,14 +105,7 @@
 	for i, entry := range entries {
 		sim.Store.PutBytes("servers", fmt.Sprintf("odd%d", i), []byte(entry))
 		if i == len(entries)/2 {
-			k := &keeper.Keeper{Store: platform.NewStore(sim.StoreAddr), Partitions: 1}
-			for j, p := range processes {
-				if leaderName(t, k) == fmt.Sprintf("n%d", j) {
-					p.terminate(syscall.SIGKILL)
-					p.start()
-					break
-				}
-			}
+			restartLeader(t, sim, processes)
 		}
 		time.Sleep(interval)
 	}
